--- /dev/null
+++ b/hornbeamwood.go
@@ -0,0 +1,2 @@
+// Package hornbeamwood serves language-model prompts that return after long gaps.
+package hornbeamwood
--- /dev/null
+++ b/internal/control/state/image.go
@@ -0,0 +1,7 @@
+package state
+
+// image is the snapshot of all sections.
+type image struct {
+	At       int64             `cbor:"at"`
+	Sections map[string][]byte `cbor:"sections"`
+}
--- /dev/null
+++ b/internal/fleet/announcement/doc.go
@@ -0,0 +1,5 @@
+// Package announcement holds what backend servers say of themselves.
+//
+// The wire form is JSON over HTTP POST /fleet/announcements at any entry;
+// docs/INTERFACES.md lists it field by field.
+package announcement
--- /dev/null
+++ b/internal/settings/rules/fleet.go
@@ -0,0 +1,25 @@
+package rules
+
+import "time"
+
+// Fleet holds the effective settings that belong to no workspace.
+type Fleet struct {
+	// SettingsLease is how long an entry takes new work after its last proof that its settings are in force.
+	SettingsLease time.Duration `cbor:"settings-lease"`
+	// ServeWithoutQuorum lets entries serve on under their last settings when no quorum answers.
+	ServeWithoutQuorum bool `cbor:"serve-without-quorum"`
+	// AnnouncementAge is the age of a backend server's last announcement after which it gets no new work.
+	AnnouncementAge time.Duration `cbor:"announcement-age"`
+	// WeightLoads is the largest number of weight loads at once.
+	WeightLoads int `cbor:"weight-loads"`
+	// OrderLease is the lease of the one who gives orders.
+	OrderLease time.Duration `cbor:"order-lease"`
+	// RetryShare is the share of all requests that may be tried a second time.
+	RetryShare float64 `cbor:"retry-share"`
+	// QuarantineServers is the number of different backend servers lost under one fingerprint that quarantines it.
+	QuarantineServers int `cbor:"quarantine-servers"`
+	// QuarantineWindow is the time within which those losses count.
+	QuarantineWindow time.Duration `cbor:"quarantine-window"`
+	// AnnounceKeyDigests are the SHA-256 digests of the keys with which backend servers announce themselves.
+	AnnounceKeyDigests [][32]byte `cbor:"announce-key-digests"`
+}
--- /dev/null
+++ b/internal/settings/rules/snapshot.go
@@ -0,0 +1,17 @@
+package rules
+
+// Snapshot is the whole effective settings at one revision; it is never changed after it was built.
+type Snapshot struct {
+	// Revision is the number of the accepted edit that this snapshot shows.
+	Revision uint64 `cbor:"revision"`
+	// Fleet holds what belongs to no workspace.
+	Fleet Fleet `cbor:"fleet"`
+	// Workspaces maps names to workspaces.
+	Workspaces map[string]Workspace `cbor:"workspaces"`
+	// Models maps names to models.
+	Models map[string]Model `cbor:"models"`
+	// Services maps names to services.
+	Services map[string]Service `cbor:"services"`
+	// Operators maps an operator's name to the SHA-256 digests of its keys.
+	Operators map[string][][32]byte `cbor:"operators"`
+}
