Keys and typed calls between processes over QUIC

A call's failure carries a verdict: not-run when no connection or stream could be had or the peer refused it, may-have-run from the first byte that was handed to the connection. A waiting caller gives up at its own deadline while another dials the same dead peer; a mutex was ruled out for that.

--- /dev/null
+++ b/internal/base/event/node.go
@@ -0,0 +1,19 @@
+package event
+
+import "github.com/apex/log"
+
+// Events between the system's processes, 200 to 299.
+var (
+	// PeerConnected is written when another process of the system connects.
+	PeerConnected = define(200, log.DebugLevel, "peer-connected", "Another process of the system connected; its certificate was verified.")
+	// PeerRefused is written when a peer calls what its role may not call.
+	PeerRefused = define(201, log.WarnLevel, "peer-refused", "A process called a method that its certificate's role does not allow.")
+	// NoticeRefused is written when a message without an answer could not be taken.
+	NoticeRefused = define(202, log.WarnLevel, "notice-refused", "A message between processes could not be read or is not allowed to its sender.")
+	// KeysReloaded is written when rotated keys are in use.
+	KeysReloaded = define(203, log.InfoLevel, "keys-reloaded", "The node's keys were read anew; new connections use them.")
+	// KeysNotReloaded is written when changed key files are of no use.
+	KeysNotReloaded = define(204, log.ErrorLevel, "keys-not-reloaded", "Changed key files can't be used; the node goes on with the keys that it has.")
+	// KeysExpireSoon is written daily when the node's certificate is near its end.
+	KeysExpireSoon = define(205, log.WarnLevel, "keys-expire-soon", "The node's certificate expires soon; issue a new one with hornbeamwood keys node.")
+)
--- /dev/null
+++ b/internal/node/keys/ring.go
@@ -0,0 +1,118 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// Config names the key files of one node.
+type Config struct {
+	// CertificateFile is the node's PEM certificate.
+	CertificateFile string
+	// KeyFile is the node's PEM private key.
+	KeyFile string
+	// AuthorityFile holds the PEM certificates of all authorities that are trusted; two during a rotation.
+	AuthorityFile string
+}
+
+// Ring holds a node's keys and can load them anew while connections use them.
+type Ring interface {
+	// Reload reads the files again; on an error the keys in use stay.
+	Reload() error
+	// Expires returns when the node's certificate expires.
+	Expires() time.Time
+	// TLS returns settings for mutual TLS that follow every Reload.
+	TLS(protocol string) *tls.Config
+	// Name returns the node's name from its certificate.
+	Name() string
+}
+
+type ring struct {
+	config Config
+	loaded atomic.Pointer[loaded]
+}
+
+type loaded struct {
+	certificate tls.Certificate
+	authorities *x509.CertPool
+}
+
+// NewRing returns the keys in the files of c; unreadable, expired or unmatched keys are an error.
+func NewRing(c Config) (Ring, error) {
+	r := &ring{config: c}
+	if err := r.Reload(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Reload implements Ring.
+func (r *ring) Reload() error {
+	c, err := tls.LoadX509KeyPair(r.config.CertificateFile, r.config.KeyFile)
+	if err != nil {
+		return fmt.Errorf("keys: %s with %s: %w", r.config.CertificateFile, r.config.KeyFile, err)
+	}
+	b, err := os.ReadFile(r.config.AuthorityFile)
+	if err != nil {
+		return fmt.Errorf("keys: authorities: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(b) {
+		return fmt.Errorf("keys: %s holds no certificate", r.config.AuthorityFile)
+	}
+	if err := verify(c.Leaf, pool); err != nil {
+		return fmt.Errorf("keys: %s: %w", r.config.CertificateFile, err)
+	}
+	r.loaded.Store(&loaded{certificate: c, authorities: pool})
+	return nil
+}
+
+// Expires implements Ring.
+func (r *ring) Expires() time.Time {
+	return r.loaded.Load().certificate.Leaf.NotAfter
+}
+
+// Name implements Ring.
+func (r *ring) Name() string {
+	return r.loaded.Load().certificate.Leaf.Subject.CommonName
+}
+
+// TLS implements Ring.
+//
+// The standard verification is replaced, not dropped: RootCAs is fixed when a
+// tls.Config is made, and a ring must trust a new authority without a restart.
+func (r *ring) TLS(protocol string) *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		NextProtos:         []string{protocol},
+		ServerName:         ServerName,
+		ClientAuth:         tls.RequireAnyClientCert,
+		InsecureSkipVerify: true,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &r.loaded.Load().certificate, nil
+		},
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &r.loaded.Load().certificate, nil
+		},
+		VerifyConnection: func(s tls.ConnectionState) error {
+			if len(s.PeerCertificates) == 0 {
+				return errors.New("keys: the peer showed no certificate")
+			}
+			return verify(s.PeerCertificates[0], r.loaded.Load().authorities)
+		},
+	}
+}
+
+func verify(c *x509.Certificate, pool *x509.CertPool) error {
+	_, err := c.Verify(x509.VerifyOptions{
+		DNSName:   ServerName,
+		Roots:     pool,
+		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	})
+	return err
+}
--- /dev/null
+++ b/internal/node/rpc/node.go
@@ -0,0 +1,125 @@
+package rpc
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/quic-go/quic-go"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/node/keys"
+)
+
+// Protocol is the TLS application protocol of this package.
+const Protocol = "hornbeamwood/1"
+
+const (
+	keepAlive        = time.Second
+	idleTimeout      = 5 * time.Second
+	handshakeTimeout = 2 * time.Second
+	maxStreams       = 4096
+)
+
+// Config is what a Node needs.
+type Config struct {
+	// Listen is the UDP IP and port.
+	Listen string
+	// Ring holds the node's keys.
+	Ring keys.Ring
+	// Logger takes the events; nil for none.
+	Logger log.Interface
+}
+
+// Node is one process's end of the QUIC connections: it calls and is called on one UDP socket.
+type Node interface {
+	// Serve accepts connections until ctx ends; handlers are registered before.
+	Serve(ctx context.Context) error
+	// Address returns the UDP address that the node listens on.
+	Address() string
+	// Close ends all connections.
+	Close() error
+
+	register(name string, h rawHandler)
+	call(ctx context.Context, address, name string, body []byte) ([]byte, error)
+	notify(ctx context.Context, address, name string, body []byte) error
+}
+
+type node struct {
+	config    Config
+	transport *quic.Transport
+	handlers  map[string]rawHandler
+	pool      *pool
+	running   sync.WaitGroup
+}
+
+// New returns a Node that listens on the configured address.
+func New(c Config) (Node, error) {
+	a, err := net.ResolveUDPAddr("udp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("rpc: listen address %q: %w", c.Listen, err)
+	}
+	s, err := net.ListenUDP("udp", a)
+	if err != nil {
+		return nil, fmt.Errorf("rpc: %w", err)
+	}
+	t := &quic.Transport{Conn: s}
+	n := &node{
+		config:    c,
+		transport: t,
+		handlers:  make(map[string]rawHandler),
+	}
+	n.pool = newPool(t, c.Ring.TLS(Protocol))
+	return n, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		KeepAlivePeriod:       keepAlive,
+		MaxIdleTimeout:        idleTimeout,
+		HandshakeIdleTimeout:  handshakeTimeout,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: maxStreams,
+	}
+}
+
+// Address implements Node.
+func (n *node) Address() string {
+	return n.transport.Conn.LocalAddr().String()
+}
+
+// Close implements Node.
+func (n *node) Close() error {
+	n.pool.close()
+	err := n.transport.Close()
+	n.running.Wait()
+	if e := n.transport.Conn.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+func (n *node) register(name string, h rawHandler) {
+	n.handlers[name] = h
+}
+
+// Serve implements Node.
+func (n *node) Serve(ctx context.Context) error {
+	l, err := n.transport.Listen(n.config.Ring.TLS(Protocol), quicConfig())
+	if err != nil {
+		return fmt.Errorf("rpc: listen: %w", err)
+	}
+	defer l.Close()
+	for {
+		c, err := l.Accept(ctx)
+		if err != nil {
+			return ctx.Err()
+		}
+		event.PeerConnected.Write(n.config.Logger, log.Fields{"peer": peerOf(c.ConnectionState().TLS, c.RemoteAddr().String()).Name})
+		n.running.Go(func() { n.acceptCalls(ctx, c) })
+		n.running.Go(func() { n.acceptNotices(ctx, c) })
+	}
+}
--- /dev/null
+++ b/internal/node/rpc/pool.go
@@ -0,0 +1,89 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+)
+
+// pool holds one connection for each address that was called.
+type pool struct {
+	transport *quic.Transport
+	tls       *tls.Config
+	mu        sync.Mutex
+	slots     map[string]*slot
+}
+
+// slot lets one caller dial while the others of the same address wait, each no
+// longer than its own deadline: a mutex would hold them for a dead peer's
+// whole handshake timeout.
+type slot struct {
+	turn chan struct{}
+	conn *quic.Conn
+}
+
+func (s *slot) lock(ctx context.Context) error {
+	select {
+	case s.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *slot) unlock() {
+	<-s.turn
+}
+
+func newPool(t *quic.Transport, c *tls.Config) *pool {
+	return &pool{transport: t, tls: c, slots: make(map[string]*slot)}
+}
+
+func (p *pool) slot(address string) *slot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.slots[address]
+	if !ok {
+		s = &slot{turn: make(chan struct{}, 1)}
+		p.slots[address] = s
+	}
+	return s
+}
+
+func (p *pool) get(ctx context.Context, address string) (*quic.Conn, error) {
+	s := p.slot(address)
+	if err := s.lock(ctx); err != nil {
+		return nil, err
+	}
+	defer s.unlock()
+	if s.conn != nil && s.conn.Context().Err() == nil {
+		return s.conn, nil
+	}
+	a, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	c, err := p.transport.Dial(ctx, a, p.tls, quicConfig())
+	if err != nil {
+		return nil, err
+	}
+	s.conn = c
+	return c, nil
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.slots {
+		_ = s.lock(context.Background())
+		if s.conn != nil {
+			_ = s.conn.CloseWithError(0, "closing")
+		}
+		s.unlock()
+	}
+}
--- /dev/null
+++ b/internal/node/rpc/serve.go
@@ -0,0 +1,96 @@
+package rpc
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/quic-go/quic-go"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/verdict"
+)
+
+// readTimeout bounds how long a peer may take to send a request.
+const readTimeout = 10 * time.Second
+
+func (n *node) acceptCalls(ctx context.Context, c *quic.Conn) {
+	p := peerOf(c.ConnectionState().TLS, c.RemoteAddr().String())
+	for {
+		s, err := c.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		n.running.Go(func() { n.answerCall(s, p) })
+	}
+}
+
+func (n *node) acceptNotices(ctx context.Context, c *quic.Conn) {
+	p := peerOf(c.ConnectionState().TLS, c.RemoteAddr().String())
+	for {
+		s, err := c.AcceptUniStream(ctx)
+		if err != nil {
+			return
+		}
+		n.running.Go(func() { n.takeNotice(s, p) })
+	}
+}
+
+func (n *node) answerCall(s *quic.Stream, p Peer) {
+	defer s.Close()
+	_ = s.SetReadDeadline(time.Now().Add(readTimeout))
+	h, err := readFrame[header](s)
+	if err != nil {
+		return
+	}
+	ctx, cancel := deadline(s.Context(), h.Timeout)
+	defer cancel()
+	body, err := n.dispatch(ctx, p, h)
+	a := answer{Body: body}
+	if err != nil {
+		a = answer{Failure: failure(err)}
+	}
+	if err := writeFrame(s, a); err != nil {
+		s.CancelWrite(0)
+	}
+}
+
+func (n *node) takeNotice(s io.Reader, p Peer) {
+	h, err := readFrame[header](s)
+	if err != nil {
+		return
+	}
+	if _, err := n.dispatch(context.Background(), p, h); err != nil {
+		event.NoticeRefused.Write(n.config.Logger, log.Fields{"peer": p.Name, "notice": h.Name, "error": err.Error()})
+	}
+}
+
+func (n *node) dispatch(ctx context.Context, p Peer, h header) ([]byte, error) {
+	r, ok := n.handlers[h.Name]
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, http.StatusNotFound, "unknown-method", "this process has no method %q", h.Name)
+	}
+	if !allowed(r.roles, p.Role) {
+		event.PeerRefused.Write(n.config.Logger, log.Fields{"peer": p.Name, "role": string(p.Role), "method": h.Name})
+		return nil, verdict.New(verdict.NotRun, http.StatusForbidden, "forbidden-role", "role %q may not call %q", p.Role, h.Name)
+	}
+	return r.call(ctx, p, h.Body)
+}
+
+func deadline(ctx context.Context, timeout int64) (context.Context, context.CancelFunc) {
+	if timeout <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(timeout))
+}
+
+// failure turns err into what travels; an error without a verdict promises nothing.
+func failure(err error) *verdict.Error {
+	if e, ok := verdict.As(err); ok {
+		return &e
+	}
+	e := verdict.New(verdict.MayHaveRun, http.StatusInternalServerError, "failed", "%v", err)
+	return &e
+}
