--- /dev/null
+++ b/internal/standin/process/builders.go
@@ -0,0 +1,155 @@
+package process
+
+import (
+	"context"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"hornbeamwood/internal/standin/backend"
+	"hornbeamwood/internal/standin/engine"
+	"hornbeamwood/internal/standin/service"
+	"hornbeamwood/internal/standin/store"
+	"hornbeamwood/internal/standin/weights"
+)
+
+// crashExit is the exit code of an engine that a request crashed.
+const crashExit = 70
+
+var builders = map[Kind]func(f File, address string) server{
+	Engine:  buildEngine,
+	Service: buildService,
+	Store:   buildStore,
+	Weights: buildWeights,
+}
+
+func buildEngine(f File, address string) server {
+	c := engine.Config{
+		Identity:      f.Identity,
+		Zone:          f.Zone,
+		Address:       address,
+		Model:         f.Engine.Model,
+		WeightVersion: f.Engine.WeightVersion,
+		Role:          f.Engine.Role,
+		PrefillRate:   f.Engine.PrefillRate,
+		DecodeRate:    f.Engine.DecodeRate,
+		MaxRunning:    f.Engine.MaxRunning,
+		CachePieces:   f.Engine.CachePieces,
+		PieceBytes:    f.Engine.PieceBytes,
+		ChecksFencing: f.Engine.ChecksFencing,
+		WeightStore:   f.Engine.WeightStore,
+		ReportLag:     time.Duration(f.Engine.ReportLag),
+		EventLag:      time.Duration(f.Engine.EventLag),
+		EventLoss:     f.Engine.EventLoss,
+		Seed:          f.Engine.Seed,
+		Started:       time.Now(),
+	}
+	if f.Engine.Crashes {
+		c.Crash = func() { os.Exit(crashExit) }
+	}
+	e := engine.New(c)
+	return server{
+		handler:      e,
+		announcement: e.Announcement,
+		loops:        func(ctx context.Context, a backend.Announcer) { e.SendEvents(ctx, a) },
+		leave:        e.Leave,
+		running:      e.Running,
+	}
+}
+
+// plain is the announcement of servers without models.
+type plain struct {
+	Identity    string    `json:"identity"`
+	Incarnation int64     `json:"incarnation"`
+	Sequence    uint64    `json:"sequence"`
+	Zone        string    `json:"zone"`
+	Address     string    `json:"address"`
+	Kind        string    `json:"kind"`
+	State       string    `json:"state"`
+	Services    []string  `json:"services,omitempty"`
+	Load        plainLoad `json:"load"`
+}
+
+type plainLoad struct {
+	Sequence    uint64  `json:"sequence"`
+	Running     int     `json:"running"`
+	MaxRunning  int     `json:"max-running"`
+	CachePieces int64   `json:"cache-pieces"`
+	FreePieces  int64   `json:"free-pieces"`
+	LinkRate    float64 `json:"link-rate,omitempty"`
+	LinkQueued  int64   `json:"link-queued,omitempty"`
+}
+
+// maxCalls is what a service stand-in says of its largest number of calls at once.
+const maxCalls = 64
+
+// nominalPiece is the piece size by which a store counts its room in pieces.
+const nominalPiece = 64 << 10
+
+func newPlain(f File, address string, k Kind, started time.Time, leaving *atomic.Bool) plain {
+	p := plain{
+		Identity:    f.Identity,
+		Incarnation: started.UnixNano(),
+		Zone:        f.Zone,
+		Address:     address,
+		Kind:        string(k),
+		State:       "ready",
+	}
+	if leaving.Load() {
+		p.State = "leaving"
+	}
+	return p
+}
+
+func buildService(f File, address string) server {
+	s := service.New(service.Config{Name: f.Identity, Delay: time.Duration(f.Service.Delay)})
+	started, leaving := time.Now(), &atomic.Bool{}
+	return server{
+		handler: s,
+		announcement: func(sequence uint64) any {
+			p := newPlain(f, address, Service, started, leaving)
+			p.Sequence = sequence
+			p.Services = f.Service.Names
+			p.Load = plainLoad{Sequence: sequence, Running: s.Running(), MaxRunning: maxCalls}
+			return p
+		},
+		leave:   func() { leaving.Store(true) },
+		running: s.Running,
+	}
+}
+
+func buildStore(f File, address string) server {
+	started, leaving := time.Now(), &atomic.Bool{}
+	s := store.New(store.Config{
+		MemoryBytes: f.Store.MemoryBytes,
+		DiskBytes:   f.Store.DiskBytes,
+		LinkRate:    f.Store.LinkRate,
+		Started:     started,
+	})
+	return server{
+		handler: s,
+		announcement: func(sequence uint64) any {
+			p := newPlain(f, address, Store, started, leaving)
+			p.Sequence = sequence
+			queued, free := s.Load()
+			p.Load = plainLoad{
+				Sequence:    sequence,
+				CachePieces: (f.Store.MemoryBytes + f.Store.DiskBytes) / nominalPiece,
+				FreePieces:  free / nominalPiece,
+				LinkRate:    f.Store.LinkRate,
+				LinkQueued:  queued,
+			}
+			return p
+		},
+		leave:   func() { leaving.Store(true) },
+		running: func() int { return 0 },
+	}
+}
+
+func buildWeights(f File, _ string) server {
+	return server{handler: weights.New(weights.Config{
+		LoadTime:       time.Duration(f.Weights.LoadTime),
+		FullSpeedLoads: f.Weights.FullSpeedLoads,
+		Versions:       f.Weights.Versions,
+	})}
+}
--- /dev/null
+++ b/internal/standin/process/doc.go
@@ -0,0 +1,2 @@
+// Package process runs stand-ins as processes of their own.
+package process
--- /dev/null
+++ b/internal/standin/process/file.go
@@ -0,0 +1,112 @@
+package process
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Kind is which stand-in a file starts.
+type Kind string
+
+const (
+	// Engine starts a model engine.
+	Engine Kind = "engine"
+	// Service starts a plain service.
+	Service Kind = "service"
+	// Store starts a store VM.
+	Store Kind = "store"
+	// Weights starts a weight store.
+	Weights Kind = "weights"
+)
+
+// File is the TOML settings of one stand-in.
+type File struct {
+	// Identity names the backend server.
+	Identity string `toml:"identity"`
+	// Zone is its availability zone.
+	Zone string `toml:"zone"`
+	// Listen is the IP and port of its HTTP interface.
+	Listen string `toml:"listen"`
+	// Entries are the base URLs of entries that it announces itself to.
+	Entries []string `toml:"entries"`
+	// AnnounceKey is the bearer key of backend servers.
+	AnnounceKey string `toml:"announce-key"`
+	// StartDelay holds back the first announcement.
+	StartDelay Duration `toml:"start-delay"`
+
+	// Engine holds what only engines read.
+	Engine EngineFile `toml:"engine"`
+	// Service holds what only services read.
+	Service ServiceFile `toml:"service"`
+	// Store holds what only stores read.
+	Store StoreFile `toml:"store"`
+	// Weights holds what only weight stores read.
+	Weights WeightsFile `toml:"weights"`
+}
+
+// EngineFile is the engine table of a File.
+type EngineFile struct {
+	Model         string   `toml:"model"`
+	WeightVersion string   `toml:"weight-version"`
+	Role          string   `toml:"role"`
+	PrefillRate   float64  `toml:"prefill-rate"`
+	DecodeRate    float64  `toml:"decode-rate"`
+	MaxRunning    int      `toml:"max-running"`
+	CachePieces   int      `toml:"cache-pieces"`
+	PieceBytes    int      `toml:"piece-bytes"`
+	ChecksFencing bool     `toml:"checks-fencing"`
+	WeightStore   string   `toml:"weight-store"`
+	ReportLag     Duration `toml:"report-lag"`
+	EventLag      Duration `toml:"event-lag"`
+	EventLoss     float64  `toml:"event-loss"`
+	Seed          uint64   `toml:"seed"`
+	Crashes       bool     `toml:"crashes"`
+}
+
+// ServiceFile is the service table of a File.
+type ServiceFile struct {
+	Names []string `toml:"names"`
+	Delay Duration `toml:"delay"`
+}
+
+// StoreFile is the store table of a File.
+type StoreFile struct {
+	MemoryBytes int64   `toml:"memory-bytes"`
+	DiskBytes   int64   `toml:"disk-bytes"`
+	LinkRate    float64 `toml:"link-rate"`
+}
+
+// WeightsFile is the weights table of a File.
+type WeightsFile struct {
+	LoadTime       Duration       `toml:"load-time"`
+	FullSpeedLoads int            `toml:"full-speed-loads"`
+	Versions       map[string]int `toml:"versions"`
+}
+
+// Duration is a time.Duration that TOML writes as "250ms".
+type Duration time.Duration
+
+// UnmarshalText reads a duration such as "250ms".
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
+
+// Load returns the File at path; unknown keys are errors.
+func Load(path string) (File, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return File{}, err
+	}
+	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
+	var f File
+	if err := d.Decode(&f); err != nil {
+		return File{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/standin/store/piece.go
@@ -0,0 +1,35 @@
+package store
+
+// piece is one sealed object; its bytes never change.
+type piece struct {
+	data       []byte
+	digest     string
+	generation uint64
+	tier       string
+}
+
+// listed is one line of a listing.
+type listed struct {
+	Key        string `json:"key"`
+	Generation uint64 `json:"generation"`
+	Bytes      int    `json:"bytes"`
+	Tier       string `json:"tier"`
+}
+
+type listing struct {
+	Pieces []listed `json:"pieces"`
+	Next   string   `json:"next,omitempty"`
+}
+
+type tierUsage struct {
+	Bytes     int64 `json:"bytes"`
+	FreeBytes int64 `json:"free-bytes"`
+}
+
+type usage struct {
+	Incarnation int64     `json:"incarnation"`
+	Memory      tierUsage `json:"memory"`
+	Disk        tierUsage `json:"disk"`
+	LinkRate    float64   `json:"link-rate"`
+	LinkQueued  int64     `json:"link-queued"`
+}
--- /dev/null
+++ b/internal/standin/weights/doc.go
@@ -0,0 +1,2 @@
+// Package weights is a stand-in of the rate-limited weight store.
+package weights
