Node file: strict TOML with file, line, key and nearest key

Cause: a process needs its identity, addresses, peers and key files before anything else can start, and a mistyped line must stop it rather than be guessed at.

--- /dev/null
+++ b/internal/settings/node/keys.go
@@ -0,0 +1,11 @@
+package node
+
+// Keys names the PEM files of mutual TLS between the system's own processes.
+type Keys struct {
+	// Authority is the file with the certificates of those who sign for nodes.
+	Authority string `toml:"authority"`
+	// Certificate is the file with this node's certificate.
+	Certificate string `toml:"certificate"`
+	// PrivateKey is the file with this node's private key.
+	PrivateKey string `toml:"private-key"`
+}
--- /dev/null
+++ b/internal/settings/tomlfile/lines.go
@@ -0,0 +1,96 @@
+package tomlfile
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Lines maps dotted keys to the lines on which they are set; elements of
+// arrays of tables are counted from 0, as in "control[1].name".
+type Lines map[string]int
+
+// LinesOf returns the Lines of a TOML text, those before the first fault when it has one.
+func LinesOf(data []byte) Lines {
+	l := Lines{}
+	var p unstable.Parser
+	p.Reset(data)
+	arrays := map[string]int{}
+	prefix := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		switch e.Kind {
+		case unstable.Table:
+			prefix = l.add(&p, e, "")
+		case unstable.ArrayTable:
+			prefix = l.addElement(&p, e, arrays)
+		case unstable.KeyValue:
+			l.addValue(&p, e, prefix)
+		}
+	}
+	return l
+}
+
+// Of returns the line of key, or of the nearest table around it, and 0 when there is none.
+func (l Lines) Of(key string) int {
+	for {
+		if n, ok := l[key]; ok {
+			return n
+		}
+		i := strings.LastIndexByte(key, '.')
+		if i < 0 {
+			return 0
+		}
+		key = key[:i]
+	}
+}
+
+func (l Lines) add(p *unstable.Parser, e *unstable.Node, prefix string) string {
+	line := 0
+	key := prefix
+	for it := e.Key(); it.Next(); {
+		n := it.Node()
+		if line == 0 {
+			line = p.Shape(n.Raw).Start.Line
+		}
+		key = join(key, string(n.Data))
+	}
+	if _, ok := l[key]; !ok {
+		l[key] = line
+	}
+	return key
+}
+
+func (l Lines) addElement(p *unstable.Parser, e *unstable.Node, arrays map[string]int) string {
+	key := l.add(p, e, "")
+	line := 0
+	for it := e.Key(); it.Next() && line == 0; {
+		line = p.Shape(it.Node().Raw).Start.Line
+	}
+	element := fmt.Sprintf("%s[%d]", key, arrays[key])
+	arrays[key]++
+	l[element] = line
+	return element
+}
+
+func (l Lines) addValue(p *unstable.Parser, e *unstable.Node, prefix string) {
+	key := l.add(p, e, prefix)
+	l.addInline(p, e.Value(), key)
+}
+
+func (l Lines) addInline(p *unstable.Parser, v *unstable.Node, key string) {
+	if v.Kind != unstable.InlineTable {
+		return
+	}
+	for it := v.Children(); it.Next(); {
+		l.addValue(p, it.Node(), key)
+	}
+}
+
+func join(prefix, part string) string {
+	if prefix == "" {
+		return part
+	}
+	return prefix + "." + part
+}
