Control log: consensus core, data folder and replica

Cause: settings, leases and the ledger of calls that must not repeat need a log that survives the loss of a VM; there is no outside store.

--- /dev/null
+++ b/internal/control/disk/store_log.go
@@ -0,0 +1,197 @@
+package disk
+
+import (
+	"errors"
+	"fmt"
+
+	"hornbeamwood/internal/control/raft"
+)
+
+var errClosed = errors.New("disk: the data folder is closed")
+
+// loadLog reads the snapshot and the segments and begins a new segment.
+func (s *store) loadLog(names []string) error {
+	r := replay{files: s.config.Files}
+	if s.latest = latestSnapshot(names); s.latest != "" {
+		snapshot, err := readSnapshot(s.config.Files, s.latest)
+		if err != nil {
+			return err
+		}
+		r.snapshot = snapshot.Meta
+	}
+	if err := s.replaySegments(&r, names); err != nil {
+		return err
+	}
+	entries, reset, err := r.finish()
+	if err != nil {
+		return err
+	}
+	if s.founding == nil && (r.hard.Term > 0 || len(entries) > 0) {
+		return &Corruption{Path: s.config.Files.Path(foundingName), Reason: "the founding configuration is missing beside a log"}
+	}
+	s.state.HardState, s.state.Snapshot, s.state.Entries = r.hard, r.snapshot, entries
+	s.hard, s.segments = r.hard, r.segments
+	s.after, s.end = r.after, r.after+uint64(len(r.entries))
+	if err := s.begin(); err != nil {
+		return err
+	}
+	if reset {
+		return s.reset(r.snapshot.Index)
+	}
+	return nil
+}
+
+func (s *store) replaySegments(r *replay, names []string) error {
+	var segments []string
+	for _, n := range names {
+		if number, ok := segmentNumber(n); ok {
+			segments = append(segments, n)
+			s.number = number
+		}
+	}
+	for i, n := range segments {
+		torn, err := r.read(n, i == len(segments)-1)
+		if err != nil {
+			return err
+		}
+		if torn < 0 {
+			continue
+		}
+		if err := s.cut(n, torn); err != nil {
+			return err
+		}
+		if torn < int64(len(segmentMagic)) {
+			r.segments = r.segments[:len(r.segments)-1]
+		}
+	}
+	return nil
+}
+
+// cut removes an unfinished last write.
+func (s *store) cut(name string, at int64) error {
+	files := s.config.Files
+	b, err := files.Read(name)
+	if err != nil {
+		return fmt.Errorf("disk: read %s: %w", files.Path(name), err)
+	}
+	s.state.Torn += int64(len(b)) - at
+	if at < int64(len(segmentMagic)) {
+		if err := files.Remove(name); err != nil {
+			return fmt.Errorf("disk: remove the unfinished %s: %w", files.Path(name), err)
+		}
+		return files.Sync()
+	}
+	if err := files.Truncate(name, at); err != nil {
+		return fmt.Errorf("disk: cut the unfinished write off %s: %w", files.Path(name), err)
+	}
+	return nil
+}
+
+// begin opens a new segment, which repeats the hard state so that older ones can be removed.
+func (s *store) begin() error {
+	s.number++
+	name := segmentName(s.number)
+	file, err := s.config.Files.Create(name)
+	if err != nil {
+		return s.check(fmt.Errorf("disk: create %s: %w", s.config.Files.Path(name), err))
+	}
+	s.file = file
+	s.segments = append(s.segments, segment{name: name, last: s.end})
+	s.buffer = append(s.buffer[:0], segmentMagic...)
+	s.buffer = appendStart(s.buffer, s.end)
+	s.buffer = appendHardState(s.buffer, s.hard)
+	s.written = 0
+	if err := s.flush(); err != nil {
+		return err
+	}
+	return s.check(s.config.Files.Sync())
+}
+
+// flush writes the buffer and syncs the file.
+func (s *store) flush() error {
+	name := s.config.Files.Path(segmentName(s.number))
+	if _, err := s.file.Write(s.buffer); err != nil {
+		return s.check(fmt.Errorf("disk: write %s: %w", name, err))
+	}
+	if err := s.file.Sync(); err != nil {
+		return s.check(fmt.Errorf("disk: sync %s: %w", name, err))
+	}
+	s.written += len(s.buffer)
+	return nil
+}
+
+// Append implements Store.
+func (s *store) Append(hard *raft.HardState, entries []raft.Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	s.buffer = s.buffer[:0]
+	if hard != nil {
+		s.hard = *hard
+		s.buffer = appendHardState(s.buffer, *hard)
+	}
+	for _, e := range entries {
+		s.buffer, s.scratch = appendEntry(s.buffer, e, s.scratch)
+	}
+	if err := s.flush(); err != nil {
+		return err
+	}
+	if len(entries) > 0 {
+		s.end = entries[len(entries)-1].Index
+		current := &s.segments[len(s.segments)-1]
+		current.last = max(current.last, s.end)
+	}
+	if s.written < s.config.SegmentBytes {
+		return nil
+	}
+	return s.rotate()
+}
+
+// rotate ends the segment, which is synced, and begins the next.
+func (s *store) rotate() error {
+	if err := s.file.Close(); err != nil {
+		return s.check(fmt.Errorf("disk: close a segment: %w", err))
+	}
+	return s.begin()
+}
+
+func (s *store) reset(after uint64) error {
+	s.after, s.end = after, after
+	s.buffer = appendReset(s.buffer[:0], after)
+	current := &s.segments[len(s.segments)-1]
+	current.last = max(current.last, after)
+	return s.flush()
+}
+
+// Compact implements Store.
+func (s *store) Compact(index uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	if s.written > len(segmentMagic)+compactAfter {
+		if err := s.rotate(); err != nil {
+			return err
+		}
+	}
+	removed := 0
+	for removed < len(s.segments)-1 && s.segments[removed].last <= index {
+		if err := s.config.Files.Remove(s.segments[removed].name); err != nil {
+			return s.check(fmt.Errorf("disk: remove a compacted segment: %w", err))
+		}
+		// Were a later removal kept and an earlier one lost in a crash, the log
+		// would seem to have a hole.
+		if err := s.check(s.config.Files.Sync()); err != nil {
+			return err
+		}
+		removed++
+	}
+	s.segments = s.segments[removed:]
+	return nil
+}
+
+// compactAfter is how many bytes a segment holds before compaction closes it, so that idle logs don't rotate.
+const compactAfter = 64 << 10
--- /dev/null
+++ b/internal/control/raft/tick.go
@@ -0,0 +1,74 @@
+package raft
+
+// Tick implements Core.
+func (r *core) Tick() {
+	r.elapsed++
+	if r.role == Leader {
+		r.tickLeader()
+		return
+	}
+	if r.elapsed < r.timeout {
+		return
+	}
+	if !r.log.configuration().Voter(r.self()) {
+		r.follow(r.term, None, "")
+		return
+	}
+	r.campaign(PreCandidate, false)
+}
+
+func (r *core) tickLeader() {
+	r.beat++
+	if r.elapsed >= r.config.ElectionTicks {
+		r.elapsed = 0
+		r.transferee = None
+		if !r.quorumActive() {
+			// A leader that is cut off would go on taking edits that can't
+			// commit and callers would wait for it; it gives up instead.
+			r.follow(r.term, None, "")
+			return
+		}
+	}
+	if r.beat >= r.config.HeartbeatTicks {
+		r.watch()
+		r.heartbeat()
+	}
+}
+
+// watch counts for how many heartbeats each member has answered nothing that it was sent.
+func (r *core) watch() {
+	for _, p := range r.members {
+		p.quiet++
+		if p.moved || p.state == replicating && p.match >= r.log.last() {
+			p.quiet = 0
+		}
+		p.moved = false
+	}
+}
+
+// quorumActive returns whether a quorum answered since the last call.
+func (r *core) quorumActive() bool {
+	active := r.count(func(id Identity, p *progress) bool { return p.active })
+	for _, p := range r.members {
+		p.active = false
+	}
+	return active >= r.log.configuration().Quorum()
+}
+
+// count returns how many voters satisfy the condition; the leader itself always does.
+func (r *core) count(condition func(Identity, *progress) bool) int {
+	n := 0
+	for _, m := range r.log.configuration().Members {
+		if !m.Voter {
+			continue
+		}
+		if m.Identity == r.self() {
+			n++
+			continue
+		}
+		if p, ok := r.members[m.Identity]; ok && condition(m.Identity, p) {
+			n++
+		}
+	}
+	return n
+}
