--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -87,9 +87,9 @@
 	members   map[Identity]*progress
 	termStart uint64
 
-	round        uint64
-	roundWanted  bool
-	reads        []pendingRead
+	round       uint64
+	roundWanted bool
+	reads       []pendingRead
 	transferee  Identity
 
 	incoming incoming
