Settings tree: inheritance, schema, validation of the whole effective tree

Cause: operators drive the system by a tree in which every branch inherits from its parent, and what the tree says has to be what runs.

Ruled out: two parents for a workspace's branch of a model (workspace and model); which of them wins can't be read from the tree. Marks that describe a service itself, as non-idempotent, are set at the service only, so that no workspace can take them off. Validation of only the changed branches: a value that is valid alone can be invalid where it is inherited.

--- /dev/null
+++ b/internal/settings/tree/naive_test.go
@@ -0,0 +1,161 @@
+package tree
+
+import (
+	"maps"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// naive is the tree as one flat map, with every rule spelled out by search.
+type naive map[Path]map[string]Value
+
+func (n naive) apply(c Change) bool {
+	switch c.Action {
+	case Create:
+		if n[c.Path] != nil {
+			return true
+		}
+		parent, _ := c.Path.Parent()
+		if n[parent] == nil {
+			return false
+		}
+		n[c.Path] = map[string]Value{}
+	case Remove:
+		if n[c.Path] == nil {
+			return false
+		}
+		for p := range n {
+			if p == c.Path || strings.HasPrefix(string(p), string(c.Path)+"/") {
+				delete(n, p)
+			}
+		}
+	case Set:
+		if n[c.Path] == nil {
+			return false
+		}
+		n[c.Path][c.Key] = c.Value
+	case Unset:
+		if n[c.Path] == nil {
+			return false
+		}
+		delete(n[c.Path], c.Key)
+	}
+	return true
+}
+
+func (n naive) clone() naive {
+	c := naive{}
+	for p, v := range n {
+		c[p] = maps.Clone(v)
+	}
+	return c
+}
+
+// flat returns the naive form of t.
+func flat(t Tree) naive {
+	n := naive{}
+	for _, p := range t.Paths(RootPath) {
+		own, _ := t.at(p)
+		n[p] = map[string]Value{}
+		maps.Copy(n[p], own)
+	}
+	return n
+}
+
+var (
+	paths   = []Path{RootPath, FleetPath, "/models/a", "/models/b", "/services/a", "/operators/o", "/workspaces/w", "/workspaces/w/models/a", "/workspaces/w/services/a", "/workspaces/x", "/workspaces/x/models/b"}
+	actions = []Action{Set, Set, Set, Unset, Create, Create, Remove}
+)
+
+// changeOf turns a random number into a change that the schema allows.
+func changeOf(n uint32) Change {
+	p := paths[n%uint32(len(paths))]
+	n /= uint32(len(paths))
+	a := actions[n%uint32(len(actions))]
+	n /= uint32(len(actions))
+	if a == Remove && (p == RootPath || p == FleetPath) {
+		a = Unset
+	}
+	c := Change{Action: a, Path: p}
+	if a == Create || a == Remove {
+		return c
+	}
+	var settings []Setting
+	for _, s := range schema {
+		if s.allowed(p.Kind()) {
+			settings = append(settings, s)
+		}
+	}
+	s := settings[n%uint32(len(settings))]
+	c.Key = s.Name
+	if a == Set {
+		c.Value = []Value{s.Default, s.Max, s.Min}[n/7%3]
+		if c.Value.Type == 0 {
+			c.Value = s.Default
+		}
+	}
+	return c
+}
+
+// The tree shares branches between versions. A shared branch that is changed
+// in place would alter an older revision, and an operator would read a history
+// that never was.
+func TestEditsAgreeWithNaiveTree(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20261203)
+	parameters.MinSuccessfulTests = 300
+	p := gopter.NewProperties(parameters)
+	p.Property("same branches, effects replay, old versions unchanged", prop.ForAll(func(numbers []uint32) bool {
+		model := naive{RootPath: {}, FleetPath: {}}
+		var current, replayed Tree
+		for _, n := range numbers {
+			c := changeOf(n)
+			old, oldFlat := current, flat(current)
+			next, effects, err := current.Apply([]Change{c})
+			trial := model.clone()
+			if trial.apply(c) != (err == nil) {
+				return false
+			}
+			if err != nil {
+				continue
+			}
+			model, current = trial, next
+			for _, e := range effects {
+				if replayed, _, err = replayed.Apply([]Change{e.Change()}); err != nil {
+					return false
+				}
+			}
+			same := reflect.DeepEqual(flat(current), model) && reflect.DeepEqual(flat(replayed), model)
+			if !same || !reflect.DeepEqual(flat(old), oldFlat) {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOfN(40, gen.UInt32())))
+	p.Property("a replacement makes the tree equal", prop.ForAll(func(a, b []uint32) bool {
+		from, to := grow(a), grow(b)
+		text, err := to.TOML(RootPath)
+		if err != nil {
+			return false
+		}
+		s, err := ParseTOML(RootPath, "", text)
+		if err != nil {
+			return false
+		}
+		got, _, err := from.Apply([]Change{s.Replace()})
+		return err == nil && reflect.DeepEqual(flat(got), flat(to))
+	}, gen.SliceOfN(30, gen.UInt32()), gen.SliceOfN(30, gen.UInt32())))
+	p.TestingRun(t)
+}
+
+func grow(numbers []uint32) Tree {
+	var t Tree
+	for _, n := range numbers {
+		t, _, _ = t.Apply([]Change{changeOf(n)})
+	}
+	return t
+}
--- /dev/null
+++ b/internal/settings/tree/parse.go
@@ -0,0 +1,216 @@
+package tree
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"hornbeamwood/internal/settings/tomlfile"
+)
+
+// Subtree is a branch and those below it as they stand in a file or a request.
+type Subtree struct {
+	// Path names the uppermost branch.
+	Path Path
+	// Branches are all branches, parents first.
+	Branches []Branch
+	// Unset are the settings that the text takes from their branches, by null in JSON.
+	Unset []Change
+	// Lines maps labels of branches and settings to lines; empty for JSON.
+	Lines map[string]int
+}
+
+// Replace returns the change that makes the branch and all below it equal to s.
+func (s Subtree) Replace() Change {
+	return Change{Action: Replace, Path: s.Path, Branches: s.Branches}
+}
+
+// Merge returns the changes that set what s sets, take what s takes, and leave all else.
+func (s Subtree) Merge() []Change {
+	var all []Change
+	for _, b := range s.Branches {
+		for _, a := range b.Values {
+			all = append(all, Change{Action: Set, Path: b.Path, Key: a.Key, Value: a.Value})
+		}
+	}
+	return append(all, s.Unset...)
+}
+
+// Locate returns problems with file and the lines that s knows of their keys.
+func (s Subtree) Locate(file string, problems tomlfile.Problems) tomlfile.Problems {
+	located := slices.Clone(problems)
+	for i, p := range located {
+		located[i].File = file
+		if p.Line == 0 {
+			located[i].Line = s.line(p.Key)
+		}
+	}
+	return located
+}
+
+func (s Subtree) line(label string) int {
+	if n, ok := s.Lines[label]; ok {
+		return n
+	}
+	path, _, _ := strings.Cut(label, " ")
+	return s.Lines[path]
+}
+
+// ParseTOML returns the branch p and those below it that a TOML text holds, or Problems.
+func ParseTOML(p Path, file string, data []byte) (Subtree, error) {
+	var d map[string]any
+	if err := toml.Unmarshal(data, &d); err != nil {
+		return Subtree{}, tomlFault(file, err)
+	}
+	r := newReader(p, file)
+	r.lines = tomlfile.LinesOf(data)
+	r.branch(p, "", d)
+	return r.result()
+}
+
+func tomlFault(file string, err error) tomlfile.Problems {
+	var wrong *toml.DecodeError
+	if !errors.As(err, &wrong) {
+		return tomlfile.Problems{{File: file, Message: err.Error()}}
+	}
+	line, _ := wrong.Position()
+	return tomlfile.Problems{{
+		File:    file,
+		Line:    line,
+		Key:     strings.Join(wrong.Key(), "."),
+		Message: strings.TrimPrefix(wrong.Error(), "toml: "),
+	}}
+}
+
+// ParseJSON returns the branch p and those below it that a JSON text holds, or Problems; null takes a setting from its branch.
+func ParseJSON(p Path, data []byte) (Subtree, error) {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	var top map[string]any
+	err := d.Decode(&top)
+	if err == nil {
+		_, err = d.Token()
+		if err == nil {
+			err = errors.New("text after the end of the JSON object")
+		}
+	}
+	if !errors.Is(err, io.EOF) || top == nil {
+		return Subtree{}, tomlfile.Problems{{Message: fmt.Sprintf("not one JSON object: %v", err)}}
+	}
+	r := newReader(p, "")
+	r.branch(p, "", top)
+	return r.result()
+}
+
+// reader turns the nested form of a text into branches.
+type reader struct {
+	file     string
+	lines    tomlfile.Lines
+	subtree  Subtree
+	problems tomlfile.Problems
+}
+
+func newReader(p Path, file string) *reader {
+	return &reader{file: file, subtree: Subtree{Path: p, Lines: map[string]int{}}}
+}
+
+func (r *reader) result() (Subtree, error) {
+	if err := r.problems.Err(); err != nil {
+		return Subtree{}, err
+	}
+	return r.subtree, nil
+}
+
+func (r *reader) add(dotted string, p Path, key, message string) {
+	r.problems = append(r.problems, tomlfile.Problem{
+		File:    r.file,
+		Line:    r.lines.Of(dotted),
+		Key:     Label(p, key),
+		Message: message,
+	})
+}
+
+// branch reads the table d, which stands under the dotted key at, as branch p.
+func (r *reader) branch(p Path, at string, d map[string]any) {
+	b := Branch{Path: p}
+	r.subtree.Lines[Label(p, "")] = r.lines.Of(at)
+	i := len(r.subtree.Branches)
+	r.subtree.Branches = append(r.subtree.Branches, b)
+	k := p.Kind()
+	for _, key := range slices.Sorted(maps.Keys(d)) {
+		dotted := dot(at, key)
+		if _, ok := collections[k][key]; ok {
+			r.table(p, key, dotted, d[key])
+			continue
+		}
+		if k == Root && key == fleetTable {
+			r.below(FleetPath, dotted, d[key])
+			continue
+		}
+		if a, ok := r.assignment(p, key, dotted, d[key]); ok {
+			b.Values = append(b.Values, a)
+		}
+	}
+	r.subtree.Branches[i] = b
+}
+
+// table reads the branches of one kind below p.
+func (r *reader) table(p Path, table, dotted string, x any) {
+	d, ok := x.(map[string]any)
+	if !ok {
+		r.add(dotted, p, table, "a table is expected")
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(d)) {
+		if err := checkName(name); err != nil {
+			r.add(dot(dotted, name), p, table, err.Error())
+			continue
+		}
+		r.below(Path(strings.TrimSuffix(string(p), "/")+"/"+table+"/"+name), dot(dotted, name), d[name])
+	}
+}
+
+func (r *reader) below(p Path, dotted string, x any) {
+	d, ok := x.(map[string]any)
+	if !ok {
+		r.add(dotted, p, "", "a table is expected")
+		return
+	}
+	r.branch(p, dotted, d)
+}
+
+func (r *reader) assignment(p Path, key, dotted string, x any) (Assignment, bool) {
+	s, err := Lookup(p.Kind(), key)
+	if err != nil {
+		r.add(dotted, p, key, err.Error())
+		return Assignment{}, false
+	}
+	if x == nil {
+		r.subtree.Unset = append(r.subtree.Unset, Change{Action: Unset, Path: p, Key: key})
+		return Assignment{}, false
+	}
+	v, err := ParseValue(s.Type(), x)
+	if err == nil {
+		err = s.check(v)
+	}
+	if err != nil {
+		r.add(dotted, p, key, err.Error())
+		return Assignment{}, false
+	}
+	r.subtree.Lines[Label(p, key)] = r.lines.Of(dotted)
+	return Assignment{Key: key, Value: v}, true
+}
+
+func dot(prefix, key string) string {
+	if prefix == "" {
+		return key
+	}
+	return prefix + "." + key
+}
--- /dev/null
+++ b/internal/settings/tree/values.go
@@ -0,0 +1,37 @@
+package tree
+
+import (
+	"maps"
+	"slices"
+)
+
+// values are what one branch sets itself; never changed after they were made.
+type values map[string]Value
+
+func (v values) with(key string, x Value) values {
+	c := maps.Clone(v)
+	if c == nil {
+		c = values{}
+	}
+	c[key] = x
+	return c
+}
+
+func (v values) without(key string) values {
+	c := maps.Clone(v)
+	delete(c, key)
+	return c
+}
+
+func (v values) keys() []string {
+	return slices.Sorted(maps.Keys(v))
+}
+
+// overlay calls the function that pick chooses of each setting in v.
+func overlay[T any](v values, target T, pick func(Setting) func(T, Value)) {
+	for key, x := range v {
+		if set := pick(byName[key]); set != nil {
+			set(target, x)
+		}
+	}
+}
