--- /dev/null
+++ b/internal/settings/section/image.go
@@ -0,0 +1,46 @@
+package section
+
+import (
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/settings/tree"
+)
+
+// image is the section's snapshot.
+type image struct {
+	Revision uint64        `cbor:"revision"`
+	Branches []tree.Branch `cbor:"branches"`
+	Records  []Record      `cbor:"records,omitempty"`
+	Rejected []rejection   `cbor:"rejected,omitempty"`
+}
+
+// Snapshot implements state.Section.
+func (s *section) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	i := image{
+		Revision: s.revision,
+		Records:  s.history.records,
+		Rejected: s.history.rejected,
+	}
+	t := s.tree
+	s.mu.RUnlock()
+	i.Branches = t.Branches(tree.RootPath)
+	return codec.Marshal(i)
+}
+
+// Restore implements state.Section.
+func (s *section) Restore(snapshot []byte) error {
+	i, err := codec.Unmarshal[image](snapshot)
+	if err != nil {
+		return err
+	}
+	t, err := tree.FromBranches(i.Branches)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tree = t
+	s.revision = i.Revision
+	s.history = newHistory(nil, nil)
+	return nil
+}
--- /dev/null
+++ b/internal/settings/section/section.go
@@ -0,0 +1,120 @@
+package section
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/control/state"
+	"hornbeamwood/internal/settings/tomlfile"
+	"hornbeamwood/internal/settings/tree"
+)
+
+// Name is the section's name in commands and queries.
+const Name = "settings"
+
+// section implements state.Section.
+type section struct {
+	mu       sync.RWMutex
+	tree     tree.Tree
+	revision uint64
+	history  *history
+}
+
+// New returns the settings section with an empty tree at revision 0.
+func New() state.Section {
+	return &section{history: newHistory(nil, nil)}
+}
+
+// Name implements state.Section.
+func (s *section) Name() string {
+	return Name
+}
+
+// Apply implements state.Section; the result is an Outcome.
+func (s *section) Apply(at time.Time, command []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, err := codec.Marshal(s.apply(at, command))
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func (s *section) apply(at time.Time, command []byte) Outcome {
+	e, err := codec.UnmarshalStrict[Edit](command)
+	if err != nil {
+		return refused(s.revision, "", "not an edit: %v", err)
+	}
+	if err := CheckID(e.ID); err != nil {
+		return refused(s.revision, "", "%v", err)
+	}
+	digest, err := e.contentDigest()
+	if err != nil {
+		return refused(s.revision, "", "%v", err)
+	}
+	o, effects, next := s.decide(e)
+	if o.Kind != Accepted {
+		s.history.reject(rejection{ID: e.ID, Digest: digest, Outcome: o})
+		return o
+	}
+	s.tree = next
+	s.revision = o.Revision
+	s.history.accept(Record{
+		Revision: o.Revision,
+		ID:       e.ID,
+		Digest:   digest,
+		Operator: e.Operator,
+		Base:     e.Base,
+		Intent:   e.Intent,
+		At:       at.UnixNano(),
+		Effects:  effects,
+	})
+	return o
+}
+
+// decide returns what becomes of an edit that is seen for the first time.
+func (s *section) decide(e Edit) (Outcome, []tree.Effect, tree.Tree) {
+	next, effects, err := Check(s.tree, e)
+	if err != nil {
+		var reasons tomlfile.Problems
+		if !errors.As(err, &reasons) {
+			reasons = tomlfile.Problems{{Message: err.Error()}}
+		}
+		return Outcome{Kind: Refused, Revision: s.revision, Reasons: reasons}, nil, s.tree
+	}
+	return Outcome{Kind: Accepted, Revision: s.revision + 1}, effects, next
+}
+
+// Check returns the tree after edit e of t and its differences, or why t refuses it.
+func Check(t tree.Tree, e Edit) (tree.Tree, []tree.Effect, error) {
+	if err := checkOperator(t, e.Operator); err != nil {
+		return t, nil, err
+	}
+	if len(e.Changes) == 0 {
+		return t, nil, fmt.Errorf("an edit has at least one change")
+	}
+	next, effects, err := t.Edit(e.Changes)
+	if err != nil {
+		return t, nil, err
+	}
+	if t.OperatorCount() > 0 && next.OperatorCount() == 0 {
+		return t, nil, fmt.Errorf("the last operator can't be removed: nobody could edit the tree but by the bootstrap key")
+	}
+	return next, effects, nil
+}
+
+// checkOperator refuses an operator that the tree does not have: an entry with
+// older settings may still have taken its key.
+func checkOperator(t tree.Tree, name string) error {
+	if t.OperatorCount() == 0 && name == BootstrapOperator {
+		return nil
+	}
+	if name != "" && t.Has(tree.OperatorPath(name)) && tree.OperatorPath(name).Kind() == tree.Operator {
+		return nil
+	}
+	return fmt.Errorf("the tree has no operator %q", name)
+}
--- a/internal/settings/tree/change.go
+++ b/internal/settings/tree/change.go
@@ -29,38 +29,3 @@
 	// Branches are the new branches, for Replace; Path itself is among them.
 	Branches []Branch `cbor:"branches,omitempty"`
 }
-
-// Branch is one branch with the values that it sets itself.
-type Branch struct {
-	// Path names the branch.
-	Path Path `cbor:"path"`
-	// Values are sorted by key.
-	Values []Assignment `cbor:"values,omitempty"`
-}
-
-// Assignment is one key with its value.
-type Assignment struct {
-	// Key names the setting.
-	Key string `cbor:"key"`
-	// Value is the setting's value.
-	Value Value `cbor:"value"`
-}
-
-// Effect is one difference that an edit made.
-type Effect struct {
-	// Action is Set, Unset, Create or Remove of one branch.
-	Action Action `cbor:"action"`
-	// Path names the branch.
-	Path Path `cbor:"path"`
-	// Key names the setting, for Set and Unset.
-	Key string `cbor:"key,omitempty"`
-	// Before is the branch's own value before, zero when there was none.
-	Before Value `cbor:"before,omitzero"`
-	// After is the branch's own value after, zero when there is none.
-	After Value `cbor:"after,omitzero"`
-}
-
-// Change returns the Change that makes e's difference on another copy of the tree.
-func (e Effect) Change() Change {
-	return Change{Action: e.Action, Path: e.Path, Key: e.Key, Value: e.After}
-}
--- a/internal/settings/tree/naive_test.go
+++ b/internal/settings/tree/naive_test.go
@@ -149,6 +149,23 @@
 		got, _, err := from.Apply([]Change{s.Replace()})
 		return err == nil && reflect.DeepEqual(flat(got), flat(to))
 	}, gen.SliceOfN(30, gen.UInt32()), gen.SliceOfN(30, gen.UInt32())))
+	p.Property("net differences lead from the first tree to the last", prop.ForAll(func(a, b []uint32) bool {
+		from := grow(a)
+		to, all := from, []Effect(nil)
+		for _, n := range b {
+			next, effects, err := to.Apply([]Change{changeOf(n)})
+			if err == nil {
+				to, all = next, append(all, effects...)
+			}
+		}
+		net := Net(all)
+		var changes []Change
+		for _, e := range net {
+			changes = append(changes, e.Change())
+		}
+		got, effects, err := from.Apply(changes)
+		return err == nil && len(effects) == len(net) && reflect.DeepEqual(flat(got), flat(to))
+	}, gen.SliceOfN(30, gen.UInt32()), gen.SliceOfN(30, gen.UInt32())))
 	p.TestingRun(t)
 }
 
--- a/internal/settings/tree/setting.go
+++ b/internal/settings/tree/setting.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	"hornbeamwood/internal/settings/digest"
@@ -47,6 +48,9 @@
 	if v.Type != s.Type() {
 		return fmt.Errorf("a %s is expected, not a %s", s.Type(), v.Type)
 	}
+	if math.IsNaN(v.Float) || math.IsInf(v.Float, 0) {
+		return fmt.Errorf("%v is no number", v.Float)
+	}
 	below := s.Min.Type != 0 && (v.Number < s.Min.Number || v.Float < s.Min.Float)
 	above := s.Max.Type != 0 && (v.Number > s.Max.Number || v.Float > s.Max.Float)
 	if below || above {
--- a/internal/settings/tree/value.go
+++ b/internal/settings/tree/value.go
@@ -110,6 +110,11 @@
 	return v.Text
 }
 
+// MarshalJSON returns v as it stands in a tree written as JSON.
+func (v Value) MarshalJSON() ([]byte, error) {
+	return json.Marshal(v.Document())
+}
+
 // formatDuration returns d without the zero parts that the standard library appends.
 func formatDuration(d time.Duration) string {
 	s := d.String()
--- a/internal/settings/tree/values.go
+++ b/internal/settings/tree/values.go
@@ -27,6 +27,14 @@
 	return slices.Sorted(maps.Keys(v))
 }
 
+func (v values) assignments() []Assignment {
+	var all []Assignment
+	for _, key := range v.keys() {
+		all = append(all, Assignment{Key: key, Value: v[key]})
+	}
+	return all
+}
+
 // overlay calls the function that pick chooses of each setting in v.
 func overlay[T any](v values, target T, pick func(Setting) func(T, Value)) {
 	for key, x := range v {
