Settings: one winner under equal numbers, first outcomes, whole-tree validation

Change: an edit names its base revision, and only one can follow a revision; the loser is shown the winner. Edits are remembered by id with a digest of their content, accepted ones as long as the history keeps them; a resend gets the first outcome, other content under the same id is refused. An entry's copy takes only newer answers that lead from its own revision. An edit is accepted only when the whole effective tree is valid.

Ruled out: first outcomes kept for ever (memory without bound); beyond the history a resend ends as a conflict, never as a second execution, because its base revision has passed.

--- a/internal/settings/follower/follower.go
+++ b/internal/settings/follower/follower.go
@@ -35,10 +35,17 @@
 }
 
 // Apply implements Follower.
+//
+// Answers of two control replicas may cross. An older one that is taken after
+// a newer would bring back settings that an operator has replaced, so it
+// changes nothing.
 func (f *follower) Apply(c section.Changes) (View, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.View()
+	if c.Revision <= v.Revision() {
+		return v, nil
+	}
 	next, err := advance(v, c)
 	if err != nil {
 		return v, err
@@ -61,6 +68,9 @@
 		}
 		return t, nil
 	}
+	if c.From != v.Revision() {
+		return v.Tree, fmt.Errorf("settings changes lead from revision %d to %d, and this copy is at %d", c.From, c.Revision, v.Revision())
+	}
 	t, _, err := v.Tree.Apply(c.Changes)
 	if err != nil {
 		return t, fmt.Errorf("settings revision %d: %w", c.Revision, err)
--- a/internal/settings/section/image.go
+++ b/internal/settings/section/image.go
@@ -41,6 +41,6 @@
 	defer s.mu.Unlock()
 	s.tree = t
 	s.revision = i.Revision
-	s.history = newHistory(nil, nil)
+	s.history = newHistory(i.Records, i.Rejected)
 	return nil
 }
--- a/internal/settings/section/section.go
+++ b/internal/settings/section/section.go
@@ -56,6 +56,9 @@
 	if err != nil {
 		return refused(s.revision, "", "%v", err)
 	}
+	if first, ok := s.history.byID[e.ID]; ok {
+		return s.repeat(first, digest)
+	}
 	o, effects, next := s.decide(e)
 	if o.Kind != Accepted {
 		s.history.reject(rejection{ID: e.ID, Digest: digest, Outcome: o})
@@ -76,8 +79,32 @@
 	return o
 }
 
+// repeat answers an edit that was sent again. An operator whose answer was
+// lost sends the edit once more, perhaps after others have edited; carried out
+// twice it would undo what they did, so the first outcome is the answer.
+func (s *section) repeat(first remembered, digest [32]byte) Outcome {
+	if first.digest != digest {
+		o := refused(s.revision, "", "the edit id belongs to an edit with other content")
+		o.Kind = Reused
+		return o
+	}
+	o := first.outcome
+	o.Repeated = true
+	return o
+}
+
 // decide returns what becomes of an edit that is seen for the first time.
+//
+// Two operators who saw the same number may both be right alone and wrong
+// together; the second would overwrite what it never saw, so it gets a
+// conflict that shows the first.
 func (s *section) decide(e Edit) (Outcome, []tree.Effect, tree.Tree) {
+	if e.Base > s.revision {
+		return refused(s.revision, "", "there is no revision %d yet", e.Base), nil, s.tree
+	}
+	if e.Base < s.revision {
+		return Outcome{Kind: Conflict, Revision: s.revision, Winner: s.history.winner(e.Base)}, nil, s.tree
+	}
 	next, effects, err := Check(s.tree, e)
 	if err != nil {
 		var reasons tomlfile.Problems
--- a/internal/settings/tree/edit.go
+++ b/internal/settings/tree/edit.go
@@ -21,6 +21,9 @@
 	if err != nil {
 		return t, nil, err
 	}
+	if err := next.Validate().Err(); err != nil {
+		return t, nil, err
+	}
 	return next, effects, nil
 }
 
