--- /dev/null
+++ b/internal/policy/placement/policy.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamwood/internal/policy/route"
+)
+
+// tokensPerPrice is the number of tokens that rules.Rules.RecomputePrice is for.
+const tokensPerPrice = 1000
+
+// onDiskBelow is the probability of return under which a piece goes to disk, so
+// that prompts that seldom come back don't push out those that often do.
+const onDiskBelow = 0.3
+
+// Decide returns the exports for in.
+func Decide(in Input) Decision {
+	if !in.Rules.CacheExport {
+		return Decision{Reason: NotAllowed}
+	}
+	if !reachable(in.Stores) {
+		return Decision{Reason: NoStore}
+	}
+	d := Decision{Reason: Stored}
+	for i := range in.Pieces {
+		if in.Pieces[i].Stored {
+			continue
+		}
+		e := export(&in, i)
+		if e.Worth > 0 {
+			d.Exports = append(d.Exports, e)
+		}
+		d.Reason = NotWorth
+	}
+	if len(d.Exports) > 0 {
+		d.Reason = WorthTheLink
+	}
+	return d
+}
+
+func reachable(stores []Store) bool {
+	for i := range stores {
+		if usable(&stores[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+func usable(s *Store) bool {
+	return !s.Lost && s.LinkRate > 0
+}
+
+// export returns where piece i would go and what it is worth there.
+func export(in *Input, i int) Export {
+	p := &in.Pieces[i]
+	e := Export{Piece: i, Store: Place(p.Key, in.Stores)}
+	e.Tier = tier(in.Return, p, &in.Stores[e.Store])
+	e.Worth = worth(in, p, &in.Stores[e.Store])
+	return e
+}
+
+// worth returns the gain for each link second: what the return saves less what both transfers cost.
+// The price of the link grows with its backlog, because each transfer delays those behind it.
+func worth(in *Input, p *Piece, s *Store) float64 {
+	link := float64(p.Bytes) / s.LinkRate
+	saved := in.Rules.RecomputePrice*float64(p.Tokens)/tokensPerPrice +
+		in.Rules.FirstTokenPrice*max(float64(p.Tokens)/in.PrefillRate-link, 0)
+	price := in.Rules.LinkPrice * (1 + s.Backlog) * link * (1 + in.Return)
+	return (in.Return*saved - price) / link
+}
+
+func tier(returns float64, p *Piece, s *Store) route.Tier {
+	if returns < onDiskBelow && s.Disk >= p.Bytes && s.FreeMemory < p.Bytes {
+		return route.Disk
+	}
+	return route.Memory
+}
+
+// Place returns the index of the store for a key: rendezvous hashing weighted by room.
+// When a store is lost, only its own keys move; when it comes back cold, it
+// gets its part again and no key moves between the others.
+func Place(key uint64, stores []Store) int {
+	best, highest := route.None, math.Inf(-1)
+	for i := range stores {
+		if !usable(&stores[i]) {
+			continue
+		}
+		if score := score(key, &stores[i]); score > highest {
+			best, highest = i, score
+		}
+	}
+	return best
+}
+
+// score is the logarithmic form of weighted rendezvous hashing.
+func score(key uint64, s *Store) float64 {
+	b := make([]byte, 8, 8+len(s.Identity))
+	binary.LittleEndian.PutUint64(b, key)
+	h := xxhash.Sum64(append(b, s.Identity...))
+	unit := (float64(h>>11) + 0.5) / (1 << 53)
+	return -room(s) / math.Log(unit)
+}
+
+// room returns the weight of a store: its size, because a full store makes room by eviction.
+func room(s *Store) float64 {
+	return max(float64(s.Memory+s.Disk), 1)
+}
