Membership, gossip, block keys, cache directory and the backend adapter

Entries need to know which backend servers may get work and where pieces of KV cache are. The directory keeps locations without pointers, applies an engine's events in the order of their numbers and moves a stored piece forward only. The HTTP adapter refuses second values for one field, which the standard decoder would take silently.

Ruled out: gossip that pushes announcements, since the age of a pushed one can't be bounded, and a directory that is sharded by engine, since each lookup would ask every node.

Not yet in: bounds of the time that announcements are on their way.

--- /dev/null
+++ b/internal/cache/block/doc.go
@@ -0,0 +1,7 @@
+// Package block names pieces of KV cache.
+//
+// A key is a SHA-256 chain over the workspace, the model, the weight version,
+// the adapter, the parent's key and the piece's tokens. Two workspaces or two
+// weight versions never share a key, so that a lookup can't cross from one to
+// the other whatever the directory or a store believes.
+package block
--- /dev/null
+++ b/internal/cache/directory/config.go
@@ -0,0 +1,51 @@
+package directory
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultPieces       = 2 << 20
+	DefaultServers      = 1024
+	DefaultListing      = 256 << 10
+	DefaultTombstone    = 2 * time.Minute
+	DefaultGapPatience  = 500 * time.Millisecond
+	DefaultListingPause = 2 * time.Second
+)
+
+// maxBatches is the number of batches behind a gap that are kept for each engine.
+const maxBatches = 64
+
+// Config holds the limits of a Directory; zero fields take the defaults.
+type Config struct {
+	// Start is the local time at which the process started.
+	Start time.Time
+	// Pieces is the largest number of locations; what does not fit is not remembered.
+	Pieces int
+	// Servers is the largest number of engines and stores.
+	Servers int
+	// Listing is the largest number of this node's keys in one engine's listing.
+	Listing int
+	// Tombstone is how long a freed generation is remembered, so that a late message can't bring it back.
+	Tombstone time.Duration
+	// GapPatience is how long a gap may last before a listing is asked for; batches that took two ways close most gaps.
+	GapPatience time.Duration
+	// ListingPause is the least time between two requests for a listing of one engine.
+	ListingPause time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	c.Pieces = orDefault(c.Pieces, DefaultPieces)
+	c.Servers = orDefault(c.Servers, DefaultServers)
+	c.Listing = orDefault(c.Listing, DefaultListing)
+	c.Tombstone = orDefault(c.Tombstone, DefaultTombstone)
+	c.GapPatience = orDefault(c.GapPatience, DefaultGapPatience)
+	c.ListingPause = orDefault(c.ListingPause, DefaultListingPause)
+	return c
+}
+
+func orDefault[T int | time.Duration](v, d T) T {
+	if v <= 0 {
+		return d
+	}
+	return v
+}
--- /dev/null
+++ b/internal/cache/directory/engine.go
@@ -0,0 +1,203 @@
+package directory
+
+import (
+	"slices"
+	"time"
+
+	"hornbeamwood/internal/cache/block"
+)
+
+// Update implements Directory.
+//
+// Batches are applied in the order of their numbers only. Applied as they
+// come, an insertion that is late would bring back a piece whose eviction
+// came first, and requests would be sent to an engine that has to recompute.
+func (d *directory) Update(now time.Time, u Update) Effect {
+	p := d.peers.add(u.Engine)
+	if p == nil {
+		return Effect{Outcome: Refused}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u.Incarnation < p.incarnation {
+		return Effect{Outcome: Outdated}
+	}
+	p.engine = true
+	restarted := p.restart(u.Incarnation)
+	outcome := d.take(p, u)
+	p.settle(now)
+	return Effect{
+		Outcome:       outcome,
+		Restarted:     restarted,
+		Gap:           !p.believed.Load(),
+		ListingWanted: d.wanted(p, now),
+	}
+}
+
+// restart voids what was known when the incarnation is newer and returns whether something was known.
+func (p *peer) restart(incarnation uint64) bool {
+	if incarnation <= p.incarnation {
+		return false
+	}
+	known := p.incarnation > 0
+	p.reset(incarnation)
+	return known
+}
+
+// take applies the batch, or holds it back when events before it are missing.
+func (d *directory) take(p *peer, u Update) Outcome {
+	if u.First > p.applied+1 {
+		p.hold(u)
+		return Held
+	}
+	if u.Count > 0 && u.next() <= p.applied+1 {
+		return Known
+	}
+	d.apply(p, u)
+	d.drain(p)
+	return Applied
+}
+
+// hold keeps the batch in order; the oldest goes when there are too many, and the listing that the gap needs is newer than it.
+func (p *peer) hold(u Update) {
+	i, found := slices.BinarySearchFunc(p.batches, u.First, func(b Update, first uint64) int {
+		switch {
+		case b.First < first:
+			return -1
+		case b.First > first:
+			return 1
+		}
+		return 0
+	})
+	if found {
+		if u.Count > p.batches[i].Count {
+			p.batches[i] = u
+		}
+		return
+	}
+	p.batches = slices.Insert(p.batches, i, u)
+	if len(p.batches) > maxBatches {
+		p.batches = slices.Delete(p.batches, 0, 1)
+	}
+}
+
+// drain applies the batches that follow on what was applied.
+func (d *directory) drain(p *peer) {
+	for len(p.batches) > 0 && p.batches[0].First <= p.applied+1 {
+		d.apply(p, p.batches[0])
+		p.batches = p.batches[1:]
+	}
+}
+
+func (d *directory) apply(p *peer, u Update) {
+	for _, c := range u.Changes {
+		if u.First+c.Offset <= p.applied || c.Offset >= u.Count {
+			continue
+		}
+		if c.Evicted {
+			d.evict(p, c.Key)
+		} else {
+			d.insert(p, c.Key)
+		}
+	}
+	if u.Count > 0 {
+		p.applied = max(p.applied, u.next()-1)
+	}
+}
+
+func (d *directory) insert(p *peer, k block.Key) {
+	epoch := p.currentEpoch()
+	s := d.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.find(short(k), of(p, epoch, held)) != nil {
+		return
+	}
+	s.put(short(k), location{peer: p.index, epoch: epoch, state: held})
+}
+
+func (d *directory) evict(p *peer, k block.Key) {
+	s := d.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(short(k), func(l *location) bool { return l.peer == p.index && l.state == held })
+}
+
+func of(p *peer, epoch uint16, states ...State) func(l *location) bool {
+	return func(l *location) bool {
+		return l.peer == p.index && l.epoch == epoch && slices.Contains(states, l.state)
+	}
+}
+
+// wanted returns whether to ask for a listing now.
+func (d *directory) wanted(p *peer, now time.Time) bool {
+	if p.believed.Load() || now.Sub(p.gapSince) < d.config.GapPatience {
+		return false
+	}
+	if now.Sub(p.asked) < d.config.ListingPause {
+		return false
+	}
+	p.asked = now
+	return true
+}
+
+// Listing implements Directory.
+func (d *directory) Listing(now time.Time, l ListingPart) Effect {
+	p := d.peers.add(l.Engine)
+	if p == nil {
+		return Effect{Outcome: Refused}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.Incarnation < p.incarnation {
+		return Effect{Outcome: Outdated}
+	}
+	p.engine = true
+	restarted := p.restart(l.Incarnation)
+	outcome := d.collect(p, l)
+	p.settle(now)
+	return Effect{Outcome: outcome, Restarted: restarted, Gap: !p.believed.Load()}
+}
+
+// collect adds the part and replaces what is known once all parts are there.
+func (d *directory) collect(p *peer, l ListingPart) Outcome {
+	if l.Sequence < p.applied || (l.Sequence == p.applied && !p.lost) {
+		return Known
+	}
+	if l.Sequence < p.listing.sequence {
+		return Outdated
+	}
+	if l.Sequence > p.listing.sequence || p.listing.parts == nil {
+		p.listing = assembly{sequence: l.Sequence, parts: map[int][]block.Key{}}
+	}
+	a := &p.listing
+	if _, ok := a.parts[l.Part]; ok {
+		return Known
+	}
+	if a.keys+len(l.Keys) > d.config.Listing {
+		return Refused
+	}
+	a.parts[l.Part] = l.Keys
+	a.keys += len(l.Keys)
+	if len(a.parts) < l.Parts {
+		return Held
+	}
+	d.replace(p)
+	return Applied
+}
+
+// replace puts a whole listing in the place of what was known, then the events after it.
+func (d *directory) replace(p *peer) {
+	a := p.listing
+	p.epoch.Add(1)
+	p.listing = assembly{}
+	p.applied = a.sequence
+	p.lost = false
+	for _, keys := range a.parts {
+		for _, k := range keys {
+			d.insert(p, k)
+		}
+	}
+	p.batches = slices.DeleteFunc(p.batches, func(u Update) bool { return u.next() <= p.applied+1 })
+	d.drain(p)
+}
--- /dev/null
+++ b/internal/cache/directory/message.go
@@ -0,0 +1,37 @@
+package directory
+
+import "hornbeamwood/internal/cache/block"
+
+// Message is one request between two nodes of a cell; exactly one field is set.
+type Message struct {
+	// Update, Listing, Store, Pin and Unpin are answered with an Effect.
+	Update  *Update      `cbor:"u,omitempty"`
+	Listing *ListingPart `cbor:"l,omitempty"`
+	Store   *StoreChange `cbor:"s,omitempty"`
+	Pin     *Pin         `cbor:"p,omitempty"`
+	Unpin   *Pin         `cbor:"x,omitempty"`
+	// Lookup is answered with Locations.
+	Lookup *Lookup `cbor:"k,omitempty"`
+}
+
+// Lookup asks for the locations of keys.
+type Lookup struct {
+	// Keys are the pieces.
+	Keys []block.Key `cbor:"k"`
+}
+
+// Reply answers a Message.
+type Reply struct {
+	// Effect answers all but Lookup.
+	Effect Effect `cbor:"e,omitzero"`
+	// Locations answers Lookup, one for each key.
+	Locations Locations `cbor:"l,omitempty"`
+}
+
+// Envelope is a Message with the node that it goes to.
+type Envelope struct {
+	// To is the node's identity.
+	To string
+	// Message is what the adapter sends.
+	Message Message
+}
--- /dev/null
+++ b/internal/cache/directory/serve.go
@@ -0,0 +1,25 @@
+package directory
+
+import "time"
+
+// MaxLookup is the largest number of keys in one Lookup.
+const MaxLookup = 1024
+
+// Serve carries out a message that came from another node, or from this one, and returns the reply.
+func Serve(d Directory, now time.Time, m Message) Reply {
+	switch {
+	case m.Update != nil:
+		return Reply{Effect: d.Update(now, *m.Update)}
+	case m.Listing != nil:
+		return Reply{Effect: d.Listing(now, *m.Listing)}
+	case m.Store != nil:
+		return Reply{Effect: d.Store(now, *m.Store)}
+	case m.Pin != nil:
+		return Reply{Effect: d.Pin(now, *m.Pin)}
+	case m.Unpin != nil:
+		return Reply{Effect: d.Unpin(now, *m.Unpin)}
+	case m.Lookup != nil && len(m.Lookup.Keys) <= MaxLookup:
+		return Reply{Locations: d.Lookup(m.Lookup.Keys)}
+	}
+	return Reply{Effect: Effect{Outcome: Refused}}
+}
--- /dev/null
+++ b/internal/cache/directory/sweep.go
@@ -0,0 +1,41 @@
+package directory
+
+import "time"
+
+// Sweep implements Directory.
+func (d *directory) Sweep(now time.Time) {
+	peers := *d.peers.all.Load()
+	void := d.void(peers, now)
+	for _, s := range d.shards {
+		s.sweep(void)
+	}
+	d.pins.expire(now)
+}
+
+// void returns a function that tells which locations count no more.
+func (d *directory) void(peers []*peer, now time.Time) func(l *location) bool {
+	millis := d.millis(now)
+	tombstone := uint64(d.config.Tombstone / time.Second)
+	return func(l *location) bool {
+		if int(l.peer) >= len(peers) {
+			return false
+		}
+		switch {
+		case l.epoch != peers[l.peer].currentEpoch():
+			return true
+		case l.state == Writing:
+			return l.number < millis
+		case l.state == Freed:
+			return uint64(l.bytes)+tombstone < millis/1000
+		}
+		return false
+	}
+}
+
+func (s *shard) sweep(void func(l *location) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.heads {
+		s.drop(k, void)
+	}
+}
--- /dev/null
+++ b/internal/entry/backend/fuzz_test.go
@@ -0,0 +1,34 @@
+package backend
+
+import (
+	"net/http"
+	"testing"
+)
+
+// Whatever bytes reach the port, the handler answers with a status that the
+// page lists and does not panic.
+func fuzzPath(f *testing.F, path string, seeds ...string) {
+	for _, s := range seeds {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		h, _ := newTestHandler(t, &sink{})
+		w := post(h, path, goodKey, string(body))
+		switch w.Code {
+		case http.StatusOK, http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		default:
+			t.Errorf("status %d for %q", w.Code, body)
+		}
+	})
+}
+
+func FuzzAnnouncement(f *testing.F) {
+	fuzzPath(f, "/fleet/announcements", good, `{"identity":"a","identity":"b"}`, `[[[[[[[[[[[`, `{"load":{"prefill-rate":1e999}}`)
+}
+
+func FuzzCacheEvents(f *testing.F) {
+	fuzzPath(f, "/fleet/cache-events",
+		`{"identity":"a","incarnation":1,"first":1,"events":[]}`,
+		`{"identity":"a","incarnation":1,"listing":{"sequence":9223372036854775807,"part":1,"parts":1,"keys":[]}}`,
+		`{"identity":"a","incarnation":1,"first":9223372036854775807,"events":[{"kind":"evicted","key":"00"}]}`)
+}
--- /dev/null
+++ b/internal/entry/backend/handler.go
@@ -0,0 +1,136 @@
+package backend
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/cache/events"
+	"hornbeamwood/internal/fleet/announcement"
+	"hornbeamwood/internal/fleet/membership"
+)
+
+type handler struct {
+	config HandlerConfig
+}
+
+// NewHandler returns the handler of POST /fleet/announcements and POST /fleet/cache-events.
+func NewHandler(c HandlerConfig) (http.Handler, error) {
+	if c.Table == nil || c.Leavers == nil || c.CacheReports == nil || c.KeyDigests == nil || c.Now == nil {
+		return nil, fmt.Errorf("backend: the handler's configuration is not complete")
+	}
+	h := &handler{config: c}
+	m := http.NewServeMux()
+	m.HandleFunc("POST /fleet/announcements", h.keyed(h.announce))
+	m.HandleFunc("POST /fleet/cache-events", h.keyed(h.cacheEvents))
+	return m, nil
+}
+
+// keyed calls next for requests with a known key only.
+func (h *handler) keyed(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !h.known(r.Header.Get("Authorization")) {
+			h.refuse(w, r, http.StatusUnauthorized, "unknown-key", "the request needs the header Authorization with a known key")
+			return
+		}
+		next(w, r)
+	}
+}
+
+// known compares with every digest, whichever fits, so that the time tells nothing of the keys.
+func (h *handler) known(header string) bool {
+	key, ok := strings.CutPrefix(header, "Bearer ")
+	if !ok {
+		return false
+	}
+	digest := sha256.Sum256([]byte(key))
+	found := 0
+	for _, d := range h.config.KeyDigests() {
+		found |= subtle.ConstantTimeCompare(digest[:], d[:])
+	}
+	return found == 1
+}
+
+// Outcome is the body of an answer to an announcement.
+type Outcome struct {
+	// Outcome says what became of the announcement.
+	Outcome membership.Outcome `json:"outcome"`
+}
+
+func (h *handler) announce(w http.ResponseWriter, r *http.Request) {
+	now := h.config.Now()
+	a, err := read[announcement.Announcement](w, r, MaxAnnouncement)
+	if err != nil {
+		h.refuseBody(w, r, err)
+		return
+	}
+	m := h.config.Table.Announce(now, a)
+	if m.Outcome == membership.Refused {
+		status, ok := mergeStatus[m.Cause]
+		if !ok {
+			status = http.StatusBadRequest
+		}
+		h.refuse(w, r, status, string(m.Cause), m.Detail)
+		return
+	}
+	if m.Leaving {
+		h.config.Leavers.Leaving(a.Identity)
+	}
+	h.logMerge(a, m)
+	answer(w, http.StatusOK, Outcome{Outcome: m.Outcome})
+}
+
+var mergeStatus = map[membership.Cause]int{
+	membership.BadField:         http.StatusBadRequest,
+	membership.IdentityConflict: http.StatusConflict,
+	membership.AddressConflict:  http.StatusConflict,
+	membership.TooManyServers:   http.StatusInsufficientStorage,
+}
+
+// logMerge writes a line when a server came, changed or leaves, not for each announcement.
+func (h *handler) logMerge(a announcement.Announcement, m membership.Merge) {
+	if !m.Changed && !m.Leaving {
+		return
+	}
+	e := event.ServerChanged
+	if m.Leaving {
+		e = event.ServerLeaving
+	}
+	e.Write(h.config.Log, log.Fields{
+		"server":      a.Identity,
+		"incarnation": a.Incarnation,
+		"address":     a.Address,
+		"zone":        a.Zone,
+		"kind":        a.Kind,
+		"cause":       m.Cause,
+	})
+}
+
+// Wanted is the body of an answer to cache events.
+type Wanted struct {
+	// ListingWanted asks the engine for a listing.
+	ListingWanted bool `json:"listing-wanted"`
+}
+
+func (h *handler) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	now := h.config.Now()
+	report, err := read[events.Report](w, r, events.MaxBody)
+	if err != nil {
+		h.refuseBody(w, r, err)
+		return
+	}
+	if err := report.Check(); err != nil {
+		h.refuse(w, r, http.StatusBadRequest, "bad-field", err.Error())
+		return
+	}
+	wanted := h.config.CacheReports.Report(now, report)
+	if wanted {
+		event.ListingWanted.Write(h.config.Log, log.Fields{"engine": report.Identity, "first": report.First})
+	}
+	answer(w, http.StatusOK, Wanted{ListingWanted: wanted})
+}
--- /dev/null
+++ b/internal/entry/backend/handler_test.go
@@ -0,0 +1,181 @@
+package backend
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/cache/events"
+	"hornbeamwood/internal/fleet/membership"
+)
+
+const goodKey = "announce-key"
+
+// sink remembers what the handler passed on.
+type sink struct {
+	left    []string
+	reports []events.Report
+	wanted  bool
+}
+
+func (s *sink) Leaving(identity string) {
+	s.left = append(s.left, identity)
+}
+
+func (s *sink) Report(_ time.Time, r events.Report) bool {
+	s.reports = append(s.reports, r)
+	return s.wanted
+}
+
+func newTestHandler(t testing.TB, s *sink) (http.Handler, membership.Table) {
+	t.Helper()
+	table := membership.New(membership.Config{Servers: 3})
+	h, err := NewHandler(HandlerConfig{
+		Table:        table,
+		Leavers:      s,
+		CacheReports: s,
+		KeyDigests:   func() [][32]byte { return [][32]byte{sha256.Sum256([]byte("old")), sha256.Sum256([]byte(goodKey))} },
+		Now:          func() time.Time { return time.Unix(1000, 0) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h, table
+}
+
+func post(h http.Handler, path, key, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+const good = `{"identity":"engine-1","incarnation":5,"sequence":1,"zone":"tunja","address":"10.0.0.1:8000","kind":"engine","state":"ready",
+"holdings":[{"model":"drafter","weight-version":"v1"}],"load":{"sequence":1,"prefill-rate":9000.5}}`
+
+func TestAnnouncements(t *testing.T) {
+	s := &sink{}
+	h, table := newTestHandler(t, s)
+	if w := post(h, "/fleet/announcements", goodKey, good); w.Code != 200 || !strings.Contains(w.Body.String(), "accepted") {
+		t.Fatalf("got %d %s", w.Code, w.Body)
+	}
+	if w := post(h, "/fleet/announcements", goodKey, good); !strings.Contains(w.Body.String(), "duplicate") {
+		t.Errorf("got %d %s", w.Code, w.Body)
+	}
+	leaving := strings.NewReplacer(`"sequence":1,"zone"`, `"sequence":2,"zone"`, "ready", "leaving").Replace(good)
+	if w := post(h, "/fleet/announcements", goodKey, leaving); w.Code != 200 {
+		t.Errorf("got %d %s", w.Code, w.Body)
+	}
+	if len(s.left) != 1 || s.left[0] != "engine-1" {
+		t.Errorf("told to leave: %v", s.left)
+	}
+	view := table.View()
+	server, ok := view.Server("engine-1")
+	if !ok {
+		t.Fatal("the server is not known")
+	}
+	if got := server.Eligible(time.Unix(1000, 0), membership.Need{Kind: "engine", Model: "drafter", WeightVersion: "v1"}); got != membership.IsLeaving {
+		t.Errorf("got %s", got)
+	}
+}
+
+// A backend server of another make, or one that lies, sends what the page
+// forbids. It must be told the field, and nothing it sent may count.
+func TestAnnouncementsThatAreRefused(t *testing.T) {
+	change := func(from, to string) string { return strings.Replace(good, from, to, 1) }
+	cases := []struct {
+		name, key, body, want string
+		status                int
+	}{
+		{"no key", "", good, "unknown-key", 401},
+		{"unknown key", "other", good, "unknown-key", 401},
+		{"not JSON", goodKey, "identity=engine-1", "bad-body", 400},
+		{"cut off", goodKey, good[:40], "bad-body", 400},
+		{"field twice", goodKey, change(`"kind"`, `"state":"leaving","kind"`), "stands twice", 400},
+		{"field twice in other case", goodKey, change(`"kind"`, `"STATE":"leaving","kind"`), "stands twice", 400},
+		{"bytes after it", goodKey, good + "{}", "after its JSON value", 400},
+		{"nested deeply", goodKey, change(`[{`, strings.Repeat("[", 100)+"{"), "nested", 400},
+		{"too large", goodKey, good + strings.Repeat(" ", MaxAnnouncement), "too-large", 413},
+		{"no identity", goodKey, change("engine-1", ""), "identity", 400},
+		{"identity with a slash", goodKey, change("engine-1", "engine/1"), "identity", 400},
+		{"no incarnation", goodKey, change(`"incarnation":5`, `"incarnation":0`), "incarnation", 400},
+		{"negative sequence", goodKey, change(`"sequence":1`, `"sequence":-1`), "bad-body", 400},
+		{"host name", goodKey, change("10.0.0.1", "localhost"), "address", 400},
+		{"every address", goodKey, change("10.0.0.1", "0.0.0.0"), "address", 400},
+		{"unknown kind", goodKey, change(`"kind":"engine"`, `"kind":"proxy"`), "kind", 400},
+		{"unknown state", goodKey, change("ready", "busy"), "state", 400},
+		{"rate below zero", goodKey, change("9000.5", "-1"), "prefill-rate", 400},
+		{"too many holdings", goodKey, change(`{"model"`, strings.Repeat(`{"model":"m","weight-version":"v"},`, 32)+`{"model"`), "holdings", 400},
+	}
+	for _, c := range cases {
+		h, table := newTestHandler(t, &sink{})
+		w := post(h, "/fleet/announcements", c.key, c.body)
+		if w.Code != c.status || !strings.Contains(w.Body.String(), c.want) {
+			t.Errorf("%s: got %d %s", c.name, w.Code, w.Body)
+		}
+		var p Problem
+		if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil || p.Error.Code == "" {
+			t.Errorf("%s: the refusal is not an error object: %v", c.name, err)
+		}
+		if view := table.View(); view.Len() != 0 {
+			t.Errorf("%s: the server is known", c.name)
+		}
+	}
+}
+
+// Two servers were set up with one identity, or with one address. Requests
+// meant for one would reach the other.
+func TestConflictingAnnouncements(t *testing.T) {
+	h, _ := newTestHandler(t, &sink{})
+	post(h, "/fleet/announcements", goodKey, good)
+	other := strings.Replace(good, "10.0.0.1", "10.0.0.2", 1)
+	if w := post(h, "/fleet/announcements", goodKey, other); w.Code != 409 || !strings.Contains(w.Body.String(), "identity-conflict") {
+		t.Errorf("got %d %s", w.Code, w.Body)
+	}
+	other = strings.Replace(good, "engine-1", "engine-2", 1)
+	if w := post(h, "/fleet/announcements", goodKey, other); w.Code != 409 || !strings.Contains(w.Body.String(), "address-conflict") {
+		t.Errorf("got %d %s", w.Code, w.Body)
+	}
+	for _, n := range []string{"3", "4"} {
+		post(h, "/fleet/announcements", goodKey, strings.NewReplacer("engine-1", "engine-"+n, "10.0.0.1", "10.0.0."+n).Replace(good))
+	}
+	other = strings.NewReplacer("engine-1", "engine-5", "10.0.0.1", "10.0.0.5").Replace(good)
+	if w := post(h, "/fleet/announcements", goodKey, other); w.Code != 507 {
+		t.Errorf("got %d %s", w.Code, w.Body)
+	}
+}
+
+func TestCacheEvents(t *testing.T) {
+	s := &sink{wanted: true}
+	h, _ := newTestHandler(t, s)
+	key := strings.Repeat("0a", 32)
+	body := `{"identity":"engine-1","incarnation":5,"first":1,"events":[{"kind":"inserted","key":"` + key + `"}]}`
+	if w := post(h, "/fleet/cache-events", goodKey, body); w.Code != 200 || !strings.Contains(w.Body.String(), `"listing-wanted":true`) {
+		t.Fatalf("got %d %s", w.Code, w.Body)
+	}
+	if len(s.reports) != 1 || s.reports[0].Events[0].Key.String() != key {
+		t.Errorf("passed on: %v", s.reports)
+	}
+	bad := map[string]string{
+		"no first":          strings.Replace(body, `"first":1,`, "", 1),
+		"unknown kind":      strings.Replace(body, "inserted", "moved", 1),
+		"short key":         strings.Replace(body, key, key[2:], 1),
+		"listing and first": strings.Replace(body, `"events"`, `"listing":{"sequence":1,"part":1,"parts":1,"keys":[]},"events"`, 1),
+		"part above parts":  `{"identity":"engine-1","incarnation":5,"listing":{"sequence":1,"part":2,"parts":1,"keys":[]}}`,
+	}
+	for name, text := range bad {
+		if w := post(h, "/fleet/cache-events", goodKey, text); w.Code != 400 {
+			t.Errorf("%s: got %d %s", name, w.Code, w.Body)
+		}
+	}
+	if len(s.reports) != 1 {
+		t.Errorf("%d reports were passed on", len(s.reports))
+	}
+}
--- a/internal/fleet/announcement/announcement.go
+++ b/internal/fleet/announcement/announcement.go
@@ -8,6 +8,8 @@
 	Incarnation uint64 `json:"incarnation" cbor:"incarnation"`
 	// Sequence is a larger number with each announcement of one incarnation.
 	Sequence uint64 `json:"sequence" cbor:"sequence"`
+	// UptimeMillis is the server's monotonic time since its start, in milliseconds; zero when it gives none.
+	UptimeMillis int64 `json:"uptime-millis,omitempty" cbor:"uptime-millis,omitempty"`
 	// Zone is the server's availability zone.
 	Zone string `json:"zone" cbor:"zone"`
 	// Address is the IP and port of the server's HTTP interface.
--- /dev/null
+++ b/internal/fleet/membership/key.go
@@ -0,0 +1,15 @@
+package membership
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// Key is the first eight bytes of the SHA-256 digest of a server's identity, its short name in gossip.
+type Key uint64
+
+// KeyOf returns the Key of an identity.
+func KeyOf(identity string) Key {
+	d := sha256.Sum256([]byte(identity))
+	return Key(binary.BigEndian.Uint64(d[:8]))
+}
--- /dev/null
+++ b/internal/fleet/membership/table.go
@@ -0,0 +1,200 @@
+package membership
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamwood/internal/fleet/announcement"
+)
+
+// shardCount is a power of two.
+const shardCount = 16
+
+// Table holds what is known of all backend servers of a cell.
+type Table interface {
+	// Announce merges an announcement that its server sent to this entry.
+	Announce(now time.Time, a announcement.Announcement) Merge
+	// Merge merges an announcement that was made at most age ago.
+	Merge(now time.Time, a announcement.Announcement, age time.Duration) Merge
+	// View returns all servers as they are known now, without a lock.
+	View() View
+	// Sweep forgets servers that were silent for long and returns their identities.
+	Sweep(now time.Time) []string
+}
+
+type table struct {
+	config    Config
+	shards    [shardCount]*shard
+	addresses addresses
+	count     atomic.Int64
+}
+
+// New returns an empty Table.
+func New(c Config) Table {
+	t := &table{config: c.withDefaults(), addresses: addresses{users: map[string]claim{}}}
+	for i := range t.shards {
+		t.shards[i] = newShard()
+	}
+	return t
+}
+
+func (t *table) shard(identity string) *shard {
+	return t.shards[xxhash.Sum64String(identity)%shardCount]
+}
+
+// Announce implements Table.
+func (t *table) Announce(now time.Time, a announcement.Announcement) Merge {
+	return t.merge(now, a, 0)
+}
+
+// Merge implements Table.
+func (t *table) Merge(now time.Time, a announcement.Announcement, age time.Duration) Merge {
+	return t.merge(now, a, age)
+}
+
+// View implements Table.
+func (t *table) View() View {
+	var v View
+	for i, s := range t.shards {
+		v.shards[i] = *s.view.Load()
+	}
+	return v
+}
+
+func (t *table) merge(now time.Time, a announcement.Announcement, age time.Duration) Merge {
+	if err := t.config.Check(a); err != nil {
+		return refuse(BadField, err.Error())
+	}
+	s := t.shard(a.Identity)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[a.Identity]
+	if e == nil {
+		return t.add(s, now, a, age)
+	}
+	known := &e.server.announcement
+	if a.Incarnation < known.Incarnation {
+		return Merge{Outcome: Stale, Cause: OlderIncarnation}
+	}
+	if a.Incarnation > known.Incarnation {
+		return t.restart(s, e, now, a, age)
+	}
+	if a.Address != known.Address {
+		return refuse(IdentityConflict, fmt.Sprintf("%s is announced from %s and from %s in one incarnation", a.Identity, known.Address, a.Address))
+	}
+	return s.same(e, a, now.Add(-age))
+}
+
+// add takes in a server that was not known.
+func (t *table) add(s *shard, now time.Time, a announcement.Announcement, age time.Duration) Merge {
+	if t.count.Load() >= int64(t.config.Servers) {
+		return refuse(TooManyServers, fmt.Sprintf("%d servers are known, which is the limit", t.config.Servers))
+	}
+	if user, ok := t.addresses.claim(now, a.Address, a.Identity, t.usedBy(now, a.Address)); !ok {
+		return refuse(AddressConflict, fmt.Sprintf("%s is in use by %s", a.Address, user))
+	}
+	t.count.Add(1)
+	e := &entry{}
+	e.server = next(nil, a, now.Add(-age))
+	s.entries[a.Identity] = e
+	s.publish()
+	return Merge{
+		Outcome: Accepted,
+		Cause:   NewServer,
+		Leaving: a.State == announcement.Leaving,
+		Changed: true,
+	}
+}
+
+// restart takes in a newer incarnation, whatever the older one said.
+func (t *table) restart(s *shard, e *entry, now time.Time, a announcement.Announcement, age time.Duration) Merge {
+	old := e.server.announcement
+	if user, ok := t.addresses.claim(now, a.Address, a.Identity, t.usedBy(now, a.Address)); !ok {
+		return refuse(AddressConflict, fmt.Sprintf("%s is in use by %s", a.Address, user))
+	}
+	if old.Address != a.Address {
+		t.addresses.release(old.Address, a.Identity)
+	}
+	e.server = next(e.server, a, now.Add(-age))
+	s.publish()
+	return Merge{
+		Outcome: Accepted,
+		Cause:   NewIncarnation,
+		Leaving: a.State == announcement.Leaving,
+		Changed: true,
+	}
+}
+
+// same merges an announcement of the incarnation that is known.
+func (s *shard) same(e *entry, a announcement.Announcement, heard time.Time) Merge {
+	old := e.server
+	wasReady := old.announcement.State == announcement.Ready
+	leaves := wasReady && a.State == announcement.Leaving
+	switch {
+	case a.Sequence > old.announcement.Sequence:
+		e.server = next(old, a, heard)
+		s.publish()
+		return Merge{Outcome: Accepted, Cause: NewerSequence, Leaving: leaves, Changed: e.server.form != old.form}
+	case leaves:
+		n := *old
+		n.announcement.State = announcement.Leaving
+		e.server = &n
+		s.publish()
+		return Merge{Outcome: Accepted, Cause: LateLeaving, Leaving: true}
+	case a.Sequence < old.announcement.Sequence:
+		return Merge{Outcome: Stale, Cause: OlderSequence}
+	}
+	if heard.After(old.heard) {
+		n := *old
+		n.heard = heard
+		e.server = &n
+		s.publish()
+	}
+	return Merge{Outcome: Duplicate, Cause: SameSequence}
+}
+
+// usedBy returns whether an identity still uses the address, judged from the lock-free view because the other identity's shard may be locked.
+func (t *table) usedBy(now time.Time, address string) func(identity string) bool {
+	return func(identity string) bool {
+		s, ok := t.View().Server(identity)
+		if !ok || s.announcement.Address != address {
+			return false
+		}
+		return s.announcement.State == announcement.Ready && s.Age(now) < MaxAge
+	}
+}
+
+// Sweep implements Table.
+func (t *table) Sweep(now time.Time) []string {
+	var gone []string
+	for _, s := range t.shards {
+		gone = append(gone, t.sweep(s, now)...)
+	}
+	return gone
+}
+
+func (t *table) sweep(s *shard, now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var gone []string
+	for i, e := range s.entries {
+		keep := t.config.Forget
+		if e.server.announcement.State == announcement.Leaving {
+			keep = t.config.ForgetLeaver
+		}
+		if e.server.Age(now) < keep {
+			continue
+		}
+		delete(s.entries, i)
+		t.addresses.release(e.server.announcement.Address, i)
+		t.count.Add(-1)
+		gone = append(gone, i)
+	}
+	if len(gone) > 0 {
+		s.publish()
+	}
+	return gone
+}
