--- /dev/null
+++ b/internal/load/comparison/contenders.go
@@ -0,0 +1,44 @@
+package comparison
+
+import (
+	"hornbeamwood/internal/load/model"
+	"hornbeamwood/internal/policy/baseline"
+	"hornbeamwood/internal/policy/route"
+)
+
+// PolicyName is the row of the policy under test.
+const PolicyName = "hornbeamwood"
+
+// Policy returns the policy under test, without the named elements.
+func Policy(name string, without ...string) model.Contender {
+	return model.Contender{
+		Name: name,
+		Strategy: func() route.Strategy {
+			return route.New(route.Config{Name: name, Without: without})
+		},
+		Exports:   model.ExportWorth,
+		Admission: true,
+	}
+}
+
+// Baselines returns round robin, least loaded and prefix hash, each with engine
+// memory alone and with stores: every piece is exported after a run and every
+// missing piece that a store holds is imported.
+func Baselines() []model.Contender {
+	var all []model.Contender
+	for _, make := range []func(baseline.Config) route.Strategy{
+		baseline.NewRoundRobin, baseline.NewLeastLoaded, baseline.NewPrefixHash,
+	} {
+		all = append(all, contender(make, baseline.Config{}, model.ExportNone))
+		all = append(all, contender(make, baseline.Config{Imports: true}, model.ExportAll))
+	}
+	return all
+}
+
+func contender(make func(baseline.Config) route.Strategy, c baseline.Config, e model.ExportRule) model.Contender {
+	return model.Contender{
+		Name:     make(c).Name(),
+		Strategy: func() route.Strategy { return make(c) },
+		Exports:  e,
+	}
+}
--- a/internal/load/workload/association.go
+++ b/internal/load/workload/association.go
@@ -30,7 +30,7 @@
 		Classes: []Class{
 			{
 				Name: LogbookCheck, Share: 0.16, Pieces: Span{6, 16}, Tail: Span{300, 1200}, Answer: Span{200, 500},
-				Return: 0.8, Gap: [2]time.Duration{time.Minute, 8 * time.Minute}, Growth: Span{0, 1},
+				Return: 0.75, Gap: [2]time.Duration{time.Minute, 6 * time.Minute}, Growth: Span{0, 1},
 				Rules: rules.Rules{
 					Priority: 3, Deadline: time.Minute, Worth: 6,
 					FirstTokenPrice: 0.3, RecomputePrice: 0.5, LinkPrice: 1, CacheExport: true,
--- a/internal/load/workload/certilote.go
+++ b/internal/load/workload/certilote.go
@@ -51,7 +51,7 @@
 			},
 			{
 				Name: Draft, Share: 0.12, Pieces: Span{5, 14}, Tail: Span{400, 1500}, Answer: Span{200, 500},
-				Return: 0.7, Gap: [2]time.Duration{time.Minute, 8 * time.Minute},
+				Return: 0.7, Gap: [2]time.Duration{time.Minute, 6 * time.Minute},
 				Rules: rules.Rules{
 					Priority: 2, Deadline: 2 * time.Minute, Worth: 3,
 					FirstTokenPrice: 1, RecomputePrice: 0.02, LinkPrice: 0.5, CacheExport: true,
