Operators' interface: the settings tree over HTTP

Cause: operators edit the tree through any entry, race each other, and lose answers.

An edit is checked against the entry's copy before it goes to the log, which decides.

Ruled out: PATCH that makes missing branches; a mistyped workspace would become a second one. If-Match: *; it would overwrite what nobody looked at.

--- /dev/null
+++ b/internal/entry/operator/body.go
@@ -0,0 +1,61 @@
+package operator
+
+import (
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/settings/tree"
+)
+
+// Media types of settings.
+const (
+	mediaJSON = "application/json"
+	mediaTOML = "application/toml"
+)
+
+// pathOf returns the branch that a request's path names.
+func pathOf(r *http.Request) (tree.Path, error) {
+	p, err := tree.ParsePath(r.PathValue("path"))
+	if err != nil {
+		return "", verdict.New(verdict.NotRun, http.StatusNotFound, "no-branch", "%v", err)
+	}
+	return p, nil
+}
+
+// subtree reads the body of an edit of branch p.
+func (h *handler) subtree(w http.ResponseWriter, r *http.Request, p tree.Path) (tree.Subtree, error) {
+	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || (media != mediaJSON && media != mediaTOML) {
+		return tree.Subtree{}, verdict.New(verdict.NotRun, http.StatusUnsupportedMediaType, "media-type", "settings are sent as %s or %s", mediaTOML, mediaJSON)
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBody))
+	if err != nil {
+		return tree.Subtree{}, bodyFault(err)
+	}
+	var s tree.Subtree
+	if media == mediaTOML {
+		s, err = tree.ParseTOML(p, "", b)
+	} else {
+		s, err = tree.ParseJSON(p, b)
+	}
+	if err != nil {
+		return s, invalid(err)
+	}
+	return s, nil
+}
+
+func bodyFault(err error) error {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body-too-large", "a body has %d bytes at most", large.Limit)
+	}
+	return verdict.New(verdict.NotRun, http.StatusBadRequest, "body-cut", "the body did not arrive whole").WithCause(err)
+}
+
+// invalid returns err, the faults of an edit that no log has seen, as an answer.
+func invalid(err error) error {
+	return verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, "invalid-settings", "the edit is not valid").WithCause(err)
+}
--- a/internal/settings/tree/document.go
+++ b/internal/settings/tree/document.go
@@ -11,25 +11,24 @@
 // document is the nested form that the encoders of TOML and JSON take.
 type document map[string]any
 
-// document returns branch p and those below it in the form that ParseTOML and ParseJSON read.
-func (t Tree) document(p Path) document {
+// documentOf returns branches, the first of which is p and above all others, in nested form.
+func documentOf(p Path, branches []Branch) document {
 	top := document{}
 	at := map[Path]document{p: top}
-	for _, q := range t.Paths(p) {
-		d, ok := at[q]
+	for _, b := range branches {
+		d, ok := at[b.Path]
 		if !ok {
-			d = t.place(q, at)
+			d = place(b.Path, at)
 		}
-		own, _ := t.at(q)
-		for key, v := range own {
-			d[key] = v.Document()
+		for _, a := range b.Values {
+			d[a.Key] = a.Value.Document()
 		}
 	}
 	return top
 }
 
 // place returns the table for branch q below its parent's, made if it is missing.
-func (t Tree) place(q Path, at map[Path]document) document {
+func place(q Path, at map[Path]document) document {
 	d := document{}
 	at[q] = d
 	parent, _ := q.Parent()
@@ -63,18 +62,18 @@
 	return ""
 }
 
-// TOML returns branch p and those below it as TOML, sorted, in the form that ParseTOML reads.
-func (t Tree) TOML(p Path) ([]byte, error) {
+// FormatTOML returns branches, the first of which is p and above all others, as TOML, sorted, in the form that ParseTOML reads.
+func FormatTOML(p Path, branches []Branch) ([]byte, error) {
 	var b bytes.Buffer
-	if err := toml.NewEncoder(&b).Encode(t.document(p)); err != nil {
+	if err := toml.NewEncoder(&b).Encode(documentOf(p, branches)); err != nil {
 		return nil, fmt.Errorf("settings tree: %w", err)
 	}
 	return b.Bytes(), nil
 }
 
-// JSON returns branch p and those below it as JSON, sorted, in the form that ParseJSON reads.
-func (t Tree) JSON(p Path) ([]byte, error) {
-	b, err := json.MarshalIndent(t.document(p), "", "  ")
+// FormatJSON returns branches, the first of which is p and above all others, as JSON, sorted, in the form that ParseJSON reads.
+func FormatJSON(p Path, branches []Branch) ([]byte, error) {
+	b, err := json.MarshalIndent(documentOf(p, branches), "", "  ")
 	if err != nil {
 		return nil, fmt.Errorf("settings tree: %w", err)
 	}
--- a/internal/settings/tree/fuzz_test.go
+++ b/internal/settings/tree/fuzz_test.go
@@ -25,7 +25,7 @@
 		if err != nil {
 			return
 		}
-		text, err := next.TOML(RootPath)
+		text, err := FormatTOML(RootPath, next.Branches(RootPath))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/settings/tree/naive_test.go
+++ b/internal/settings/tree/naive_test.go
@@ -138,7 +138,7 @@
 	}, gen.SliceOfN(40, gen.UInt32())))
 	p.Property("a replacement makes the tree equal", prop.ForAll(func(a, b []uint32) bool {
 		from, to := grow(a), grow(b)
-		text, err := to.TOML(RootPath)
+		text, err := FormatTOML(RootPath, to.Branches(RootPath))
 		if err != nil {
 			return false
 		}
--- a/internal/settings/tree/tree_test.go
+++ b/internal/settings/tree/tree_test.go
@@ -63,7 +63,7 @@
 func TestTextRoundTrip(t *testing.T) {
 	a := load(t)
 	for _, p := range a.Paths(RootPath) {
-		text, err := a.TOML(p)
+		text, err := FormatTOML(p, a.Branches(p))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -75,7 +75,7 @@
 		if err != nil || len(effects) != 0 {
 			t.Errorf("%s as TOML: %v, %v", p, effects, err)
 		}
-		text, err = a.JSON(p)
+		text, err = FormatJSON(p, a.Branches(p))
 		if err != nil {
 			t.Fatal(err)
 		}
