--- /dev/null
+++ b/internal/settings/lease/naive_test.go
@@ -0,0 +1,73 @@
+package lease
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// entryReport is one report as a leader with endless memory keeps it.
+type entryReport struct {
+	at        time.Duration
+	name      string
+	applied   uint64
+	confirmed bool
+}
+
+// naiveInForce searches all reports of a leader since time zero.
+func naiveInForce(all []entryReport, now time.Duration, revision uint64) (bool, []string) {
+	var waiting []string
+	for _, name := range []string{"a", "b", "c"} {
+		newest := uint64(0)
+		live := false
+		for _, r := range all {
+			if r.name == name {
+				newest = max(newest, r.applied)
+				live = live || (r.confirmed && now < r.at+lengthened(leaseLength))
+			}
+		}
+		if live && newest < revision {
+			waiting = append(waiting, name)
+		}
+	}
+	return len(waiting) == 0 && now >= lengthened(leaseLength), waiting
+}
+
+func TestHoldersAgreeWithNaiveSearch(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(32)
+	parameters.MinSuccessfulTests = 300
+	p := gopter.NewProperties(parameters)
+	p.Property("the same answer", prop.ForAll(func(steps []uint32) bool {
+		h := NewHolders(nil)
+		h.Lead(at(0), terms(1))
+		var all []entryReport
+		now, revision := time.Duration(0), uint64(1)
+		for _, n := range steps {
+			now += time.Duration(n%1500) * time.Millisecond
+			switch {
+			case n>>12%5 == 0:
+				revision++
+			case n>>12%5 < 3:
+				r := entryReport{at: now, name: string(rune('a' + n>>16%3)), applied: revision - min(uint64(n>>20%2), revision)}
+				r.confirmed = r.applied == revision
+				if h.Report(at(now), Holder{Name: r.name}, r.applied, terms(revision)) != r.confirmed {
+					return false
+				}
+				all = append(all, r)
+			default:
+				asked := revision - min(uint64(n>>20%3), revision-1)
+				got := h.InForce(at(now), asked, terms(revision))
+				want, waiting := naiveInForce(all, now, asked)
+				if got.InForce != want || !slices.Equal(got.Waiting, waiting) {
+					return false
+				}
+			}
+		}
+		return true
+	}, gen.SliceOfN(60, gen.UInt32())))
+	p.TestingRun(t)
+}
