Settings lease: clock margin, new leaders, reports that raced an edit

Change: entries count one part in a hundred less of a lease and the leader one more; a new leader waits the longest lease out before it says that anything is in force; a report that raced an edit is not confirmed; a report that was answered with a newer revision proves nothing. The settings section keeps what a new leader must know: the longest lease that may still run, and the revision before which entries may serve on without a quorum.

Weighed: serve-without-quorum. Its default is false, because an entry that is cut off can't tell the loss of the quorum from its own loss, and would serve under replaced settings.

--- a/internal/settings/lease/holders.go
+++ b/internal/settings/lease/holders.go
@@ -40,6 +40,10 @@
 }
 
 // Lead implements Holders.
+//
+// A new leader knows of no lease that an earlier one confirmed. It would
+// declare an edit in force while an entry that it has not heard of still
+// serves under the older settings, so it first waits the longest lease out.
 func (h *holders) Lead(now time.Time, t Terms) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -50,6 +54,11 @@
 }
 
 // Report implements Holders.
+//
+// A report that raced an edit could be confirmed just after the edit was
+// declared in force; the entry would then serve on under the older settings.
+// The newest revision that was ever asked for here is therefore kept, and an
+// older one is never confirmed again.
 func (h *holders) Report(now time.Time, holder Holder, applied uint64, t Terms) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -57,7 +66,7 @@
 	h.reported[holder.Name] = max(h.reported[holder.Name], applied)
 	g := h.grants[holder]
 	g.applied = max(g.applied, applied)
-	confirmed := applied == t.Revision
+	confirmed := applied == t.Revision && applied == h.newest
 	if confirmed {
 		g.expires = later(g.expires, now.Add(lengthened(t.Lease)))
 	}
@@ -106,7 +115,7 @@
 	}
 	slices.Sort(f.Waiting)
 	f.Waiting = slices.Compact(f.Waiting)
-	f.InForce = len(f.Waiting) == 0
+	f.InForce = len(f.Waiting) == 0 && !now.Before(h.settled)
 	return f
 }
 
--- a/internal/settings/lease/keeper.go
+++ b/internal/settings/lease/keeper.go
@@ -47,6 +47,9 @@
 // and one for an older revision would stand for settings that the entry no
 // longer has; neither is taken.
 func (k *keeper) Confirm(p Proof) bool {
+	if p.Applied != p.Confirmed {
+		return false
+	}
 	for {
 		old := k.proof.Load()
 		if old != nil && (p.Applied < old.Applied || !p.SentAt.After(old.SentAt)) {
--- a/internal/settings/lease/terms.go
+++ b/internal/settings/lease/terms.go
@@ -22,10 +22,10 @@
 
 // shortened returns how long an entry with a slow clock may count d.
 func shortened(d time.Duration) time.Duration {
-	return d
+	return d - d/MarginShare
 }
 
 // lengthened returns how long a leader with a fast clock must count d.
 func lengthened(d time.Duration) time.Duration {
-	return d
+	return d + d/MarginShare
 }
--- a/internal/settings/section/fixture_test.go
+++ b/internal/settings/section/fixture_test.go
@@ -65,7 +65,7 @@
 }
 
 // ready returns a section after setup, at revision 1.
-func ready(t testing.TB) state.Section {
+func ready(t testing.TB) Section {
 	t.Helper()
 	s := New()
 	if o := apply(t, s, setup()); o.Kind != Accepted || o.Revision != 1 {
--- a/internal/settings/section/image.go
+++ b/internal/settings/section/image.go
@@ -11,6 +11,7 @@
 	Branches []tree.Branch `cbor:"branches"`
 	Records  []Record      `cbor:"records,omitempty"`
 	Rejected []rejection   `cbor:"rejected,omitempty"`
+	Leases   leases        `cbor:"leases,omitzero"`
 }
 
 // Snapshot implements state.Section.
@@ -20,6 +21,7 @@
 		Revision: s.revision,
 		Records:  s.history.records,
 		Rejected: s.history.rejected,
+		Leases:   s.leases,
 	}
 	t := s.tree
 	s.mu.RUnlock()
@@ -42,5 +44,6 @@
 	s.tree = t
 	s.revision = i.Revision
 	s.history = newHistory(i.Records, i.Rejected)
+	s.leases = i.Leases
 	return nil
 }
--- /dev/null
+++ b/internal/settings/section/leases_test.go
@@ -0,0 +1,49 @@
+package section
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/settings/tree"
+)
+
+func fleet(id string, base uint64, key string, v tree.Value) Edit {
+	return Edit{ID: id, Base: base, Operator: "ana", Changes: []tree.Change{set("/fleet", key, v)}}
+}
+
+// An operator makes the lease shorter, and then the leader is lost. A new
+// leader must still wait for entries that have not heard of the shorter one,
+// also after it was restored from a snapshot.
+func TestTermsRememberALongerLease(t *testing.T) {
+	s := ready(t)
+	apply(t, s, fleet("long", 1, "settings-lease", tree.DurationValue(12*time.Second)))
+	apply(t, s, fleet("short", 2, "settings-lease", tree.DurationValue(2*time.Second)))
+	b, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Restore(b); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Terms(); got.Lease != 2*time.Second || got.Longest != 12*time.Second || got.Revision != 3 || got.FreeBefore != 0 {
+		t.Errorf("got %+v", got)
+	}
+	s.Apply(now.Add(2*longestKept), encode(t, priority("later", "ana", 3, 1)))
+	if got := s.Terms(); got.Longest != 2*time.Second {
+		t.Errorf("an hour later: %+v", got)
+	}
+}
+
+func TestTermsRememberServingWithoutQuorum(t *testing.T) {
+	s := ready(t)
+	for i, c := range []struct {
+		on   bool
+		want uint64
+	}{{true, 3}, {true, 4}, {false, 4}, {false, 4}} {
+		apply(t, s, fleet(fmt.Sprint("e-", i), uint64(i)+1, "serve-without-quorum", tree.BoolValue(c.on)))
+		if got := s.Terms().FreeBefore; got != c.want {
+			t.Errorf("edit %d: got %d, want %d", i, got, c.want)
+		}
+	}
+}
--- a/internal/settings/section/naive_test.go
+++ b/internal/settings/section/naive_test.go
@@ -7,8 +7,6 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
-
-	"hornbeamwood/internal/control/state"
 )
 
 // copyOfAll is the settings as one VM with endless memory would keep them.
@@ -89,7 +87,7 @@
 	return priority(id, []string{"ana", "ben"}[n%2], base, int64(n>>4%110))
 }
 
-func restored(t *testing.T, s state.Section) state.Section {
+func restored(t *testing.T, s Section) Section {
 	b, err := s.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -101,7 +99,7 @@
 	return next
 }
 
-func trailAgrees(t *testing.T, s state.Section, c *copyOfAll) bool {
+func trailAgrees(t *testing.T, s Section, c *copyOfAll) bool {
 	for _, r := range ask[History](t, s, Query{Kind: QueryHistory}).Records {
 		if r.Revision == 1 {
 			continue
--- a/internal/settings/section/section.go
+++ b/internal/settings/section/section.go
@@ -8,6 +8,7 @@
 
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/control/state"
+	"hornbeamwood/internal/settings/lease"
 	"hornbeamwood/internal/settings/tomlfile"
 	"hornbeamwood/internal/settings/tree"
 )
@@ -15,16 +16,26 @@
 // Name is the section's name in commands and queries.
 const Name = "settings"
 
-// section implements state.Section.
+// Section is the settings as a section of the replicated state.
+type Section interface {
+	state.Section
+	// Terms returns what the settings say of leases.
+	Terms() lease.Terms
+	// Changes returns what lies above a known revision.
+	Changes(known uint64) Changes
+}
+
+// section implements Section.
 type section struct {
 	mu       sync.RWMutex
 	tree     tree.Tree
 	revision uint64
 	history  *history
+	leases   leases
 }
 
 // New returns the settings section with an empty tree at revision 0.
-func New() state.Section {
+func New() Section {
 	return &section{history: newHistory(nil, nil)}
 }
 
@@ -64,6 +75,7 @@
 		s.history.reject(rejection{ID: e.ID, Digest: digest, Outcome: o})
 		return o
 	}
+	s.leases = s.leases.after(at, o.Revision, s.tree, next)
 	s.tree = next
 	s.revision = o.Revision
 	s.history.accept(Record{
@@ -116,6 +128,26 @@
 	return Outcome{Kind: Accepted, Revision: s.revision + 1}, effects, next
 }
 
+// Terms implements Section.
+func (s *section) Terms() lease.Terms {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	own := s.tree.SettingsLease()
+	return lease.Terms{
+		Revision:   s.revision,
+		Lease:      own,
+		Longest:    max(own, s.leases.Longest),
+		FreeBefore: s.leases.FreeBefore,
+	}
+}
+
+// Changes implements Section.
+func (s *section) Changes(known uint64) Changes {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changes(Query{Known: known})
+}
+
 // Check returns the tree after edit e of t and its differences, or why t refuses it.
 func Check(t tree.Tree, e Edit) (tree.Tree, []tree.Effect, error) {
 	if err := checkOperator(t, e.Operator); err != nil {
