--- /dev/null
+++ b/internal/load/comparison/measure.go
@@ -0,0 +1,36 @@
+package comparison
+
+import (
+	"golang.org/x/sync/errgroup"
+
+	"hornbeamwood/internal/load/model"
+)
+
+// Measure returns a row for each cell, in order.
+func Measure(c Config, cells []Cell) []Row {
+	results := make([][]model.Result, len(cells))
+	var g errgroup.Group
+	g.SetLimit(max(c.Parallel, 1))
+	for i := range cells {
+		results[i] = make([]model.Result, len(c.Seeds))
+		for s := range c.Seeds {
+			g.Go(func() error {
+				results[i][s] = model.Run(c.run(&cells[i], c.Seeds[s]))
+				return nil
+			})
+		}
+	}
+	_ = g.Wait()
+	rows := make([]Row, len(cells))
+	for i := range cells {
+		rows[i] = Row{Cell: cells[i], Result: mean(results[i])}
+	}
+	return rows
+}
+
+func (c Config) run(x *Cell, seed uint64) model.Config {
+	return model.Config{
+		Deployment: x.Deployment, Profile: c.Profile, Contender: x.Contender, Rate: x.Rate,
+		Warmup: c.Warmup, Measured: c.Measured, Seed: seed, Failures: x.Failures,
+	}
+}
--- /dev/null
+++ b/internal/load/comparison/row.go
@@ -0,0 +1,21 @@
+package comparison
+
+import "hornbeamwood/internal/load/model"
+
+// Row is a Cell with what was measured, the mean over the seeds.
+type Row struct {
+	// Cell is what was run.
+	Cell Cell
+	// Result is the mean of its runs.
+	Result model.Result
+}
+
+// Class returns the result of the named class and whether there is one.
+func (r *Row) Class(name string) (model.ClassResult, bool) {
+	for _, c := range r.Result.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return model.ClassResult{}, false
+}
