Price the risk of a late first token

At the Association's full load imports queued until after the deadline while engines were idle, because recomputing is dear there and waiting is cheap. The new element prices time to first token beyond half of the deadline by the request's worth.

--- a/internal/policy/route/fixture_test.go
+++ b/internal/policy/route/fixture_test.go
@@ -60,6 +60,8 @@
 		Key:       r.Uint64(),
 		Rules: rules.Rules{
 			Priority:        r.IntN(Bands),
+			Deadline:        time.Duration(r.IntN(20)) * time.Second,
+			Worth:           r.Float64() * 5,
 			FirstTokenPrice: r.Float64() * 5,
 			RecomputePrice:  r.Float64(),
 			LinkPrice:       r.Float64() * 5,
--- a/internal/policy/route/naive_test.go
+++ b/internal/policy/route/naive_test.go
@@ -57,6 +57,9 @@
 			}
 		}
 	}
+	if d := r.Rules.Deadline.Seconds(); d > 0 && e.TTFT > d/2 {
+		cost += 10 * r.Rules.Worth / d * (e.TTFT - d/2)
+	}
 	if x.Reserve && r.Rules.Priority < UrgentBand {
 		cost += reserveDelay * r.Rules.FirstTokenPrice
 	}
