Admission learns by how much its estimates fall short

At one and a half times the capacity long prompts were admitted that were half computed when their callers gave up: urgent requests pass them after the estimate was made. Admission now keeps, for each priority band, the mean ratio of actual to expected time and takes 0.7 of the deadline. The property test now names the margin that it was written for.

Entries also tell each other of the disk reads in their imports.

--- a/internal/load/model/entry.go
+++ b/internal/load/model/entry.go
@@ -92,6 +92,7 @@
 	}
 	return e.admission.Decide(admission.Input{
 		Server:   true,
+		Priority: q.arrival.Rules.Priority,
 		TTFT:     d.TTFT,
 		Deadline: q.arrival.Rules.Deadline,
 		Waited:   e.run.clock.now - q.arrival.At,
@@ -100,6 +101,7 @@
 
 func (e *entry) send(q *request, ask *route.Request, d route.Decision) {
 	q.record = e.recordOf(q, ask, d)
+	q.expected, q.sent = d.TTFT, e.run.clock.now
 	e.own[q.record] = true
 	e.carried[q] = true
 	q.job = e.run.jobOf(q, d)
@@ -122,9 +124,12 @@
 			continue
 		}
 		if r.link == nil {
-			r.link = make([]int64, len(e.stores))
+			r.link, r.disk = make([]int64, len(e.stores)), make([]int64, len(e.stores))
 		}
 		r.link[s.Copy.Store] += ask.Pieces[i].Bytes
+		if s.Copy.Tier == route.Disk {
+			r.disk[s.Copy.Store] += ask.Pieces[i].Bytes
+		}
 	}
 	return r
 }
@@ -137,6 +142,7 @@
 	d := e.run.config.Deployment
 	q.outcome = answered
 	q.ttft = e.run.clock.now + d.ClientDelay - q.arrival.At
+	e.admission.Observe(q.arrival.Rules.Priority, q.expected, e.run.clock.now-q.sent)
 	e.run.count(q, j)
 	e.export(q)
 }
@@ -183,6 +189,7 @@
 	delete(e.own, q.record)
 	delete(e.carried, q)
 	if q.job != nil {
+		e.admission.Observe(q.arrival.Rules.Priority, q.expected, e.run.clock.now-q.sent)
 		e.run.engines[q.server].cancel(q.job)
 	}
 }
--- a/internal/load/model/question.go
+++ b/internal/load/model/question.go
@@ -63,6 +63,7 @@
 	for s, bytes := range r.link {
 		if r.sent > e.stores[s].reported {
 			cell.Stores[s].LinkQueued += bytes
+			cell.Stores[s].DiskQueued += r.disk[s]
 		}
 	}
 	if at[r.server] == route.None {
--- a/internal/load/model/record.go
+++ b/internal/load/model/record.go
@@ -9,4 +9,5 @@
 	tokens int64
 	sent   time.Duration
 	link   []int64 // bytes to import from each store; nil for none
+	disk   []int64 // the part of them that comes from disk
 }
--- a/internal/policy/admission/config.go
+++ b/internal/policy/admission/config.go
@@ -15,7 +15,7 @@
 }
 
 const (
-	defaultMargin        = 0.9
+	defaultMargin        = 0.7
 	defaultMinRetryAfter = time.Second
 	defaultMaxRetryAfter = 2 * time.Minute
 	defaultSpread        = 0.5
--- a/internal/policy/admission/input.go
+++ b/internal/policy/admission/input.go
@@ -6,6 +6,8 @@
 type Input struct {
 	// Server says whether any backend server can run the request.
 	Server bool
+	// Priority is that of the request's rules.
+	Priority int
 	// TTFT is the expected time to first token at the chosen server.
 	TTFT time.Duration
 	// Deadline is how long the caller waits; zero means without limit.
--- a/internal/policy/admission/policy.go
+++ b/internal/policy/admission/policy.go
@@ -9,17 +9,21 @@
 type Policy interface {
 	// Decide returns whether the request is taken; random spreads the waits of refused callers.
 	Decide(in Input, random *rand.Rand) Decision
+	// Observe tells how long a first token took that was expected after expected, or
+	// when its caller gave up.
+	Observe(priority int, expected, actual time.Duration)
 	// Refuse returns the refusal for reason to one who should come back after about wait.
 	Refuse(why Reason, wait time.Duration, random *rand.Rand) Decision
 }
 
 type policy struct {
-	config Config
+	config      Config
+	calibration *calibration
 }
 
 // New returns the policy that admits what is expected to make its deadline.
 func New(c Config) Policy {
-	return policy{config: c.withDefaults()}
+	return policy{config: c.withDefaults(), calibration: newCalibration()}
 }
 
 // Decide returns a refusal when there is no server, no room in flight or not enough time.
@@ -30,13 +34,17 @@
 	if in.MaxInFlight > 0 && in.InFlight >= in.MaxInFlight {
 		return p.Refuse(TooManyInFlight, in.TTFT, random)
 	}
-	late := in.Waited + in.TTFT - p.allowed(in.Deadline)
+	late := in.Waited + p.calibration.apply(in.Priority, in.TTFT) - p.allowed(in.Deadline)
 	if in.Deadline > 0 && late > 0 {
 		return p.Refuse(DeadlineMissed, late, random)
 	}
 	return Decision{Admit: true, Reason: Fits}
 }
 
+func (p policy) Observe(priority int, expected, actual time.Duration) {
+	p.calibration.observe(priority, expected, actual)
+}
+
 func (p policy) allowed(deadline time.Duration) time.Duration {
 	return time.Duration(float64(deadline) * p.config.Margin)
 }
--- a/internal/policy/admission/policy_test.go
+++ b/internal/policy/admission/policy_test.go
@@ -18,7 +18,7 @@
 func TestRefusalsAreFinalAndTimed(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(20261203)
 	properties := gopter.NewProperties(parameters)
-	p := New(Config{})
+	p := New(Config{Margin: 0.9})
 	properties.Property("refused exactly when late, with verdict and whole seconds", prop.ForAll(
 		func(ttft, deadline int64, seed uint64) bool {
 			in := Input{Server: true, TTFT: time.Duration(ttft) * time.Millisecond, Deadline: time.Duration(deadline) * time.Millisecond}
