Price the backlog of links and disks

Each request joined a store's line as long as recomputing was dearer for itself, so that the Association's imports waited for up to 50 s while a line of two seconds keeps a link as busy. The price of a transfer now grows with what waits before it at link and disk. A first try that counted only the link and not the disk changed nothing: the disks are what the imports wait for.

--- a/internal/policy/route/estimate.go
+++ b/internal/policy/route/estimate.go
@@ -12,6 +12,8 @@
 	Compute float64
 	// LinkSeconds is the time for which the request occupies store links.
 	LinkSeconds float64
+	// LinkDelay is the sum over imported pieces of their transfer time and the seconds of transfers ahead of them.
+	LinkDelay float64
 	// Recomputed is the number of prompt tokens in whole pieces that are computed again.
 	Recomputed int
 	// Split is the number of leading pieces that are imported where they are missing; later ones are recomputed.
@@ -20,6 +22,8 @@
 	TTFT float64
 	// ComputePrice is the price of a second of the server's time for the others that wait for it.
 	ComputePrice float64
+	// BacklogPrice is the price of LinkDelay.
+	BacklogPrice float64
 	// SafeUntil is the time to first token up to which the deadline is safe; zero means no deadline.
 	SafeUntil float64
 	// LatePrice is the price of a second after SafeUntil.
--- a/internal/policy/route/mix.go
+++ b/internal/policy/route/mix.go
@@ -17,6 +17,7 @@
 	compute     float64
 	arrived     float64
 	linkSeconds float64
+	linkDelay   float64
 	recomputed  int
 	split       int
 }
@@ -46,6 +47,7 @@
 	m.recomputed -= p.Tokens
 	m.compute -= float64(p.Tokens) * perToken
 	m.linkSeconds += q.linkTime[k]
+	m.linkDelay += max(q.linkTime[k], q.diskTime[k]) * q.behind(source)
 	m.split = k + 1
 	m.arrived = max(m.arrived, q.use(source, k))
 }
@@ -57,13 +59,15 @@
 		e.LatePrice*max(ttft-e.SafeUntil, 0) +
 		e.ComputePrice*m.compute +
 		q.price.token*float64(m.recomputed) +
-		q.price.link*m.linkSeconds
+		q.price.link*m.linkSeconds +
+		e.BacklogPrice*m.linkDelay
 }
 
 func (m *mix) into(q *Query, e *Estimate) {
 	e.Compute = m.compute
 	e.Import = m.arrived
 	e.LinkSeconds = m.linkSeconds
+	e.LinkDelay = m.linkDelay
 	e.Recomputed = m.recomputed
 	e.Split = m.split
 	e.price(q)
--- a/internal/policy/route/naive_test.go
+++ b/internal/policy/route/naive_test.go
@@ -33,6 +33,7 @@
 		}
 		store := c.Stores[from.Store]
 		link[from.Store] += float64(p.Bytes)
+		e.LinkDelay += naiveDelay(store, from, p)
 		e.LinkSeconds += float64(p.Bytes) / store.LinkRate
 		e.Import = max(e.Import, (float64(store.LinkQueued)+link[from.Store])/store.LinkRate)
 		if from.Tier == Disk {
@@ -50,6 +51,7 @@
 	cost := r.Rules.FirstTokenPrice * e.TTFT
 	cost += r.Rules.RecomputePrice * float64(e.Recomputed) / 1000
 	cost += r.Rules.LinkPrice * e.LinkSeconds
+	cost += r.Rules.LinkPrice * e.LinkDelay
 	if x.PriorityAware {
 		for b := range Bands {
 			if b < r.Rules.Priority {
@@ -66,6 +68,16 @@
 	return cost
 }
 
+// naiveDelay returns the transfer time of a piece times the seconds that wait before it.
+func naiveDelay(s Store, from Copy, p Piece) float64 {
+	link, ahead := float64(p.Bytes)/s.LinkRate, float64(s.LinkQueued)/s.LinkRate
+	if from.Tier == Memory {
+		return link * ahead
+	}
+	disk := float64(p.Bytes) / s.DiskRate
+	return max(link, disk) * max(ahead, float64(s.DiskQueued)/s.DiskRate)
+}
+
 func naiveWait(r *Request, x *Candidate) float64 {
 	var since, all, before float64
 	for b := range Bands {
--- a/internal/policy/route/price.go
+++ b/internal/policy/route/price.go
@@ -22,6 +22,7 @@
 	e.Cost = q.price.firstToken*e.TTFT +
 		q.price.token*float64(e.Recomputed) +
 		q.price.link*e.LinkSeconds +
+		e.BacklogPrice*e.LinkDelay +
 		e.ComputePrice*e.Compute +
 		e.LatePrice*max(e.TTFT-e.SafeUntil, 0) +
 		e.Penalty
--- a/internal/policy/route/query.go
+++ b/internal/policy/route/query.go
@@ -122,6 +122,14 @@
 	return max(q.linkUse[source.Store], q.diskUse[source.Store])
 }
 
+// behind returns the seconds of transfers ahead of a new one from source.
+func (q *Query) behind(source Copy) float64 {
+	if source.Tier == Memory {
+		return q.linkAt[source.Store]
+	}
+	return max(q.linkAt[source.Store], q.diskAt[source.Store])
+}
+
 // backlog returns the seconds until the link and the disk of s are free.
 func backlog(s *Store) (link, disk float64) {
 	if s.LinkRate > 0 {
