Settings lease: renewals are noted before the quorum confirms the leader

Cause: reads of the control log may be answered by any replica, so the leader can't decide at the end whether an entry's revision is still the newest.

Holders know the term and begin anew with each one by themselves. An entry that stops gives its lease back.

Ruled out: a decision after the confirmation at the leader; it needs a second look at the newest revision under the same lock as the question what is in force, and an entry that reads from a replica ahead of the leader would serve without the leader's knowledge.

--- a/internal/settings/lease/holder.go
+++ b/internal/settings/lease/holder.go
@@ -10,6 +10,18 @@
 	Incarnation uint64 `cbor:"incarnation"`
 }
 
+// Renewal is what an entry says when it asks for a lease.
+type Renewal struct {
+	// Holder is the one who asks.
+	Holder Holder
+	// Applied is the revision under which it takes new work.
+	Applied uint64
+	// Lease is how long it goes on under that revision without another proof.
+	Lease time.Duration
+	// Released says that it takes no new work any more.
+	Released bool
+}
+
 // grant is what the leader knows of one Holder.
 type grant struct {
 	applied uint64
@@ -18,6 +30,5 @@
 
 // live says whether the holder may still take new work at now.
 func (g grant) live(now time.Time, freeBefore uint64) bool {
-	confirmed := !g.expires.IsZero()
-	return confirmed && (now.Before(g.expires) || g.applied < freeBefore)
+	return now.Before(g.expires) || g.applied < freeBefore
 }
--- a/internal/settings/lease/holders.go
+++ b/internal/settings/lease/holders.go
@@ -6,16 +6,12 @@
 	"time"
 )
 
-// Holders is the control leader's account of the leases that it has confirmed.
+// Holders is the control leader's account of the leases that entries may hold.
 type Holders interface {
-	// Lead begins a leadership at now; nothing is known of the leases that earlier leaders confirmed.
-	Lead(now time.Time, t Terms)
-	// Report takes the revision that an entry has applied and returns whether its lease is confirmed; it is called after a quorum has confirmed the leader since the report arrived.
-	Report(now time.Time, h Holder, applied uint64, t Terms) bool
-	// Release forgets an entry that takes no new work any more.
-	Release(h Holder)
-	// InForce returns whether no entry can take new work under an older revision.
-	InForce(now time.Time, revision uint64, t Terms) Force
+	// Renew notes a renewal at a replica in the given term; it is called before a quorum confirms the leader for the answer.
+	Renew(now time.Time, term uint64, r Renewal, t Terms)
+	// InForce returns whether no entry can take new work under a revision older than the given one; it is called after a quorum has confirmed the leader of the term.
+	InForce(now time.Time, term, revision uint64, t Terms) Force
 	// Applied returns the revision that each live holder has applied.
 	Applied(now time.Time) map[Holder]uint64
 }
@@ -25,7 +21,7 @@
 	entries  []string
 	grants   map[Holder]grant
 	reported map[string]uint64
-	newest   uint64
+	term     uint64
 	settled  time.Time
 }
 
@@ -39,44 +35,44 @@
 	}
 }
 
-// Lead implements Holders.
+// enter begins a term when it is newer than the one before.
 //
 // A new leader knows of no lease that an earlier one confirmed. It would
 // declare an edit in force while an entry that it has not heard of still
 // serves under the older settings, so it first waits the longest lease out.
-func (h *holders) Lead(now time.Time, t Terms) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+func (h *holders) enter(now time.Time, term uint64, t Terms) {
+	if term <= h.term {
+		return
+	}
+	h.term = term
 	h.grants = map[Holder]grant{}
 	h.reported = map[string]uint64{}
-	h.newest = t.Revision
 	h.settled = now.Add(lengthened(t.Longest))
 }
 
-// Report implements Holders.
+// Renew implements Holders.
 //
-// A report that raced an edit could be confirmed just after the edit was
-// declared in force; the entry would then serve on under the older settings.
-// The newest revision that was ever asked for here is therefore kept, and an
-// older one is never confirmed again.
-func (h *holders) Report(now time.Time, holder Holder, applied uint64, t Terms) bool {
+// It notes the lease before the quorum confirms the leader, and whether or not
+// the revision is the newest. Noted afterwards, an edit could be declared in
+// force in between, and the entry would serve on under the older settings.
+func (h *holders) Renew(now time.Time, term uint64, r Renewal, t Terms) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.newest = max(h.newest, t.Revision)
-	h.reported[holder.Name] = max(h.reported[holder.Name], applied)
-	g := h.grants[holder]
-	g.applied = max(g.applied, applied)
-	confirmed := applied == t.Revision && applied == h.newest
-	if confirmed {
-		g.expires = later(g.expires, now.Add(lengthened(t.Lease)))
-	}
-	h.grants[holder] = g
+	h.enter(now, term, t)
+	h.reported[r.Holder.Name] = max(h.reported[r.Holder.Name], r.Applied)
 	for k, g := range h.grants {
-		if k != holder && !g.live(now, t.FreeBefore) {
+		if !g.live(now, t.FreeBefore) {
 			delete(h.grants, k)
 		}
 	}
-	return confirmed
+	if r.Released {
+		delete(h.grants, r.Holder)
+		return
+	}
+	g := h.grants[r.Holder]
+	g.applied = max(g.applied, r.Applied)
+	g.expires = later(g.expires, now.Add(lengthened(r.Lease)))
+	h.grants[r.Holder] = g
 }
 
 func later(a, b time.Time) time.Time {
@@ -86,19 +82,12 @@
 	return b
 }
 
-// Release implements Holders.
-func (h *holders) Release(holder Holder) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.grants, holder)
-}
-
 // InForce implements Holders.
-func (h *holders) InForce(now time.Time, revision uint64, t Terms) Force {
+func (h *holders) InForce(now time.Time, term, revision uint64, t Terms) Force {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.newest = max(h.newest, t.Revision)
-	if revision > t.Revision {
+	h.enter(now, term, t)
+	if term < h.term || revision > t.Revision {
 		return Force{}
 	}
 	f := Force{After: max(0, h.settled.Sub(now))}
