--- /dev/null
+++ b/internal/cli/settings/fake_test.go
@@ -0,0 +1,119 @@
+package settings
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/entry/operator"
+	"hornbeamwood/internal/settings/digest"
+	"hornbeamwood/internal/settings/follower"
+	"hornbeamwood/internal/settings/section"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// host is an entry with a control log of one replica.
+type host struct {
+	section section.Section
+	copy    follower.Follower
+	lose    atomic.Int32
+}
+
+// Propose implements operator.Log; the time of all commands is the same, for golden files.
+func (h *host) Propose(_ context.Context, _ string, body []byte) ([]byte, error) {
+	b := h.section.Apply(time.Unix(1_800_000_000, 0), body)
+	_, err := h.copy.Apply(h.section.Changes(h.copy.View().Revision()))
+	return b, err
+}
+
+// Read implements operator.Log.
+func (h *host) Read(_ context.Context, _ string, body []byte) ([]byte, error) {
+	return h.section.Query(body)
+}
+
+// Check implements operator.Lease.
+func (h *host) Check() error { return nil }
+
+// Wait implements operator.Force.
+func (h *host) Wait(context.Context, uint64) error { return nil }
+
+// newHost returns a host and the Config that reaches it, with one operator at revision 1.
+func newHost(t *testing.T) (*host, Config) {
+	t.Helper()
+	h := &host{section: section.New(), copy: follower.New()}
+	handler := operator.New(operator.Config{Log: h, Settings: h.copy, Lease: h, Force: h, BootstrapKeyDigest: digest.Of("bootstrap")})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet && h.lose.Add(-1) >= 0 {
+			handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	c := Config{Entry: server.URL, Key: "bootstrap", Client: server.Client(), Pause: time.Millisecond, EditID: "setup", File: treeFile(t)}
+	if err := Apply(t.Context(), c, &bytes.Buffer{}); err != nil {
+		t.Fatal(err)
+	}
+	c.Key, c.EditID, c.File = "ana-key", "edit-1", ""
+	return h, c
+}
+
+// treeFile returns the path of testdata/tree.toml with the digest of "ana-key".
+func treeFile(t *testing.T) string {
+	t.Helper()
+	b, err := os.ReadFile("testdata/tree.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const marker = "ANA-KEY"
+	path := filepath.Join(t.TempDir(), "tree.toml")
+	if err := os.WriteFile(path, []byte(strings.Replace(string(b), marker, digest.Of("ana-key").String(), 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// golden compares got with a file under testdata.
+func golden(t *testing.T, name string, got []byte) {
+	t.Helper()
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		if err := os.WriteFile(path, got, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(want, got) {
+		t.Errorf("%s:\n%s\nwant:\n%s", name, got, want)
+	}
+}
+
+func revision(t *testing.T, h *host) uint64 {
+	t.Helper()
+	b, err := codec.Marshal(section.Query{Kind: section.QueryHistory})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := h.section.Query(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := codec.Unmarshal[section.History](a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x.Revision
+}
--- a/internal/settings/tree/document.go
+++ b/internal/settings/tree/document.go
@@ -1,11 +1,8 @@
 package tree
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-
-	"github.com/pelletier/go-toml/v2"
 )
 
 // document is the nested form that the encoders of TOML and JSON take.
@@ -62,15 +59,6 @@
 	return ""
 }
 
-// FormatTOML returns branches, the first of which is p and above all others, as TOML, sorted, in the form that ParseTOML reads.
-func FormatTOML(p Path, branches []Branch) ([]byte, error) {
-	var b bytes.Buffer
-	if err := toml.NewEncoder(&b).Encode(documentOf(p, branches)); err != nil {
-		return nil, fmt.Errorf("settings tree: %w", err)
-	}
-	return b.Bytes(), nil
-}
-
 // FormatJSON returns branches, the first of which is p and above all others, as JSON, sorted, in the form that ParseJSON reads.
 func FormatJSON(p Path, branches []Branch) ([]byte, error) {
 	b, err := json.MarshalIndent(documentOf(p, branches), "", "  ")
--- a/internal/settings/tree/naive_test.go
+++ b/internal/settings/tree/naive_test.go
@@ -68,7 +68,7 @@
 }
 
 var (
-	paths   = []Path{RootPath, FleetPath, "/models/a", "/models/b", "/services/a", "/operators/o", "/workspaces/w", "/workspaces/w/models/a", "/workspaces/w/services/a", "/workspaces/x", "/workspaces/x/models/b"}
+	paths   = []Path{RootPath, FleetPath, "/models/a", "/models/b", "/services/a", "/operators/o", "/workspaces/w", "/workspaces/w/models/a", "/workspaces/w/services/a", "/workspaces/x", "/workspaces/x/models/b", "/models/m-1.5", "/workspaces/x/models/m-1.5"}
 	actions = []Action{Set, Set, Set, Unset, Create, Create, Remove}
 )
 
