Late messages bring no freed or evicted piece back

An engine's events are now applied in the order of their numbers only, what is behind a gap waits, and a freed generation leaves a tombstone that a late seal finds. Ruled out: clocks in the messages, and locking a piece over both holders, which a lost holder would block.

--- a/internal/cache/directory/engine.go
+++ b/internal/cache/directory/engine.go
@@ -46,6 +46,10 @@
 
 // take applies the batch, or holds it back when events before it are missing.
 func (d *directory) take(p *peer, u Update) Outcome {
+	if u.First > p.applied+1 {
+		p.hold(u)
+		return Held
+	}
 	if u.Count > 0 && u.next() <= p.applied+1 {
 		return Known
 	}
@@ -54,8 +58,6 @@
 	return Applied
 }
 
-var _ = (*peer).hold
-
 // hold keeps the batch in order; the oldest goes when there are too many, and the listing that the gap needs is newer than it.
 func (p *peer) hold(u Update) {
 	i, found := slices.BinarySearchFunc(p.batches, u.First, func(b Update, first uint64) int {
--- a/internal/cache/directory/store.go
+++ b/internal/cache/directory/store.go
@@ -115,8 +115,8 @@
 	return Applied
 }
 
-// gone forgets the piece.
-func (d *directory) gone(s *shard, p *peer, _ time.Time, c StoreChange) Outcome {
+// gone keeps a tombstone of the generation, also when its seal has not arrived yet.
+func (d *directory) gone(s *shard, p *peer, now time.Time, c StoreChange) Outcome {
 	if c.Generation == 0 {
 		return Refused
 	}
@@ -129,8 +129,14 @@
 		return Known
 	}
 	d.freed.remove(pinned{key: c.Key, peer: p.index}, c.Generation)
-	s.drop(k, of(p, epoch, Sealed, Freeing))
-	return Applied
+	n := location{
+		peer:   p.index,
+		epoch:  epoch,
+		state:  Freed,
+		number: c.Generation,
+		bytes:  uint32(d.millis(now) / 1000),
+	}
+	return replaceWith(s, k, l, n)
 }
 
 func replaceWith(s *shard, k shortKey, l *location, n location) Outcome {
