Take the reserve one server at a time

Long work that overflowed to the reserve spread over all of it at once, and then no server was left on which an urgent request starts at once. The gain that such work must have now grows with the square of the reserve servers taken.

--- a/internal/policy/route/head_room.go
+++ b/internal/policy/route/head_room.go
@@ -6,7 +6,8 @@
 // UrgentBand is the lowest priority band that reserve servers are kept for.
 const UrgentBand = 5
 
-// headRoom keeps long work off the reserve servers. An engine looks at its
+// headRoom prices long work on a reserve server, more for each further server of the reserve
+// that it takes. It keeps long work off them, because an engine looks at its
 // queue only between chunks, so an urgent request waits for a chunk of a draft
 // even where it goes first; on a server without drafts it doesn't.
 type headRoom struct {
@@ -20,5 +21,25 @@
 	if !c.Reserve || q.Band >= UrgentBand {
 		return
 	}
-	e.Penalty += h.delay * q.Request.Rules.FirstTokenPrice
+	gain := h.delay
+	if !busy(c) {
+		gain *= float64((1 + q.busyReserve) * (1 + q.busyReserve))
+	}
+	e.Penalty += gain * q.Request.Rules.FirstTokenPrice
+}
+
+// busy returns whether c has work that is not urgent.
+func busy(c *Candidate) bool {
+	return c.InFlight.Below(UrgentBand) > 0
+}
+
+// countReserve returns the number of reserve servers that have such work.
+func countReserve(all []Candidate) int {
+	n := 0
+	for i := range all {
+		if all[i].Reserve && busy(&all[i]) {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/policy/route/naive_test.go
+++ b/internal/policy/route/naive_test.go
@@ -43,11 +43,11 @@
 	}
 	e.Compute = compute / x.Load.PrefillRate
 	e.TTFT = max(e.Wait, e.Import) + e.Compute
-	e.Cost = naiveCost(r, x, &e)
+	e.Cost = naiveCost(r, c, x, &e)
 	return e
 }
 
-func naiveCost(r *Request, x *Candidate, e *Estimate) float64 {
+func naiveCost(r *Request, c *Cell, x *Candidate, e *Estimate) float64 {
 	cost := r.Rules.FirstTokenPrice * e.TTFT
 	cost += r.Rules.RecomputePrice * float64(e.Recomputed) / 1000
 	cost += r.Rules.LinkPrice * e.LinkSeconds
@@ -63,11 +63,34 @@
 		cost += 10 * r.Rules.Worth / d * (e.TTFT - d/2)
 	}
 	if x.Reserve && r.Rules.Priority < UrgentBand {
-		cost += reserveDelay * r.Rules.FirstTokenPrice
+		cost += naiveGain(c, x) * r.Rules.FirstTokenPrice
 	}
 	return cost
 }
 
+// naiveGain returns what work must gain on reserve server x.
+func naiveGain(c *Cell, x *Candidate) float64 {
+	taken := 1.0
+	for _, y := range c.Candidates {
+		if y.Reserve && naiveBusy(y) {
+			taken++
+		}
+	}
+	if naiveBusy(*x) {
+		return reserveDelay
+	}
+	return reserveDelay * taken * taken
+}
+
+func naiveBusy(x Candidate) bool {
+	for b := range UrgentBand {
+		if x.InFlight.Requests[b] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // naiveDelay returns the transfer time of a piece times the seconds that wait before it.
 func naiveDelay(s Store, from Copy, p Piece) float64 {
 	link, ahead := float64(p.Bytes)/s.LinkRate, float64(s.LinkQueued)/s.LinkRate
