Price displaced requests at their own prices

The delay of those that a request passes was priced at the request's own price, so that a status read, which is dear, waited rather than delay drafts, which are cheap. Work in flight now carries the sum of its requests' prices.

--- a/internal/policy/route/displacement.go
+++ b/internal/policy/route/displacement.go
@@ -10,11 +10,9 @@
 
 func (displacement) Name() string { return Displacement }
 
-// Apply raises the price of compute time by that of each request in flight that the request passes.
+// Apply adds the first-token price of each request in flight that the request passes.
 func (displacement) Apply(q *Query, c *Candidate, e *Estimate) {
-	overtaken := c.InFlight.Below(q.Band)
-	if !c.PriorityAware {
-		overtaken = 0
+	if c.PriorityAware {
+		e.ComputePrice += c.InFlight.PriceBelow(q.Band)
 	}
-	e.ComputePrice += q.Request.Rules.FirstTokenPrice * float64(overtaken)
 }
