Leave half of the reserve free of long work

Beyond the capacity every server had a queue of long work, and an urgent request waited for a chunk everywhere. Long work is now barred from the last half of the reserve while any other server is left. Bars have levels, so that a server that is kept free still goes before one that may be lost.

--- a/internal/policy/route/estimate.go
+++ b/internal/policy/route/estimate.go
@@ -34,6 +34,6 @@
 	Cost float64
 	// Backlog is the work ahead of a request of the lowest priority.
 	Backlog float64
-	// Barred says that the candidate is used only when all are barred.
-	Barred bool
+	// Bar says why the candidate is used only when no better one is left.
+	Bar Bar
 }
--- a/internal/policy/route/naive_test.go
+++ b/internal/policy/route/naive_test.go
@@ -68,6 +68,29 @@
 	return cost
 }
 
+// naiveBar returns whether x may be lost, or is one of the last half of the reserve without long work.
+func naiveBar(r *Request, c *Cell, x *Candidate) Bar {
+	if x.Suspect || x.RunsAlone {
+		return MaybeLost
+	}
+	if !x.Reserve || r.Rules.Priority >= UrgentBand || naiveBusy(*x) {
+		return Open
+	}
+	reserve, free := 0, 0
+	for _, y := range c.Candidates {
+		if y.Reserve {
+			reserve++
+		}
+		if y.Reserve && !naiveBusy(y) {
+			free++
+		}
+	}
+	if free <= reserve/2 {
+		return KeptFree
+	}
+	return Open
+}
+
 // naiveGain returns what work must gain on reserve server x.
 func naiveGain(c *Cell, x *Candidate) float64 {
 	taken := 1.0
--- a/internal/policy/route/outcome.go
+++ b/internal/policy/route/outcome.go
@@ -41,9 +41,12 @@
 }
 
 func reason(d *Decision, e *Estimate) Reason {
-	if e.Barred {
+	if e.Bar == MaybeLost {
 		return OnlySuspects
 	}
+	if e.Bar == KeptFree {
+		return ReserveTaken
+	}
 	if len(d.Estimates) == 1 {
 		return OnlyCandidate
 	}
--- a/internal/policy/route/policy.go
+++ b/internal/policy/route/policy.go
@@ -61,7 +61,7 @@
 	limit := all[best].Cost * (1 + tieShare)
 	seen := 0
 	for i := range all {
-		if all[i].Barred != all[best].Barred || all[i].Cost > limit {
+		if all[i].Bar != all[best].Bar || all[i].Cost > limit {
 			continue
 		}
 		seen++
@@ -72,7 +72,7 @@
 	return best
 }
 
-// cheapest returns the index of the first cheapest estimate, one that is not barred if there is any.
+// cheapest returns the index of the first cheapest estimate of those with the lowest Bar.
 func cheapest(all []Estimate) int {
 	best := None
 	for i := range all {
@@ -84,8 +84,8 @@
 }
 
 func less(a, b *Estimate) bool {
-	if a.Barred != b.Barred {
-		return !a.Barred
+	if a.Bar != b.Bar {
+		return a.Bar < b.Bar
 	}
 	return a.Cost < b.Cost
 }
--- a/internal/policy/route/policy_test.go
+++ b/internal/policy/route/policy_test.go
@@ -41,9 +41,9 @@
 }
 
 func agrees(q *Request, c *Cell, d *Decision) bool {
-	barred := true
+	lowest := MaybeLost
 	for i := range c.Candidates {
-		barred = barred && c.Candidates[i].Suspect
+		lowest = min(lowest, naiveBar(q, c, &c.Candidates[i]))
 	}
 	least := math.Inf(1)
 	for i := range c.Candidates {
@@ -51,15 +51,14 @@
 		if !near(e.Cost, d.Estimates[i].Cost) || !near(e.TTFT, d.Estimates[i].TTFT) {
 			return false
 		}
-		if barred || !c.Candidates[i].Suspect {
+		if naiveBar(q, c, &c.Candidates[i]) == lowest {
 			least = min(least, e.Cost)
 		}
 	}
-	chosen := d.Estimates[d.Server]
-	if !barred && c.Candidates[d.Server].Suspect {
+	if naiveBar(q, c, &c.Candidates[d.Server]) != lowest {
 		return false
 	}
-	return chosen.Cost <= least*(1+tieShare)+1e-9 && len(d.Plan) == len(q.Pieces)
+	return d.Estimates[d.Server].Cost <= least*(1+tieShare)+1e-9 && len(d.Plan) == len(q.Pieces)
 }
 
 // A cell can lose all its servers at once; the entry must learn that nothing
--- a/internal/policy/route/query.go
+++ b/internal/policy/route/query.go
@@ -13,17 +13,17 @@
 	// Band is the request's priority band.
 	Band int
 
-	price       prices
-	busyReserve int
-	tail        int
-	sources     []Copy    // the best copy of each piece; Store is None when there is none
-	held        []bool    // candidate by piece
-	linkTime    []float64 // seconds of the link for each piece from its source
-	diskTime    []float64
-	linkAt      []float64 // backlog of each store's link
-	diskAt      []float64
-	linkUse     []float64 // backlog with the pieces of the plan that is being weighed
-	diskUse     []float64
+	price                prices
+	reserve, busyReserve int
+	tail                 int
+	sources              []Copy    // the best copy of each piece; Store is None when there is none
+	held                 []bool    // candidate by piece
+	linkTime             []float64 // seconds of the link for each piece from its source
+	diskTime             []float64
+	linkAt               []float64 // backlog of each store's link
+	diskAt               []float64
+	linkUse              []float64 // backlog with the pieces of the plan that is being weighed
+	diskUse              []float64
 }
 
 // prepare computes the parts that are common to all candidates.
@@ -32,7 +32,7 @@
 	q.Band = Band(r.Rules.Priority)
 	q.price = pricesOf(&r.Rules)
 	q.tail = r.Tail()
-	q.busyReserve = countReserve(c.Candidates)
+	q.reserve, q.busyReserve = countReserve(c.Candidates)
 	q.prepareHeld()
 	q.prepareStores()
 }
--- a/internal/policy/route/reason.go
+++ b/internal/policy/route/reason.go
@@ -6,8 +6,10 @@
 const (
 	// NoCandidate means that no server can run the request.
 	NoCandidate Reason = "no-candidate"
-	// OnlySuspects means that all servers were barred and the cheapest was taken all the same.
+	// OnlySuspects means that each server may be lost and the cheapest was taken all the same.
 	OnlySuspects Reason = "only-suspects"
+	// ReserveTaken means that only servers that are kept free were left.
+	ReserveTaken Reason = "reserve-taken"
 	// OnlyCandidate means that there was no choice.
 	OnlyCandidate Reason = "only-candidate"
 	// PrefixInMemory means that the cheapest server holds part of the prompt.
--- a/internal/policy/route/suspects.go
+++ b/internal/policy/route/suspects.go
@@ -9,5 +9,7 @@
 
 // Apply bars a suspect and a server that must run its request alone.
 func (suspects) Apply(_ *Query, c *Candidate, e *Estimate) {
-	e.Barred = c.Suspect || c.RunsAlone
+	if c.Suspect || c.RunsAlone {
+		e.Bar = MaybeLost
+	}
 }
