The whole path as separate processes

Control replicas, entries and stand-ins run as processes with a TOML file each. One test brings a settings tree through an entry, a streamed completion through each of two entries, a prompt back from a store after its eviction, and a non-idempotent call sent through both entries that runs once; every process then ends by SIGTERM with exit code 0.

--- /dev/null
+++ b/client_test.go
@@ -0,0 +1,125 @@
+package hornbeamwood_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// answer is what one HTTP request of a test came back with.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call is one HTTP request of a test.
+type call struct {
+	method, url, key, body string
+	header                 map[string]string
+}
+
+// client waits as long as the tests do; a hung server shows as a failed request.
+var client = &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (c call) do() answer {
+	q, err := http.NewRequest(c.method, c.url, strings.NewReader(c.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	q.Header.Set("Authorization", "Bearer "+c.key)
+	for k, v := range c.header {
+		q.Header.Set(k, v)
+	}
+	r, err := client.Do(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	return answer{status: r.StatusCode, header: r.Header, body: string(b), err: err}
+}
+
+// completion is what a streamed completion brought.
+type completion struct {
+	status int
+	text   string
+	done   bool
+	cached int
+	raw    string
+}
+
+type chunk struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		Details struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// read returns what a body of server-sent events holds.
+func (a answer) completion() completion {
+	c := completion{status: a.status, raw: a.body}
+	s := bufio.NewScanner(strings.NewReader(a.body))
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			c.done = true
+			continue
+		}
+		var k chunk
+		if json.Unmarshal([]byte(data), &k) != nil {
+			continue
+		}
+		for _, x := range k.Choices {
+			c.text += x.Text + x.Delta.Content
+		}
+		if k.Usage != nil {
+			c.cached = k.Usage.Details.Cached
+		}
+	}
+	return c
+}
+
+// complete sends a streamed completion.
+func complete(h *host, key, model, prompt string, tokens int) completion {
+	b, err := json.Marshal(map[string]any{"model": model, "prompt": prompt, "stream": true, "max_tokens": tokens, "stream_options": map[string]bool{"include_usage": true}})
+	if err != nil {
+		return completion{raw: err.Error()}
+	}
+	a := call{method: http.MethodPost, url: h.url() + "/v1/completions", key: key, body: string(b)}.do()
+	if a.err != nil {
+		return completion{raw: a.err.Error()}
+	}
+	return a.completion()
+}
+
+// getJSON reads a JSON answer of a stand-in.
+func getJSON[T any](t *testing.T, url string) T {
+	t.Helper()
+	var v T
+	r, err := (&http.Client{Timeout: 10 * time.Second}).Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
--- /dev/null
+++ b/internal/base/event/entry.go
@@ -0,0 +1,15 @@
+package event
+
+import "github.com/apex/log"
+
+// Events of an entry's own decisions beside those of the policy, 820 to 829.
+var (
+	// CallRouted is written when a plain service's call was given a backend server.
+	CallRouted = define(820, log.InfoLevel, "call-routed", "A call of a plain service was given a backend server; the fields name the server and its calls in flight.")
+)
+
+// Events of an entry's settings beside those of the edits, 450 to 459.
+var (
+	// SettingsNotApplied is written when an answer of the control log does not fit.
+	SettingsNotApplied = define(450, log.ErrorLevel, "settings-not-applied", "What the control log sent could not be applied; the entry asks again and takes no new work when its lease runs out.")
+)
--- /dev/null
+++ b/internal/cache/quic/cache.go
@@ -0,0 +1,254 @@
+package quic
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hornbeamwood/internal/cache/block"
+	"hornbeamwood/internal/cache/directory"
+	"hornbeamwood/internal/cache/events"
+	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/rpc"
+)
+
+const (
+	// callTimeout bounds one call to another entry.
+	callTimeout = 300 * time.Millisecond
+	// failedPause is how long an entry that did not answer is not asked for locations.
+	failedPause = 2 * time.Second
+	// sweepInterval is how often memory is freed and pieces are deleted.
+	sweepInterval = time.Second
+	// outboxLength bounds what waits for one entry; a lost batch shows there as a gap.
+	outboxLength = 1024
+)
+
+var exchange = rpc.Method[directory.Message, directory.Reply]{
+	Name:  "cache-directory",
+	Roles: []keys.Role{keys.Entry},
+}
+
+// Cache is the directory of the whole cell as one entry sees it.
+type Cache interface {
+	// Lookup returns the locations of the keys in their order; what an entry that does not answer holds is left out.
+	Lookup(ctx context.Context, keys []block.Key) directory.Locations
+	// Report passes an engine's report on to the holders of its keys and returns whether a listing is wanted.
+	Report(now time.Time, r events.Report) bool
+	// Change tells the holders of a key about a step in the life of its piece in a store.
+	Change(ctx context.Context, c directory.StoreChange)
+	// Pin keeps a sealed piece from being freed and returns whether a holder granted it.
+	Pin(ctx context.Context, p directory.Pin) bool
+	// Unpin takes a pin back.
+	Unpin(ctx context.Context, p directory.Pin)
+	// Close ends the goroutines.
+	Close()
+}
+
+type cache struct {
+	Config
+	ring     directory.Ring
+	wants    directory.Wants
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	outboxes map[string]chan directory.Message
+
+	mu     sync.Mutex
+	failed map[string]time.Time
+}
+
+// New registers the receiver and starts to serve this entry's share; it is called before the node serves.
+func New(c Config) Cache {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &cache{
+		Config:   c,
+		wants:    directory.NewWants(),
+		cancel:   cancel,
+		outboxes: make(map[string]chan directory.Message),
+		failed:   make(map[string]time.Time),
+	}
+	nodes := []string{c.Self}
+	for n := range c.Addresses {
+		nodes = append(nodes, n)
+		o := make(chan directory.Message, outboxLength)
+		k.outboxes[n] = o
+		k.running.Go(func() { k.drain(ctx, n, o) })
+	}
+	k.ring = directory.NewRing(nodes)
+	rpc.Handle(c.Node, exchange, func(_ context.Context, _ rpc.Peer, m directory.Message) (directory.Reply, error) {
+		return directory.Serve(c.Directory, c.Now(), m), nil
+	})
+	k.running.Go(func() { k.sweep(ctx) })
+	return k
+}
+
+// Close implements Cache.
+func (k *cache) Close() {
+	k.cancel()
+	k.running.Wait()
+}
+
+// Lookup implements Cache.
+func (k *cache) Lookup(ctx context.Context, all []block.Key) directory.Locations {
+	if len(all) == 0 {
+		return nil
+	}
+	q := k.ring.Query(all, k.down)
+	parts := q.Parts()
+	answers := make([]directory.Locations, len(parts))
+	var asked sync.WaitGroup
+	for i, p := range parts {
+		if p.To == k.Self {
+			answers[i] = k.Directory.Lookup(p.Lookup.Keys)
+			continue
+		}
+		asked.Go(func() {
+			r, _ := k.call(ctx, p.To, directory.Message{Lookup: &p.Lookup})
+			answers[i] = r.Locations
+		})
+	}
+	asked.Wait()
+	return q.Join(answers)
+}
+
+// down says whether an entry failed to answer a moment ago; its second holder is asked instead.
+func (k *cache) down(node string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t, ok := k.failed[node]
+	return ok && k.Now().Sub(t) < failedPause
+}
+
+func (k *cache) call(ctx context.Context, node string, m directory.Message) (directory.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := rpc.Call(ctx, k.Node, k.Addresses[node], exchange, m)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		k.failed[node] = k.Now()
+		return r, err
+	}
+	delete(k.failed, node)
+	return r, nil
+}
+
+// Report implements Cache.
+func (k *cache) Report(now time.Time, r events.Report) bool {
+	for _, e := range k.ring.Spread(r) {
+		k.post(now, e)
+	}
+	return k.wants.Take(r.Identity)
+}
+
+// Change implements Cache.
+func (k *cache) Change(ctx context.Context, c directory.StoreChange) {
+	k.both(ctx, c.Key, directory.Message{Store: &c})
+}
+
+// Pin implements Cache.
+//
+// The holders free a piece only when their own pins are gone, and each of them
+// may free it. A pin counts when every holder that answers has granted it and
+// at least one did.
+func (k *cache) Pin(ctx context.Context, p directory.Pin) bool {
+	granted := 0
+	for _, r := range k.both(ctx, p.Key, directory.Message{Pin: &p}) {
+		if r.Effect.Outcome != directory.Applied {
+			return false
+		}
+		granted++
+	}
+	return granted > 0
+}
+
+// Unpin implements Cache.
+func (k *cache) Unpin(ctx context.Context, p directory.Pin) {
+	k.both(ctx, p.Key, directory.Message{Unpin: &p})
+}
+
+// both sends m to each holder of the key and returns the replies that came.
+func (k *cache) both(ctx context.Context, key block.Key, m directory.Message) []directory.Reply {
+	all := k.ring.Both(key, m)
+	replies := make([]directory.Reply, 0, len(all))
+	for _, e := range all {
+		if e.To == k.Self {
+			replies = append(replies, directory.Serve(k.Directory, k.Now(), m))
+			continue
+		}
+		if r, err := k.call(ctx, e.To, m); err == nil {
+			replies = append(replies, r)
+		}
+	}
+	return replies
+}
+
+// post carries out a message here or queues it for its entry.
+func (k *cache) post(now time.Time, e directory.Envelope) {
+	if e.To == k.Self {
+		k.note(e.Message, directory.Serve(k.Directory, now, e.Message))
+		return
+	}
+	select {
+	case k.outboxes[e.To] <- e.Message:
+	default:
+	}
+}
+
+func (k *cache) drain(ctx context.Context, node string, o chan directory.Message) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-o:
+			if r, err := k.call(ctx, node, m); err == nil {
+				k.note(m, r)
+			}
+		}
+	}
+}
+
+// note remembers that a holder wants a listing until the engine is told.
+func (k *cache) note(m directory.Message, r directory.Reply) {
+	if !r.Effect.ListingWanted {
+		return
+	}
+	if m.Update != nil {
+		k.wants.Note(m.Update.Engine)
+	}
+	if m.Listing != nil {
+		k.wants.Note(m.Listing.Engine)
+	}
+}
+
+func (k *cache) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		k.Each(func(identity string, incarnation uint64) {
+			k.Directory.Restarted(k.Now(), identity, incarnation)
+		})
+		k.Directory.Sweep(k.Now())
+		for _, d := range k.Directory.Deletable(k.Now()) {
+			k.remove(ctx, d)
+		}
+	}
+}
+
+// remove deletes a piece whose pins are gone; until the store confirms it the piece stays in Deletable.
+func (k *cache) remove(ctx context.Context, d directory.Deletion) {
+	if err := k.Deleter.Delete(ctx, d); err != nil {
+		return
+	}
+	k.Change(ctx, directory.StoreChange{
+		Store:       d.Store,
+		Incarnation: k.Incarnation(d.Store),
+		Key:         d.Key,
+		To:          directory.Freed,
+		Generation:  d.Generation,
+	})
+}
--- /dev/null
+++ b/internal/control/protocol/lease.go
@@ -0,0 +1,38 @@
+package protocol
+
+import (
+	"time"
+
+	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/settings/lease"
+)
+
+// Report is what an entry says of itself when it renews its settings lease.
+type Report struct {
+	// Holder is the entry.
+	Holder lease.Holder `cbor:"holder"`
+	// Applied is the settings revision under which it takes new work.
+	Applied uint64 `cbor:"applied"`
+	// Lease is how long it goes on under that revision without another proof.
+	Lease time.Duration `cbor:"lease"`
+	// Released is set by an entry that takes no new work any more.
+	Released bool `cbor:"released"`
+}
+
+// Renewal returns the report as the account of leases takes it.
+func (r Report) Renewal() lease.Renewal {
+	return lease.Renewal{Holder: r.Holder, Applied: r.Applied, Lease: r.Lease, Released: r.Released}
+}
+
+// InForceQuery asks whether a revision is in force everywhere.
+type InForceQuery struct {
+	// Revision is the settings revision.
+	Revision uint64 `cbor:"revision"`
+}
+
+// InForce answers at the leader; other replicas pass it on.
+var InForce = rpc.Method[InForceQuery, lease.Force]{
+	Name:  "control-in-force",
+	Roles: []keys.Role{keys.Entry, keys.Control},
+}
--- /dev/null
+++ b/internal/control/quic/leases.go
@@ -0,0 +1,54 @@
+package quic
+
+import (
+	"time"
+
+	"hornbeamwood/internal/control/protocol"
+	"hornbeamwood/internal/settings/lease"
+)
+
+// Leases is the account of settings leases at the leader.
+type Leases interface {
+	// Renew notes an entry's report in the given term, before a quorum confirms the leader for the answer.
+	Renew(term uint64, r protocol.Report)
+	// InForce returns whether a revision is in force everywhere, after a quorum has confirmed the leader of the term.
+	InForce(term, revision uint64) lease.Force
+	// Live returns the entries whose lease has not run out.
+	Live() []lease.Holder
+}
+
+// Terms tells what the settings say of leases.
+type Terms interface {
+	// Terms returns the terms at the newest applied revision.
+	Terms() lease.Terms
+}
+
+type leases struct {
+	holders lease.Holders
+	terms   Terms
+	now     func() time.Time
+}
+
+// NewLeases returns Leases over the given account.
+func NewLeases(h lease.Holders, t Terms, now func() time.Time) Leases {
+	return &leases{holders: h, terms: t, now: now}
+}
+
+// Renew implements Leases.
+func (l *leases) Renew(term uint64, r protocol.Report) {
+	l.holders.Renew(l.now(), term, r.Renewal(), l.terms.Terms())
+}
+
+// InForce implements Leases.
+func (l *leases) InForce(term, revision uint64) lease.Force {
+	return l.holders.InForce(l.now(), term, revision, l.terms.Terms())
+}
+
+// Live implements Leases.
+func (l *leases) Live() []lease.Holder {
+	var all []lease.Holder
+	for h := range l.holders.Applied(l.now()) {
+		all = append(all, h)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/control/quic/server.go
@@ -0,0 +1,184 @@
+package quic
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/control/protocol"
+	"hornbeamwood/internal/control/raft"
+	"hornbeamwood/internal/control/replica"
+	"hornbeamwood/internal/control/state"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/settings/lease"
+)
+
+// Config is what Register needs.
+type Config struct {
+	// Node takes the calls.
+	Node rpc.Node
+	// Replica is this process's replica.
+	Replica replica.Replica
+	// Machine is the replicated state.
+	Machine state.Machine
+	// Leases is the account of settings leases while this replica leads.
+	Leases Leases
+}
+
+type server struct {
+	Config
+}
+
+// Register adds the handlers of the control log to the node; it is called before the node serves.
+func Register(c Config) {
+	s := &server{Config: c}
+	rpc.Receive(c.Node, protocol.Message, func(_ rpc.Peer, m raft.Message) { c.Replica.Receive(m) })
+	rpc.Handle(c.Node, protocol.Probe, s.probe)
+	rpc.Handle(c.Node, protocol.Status, s.status)
+	rpc.Handle(c.Node, protocol.Propose, s.propose)
+	rpc.Handle(c.Node, protocol.Read, s.read)
+	rpc.Handle(c.Node, protocol.Confirm, s.confirm)
+	rpc.Handle(c.Node, protocol.InForce, s.inForce)
+	rpc.Handle(c.Node, protocol.ChangeMember, s.changeMember)
+}
+
+func (s *server) probe(context.Context, rpc.Peer, protocol.Empty) (replica.Formation, error) {
+	return s.Replica.Formation(), nil
+}
+
+func (s *server) status(context.Context, rpc.Peer, protocol.Empty) (replica.Status, error) {
+	return s.Replica.Status(), nil
+}
+
+// propose commits at the leader; another replica passes the proposal on once.
+//
+// It is passed on only after a refusal that proves that nothing was appended
+// here, so one proposal never stands twice in the log.
+func (s *server) propose(ctx context.Context, _ rpc.Peer, p protocol.Proposal) (protocol.Applied, error) {
+	c, err := codec.Marshal(state.Command{At: time.Now().UnixNano(), Section: p.Section, Body: p.Body})
+	if err != nil {
+		return protocol.Applied{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "malformed-command", "the command could not be encoded").WithCause(err)
+	}
+	a, err := s.Replica.Propose(ctx, c)
+	if err == nil {
+		return protocol.Applied{Index: a.Index, Result: a.Result}, nil
+	}
+	leader, ok := otherLeader(err)
+	if !ok || p.Forwarded {
+		return protocol.Applied{}, err
+	}
+	p.Forwarded = true
+	return rpc.Call(ctx, s.Node, leader, protocol.Propose, p)
+}
+
+// read answers from a state that includes everything that was accepted before the call.
+func (s *server) read(ctx context.Context, _ rpc.Peer, q protocol.Reading) (protocol.Answers, error) {
+	c, err := s.confirmed(ctx, protocol.Confirmation{Report: q.Report})
+	if err != nil {
+		return protocol.Answers{}, err
+	}
+	if err := s.Replica.WaitApplied(ctx, c.Index); err != nil {
+		return protocol.Answers{}, err
+	}
+	a := protocol.Answers{Index: c.Index, Bodies: make([][]byte, 0, len(q.Queries))}
+	for _, x := range q.Queries {
+		b, err := s.Machine.Query(x)
+		if err != nil {
+			return protocol.Answers{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "malformed-query", "section %q could not answer", x.Section).WithCause(err)
+		}
+		a.Bodies = append(a.Bodies, b)
+	}
+	return a, nil
+}
+
+// confirmed has the leader confirm an index, whether it is here or elsewhere.
+func (s *server) confirmed(ctx context.Context, q protocol.Confirmation) (protocol.Confirmed, error) {
+	c, err := s.lead(ctx, q)
+	if err == nil {
+		return c, nil
+	}
+	leader, ok := otherLeader(err)
+	if !ok {
+		return c, err
+	}
+	return rpc.Call(ctx, s.Node, leader, protocol.Confirm, q)
+}
+
+func (s *server) confirm(ctx context.Context, _ rpc.Peer, q protocol.Confirmation) (protocol.Confirmed, error) {
+	return s.lead(ctx, q)
+}
+
+// lead notes the report, then has a quorum confirm this replica as the leader.
+//
+// In the other order an edit could be declared in force between the two, and
+// the entry would serve on under the older settings.
+func (s *server) lead(ctx context.Context, q protocol.Confirmation) (protocol.Confirmed, error) {
+	if q.Report != nil {
+		s.Leases.Renew(s.Replica.Status().Term, *q.Report)
+	}
+	l, err := s.leadership(ctx)
+	return protocol.Confirmed{Index: l.index}, err
+}
+
+func (s *server) inForce(ctx context.Context, _ rpc.Peer, q protocol.InForceQuery) (lease.Force, error) {
+	l, err := s.leadership(ctx)
+	if err == nil {
+		return s.Leases.InForce(l.term, q.Revision), nil
+	}
+	leader, ok := otherLeader(err)
+	if !ok {
+		return lease.Force{}, err
+	}
+	return rpc.Call(ctx, s.Node, leader, protocol.InForce, q)
+}
+
+// leadership is a moment at which a quorum confirmed this replica as leader of a term.
+type leadership struct {
+	term, index uint64
+}
+
+// leadership returns a confirmed moment after the call began, with all that was committed by then applied.
+//
+// The term is read before and after. Leadership that was lost and won again in
+// between would be answered from an account of leases that misses what the
+// other leader granted.
+func (s *server) leadership(ctx context.Context) (leadership, error) {
+	before := s.Replica.Status().Term
+	i, err := s.Replica.ReadIndex(ctx)
+	if err != nil {
+		return leadership{}, err
+	}
+	if err := s.Replica.WaitApplied(ctx, i); err != nil {
+		return leadership{}, err
+	}
+	after := s.Replica.Status()
+	if after.Term != before || after.Role != raft.Leader.String() {
+		return leadership{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "leadership-changed", "the control log's leadership changed during the call").WithRetryAfter(time.Second)
+	}
+	return leadership{term: before, index: i}, nil
+}
+
+func (s *server) changeMember(ctx context.Context, _ rpc.Peer, c protocol.Change) (protocol.Empty, error) {
+	changes := map[protocol.ChangeKind]func() error{
+		protocol.AddLearner: func() error { return s.Replica.AddLearner(ctx, c.Member) },
+		protocol.Promote:    func() error { return s.Replica.Promote(ctx, c.Member.Identity) },
+		protocol.Remove:     func() error { return s.Replica.Remove(ctx, c.Member.Identity) },
+	}
+	change, ok := changes[c.Kind]
+	if !ok {
+		return protocol.Empty{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "unknown-change", "no member change is named %q", c.Kind)
+	}
+	return protocol.Empty{}, change()
+}
+
+// otherLeader returns the leader's address when err says that nothing was done because another replica leads.
+func otherLeader(err error) (string, bool) {
+	var n replica.NotLeaderError
+	if verdict.Of(err) != verdict.NotRun || !errors.As(err, &n) || n.Address == "" {
+		return "", false
+	}
+	return n.Address, true
+}
--- /dev/null
+++ b/internal/entry/completion/in_flight.go
@@ -0,0 +1,54 @@
+package completion
+
+import (
+	"sync"
+
+	"hornbeamwood/internal/policy/route"
+)
+
+// inFlight is the work of this entry that has no first token yet, by backend server and by link.
+type inFlight struct {
+	mu    sync.Mutex
+	work  map[string]route.Work
+	links map[string]int64
+}
+
+func newInFlight() *inFlight {
+	return &inFlight{work: make(map[string]route.Work), links: make(map[string]int64)}
+}
+
+// load is what one attempt adds until its first token.
+type load struct {
+	server string
+	band   int
+	tokens int64
+	links  map[string]int64
+}
+
+func (f *inFlight) add(l load, sign int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.work[l.server].With(l.band, int32(sign), sign*l.tokens)
+	f.work[l.server] = w
+	if w.Count() == 0 {
+		delete(f.work, l.server)
+	}
+	for s, n := range l.links {
+		f.links[s] += sign * n
+		if f.links[s] == 0 {
+			delete(f.links, s)
+		}
+	}
+}
+
+func (f *inFlight) of(server string) route.Work {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.work[server]
+}
+
+func (f *inFlight) onLink(store string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.links[store]
+}
--- /dev/null
+++ b/internal/entry/completion/job.go
@@ -0,0 +1,49 @@
+package completion
+
+import (
+	"encoding/binary"
+	"time"
+
+	"hornbeamwood/internal/cache/block"
+	"hornbeamwood/internal/cache/directory"
+	"hornbeamwood/internal/entry/caller"
+)
+
+// job is one caller's request with what its attempts share.
+type job struct {
+	caller.Request
+	fingerprint Fingerprint
+	keys        []block.Key
+	locations   directory.Locations
+	excluded    map[string]bool
+	attempts    int
+}
+
+func (r *router) newJob(q caller.Request) *job {
+	scope := block.Scope{
+		Workspace:     q.Workspace,
+		Model:         q.Model.Name,
+		WeightVersion: q.Model.WeightVersion,
+		PieceTokens:   q.Model.PieceTokens,
+	}
+	return &job{
+		Request:     q,
+		fingerprint: FingerprintOf(q.Workspace, q.Model.Name, q.Prompt),
+		keys:        scope.Tokens(q.Tokens),
+		excluded:    make(map[string]bool),
+	}
+}
+
+// remaining returns the time until the caller's deadline.
+func (q *job) remaining(now time.Time) time.Duration {
+	return q.Rules.Deadline - now.Sub(q.Received)
+}
+
+// exclude keeps later attempts from the server of a failed one.
+func (q *job) exclude(a *attempt) {
+	q.excluded[a.server.Announcement().Identity] = true
+}
+
+func short(k block.Key) uint64 {
+	return binary.BigEndian.Uint64(k[:])
+}
--- /dev/null
+++ b/internal/entry/completion/stream.go
@@ -0,0 +1,75 @@
+package completion
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"hornbeamwood/internal/base/verdict"
+)
+
+// stream passes on the events of the attempt that answers. Until the first
+// event has gone to the caller a failed attempt is followed by another.
+type stream struct {
+	ctx     context.Context
+	router  *router
+	job     *job
+	attempt *attempt
+	sent    bool
+	ended   error
+}
+
+func newStream(ctx context.Context, r *router, j *job, a *attempt) *stream {
+	return &stream{ctx: ctx, router: r, job: j, attempt: a}
+}
+
+// Next implements caller.Stream.
+func (s *stream) Next() ([]byte, error) {
+	for s.ended == nil {
+		b, err := s.attempt.stream.Next()
+		if err == nil {
+			s.router.begun(s.ctx, s.job, s.attempt)
+			s.sent = true
+			return b, nil
+		}
+		s.failed(err)
+	}
+	return nil, s.ended
+}
+
+// failed ends the attempt and either replaces it or ends the stream.
+func (s *stream) failed(cause error) {
+	if !s.attempt.first && s.ctx.Err() == nil && !errors.Is(cause, io.EOF) && s.silent() {
+		cause = verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, codeSilent, "the model engine sent nothing in time").WithCause(cause)
+	}
+	s.router.end(s.ctx, s.job, s.attempt, cause)
+	if s.sent || errors.Is(cause, io.EOF) {
+		s.ended = cause
+		return
+	}
+	a, err := s.attempt, cause
+	for err != nil {
+		if a == nil {
+			s.ended = err
+			return
+		}
+		s.job.exclude(a)
+		a, err = s.router.again(s.ctx, s.job, err)
+	}
+	s.attempt = a
+}
+
+// silent says whether the attempt was given up because no first token came in time.
+func (s *stream) silent() bool {
+	return !s.attempt.silence.Stop()
+}
+
+// Close implements caller.Stream.
+func (s *stream) Close() {
+	if s.ended != nil {
+		return
+	}
+	s.ended = verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, codeCancelled, "the caller has gone")
+	s.router.end(s.ctx, s.job, s.attempt, s.ended)
+}
--- /dev/null
+++ b/internal/entry/completion/view.go
@@ -0,0 +1,136 @@
+package completion
+
+import (
+	"time"
+
+	"hornbeamwood/internal/cache/directory"
+	"hornbeamwood/internal/entry/caller"
+	"hornbeamwood/internal/fleet/announcement"
+	"hornbeamwood/internal/fleet/membership"
+	"hornbeamwood/internal/policy/route"
+)
+
+// view is what one routing decision sees, with the servers behind its indexes.
+type view struct {
+	cell    route.Cell
+	servers []*membership.Server
+	stores  []*membership.Server
+}
+
+// view returns the engines that may get the request and the stores of the cell.
+func (r *router) view(now time.Time, q *job) view {
+	var v view
+	all := r.Servers.View()
+	need := membership.Need{
+		Kind:          announcement.Engine,
+		Model:         q.Model.Name,
+		WeightVersion: q.Model.WeightVersion,
+		Age:           q.Snapshot.Fleet.AnnouncementAge,
+	}
+	for s := range all.All() {
+		if q.excluded[s.Announcement().Identity] {
+			continue
+		}
+		if s.Eligible(now, need) == membership.Eligible {
+			v.servers = append(v.servers, s)
+			v.cell.Candidates = append(v.cell.Candidates, r.candidate(now, s))
+			continue
+		}
+		if s.Eligible(now, membership.Need{Kind: announcement.Store, Age: need.Age}) == membership.Eligible {
+			v.stores = append(v.stores, s)
+			v.cell.Stores = append(v.cell.Stores, r.store(s))
+		}
+	}
+	return v
+}
+
+// peerBand is the band in which the work of other entries counts; they tell sums only.
+const peerBand = 0
+
+func (r *router) candidate(now time.Time, s *membership.Server) route.Candidate {
+	a := s.Announcement()
+	load, _ := s.Load()
+	p := r.Work.Pending(now, s.Key(), s.LoadTaken())
+	var since route.Work
+	since = since.With(peerBand, int32(p.Requests+p.PeerRequests), p.Tokens+p.PeerTokens)
+	c := route.Candidate{
+		Identity:      a.Identity,
+		Load:          load,
+		ReportedAt:    s.LoadTaken(),
+		Since:         since,
+		InFlight:      r.inFlight.of(a.Identity).With(peerBand, int32(p.PeerRequests), p.PeerTokens),
+		PriorityAware: true,
+		Reserve:       a.Role == reserveRole,
+		Suspect:       r.Guard.Alone(now, a.Identity),
+	}
+	if c.Load.PrefillRate <= 0 {
+		c.Load.PrefillRate = assumedPrefillRate
+	}
+	return c
+}
+
+const (
+	// reserveRole is the role of servers that are kept free for urgent requests.
+	reserveRole = "status"
+	// assumedPrefillRate is used for a server that reports none, in tokens a second.
+	assumedPrefillRate = 10_000
+)
+
+// store returns a store's link with what this entry has on it beyond the report.
+func (r *router) store(s *membership.Server) route.Store {
+	a := s.Announcement()
+	load, _ := s.Load()
+	return route.Store{
+		Identity:   a.Identity,
+		LinkRate:   load.LinkRate,
+		LinkQueued: max(load.LinkQueued, r.inFlight.onLink(a.Identity)),
+		DiskRate:   load.LinkRate,
+	}
+}
+
+// pieces turns locations into indexes of the view; a store or engine that is not in it is left out.
+func (v *view) pieces(tokens int, found directory.Locations) []route.Piece {
+	engines, stores := index(v.servers), index(v.stores)
+	all := make([]route.Piece, len(found))
+	for i, l := range found {
+		p := route.Piece{Tokens: tokens}
+		for _, e := range l.Engines {
+			if at, ok := engines[e]; ok {
+				p.Engines = append(p.Engines, at)
+			}
+		}
+		for _, s := range l.Stores {
+			if at, ok := stores[s.Store]; ok {
+				p.Bytes = s.Bytes
+				p.Copies = append(p.Copies, route.Copy{Store: at, Tier: route.Tier(s.Tier)})
+			}
+		}
+		all[i] = p
+	}
+	return all
+}
+
+func index(all []*membership.Server) map[string]int {
+	m := make(map[string]int, len(all))
+	for i, s := range all {
+		m[s.Announcement().Identity] = i
+	}
+	return m
+}
+
+// request returns what the routing decision needs to know of the prompt.
+func (q *job) request(v *view) route.Request {
+	r := route.Request{
+		Workspace: q.Workspace,
+		Model:     q.Model.Name,
+		Rules:     q.Rules,
+		Tokens:    max(1, len(q.Tokens)),
+		Pieces:    v.pieces(q.Model.PieceTokens, q.locations),
+	}
+	if len(q.keys) > 0 {
+		r.Key = short(q.keys[0])
+	}
+	return r
+}
+
+var _ caller.Completer = (*router)(nil)
--- /dev/null
+++ b/internal/entry/control/client.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/control/protocol"
+	"hornbeamwood/internal/control/state"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/settings/lease"
+)
+
+const (
+	// defaultTimeout bounds a call whose context has no deadline.
+	defaultTimeout = 5 * time.Second
+	// readTimeout bounds one try of a read; a frozen replica costs no more than this.
+	readTimeout = 700 * time.Millisecond
+	// proposeTimeout bounds one try of a proposal; past it the commit is unknown.
+	proposeTimeout = 2 * time.Second
+	// roundPause is waited after every replica refused.
+	roundPause = 30 * time.Millisecond
+)
+
+// Config is what a Client needs.
+type Config struct {
+	// Node makes the calls.
+	Node rpc.Node
+	// Replicas are the addresses of the control replicas.
+	Replicas []string
+}
+
+// Client proposes commands to the control log and reads from it through whichever replica answers.
+type Client interface {
+	// Propose commits a section's command and returns its result; a failure is a verdict.Error.
+	Propose(ctx context.Context, section string, body []byte) ([]byte, error)
+	// Read answers one section's query from a state that is no older than the call.
+	Read(ctx context.Context, section string, body []byte) ([]byte, error)
+	// ReadAll answers several queries from one state and renews the settings lease of the entry that r speaks for, if any.
+	ReadAll(ctx context.Context, r *protocol.Report, queries ...state.Query) (protocol.Answers, error)
+	// InForce returns whether a settings revision is in force everywhere.
+	InForce(ctx context.Context, revision uint64) (lease.Force, error)
+}
+
+type client struct {
+	config  Config
+	current atomic.Uint64
+}
+
+// New returns a Client.
+func New(c Config) Client {
+	return &client{config: c}
+}
+
+// Propose implements Client.
+//
+// Only a failure that proves that nothing was appended lets the next replica
+// be tried: a second proposal of a command that is on its way would apply twice.
+func (c *client) Propose(ctx context.Context, section string, body []byte) ([]byte, error) {
+	p := protocol.Proposal{Section: section, Body: body}
+	a, err := try(ctx, c, proposeTimeout, onlyNotRun, func(ctx context.Context, address string) (protocol.Applied, error) {
+		return rpc.Call(ctx, c.config.Node, address, protocol.Propose, p)
+	})
+	return a.Result, err
+}
+
+// Read implements Client.
+func (c *client) Read(ctx context.Context, section string, body []byte) ([]byte, error) {
+	a, err := c.ReadAll(ctx, nil, state.Query{Section: section, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	return a.Bodies[0], nil
+}
+
+// ReadAll implements Client.
+func (c *client) ReadAll(ctx context.Context, r *protocol.Report, queries ...state.Query) (protocol.Answers, error) {
+	q := protocol.Reading{Queries: queries, Report: r}
+	a, err := try(ctx, c, readTimeout, always, func(ctx context.Context, address string) (protocol.Answers, error) {
+		return rpc.Call(ctx, c.config.Node, address, protocol.Read, q)
+	})
+	if err == nil && len(a.Bodies) != len(queries) {
+		err = verdict.New(verdict.Ran, http.StatusBadGateway, "malformed-answer", "the control log answered %d of %d queries", len(a.Bodies), len(queries))
+	}
+	return a, err
+}
+
+// InForce implements Client.
+func (c *client) InForce(ctx context.Context, revision uint64) (lease.Force, error) {
+	return try(ctx, c, readTimeout, always, func(ctx context.Context, address string) (lease.Force, error) {
+		return rpc.Call(ctx, c.config.Node, address, protocol.InForce, protocol.InForceQuery{Revision: revision})
+	})
+}
+
+func onlyNotRun(err error) bool { return verdict.Of(err) == verdict.NotRun }
+
+func always(error) bool { return true }
+
+// try calls replica after replica until one answers, a failure forbids another try, or ctx ends.
+func try[R any](ctx context.Context, c *client, timeout time.Duration, again func(error) bool, call func(context.Context, string) (R, error)) (R, error) {
+	var zero R
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultTimeout)
+		defer cancel()
+	}
+	n := uint64(len(c.config.Replicas))
+	if n == 0 {
+		return zero, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no-control", "no control replica is configured")
+	}
+	for tried := uint64(1); ; tried++ {
+		at := c.current.Load()
+		r, err := once(ctx, timeout, c.config.Replicas[at%n], call)
+		if err == nil {
+			return r, nil
+		}
+		if !again(err) || ctx.Err() != nil {
+			return zero, err
+		}
+		c.current.CompareAndSwap(at, at+1)
+		if tried%n != 0 {
+			continue
+		}
+		if !pause(ctx, roundPause) {
+			return zero, err
+		}
+	}
+}
+
+func once[R any](ctx context.Context, timeout time.Duration, address string, call func(context.Context, string) (R, error)) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return call(ctx, address)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/entry/control/doc.go
@@ -0,0 +1,2 @@
+// Package control is an entry's client of the control log.
+package control
--- /dev/null
+++ b/internal/entry/picker/picker.go
@@ -0,0 +1,121 @@
+package picker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/entry/service"
+	"hornbeamwood/internal/fleet/announcement"
+	"hornbeamwood/internal/fleet/membership"
+)
+
+// retryAfter is how long a caller waits when no server runs its service; a restart takes about as long.
+const retryAfter = 2 * time.Second
+
+// Servers are the backend servers as this entry knows them.
+type Servers interface {
+	// View returns all servers as they are known now.
+	View() membership.View
+}
+
+// Config is what a Picker needs.
+type Config struct {
+	// Servers are the backend servers.
+	Servers Servers
+	// Work counts what was sent since the servers' load reports.
+	Work membership.Work
+	// Age returns the largest age of a server's last announcement.
+	Age func() time.Duration
+	// Zone is this entry's availability zone.
+	Zone string
+	// Now returns the local time with its monotonic reading.
+	Now func() time.Time
+	// Random chooses among equal servers.
+	Random *rand.Rand
+	// Logger takes the decisions.
+	Logger log.Interface
+}
+
+type picker struct {
+	Config
+	mu sync.Mutex
+}
+
+// New returns a service.Picker that takes the server with the fewest calls, one in its own availability zone among equals.
+func New(c Config) service.Picker {
+	return &picker{Config: c}
+}
+
+// candidate is one server that may get the call.
+type candidate struct {
+	server *membership.Server
+	calls  int
+	remote bool
+}
+
+// Pick implements service.Picker.
+func (p *picker) Pick(_ context.Context, r service.Request, excluded []string) (service.Server, error) {
+	now := p.Now()
+	all := p.candidates(now, r.Service, excluded)
+	if len(all) == 0 {
+		return service.Server{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no-server",
+			"no backend server runs the service now").WithRetryAfter(retryAfter)
+	}
+	c := p.choose(all)
+	a := c.server.Announcement()
+	p.Work.Sent(now, c.server.Key(), 0)
+	event.CallRouted.Write(p.Logger, log.Fields{
+		"request": r.ID, "workspace": r.Workspace, "service": r.Service,
+		"server": a.Identity, "calls": c.calls, "candidates": len(all), "excluded": len(excluded),
+	})
+	return service.Server{Identity: a.Identity, Address: a.Address}, nil
+}
+
+func (p *picker) candidates(now time.Time, name string, excluded []string) []candidate {
+	var all []candidate
+	need := membership.Need{Kind: announcement.Service, Service: name, Age: p.Age()}
+	view := p.Servers.View()
+	for s := range view.All() {
+		a := s.Announcement()
+		if slices.Contains(excluded, a.Identity) || s.Eligible(now, need) != membership.Eligible {
+			continue
+		}
+		load, _ := s.Load()
+		w := p.Work.Pending(now, s.Key(), s.LoadTaken())
+		all = append(all, candidate{
+			server: s,
+			calls:  load.Running + w.Requests + w.PeerRequests,
+			remote: a.Zone != p.Zone,
+		})
+	}
+	return all
+}
+
+// choose returns one of the best candidates at random: entries that see the
+// same reports would otherwise all send to the same server.
+func (p *picker) choose(all []candidate) candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return slices.MinFunc(all, func(a, b candidate) int {
+		if a.calls != b.calls {
+			return a.calls - b.calls
+		}
+		return remoteness(a) - remoteness(b)
+	})
+}
+
+func remoteness(c candidate) int {
+	if c.remote {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/fleet/quic/doc.go
@@ -0,0 +1,2 @@
+// Package quic carries gossip between the entries of a cell.
+package quic
--- /dev/null
+++ b/internal/process/entry/build.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"hornbeamwood/internal/cache/directory"
+	cacheengine "hornbeamwood/internal/cache/engine"
+	cachequic "hornbeamwood/internal/cache/quic"
+	"hornbeamwood/internal/cache/store"
+	"hornbeamwood/internal/entry/backend"
+	"hornbeamwood/internal/entry/caller"
+	"hornbeamwood/internal/entry/completion"
+	"hornbeamwood/internal/entry/control"
+	"hornbeamwood/internal/entry/engine"
+	"hornbeamwood/internal/entry/operator"
+	"hornbeamwood/internal/entry/picker"
+	"hornbeamwood/internal/entry/service"
+	"hornbeamwood/internal/entry/settings"
+	"hornbeamwood/internal/fleet/membership"
+	fleetquic "hornbeamwood/internal/fleet/quic"
+	"hornbeamwood/internal/policy/admission"
+	"hornbeamwood/internal/policy/placement"
+	"hornbeamwood/internal/policy/retry"
+	"hornbeamwood/internal/policy/route"
+	"hornbeamwood/internal/process/platform"
+	"hornbeamwood/internal/settings/follower"
+	"hornbeamwood/internal/settings/lease"
+)
+
+// returnPrior is the share of prompts that are expected to come back before anything is known.
+const returnPrior = 0.5
+
+// build makes the parts; the handlers of the QUIC node are registered on the way.
+func (p *process) build() (parts, error) {
+	var x parts
+	name, logger := p.config.File.Name, p.config.Logger
+	x.control = control.New(control.Config{Node: p.node, Replicas: p.replicas()})
+	x.settings = settings.NewKeeper(settings.Config{
+		Log:      x.control,
+		Holder:   lease.Holder{Name: name, Incarnation: p.incarnation},
+		Follower: follower.New(),
+		Now:      time.Now,
+		Logger:   logger,
+	})
+	if err := p.buildFleet(&x); err != nil {
+		return x, err
+	}
+	p.buildCache(&x)
+	x.engines = engine.New(engine.Config{Logger: logger})
+	retries := retry.New(retry.Config{})
+	x.services = p.buildServices(&x, retries)
+	x.router = p.buildRouter(&x, retries)
+	x.caller = caller.New(caller.Config{
+		Snapshots: x.settings,
+		Completer: x.router,
+		Services:  counted{client: x.services, retries: retries},
+		Logger:    logger,
+	})
+	return x, nil
+}
+
+func (p *process) buildFleet(x *parts) error {
+	x.table = membership.New(membership.Config{})
+	g, err := membership.NewGossip(membership.GossipConfig{
+		Self:        p.config.File.Name,
+		Start:       time.Now(),
+		Incarnation: uint32(time.Now().Unix()),
+		Table:       x.table,
+		Random:      newRandom(),
+	})
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
+	x.work = g.Work()
+	x.leavers = g
+	x.gossip = fleetquic.New(fleetquic.Config{Node: p.node, Gossip: g, Addresses: p.peers(), Now: time.Now})
+	return nil
+}
+
+func (p *process) buildCache(x *parts) {
+	stores := store.New(newHTTPClient())
+	x.orders = backend.NewEngine(newHTTPClient())
+	x.exports = cacheengine.NewExports(cacheengine.Config{Engine: x.orders, Heads: stores})
+	x.cache = cachequic.New(cachequic.Config{
+		Node:        p.node,
+		Self:        p.config.File.Name,
+		Addresses:   p.peers(),
+		Directory:   directory.New(directory.Config{Start: time.Now()}),
+		Deleter:     deleter{table: x.table, stores: stores},
+		Incarnation: incarnations(x.table),
+		Each:        eachIncarnation(x.table),
+		Now:         time.Now,
+	})
+}
+
+func (p *process) buildServices(x *parts, retries retry.Policy) service.Client {
+	age := func() time.Duration { return x.settings.View().Rules.Fleet.AnnouncementAge }
+	return service.New(service.Config{
+		Log: x.control,
+		Picker: picker.New(picker.Config{
+			Servers: x.table, Work: x.work, Age: age, Zone: p.config.File.Zone,
+			Now: time.Now, Random: newRandom(), Logger: p.config.Logger,
+		}),
+		Budget:      newBudget(retries, x.settings),
+		Entry:       p.config.File.Name,
+		Incarnation: p.incarnation,
+		Logger:      p.config.Logger,
+	})
+}
+
+func (p *process) buildRouter(x *parts, retries retry.Policy) completion.Router {
+	return completion.New(completion.Config{
+		Servers:    x.table,
+		Work:       x.work,
+		Cache:      x.cache,
+		Engines:    x.engines,
+		Exports:    x.exports,
+		Strategy:   route.New(route.Config{}),
+		Admission:  admission.New(admission.Config{}),
+		Retry:      retries,
+		Returns:    placement.NewReturns(returnPrior),
+		Guard:      openGuard{},
+		Logger:     p.config.Logger,
+		Now:        time.Now,
+		NewAttempt: newAttempt,
+		Random:     newRandom(),
+	})
+}
+
+// newServer returns the HTTP server of all who are not processes of the system.
+func (p *process) newServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("/", p.parts.caller)
+	o := operator.New(operator.Config{
+		Log:                p.parts.control,
+		Settings:           p.parts.settings,
+		Lease:              p.parts.settings,
+		Force:              p.parts.settings,
+		BootstrapKeyDigest: p.config.File.BootstrapOperatorKeyDigest,
+		Logger:             p.config.Logger,
+	})
+	for _, r := range operator.Routes {
+		mux.Handle(r, o)
+	}
+	b, err := backend.NewHandler(backend.HandlerConfig{
+		Table:        p.parts.table,
+		Leavers:      p.parts.leavers,
+		CacheReports: p.parts.cache,
+		KeyDigests:   func() [][32]byte { return p.parts.settings.View().Rules.Fleet.AnnounceKeyDigests },
+		Now:          time.Now,
+		Log:          p.config.Logger,
+	})
+	if err == nil {
+		mux.Handle("/fleet/", b)
+	}
+	platform.New(platform.Config{Ready: p.ready, Metrics: p.metrics}).Register(mux)
+	s := caller.Config{}.Server(mux)
+	return s
+}
+
+// deleter deletes pieces at stores by the addresses that they announce.
+type deleter struct {
+	table  membership.Table
+	stores store.Client
+}
+
+// Delete implements cachequic.Deleter.
+func (d deleter) Delete(ctx context.Context, x directory.Deletion) error {
+	s, ok := d.table.View().Server(x.Store)
+	if !ok {
+		return fmt.Errorf("entry: store %s is not known", x.Store)
+	}
+	return d.stores.Delete(ctx, s.Announcement().Address, x.Key, x.Generation)
+}
+
+func incarnations(t membership.Table) func(string) uint64 {
+	return func(identity string) uint64 {
+		s, ok := t.View().Server(identity)
+		if !ok {
+			return 0
+		}
+		return s.Announcement().Incarnation
+	}
+}
+
+func eachIncarnation(t membership.Table) func(func(string, uint64)) {
+	return func(each func(string, uint64)) {
+		v := t.View()
+		for s := range v.All() {
+			a := s.Announcement()
+			each(a.Identity, a.Incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/entry/parts.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	cachequic "hornbeamwood/internal/cache/quic"
+	"hornbeamwood/internal/entry/backend"
+	"hornbeamwood/internal/entry/caller"
+	"hornbeamwood/internal/entry/completion"
+	"hornbeamwood/internal/entry/control"
+	"hornbeamwood/internal/entry/engine"
+	"hornbeamwood/internal/entry/service"
+	"hornbeamwood/internal/entry/settings"
+	"hornbeamwood/internal/fleet/membership"
+	fleetquic "hornbeamwood/internal/fleet/quic"
+)
+
+const (
+	maxIdleConns = 64
+	idleTimeout  = 30 * time.Second
+	attemptBytes = 16
+)
+
+// parts are the components of an entry, in the order in which they are built.
+type parts struct {
+	control  control.Client
+	settings settings.Keeper
+	table    membership.Table
+	work     membership.Work
+	gossip   fleetquic.Carrier
+	cache    cachequic.Cache
+	engines  engine.Client
+	orders   backend.Engine
+	services service.Client
+	router   completion.Router
+	caller   caller.Handler
+	leavers  backend.Leavers
+	exports  completion.Exports
+}
+
+// newRandom returns a source with a seed of its own, so that entries that see the same do not all do the same.
+func newRandom() *rand.Rand {
+	var b [16]byte
+	_, _ = crand.Read(b[:])
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(b[:8]), binary.LittleEndian.Uint64(b[8:])))
+}
+
+func newAttempt() string {
+	var b [attemptBytes]byte
+	_, _ = crand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// newHTTPClient returns a client for backend servers that follows no redirects.
+func newHTTPClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// peers returns the addresses of the other entries of the cell.
+func (p *process) peers() map[string]string {
+	all := make(map[string]string)
+	for _, e := range p.config.File.Entries {
+		if e.Name != p.config.File.Name {
+			all[e.Name] = e.Address.String()
+		}
+	}
+	return all
+}
+
+func (p *process) replicas() []string {
+	var all []string
+	for _, r := range p.config.File.Control {
+		all = append(all, r.Address.String())
+	}
+	return all
+}
--- /dev/null
+++ b/internal/process/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform answers the platform: health, readiness and metrics.
+package platform
--- a/internal/standin/backend/announcer.go
+++ b/internal/standin/backend/announcer.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	announceInterval = time.Second
+	announceInterval = 500 * time.Millisecond
 	postTimeout      = 2 * time.Second
 	maxAnswer        = 64 << 10
 )
@@ -35,7 +35,7 @@
 
 // Announcer tells entries about one backend server.
 type Announcer interface {
-	// Run announces once a second until ctx ends.
+	// Run announces every half second until ctx ends.
 	Run(ctx context.Context)
 	// Announce sends one announcement now.
 	Announce(ctx context.Context) error
