Random schedules hold the consensus core to its rules

Cause: faults of consensus show only in rare orders of messages, crashes and membership changes; examples alone do not reach them.

--- /dev/null
+++ b/internal/control/raft/vm_test.go
@@ -0,0 +1,278 @@
+package raft_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+
+	"hornbeamwood/internal/control/disk"
+	"hornbeamwood/internal/control/faultfile"
+	"hornbeamwood/internal/control/raft"
+)
+
+// chunkBytes makes every snapshot go in several chunks.
+const chunkBytes = 5
+
+// vm is one machine with a disk; core is nil while the replica is down or blank.
+type vm struct {
+	world    *world
+	name     string
+	address  string
+	folder   *faultfile.Folder
+	store    disk.Store
+	core     raft.Core
+	identity raft.Identity
+	up       bool
+	// log and hard are what the replica has been told is on disk, snapshot the latest one.
+	log      map[uint64]raft.Entry
+	hard     raft.HardState
+	snapshot raft.Snapshot
+	machine  register
+	applied  uint64
+	edits    map[uint64]pendingEdit
+	reads    map[uint64]*pendingRead
+	readID   uint64
+	starts   uint64
+	// last is the configuration that the replica had when it was last up.
+	last raft.Configuration
+}
+
+// pendingEdit is an edit that a caller waits for.
+type pendingEdit struct{ term, floor uint64 }
+
+// pendingRead is a read that a caller waits for.
+type pendingRead struct {
+	floor     uint64
+	index     uint64
+	confirmed bool
+}
+
+// start opens the folder and holds what it gives back to what was promised.
+func (v *vm) start() {
+	store, err := disk.Open(disk.Config{Files: v.folder, Name: v.name, Random: v.world})
+	if errors.Is(err, errFault) {
+		v.crash()
+		return
+	}
+	if err != nil {
+		v.world.oracle.fail("durability: %s can't open its folder after a crash: %v", v.name, err)
+		return
+	}
+	if v.identity != "" && v.identity != store.Identity() {
+		v.world.oracle.fail("identity: %s was %s and came back as %s", v.name, v.identity, store.Identity())
+	}
+	v.store, v.identity, v.up = store, store.Identity(), true
+	v.recover(store.State())
+	if f, ok := store.Founding(); ok {
+		v.run(f)
+	}
+}
+
+func (v *vm) recover(s disk.State) {
+	if s.HardState.Term < v.hard.Term || s.HardState.Term == v.hard.Term && v.hard.Vote != raft.None && s.HardState.Vote != v.hard.Vote {
+		v.world.oracle.fail("durability: %s lost its term or vote: %+v, had %+v", v.name, s.HardState, v.hard)
+	}
+	recovered := map[uint64]raft.Entry{}
+	for _, e := range s.Entries {
+		recovered[e.Index] = e
+	}
+	for i, e := range v.log {
+		if i > s.Snapshot.Index && recovered[i].Term < e.Term {
+			v.world.oracle.fail("durability: %s lost entry %d of term %d", v.name, i, e.Term)
+		}
+	}
+	v.hard, v.log = s.HardState, recovered
+	snapshot, err := v.store.LoadSnapshot()
+	if err != nil {
+		v.world.oracle.fail("durability: %s: %v", v.name, err)
+	}
+	v.snapshot = snapshot
+	v.machine, v.applied = register{}, snapshot.Meta.Index
+	if snapshot.Meta.Index > 0 {
+		v.machine.restore(snapshot.Data)
+	}
+}
+
+func (v *vm) run(f disk.Founding) {
+	s := v.store.State()
+	v.starts++
+	v.edits, v.reads = map[uint64]pendingEdit{}, map[uint64]*pendingRead{}
+	v.core = raft.New(raft.Config{
+		Founding: f.ID, Self: raft.Member{Name: v.name, Identity: v.identity, Address: v.address}, Initial: f.Configuration,
+		HardState: s.HardState, Snapshot: s.Snapshot, Entries: s.Entries,
+		ElectionTicks: 6, HeartbeatTicks: 2, BatchBytes: 100, Inflight: 3,
+		Random: rand.New(rand.NewPCG(v.world.seed, v.starts+uint64(len(v.world.vms))*uint64(v.name[1]))),
+	})
+}
+
+// crash ends the replica and loses a random part of what it had not synced.
+func (v *vm) crash() {
+	if v.core != nil {
+		v.last = v.core.Status().Configuration
+	}
+	v.core, v.store, v.up = nil, nil, false
+	v.folder.Crash(v.world.random)
+}
+
+// lose replaces the VM under its old address: the next start finds a blank folder.
+func (v *vm) lose() {
+	v.crash()
+	v.world.dead[v.identity] = true
+	v.folder = faultfile.New()
+	v.identity, v.hard, v.log, v.snapshot = "", raft.HardState{}, nil, raft.Snapshot{}
+	v.last = raft.Configuration{}
+}
+
+func (v *vm) termAt(index uint64) (uint64, bool) {
+	if index == 0 {
+		return 0, true
+	}
+	if index == v.snapshot.Meta.Index {
+		return v.snapshot.Meta.Term, true
+	}
+	e, ok := v.log[index]
+	return e.Term, ok
+}
+
+// settle does what the core wants, as package replica does.
+func (v *vm) settle() {
+	for v.core != nil {
+		e := v.core.Effects()
+		if e.Empty() {
+			break
+		}
+		v.world.send(v, e.Early)
+		if err := v.persist(e); err != nil {
+			v.crash()
+			return
+		}
+		v.core.Persisted()
+		v.world.send(v, e.Messages)
+		v.apply(e)
+	}
+	v.observe()
+}
+
+func (v *vm) persist(e raft.Effects) error {
+	if e.HardState != nil {
+		if err := v.store.Append(e.HardState, nil); err != nil {
+			return err
+		}
+		v.hard = *e.HardState
+	}
+	if e.Install != nil {
+		if err := v.store.Install(*e.Install); err != nil {
+			return err
+		}
+		v.snapshot, v.log = *e.Install, map[uint64]raft.Entry{}
+	}
+	if len(e.Entries) == 0 {
+		return nil
+	}
+	if err := v.store.Append(nil, e.Entries); err != nil {
+		return err
+	}
+	for i := e.Entries[0].Index; v.log[i].Index != 0; i++ {
+		delete(v.log, i)
+	}
+	for _, entry := range e.Entries {
+		v.log[entry.Index] = entry
+		v.world.oracle.persists(v, entry)
+	}
+	return nil
+}
+
+func (v *vm) apply(e raft.Effects) {
+	if e.Install != nil {
+		v.machine.restore(e.Install.Data)
+		v.applied = e.Install.Meta.Index
+		v.world.oracle.answers("snapshot", 0, v.applied, v.machine)
+	}
+	term := v.core.Status().Term
+	for _, entry := range e.Committed {
+		if entry.Index != v.applied+1 {
+			v.world.oracle.fail("state-machine safety: %s applies %d after %d", v.name, entry.Index, v.applied)
+		}
+		want := v.world.oracle.commits(v, entry, term)
+		if entry.Kind == raft.EntryCommand {
+			v.machine.apply(entry.Data)
+		}
+		v.applied = entry.Index
+		if v.machine != want {
+			v.world.oracle.fail("state-machine safety: %s has %+v after entry %d, a single copy %+v", v.name, v.machine, entry.Index, want)
+		}
+		v.finish(entry)
+	}
+	for _, r := range e.Reads {
+		v.reads[r.ID].index, v.reads[r.ID].confirmed = r.Index, true
+	}
+}
+
+// finish answers the caller whose edit was applied.
+func (v *vm) finish(entry raft.Entry) {
+	p, ok := v.edits[entry.Index]
+	delete(v.edits, entry.Index)
+	if ok && p.term == entry.Term {
+		v.world.oracle.edits++
+		v.world.oracle.answers("edit", p.floor+1, entry.Index, v.machine)
+	}
+}
+
+// observe answers reads and notes leadership after each step.
+func (v *vm) observe() {
+	if v.core == nil {
+		return
+	}
+	if err := v.core.Err(); err != nil {
+		v.world.oracle.fail("%s: %v", v.name, err)
+	}
+	s := v.core.Status()
+	if s.Role == raft.Leader {
+		v.world.oracle.leads(v, s.Term)
+	} else {
+		clear(v.edits)
+	}
+	for id, r := range v.reads {
+		if r.confirmed && v.applied >= r.index {
+			delete(v.reads, id)
+			v.world.oracle.reads++
+			v.world.oracle.answers("read", r.floor, v.applied, v.machine)
+		}
+	}
+}
+
+// save takes a snapshot and drops the log before it.
+func (v *vm) save(keep uint64) {
+	if v.core == nil || v.applied <= v.snapshot.Meta.Index {
+		return
+	}
+	t, ok := v.termAt(v.applied)
+	if !ok {
+		return
+	}
+	meta := raft.SnapshotMeta{Index: v.applied, Term: t, Configuration: v.core.ConfigurationAt(v.applied)}.WithData(v.machine.snapshot())
+	s := raft.Snapshot{Meta: meta, Data: v.machine.snapshot()}
+	if v.store.SaveSnapshot(s) != nil || v.store.Compact(meta.Index) != nil {
+		v.crash()
+		return
+	}
+	v.snapshot = s
+	v.core.Compact(meta, keep)
+}
+
+// fill adds the chunk that a snapshot message asks for.
+func (v *vm) fill(m *raft.Message) bool {
+	if !v.snapshot.Meta.Same(*m.Snapshot) || m.Offset > m.Snapshot.Size {
+		return false
+	}
+	m.Data = v.snapshot.Data[m.Offset:min(m.Offset+chunkBytes, m.Snapshot.Size)]
+	return true
+}
+
+func (v *vm) String() string {
+	if v.core == nil {
+		return fmt.Sprintf("%s(%v) up=%v no core", v.name, v.identity, v.up)
+	}
+	s := v.core.Status()
+	return fmt.Sprintf("%s(%v) %v term=%d commit=%d last=%d applied=%d leader=%v", v.name, v.identity, s.Role, s.Term, s.Commit, s.Last, v.applied, s.Leader)
+}
