Tests of the data folder under torn, flipped, full and failing disks

Cause: what a replica acknowledged must be there after any crash, and what can't be told from acknowledged data must stop it.

Change: tests on an in-memory folder that loses unsynced bytes and fails on demand.

--- /dev/null
+++ b/internal/control/disk/store_test.go
@@ -0,0 +1,320 @@
+package disk_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+
+	"hornbeamwood/internal/control/disk"
+	"hornbeamwood/internal/control/faultfile"
+	"hornbeamwood/internal/control/raft"
+)
+
+func open(t *testing.T, files disk.Files) disk.Store {
+	t.Helper()
+	s, err := disk.Open(disk.Config{Files: files, Name: "control-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// founded returns a store that belongs to a group.
+func founded(t *testing.T, files disk.Files) disk.Store {
+	t.Helper()
+	s := open(t, files)
+	member := raft.Member{Name: "control-1", Identity: s.Identity(), Address: "10.0.0.1:7000", Voter: true}
+	if err := s.Found(disk.Founding{ID: "f", Configuration: raft.NewConfiguration(member)}); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func entries(first, last int) []raft.Entry {
+	var all []raft.Entry
+	for i := first; i <= last; i++ {
+		all = append(all, raft.Entry{Index: uint64(i), Term: 1, Data: fmt.Appendf(nil, "edit-%04d", i)})
+	}
+	return all
+}
+
+func appendAll(t *testing.T, s disk.Store, all []raft.Entry) {
+	t.Helper()
+	for _, e := range all {
+		if err := s.Append(&raft.HardState{Term: 1}, []raft.Entry{e}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// segments returns the names of the log's files.
+func segments(t *testing.T, files disk.Files) []string {
+	t.Helper()
+	names, err := files.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found []string
+	for _, n := range names {
+		if strings.HasPrefix(n, "log-") {
+			found = append(found, n)
+		}
+	}
+	return found
+}
+
+func refusedAt(t *testing.T, files disk.Files, what string) {
+	t.Helper()
+	_, err := disk.Open(disk.Config{Files: files, Name: "control-1"})
+	var c *disk.Corruption
+	if !errors.As(err, &c) {
+		t.Errorf("%s: opened with %v", what, err)
+		return
+	}
+	if !strings.Contains(err.Error(), c.Path) || !strings.Contains(err.Error(), "admit it anew") {
+		t.Errorf("%s: the error names no file or no remedy: %v", what, err)
+	}
+}
+
+// A VM loses power in the middle of a write. Nothing of that write was
+// acknowledged, so that the replica must start again by itself, with all that
+// was acknowledged; an operator would otherwise replace a healthy disk.
+func TestTornTailIsCut(t *testing.T) {
+	for cut := 1; cut < 39; cut++ {
+		files := faultfile.New()
+		s := founded(t, files)
+		appendAll(t, s, entries(1, 5))
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		name := segments(t, files)[0]
+		files.Cut(name, files.Size(name)-cut)
+		s = open(t, files)
+		if got := s.State(); len(got.Entries) != 4 || got.Torn != int64(39-cut) || got.HardState.Term != 1 {
+			t.Fatalf("cut %d: %d entries, %d bytes cut off", cut, len(got.Entries), got.Torn)
+		}
+		appendAll(t, s, entries(5, 6))
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if got := open(t, files).State(); len(got.Entries) != 6 {
+			t.Fatalf("cut %d: %d entries after the repair", cut, len(got.Entries))
+		}
+	}
+}
+
+// A disk decays and one bit of an acknowledged record turns over, in the
+// middle or at the end, in the data or in the length. A replica that cut the
+// log there would forget what it acknowledged and vote as if it had not; an
+// accepted edit could be undone. It must not start.
+func TestFlippedBitIsRefused(t *testing.T) {
+	size := 0
+	for offset := 0; offset == 0 || offset < size; offset += 3 {
+		files := faultfile.New()
+		s := founded(t, files)
+		appendAll(t, s, entries(1, 5))
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		name := segments(t, files)[0]
+		size = files.Size(name)
+		files.Flip(name, offset, uint(offset%8))
+		refusedAt(t, files, fmt.Sprintf("byte %d of %d", offset, size))
+	}
+}
+
+// A segment that is not the last one ends early: an operator restored a part
+// of a folder, or the file system lost blocks. Later segments exist, so that
+// the missing end was acknowledged.
+func TestShortOlderSegmentIsRefused(t *testing.T) {
+	files := faultfile.New()
+	s := founded(t, files)
+	appendAll(t, s, entries(1, 5))
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s = open(t, files)
+	appendAll(t, s, entries(6, 7))
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	name := segments(t, files)[0]
+	for _, cut := range []int{3, 39, 78} {
+		files.Cut(name, files.Size(name)-cut)
+		refusedAt(t, files, fmt.Sprintf("cut by %d", cut))
+	}
+}
+
+// The disk is full: a write stops half-way. The replica must refuse from then
+// on, and once there is room again it must start with everything that it
+// acknowledged; were it to write on behind the half record, the next start
+// would find damage.
+func TestFullDiskDoesNoDamage(t *testing.T) {
+	files := faultfile.New()
+	s := founded(t, files)
+	appendAll(t, s, entries(1, 5))
+	files.SetFault(func(o faultfile.Operation, _ string) error {
+		if o == faultfile.Write {
+			return syscall.ENOSPC
+		}
+		return nil
+	})
+	if err := s.Append(nil, entries(6, 6)); !errors.Is(err, syscall.ENOSPC) {
+		t.Fatalf("got %v", err)
+	}
+	files.SetFault(nil)
+	if err := s.Append(nil, entries(6, 6)); !errors.Is(err, syscall.ENOSPC) {
+		t.Errorf("a store went on after a failed write: %v", err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := open(t, files).State(); len(got.Entries) != 5 {
+		t.Errorf("%d entries, 5 were acknowledged", len(got.Entries))
+	}
+}
+
+// The device reports an error for a sync. The system may have dropped the
+// pages and reports the next sync as done; a store that tries again would
+// acknowledge data that is nowhere.
+func TestFailedSyncIsNotTriedAgain(t *testing.T) {
+	files := faultfile.New()
+	s := founded(t, files)
+	appendAll(t, s, entries(1, 5))
+	syncs := 0
+	files.SetFault(func(o faultfile.Operation, _ string) error {
+		if o != faultfile.Sync {
+			return nil
+		}
+		syncs++
+		if syncs == 1 {
+			return syscall.EIO
+		}
+		return nil
+	})
+	for range 3 {
+		if err := s.Append(nil, entries(6, 6)); !errors.Is(err, syscall.EIO) {
+			t.Errorf("got %v after a failed sync", err)
+		}
+	}
+	if syncs != 1 {
+		t.Errorf("%d syncs, only the first may be tried", syncs)
+	}
+}
+
+// The VM dies while a snapshot is written, at any operation. The next start
+// must use the snapshot before it or the whole new one, and lose no entry.
+func TestHalfSnapshotIsNeverUsed(t *testing.T) {
+	for fail := range 12 {
+		files := faultfile.New()
+		s := founded(t, files)
+		appendAll(t, s, entries(1, 9))
+		save(t, s, 4, "state at four")
+		left := fail
+		files.SetFault(func(faultfile.Operation, string) error {
+			left--
+			if left < 0 {
+				return syscall.EIO
+			}
+			return nil
+		})
+		err := s.SaveSnapshot(snapshotAt(8, "state at eight"))
+		if err == nil {
+			_ = s.Compact(8)
+		}
+		files.Crash(nil)
+		s = open(t, files)
+		got, err := s.LoadSnapshot()
+		if err != nil {
+			t.Fatalf("failure %d: %v", fail, err)
+		}
+		if text := string(got.Data); text != "state at four" && text != "state at eight" {
+			t.Fatalf("failure %d: a snapshot of %q", fail, text)
+		}
+		if n := got.Meta.Index + uint64(len(s.State().Entries)); n != 9 {
+			t.Fatalf("failure %d: the log ends at %d", fail, n)
+		}
+	}
+}
+
+func snapshotAt(index uint64, text string) raft.Snapshot {
+	meta := raft.SnapshotMeta{Index: index, Term: 1}.WithData([]byte(text))
+	return raft.Snapshot{Meta: meta, Data: []byte(text)}
+}
+
+func save(t *testing.T, s disk.Store, index uint64, text string) {
+	t.Helper()
+	if err := s.SaveSnapshot(snapshotAt(index, text)); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Compact(index); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A damaged snapshot has no log behind it any more; the replica must say so
+// and not start from an empty state, which would look like a fresh one.
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	files := faultfile.New()
+	s := founded(t, files)
+	appendAll(t, s, entries(1, 9))
+	save(t, s, 8, "state at eight")
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	name := "snapshot-0000000000000008-0000000000000001"
+	files.Flip(name, files.Size(name)-2, 3)
+	refusedAt(t, files, "flipped bit in a snapshot")
+}
+
+// An operator mixes up two data folders, copies one without its identity, or
+// starts a second process on the same one; each would let one replica speak
+// for another.
+func TestWrongFolderIsRefused(t *testing.T) {
+	files := faultfile.New()
+	s := founded(t, files)
+	appendAll(t, s, entries(1, 2))
+	if _, err := disk.Open(disk.Config{Files: files, Name: "control-1"}); err == nil {
+		t.Error("a second process opened the folder")
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, err := disk.Open(disk.Config{Files: files, Name: "control-2"})
+	if err == nil || !strings.Contains(err.Error(), `"control-1"`) || !strings.Contains(err.Error(), `"control-2"`) {
+		t.Errorf("got %v", err)
+	}
+	if err := files.Remove("identity"); err != nil {
+		t.Fatal(err)
+	}
+	refusedAt(t, files, "identity missing")
+}
+
+// The same through the file system: the lock holds between two opens in one
+// process too, and is gone after Close.
+func TestFolderOnDisk(t *testing.T) {
+	files, err := disk.NewFolder(t.TempDir() + "/data")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := founded(t, files)
+	identity := s.Identity()
+	appendAll(t, s, entries(1, 3))
+	save(t, s, 2, "two")
+	if _, err := disk.Open(disk.Config{Files: files, Name: "control-1"}); err == nil {
+		t.Error("a second process opened the folder")
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s = open(t, files)
+	got, err := s.LoadSnapshot()
+	if err != nil || string(got.Data) != "two" || len(s.State().Entries) != 1 || s.Identity() != identity {
+		t.Errorf("got %q, %d entries, %v", got.Data, len(s.State().Entries), err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
