--- a/internal/control/replica/config.go
+++ b/internal/control/replica/config.go
@@ -19,11 +19,11 @@
 	defaultSnapshotEntries = 8192
 	defaultSnapshotBytes   = 8 << 20
 	defaultChunkBytes      = 256 << 10
-	// keepEntries stay in the log behind a snapshot, so that a follower a
-	// little behind doesn't need the whole state.
-	keepEntries = 1024
+	defaultKeepEntries     = 1024
+	// queueLength bounds each kind of call that waits for the loop.
 	queueLength = 4096
-	drainLimit  = 1024
+	// drainLimit bounds what the loop takes before it settles.
+	drainLimit = 1024
 )
 
 // Config is what a Replica is made from.
@@ -51,6 +51,11 @@
 	// SnapshotEntries and SnapshotBytes are how much is applied between snapshots. Default 8192 and 8 MiB.
 	SnapshotEntries int
 	SnapshotBytes   int
+	// KeepEntries stay in the log behind a snapshot, so that a follower a
+	// little behind doesn't need the whole state. Default 1024.
+	KeepEntries int
+	// ChunkBytes is the size of the pieces that a snapshot is sent in. Default 256 KiB.
+	ChunkBytes int
 	// Files replaces the folder at Folder when not nil.
 	Files disk.Files
 }
@@ -89,5 +94,11 @@
 	if c.SnapshotBytes == 0 {
 		c.SnapshotBytes = defaultSnapshotBytes
 	}
+	if c.KeepEntries == 0 {
+		c.KeepEntries = defaultKeepEntries
+	}
+	if c.ChunkBytes == 0 {
+		c.ChunkBytes = defaultChunkBytes
+	}
 	return c
 }
--- a/internal/control/replica/network_test.go
+++ b/internal/control/replica/network_test.go
@@ -19,10 +19,20 @@
 	mu    sync.Mutex
 	nodes map[string]Replica
 	cuts  map[link]bool
+	// frozen holds the addresses whose replica stands still in the middle of a send, as a stopped process does.
+	frozen map[string]chan struct{}
+	// limits are how many more messages of a kind may pass a link.
+	limits map[link]*limit
+}
+
+// limit lets some messages of one kind pass.
+type limit struct {
+	kind raft.MessageKind
+	left int
 }
 
 func newNetwork() *network {
-	return &network{nodes: map[string]Replica{}, cuts: map[link]bool{}}
+	return &network{nodes: map[string]Replica{}, cuts: map[link]bool{}, frozen: map[string]chan struct{}{}, limits: map[link]*limit{}}
 }
 
 func (n *network) attach(address string, r Replica) {
@@ -50,6 +60,54 @@
 	clear(n.cuts)
 }
 
+// limit lets only some more messages of one kind pass a link.
+func (n *network) limit(from, to string, kind raft.MessageKind, left int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limits[link{from, to}] = &limit{kind: kind, left: left}
+}
+
+func (n *network) exhausted(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.limits[link{from, to}].left < 0
+}
+
+// passes counts a message against the limit of its link.
+func (n *network) passes(from, to string, kind raft.MessageKind) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.limits[link{from, to}]
+	if !ok || l.kind != kind {
+		return true
+	}
+	l.left--
+	return l.left >= 0
+}
+
+func (n *network) freeze(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen[address] = make(chan struct{})
+}
+
+func (n *network) thaw(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.frozen[address])
+	delete(n.frozen, address)
+}
+
+// stand blocks while the replica at address is frozen.
+func (n *network) stand(address string) {
+	n.mu.Lock()
+	thawed := n.frozen[address]
+	n.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+}
+
 func (n *network) reach(from, to string) Replica {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -66,8 +124,9 @@
 }
 
 func (p port) Send(address string, m raft.Message) {
+	p.network.stand(p.address)
 	r := p.network.reach(p.address, address)
-	if r == nil {
+	if r == nil || !p.network.passes(p.address, address, m.Kind) {
 		return
 	}
 	b, err := codec.Marshal(m)
--- a/internal/control/replica/partition_test.go
+++ b/internal/control/replica/partition_test.go
@@ -49,12 +49,117 @@
 	c.refuses(old)
 	c.write("two", rest...)
 	c.refuses(old)
+	c.returns(old)
+}
+
+// The leading VM is stopped by its host for many election timeouts and then
+// goes on where it was. For a moment it still believes to lead; an operator who
+// asks it just then must not get old settings as fresh, nor have an edit
+// accepted, and the leader that was elected meanwhile must stay.
+func TestFrozenLeaderThaws(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.write("one")
+	old := c.leader()
+	rest := c.others(old)
+	c.network.freeze(old.address)
+	c.write("two", rest...)
 	leader := c.leader(rest...)
 	term := leader.replica.Status().Term
+	type answer struct {
+		index uint64
+		err   error
+	}
+	reads, edits := make(chan answer, 1), make(chan answer, 1)
+	go func() {
+		index, err := old.replica.ReadIndex(context.Background())
+		reads <- answer{index, err}
+	}()
+	go func() {
+		a, err := old.replica.Propose(context.Background(), []byte("lost"))
+		edits <- answer{a.Index, err}
+	}()
+	c.until("both calls wait", func() bool {
+		r := old.replica.(*replica)
+		return len(r.reads) == 1 && len(r.proposals) == 1
+	})
+	c.network.thaw(old.address)
+	if a := <-reads; a.err == nil {
+		t.Errorf("the thawed leader confirmed a read at %d", a.index)
+	}
+	if a := <-edits; a.err == nil {
+		t.Errorf("the thawed leader accepted an edit at %d", a.index)
+	}
+	c.write("three", rest...)
+	c.agree("one two three", c.nodes...)
+	if s := leader.replica.Status(); s.Term != term || s.Role != "leader" {
+		t.Errorf("the thawed replica moved term %d to %d, role %s", term, s.Term, s.Role)
+	}
+}
+
+// A link fails in one direction only: the leading VM still reaches the others
+// but hears nothing, so that they see no reason to elect another. Operators
+// would wait for ever for edits that can't commit; the leader must give up,
+// and its return must not depose the next one.
+func TestLeaderThatHearsNothingGivesUp(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.write("one")
+	old := c.leader()
+	rest := c.others(old)
+	c.isolate(old, true, false)
+	c.refuses(old)
+	c.write("two", rest...)
+	c.refuses(old)
+	c.returns(old)
+}
+
+// The other direction: the leading VM hears everything, but nothing of it
+// arrives.
+func TestLeaderThatReachesNobodyIsReplaced(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.write("one")
+	old := c.leader()
+	rest := c.others(old)
+	c.isolate(old, false, true)
+	c.refuses(old)
+	c.write("two", rest...)
+	c.refuses(old)
+	c.returns(old)
+}
+
+// returns ends the faults and checks that the working leader keeps its term.
+func (c *cluster) returns(old *node) {
+	c.t.Helper()
+	leader := c.leader(c.others(old)...)
+	term := leader.replica.Status().Term
 	c.network.heal()
 	c.agree("one two", c.nodes...)
 	c.until("the old leader follows", func() bool { return old.replica.Status().Leader == leader.name })
 	if s := leader.replica.Status(); s.Term != term || s.Role != "leader" {
-		t.Errorf("the return of a replica moved term %d to %d, role %s", term, s.Term, s.Role)
+		c.t.Errorf("the return of a replica moved term %d to %d, role %s", term, s.Term, s.Role)
+	}
+}
+
+// A follower is cut off for many election timeouts and campaigns all the
+// while. Were its term to grow, its return would depose the leader and refuse
+// operators' edits for an election, each time the link fails.
+func TestFollowerCutOffDoesNotMoveTheTerm(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.write("one")
+	leader := c.leader()
+	follower := c.others(leader)[0]
+	term := leader.replica.Status().Term
+	c.isolate(follower, true, true)
+	campaigns := 0
+	c.until("many campaigns", func() bool {
+		if s := follower.replica.Status(); s.Role == "pre-candidate" || s.Role == "candidate" {
+			campaigns++
+		}
+		return campaigns > 100
+	})
+	c.write("two", c.others(follower)...)
+	c.network.heal()
+	c.agree("one two", c.nodes...)
+	if s := leader.replica.Status(); s.Term != term || s.Role != "leader" {
+		t.Errorf("term %d became %d, role %s", term, s.Term, s.Role)
 	}
 }
--- a/internal/control/replica/settle.go
+++ b/internal/control/replica/settle.go
@@ -120,7 +120,7 @@
 	if !l.sending.Meta.Same(*m.Snapshot) || m.Offset > l.sending.Meta.Size {
 		return false
 	}
-	end := min(m.Offset+defaultChunkBytes, l.sending.Meta.Size)
+	end := min(m.Offset+uint64(l.replica.config.ChunkBytes), l.sending.Meta.Size)
 	m.Data = l.sending.Data[m.Offset:end]
 	return true
 }
@@ -128,7 +128,7 @@
 // compact drops what the applier's snapshots cover.
 func (l *loop) compact() error {
 	for _, meta := range l.replica.saved.take() {
-		l.core.Compact(meta, keepEntries)
+		l.core.Compact(meta, uint64(l.replica.config.KeepEntries))
 		l.sending = nil
 		if err := l.replica.store.Compact(meta.Index); err != nil {
 			return err
