--- a/internal/settings/follower/follower_test.go
+++ b/internal/settings/follower/follower_test.go
@@ -13,6 +13,7 @@
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/control/state"
 	"hornbeamwood/internal/settings/digest"
+	"hornbeamwood/internal/settings/rules"
 	"hornbeamwood/internal/settings/section"
 	"hornbeamwood/internal/settings/tree"
 )
@@ -149,3 +150,7 @@
 		t.Errorf("an edit takes %d bytes in a small tree and %d in a large one", least, most)
 	}
 }
+
+func emptyRules(revision uint64) *rules.Snapshot {
+	return &rules.Snapshot{Revision: revision}
+}
