--- a/internal/settings/lease/lease_test.go
+++ b/internal/settings/lease/lease_test.go
@@ -170,6 +170,44 @@
 	}
 }
 
+// A replica becomes the leader before it has applied an edit that made the
+// lease longer. Entries that hold the longer lease have not reported to it; it
+// must wait that lease out and not the one that it knew when it was elected.
+func TestNewLeaderThatIsBehindWaitsTheLongerLease(t *testing.T) {
+	h := NewHolders(nil)
+	h.Renew(at(0), 2, renewal("a", 1), terms(1))
+	longer := Terms{Revision: 2, Lease: 15 * second, Longest: 15 * second}
+	h.Renew(at(3*second), 2, renewal("a", 2), longer)
+	if f := h.InForce(at(6*second), 2, 2, longer); f.InForce || f.After == 0 {
+		t.Errorf("an entry may hold a lease of 15 s from before: %+v", f)
+	}
+	if f := h.InForce(at(16*second), 2, 2, longer); !f.InForce {
+		t.Errorf("all leases have run out: %+v", f)
+	}
+}
+
+// Where entries may serve without a quorum, one is stopped for good. It took
+// no new work from then on, so nobody need wait for it; started again, it has
+// to report again.
+func TestStoppedEntryThatMayServeWithoutQuorum(t *testing.T) {
+	h := NewHolders([]string{"a"})
+	free := terms(2)
+	free.FreeBefore = 3
+	r := renewal("a", 1)
+	h.Renew(at(0), 1, r, free)
+	r.Released = true
+	h.Renew(at(second), 1, r, free)
+	if f := h.InForce(at(9*second), 1, 2, free); !f.InForce {
+		t.Errorf("a has stopped: %+v", f)
+	}
+	r = renewal("a", 1)
+	r.Holder.Incarnation = 2
+	h.Renew(at(10*second), 1, r, free)
+	if f := h.InForce(at(99*second), 1, 2, free); f.InForce {
+		t.Error("a has started again and not applied revision 2")
+	}
+}
+
 // The clock of an entry runs slow and that of the leader fast. Counted without
 // a margin, the leader would declare the edit in force while the entry still
 // took its own clock's word that the lease goes on.
