Settings lease: a new leader that is behind waits the longer lease out

Cause: the wait of a new leader was fixed by the terms that it knew when the term began, and a stopped entry was waited for where entries may serve without a quorum.

Change: the wait follows the longest lease that the leader has learned of since; an entry that gave its lease back is not waited for until it starts again.

--- a/internal/settings/lease/holders.go
+++ b/internal/settings/lease/holders.go
@@ -20,9 +20,10 @@
 	mu       sync.Mutex
 	entries  []string
 	grants   map[Holder]grant
-	reported map[string]uint64
+	reported map[string]standing
 	term     uint64
-	settled  time.Time
+	entered  time.Time
+	longest  time.Duration
 }
 
 // NewHolders returns Holders of a replica that has not led yet; entries are
@@ -31,7 +32,7 @@
 	return &holders{
 		entries:  slices.Sorted(slices.Values(entries)),
 		grants:   map[Holder]grant{},
-		reported: map[string]uint64{},
+		reported: map[string]standing{},
 	}
 }
 
@@ -39,15 +40,23 @@
 //
 // A new leader knows of no lease that an earlier one confirmed. It would
 // declare an edit in force while an entry that it has not heard of still
-// serves under the older settings, so it first waits the longest lease out.
+// serves under the older settings, so it first waits the longest lease out. It
+// may learn of a longer one only when it has applied all that was accepted.
 func (h *holders) enter(now time.Time, term uint64, t Terms) {
 	if term <= h.term {
+		h.longest = max(h.longest, t.Longest)
 		return
 	}
 	h.term = term
+	h.longest = t.Longest
+	h.entered = now
 	h.grants = map[Holder]grant{}
-	h.reported = map[string]uint64{}
-	h.settled = now.Add(lengthened(t.Longest))
+	h.reported = map[string]standing{}
+}
+
+// settled returns when all leases that earlier leaders confirmed have run out.
+func (h *holders) settled() time.Time {
+	return h.entered.Add(lengthened(h.longest))
 }
 
 // Renew implements Holders.
@@ -59,7 +68,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.enter(now, term, t)
-	h.reported[r.Holder.Name] = max(h.reported[r.Holder.Name], r.Applied)
+	h.reported[r.Holder.Name] = h.reported[r.Holder.Name].with(r)
 	for k, g := range h.grants {
 		if !g.live(now, t.FreeBefore) {
 			delete(h.grants, k)
@@ -90,7 +99,7 @@
 	if term < h.term || revision > t.Revision {
 		return Force{}
 	}
-	f := Force{After: max(0, h.settled.Sub(now))}
+	f := Force{After: max(0, h.settled().Sub(now))}
 	for k, g := range h.grants {
 		if g.applied < revision && g.live(now, t.FreeBefore) {
 			f.Waiting = append(f.Waiting, k.Name)
@@ -104,7 +113,7 @@
 	}
 	slices.Sort(f.Waiting)
 	f.Waiting = slices.Compact(f.Waiting)
-	f.InForce = len(f.Waiting) == 0 && !now.Before(h.settled)
+	f.InForce = len(f.Waiting) == 0 && !now.Before(h.settled())
 	return f
 }
 
@@ -115,7 +124,8 @@
 func (h *holders) free(revision, freeBefore uint64) []string {
 	var names []string
 	for _, n := range h.entries {
-		if h.reported[n] < min(revision, freeBefore) {
+		r := h.reported[n]
+		if !r.released && r.applied < min(revision, freeBefore) {
 			names = append(names, n)
 		}
 	}
