--- a/internal/load/comparison/contenders.go
+++ b/internal/load/comparison/contenders.go
@@ -23,7 +23,8 @@
 
 // Baselines returns round robin, least loaded and prefix hash, each with engine
 // memory alone and with stores: every piece is exported after a run and every
-// missing piece that a store holds is imported.
+// missing piece that a store holds is imported. Least loaded comes also with a fixed
+// division of the servers by role.
 func Baselines() []model.Contender {
 	var all []model.Contender
 	for _, make := range []func(baseline.Config) route.Strategy{
@@ -32,7 +33,9 @@
 		all = append(all, contender(make, baseline.Config{}, model.ExportNone))
 		all = append(all, contender(make, baseline.Config{Imports: true}, model.ExportAll))
 	}
-	return all
+	divided := func(c baseline.Config) route.Strategy { return baseline.NewByRole(baseline.NewLeastLoaded(c)) }
+	all = append(all, contender(divided, baseline.Config{}, model.ExportNone))
+	return append(all, contender(divided, baseline.Config{Imports: true}, model.ExportAll))
 }
 
 func contender(make func(baseline.Config) route.Strategy, c baseline.Config, e model.ExportRule) model.Contender {
--- /dev/null
+++ b/internal/load/comparison/matrix.go
@@ -0,0 +1,48 @@
+package comparison
+
+import (
+	"hornbeamwood/internal/load/model"
+	"hornbeamwood/internal/load/workload"
+)
+
+// Loads are the parts of the capacity that have tables.
+var Loads = []float64{0.5, 1, 1.5}
+
+// curve are the parts of the capacity that are plotted.
+var curve = []float64{0.25, 0.5, 0.75, 1, 1.25, 1.5}
+
+// AblationCells returns the policy and its ablations at full load and beyond.
+func AblationCells(d workload.Deployment, capacity float64) []Cell {
+	all := append([]model.Contender{Policy(PolicyName)}, Ablations()...)
+	return append(contenderCells(d, capacity, 1, all), contenderCells(d, capacity, 1.5, all)...)
+}
+
+// FailureCells returns the policy and the baselines under each scenario at full load.
+func FailureCells(c Config, d workload.Deployment, capacity float64) []Cell {
+	var cells []Cell
+	for _, s := range Scenarios() {
+		for _, x := range contenderCells(d, capacity, 1, append(Baselines(), Policy(PolicyName))) {
+			x.Scenario = s.Name
+			x.Failures = s.Failures(d, c.Measured)
+			cells = append(cells, x)
+		}
+	}
+	return cells
+}
+
+// CurveCells returns the policy and the baselines at each load that is plotted.
+func CurveCells(d workload.Deployment, capacity float64) []Cell {
+	var cells []Cell
+	for _, l := range curve {
+		cells = append(cells, contenderCells(d, capacity, l, append(Baselines(), Policy(PolicyName)))...)
+	}
+	return cells
+}
+
+func contenderCells(d workload.Deployment, capacity, load float64, all []model.Contender) []Cell {
+	cells := make([]Cell, len(all))
+	for i, x := range all {
+		cells[i] = Cell{Deployment: d, Contender: x, Load: load, Rate: load * capacity}
+	}
+	return cells
+}
--- /dev/null
+++ b/internal/load/comparison/plot.go
@@ -0,0 +1,83 @@
+package comparison
+
+import (
+	"io"
+
+	"github.com/wcharczuk/go-chart/v2"
+)
+
+// Plot is a figure against load for each contender of a deployment.
+type Plot struct {
+	// File is the file's name without folder.
+	File string
+	// Title stands above the plot.
+	Title string
+	// Axis names the figure.
+	Axis string
+	// Value returns the figure of a row.
+	Value func(r *Row) float64
+}
+
+// Plots returns the plots of the deployment of rows.
+func Plots(rows []Row) []Plot {
+	d := rows[0].Cell.Deployment
+	plots := []Plot{{
+		File: d.Name + "-recomputed.svg", Title: d.Name + ": share of prompt tokens recomputed", Axis: "share",
+		Value: func(r *Row) float64 { return r.Result.Recomputed },
+	}, {
+		File: d.Name + "-not-answered.svg", Title: d.Name + ": requests not answered in time", Axis: "share",
+		Value: notAnswered,
+	}}
+	for i, c := range d.Classes {
+		if c.Service != "" {
+			continue
+		}
+		plots = append(plots, Plot{
+			File: d.Name + "-" + c.Name + "-ttft.svg", Title: d.Name + ": TTFT p95 of " + c.Name, Axis: "seconds",
+			Value: func(r *Row) float64 { return r.Result.Classes[i].P95.Seconds() },
+		})
+	}
+	return plots
+}
+
+// Write renders p over rows as SVG.
+func (p Plot) Write(w io.Writer, rows []Row) error {
+	graph := chart.Chart{
+		Title:      p.Title,
+		Width:      900,
+		Height:     480,
+		Background: chart.Style{Padding: chart.Box{Top: 40, Left: 190, Right: 20, Bottom: 20}},
+		XAxis:      chart.XAxis{Name: "load (part of the capacity)"},
+		YAxis:      chart.YAxis{Name: p.Axis},
+		Series:     p.series(rows),
+	}
+	graph.Elements = []chart.Renderable{chart.LegendLeft(&graph)}
+	return graph.Render(chart.SVG, w)
+}
+
+// series returns a line for each contender in the order of the rows.
+func (p Plot) series(rows []Row) []chart.Series {
+	lines := map[string]*chart.ContinuousSeries{}
+	var all []chart.Series
+	for i := range rows {
+		name := rows[i].Cell.Contender.Name
+		s, ok := lines[name]
+		if !ok {
+			s = &chart.ContinuousSeries{Name: name, Style: style(name, len(all))}
+			lines[name] = s
+			all = append(all, s)
+		}
+		s.XValues = append(s.XValues, rows[i].Cell.Load)
+		s.YValues = append(s.YValues, p.Value(&rows[i]))
+	}
+	return all
+}
+
+// style draws the policy thicker than the baselines.
+func style(name string, i int) chart.Style {
+	s := chart.Style{StrokeColor: chart.GetDefaultColor(i), StrokeWidth: 1.5}
+	if name == PolicyName {
+		s.StrokeColor, s.StrokeWidth = chart.ColorBlack, 3.5
+	}
+	return s
+}
--- /dev/null
+++ b/internal/load/comparison/scenarios.go
@@ -0,0 +1,43 @@
+package comparison
+
+import (
+	"time"
+
+	"hornbeamwood/internal/load/model"
+	"hornbeamwood/internal/load/workload"
+)
+
+// Scenario is a failure during the measured time.
+type Scenario struct {
+	// Name is the scenario's kebab-case name.
+	Name string
+	// Failures returns what fails in a deployment when the measured time is length.
+	Failures func(d workload.Deployment, length time.Duration) []model.Failure
+}
+
+// Scenarios returns the failures that each contender meets at full load; each
+// begins after a fifth of the measured time and lasts for two fifths.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "store-dies", Failures: one(model.StoreDies, 0)},
+		{Name: "link-slows-tenfold", Failures: one(model.LinkSlows, 0)},
+		{Name: "third-of-servers-lost", Failures: thirdLost},
+		{Name: "entry-killed", Failures: one(model.EntryDies, 2)},
+	}
+}
+
+func one(kind model.FailureKind, index int) func(workload.Deployment, time.Duration) []model.Failure {
+	return func(_ workload.Deployment, length time.Duration) []model.Failure {
+		return []model.Failure{{Kind: kind, Index: index, At: length / 5, Until: length * 3 / 5}}
+	}
+}
+
+// thirdLost loses a third of the servers, of both roles.
+func thirdLost(d workload.Deployment, length time.Duration) []model.Failure {
+	reserve := d.Reserve / 3
+	lost := (d.Servers+d.Reserve)/3 - reserve
+	return []model.Failure{
+		{Kind: model.ServersDie, Index: 0, Count: lost, At: length / 5, Until: length * 3 / 5},
+		{Kind: model.ServersDie, Index: d.Servers, Count: reserve, At: length / 5, Until: length * 3 / 5},
+	}
+}
--- /dev/null
+++ b/internal/load/comparison/table.go
@@ -0,0 +1,98 @@
+package comparison
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"hornbeamwood/internal/load/model"
+)
+
+// WriteTable writes rows of one deployment as a Markdown table, with the times of each class with TTFT.
+func WriteTable(w io.Writer, rows []Row) error {
+	if len(rows) == 0 {
+		return nil
+	}
+	header := tableHeader(&rows[0])
+	lines := []string{line(header), line(dashes(len(header)))}
+	for i := range rows {
+		lines = append(lines, line(tableRow(&rows[i])))
+	}
+	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
+	return err
+}
+
+func line(cells []string) string {
+	return "| " + strings.Join(cells, " | ") + " |"
+}
+
+func dashes(n int) []string {
+	all := make([]string, n)
+	for i := range all {
+		all[i] = "---"
+	}
+	return all
+}
+
+func tableHeader(r *Row) []string {
+	h := []string{"load", "strategy"}
+	for _, c := range r.Cell.Deployment.Classes {
+		if c.Service == "" {
+			h = append(h, c.Name+" TTFT p50 / p95 / p99 (s)")
+		}
+	}
+	return append(h, "recomputed", "link GB", "link busy", "refused", "late", "lost", "wrong",
+		"worth served", "least-served workspace", "answered per s")
+}
+
+func tableRow(r *Row) []string {
+	x := &r.Result
+	row := []string{fmt.Sprintf("%.2f", r.Cell.Load), r.Cell.Contender.Name}
+	for i, c := range r.Cell.Deployment.Classes {
+		if c.Service == "" {
+			row = append(row, times(&x.Classes[i]))
+		}
+	}
+	return append(row,
+		fmt.Sprintf("%.3f", x.Recomputed),
+		fmt.Sprintf("%.0f", gigabytes(x)),
+		fmt.Sprintf("%.2f", busy(x)),
+		percent(x.Refused, x.Arrived), percent(x.Late, x.Arrived), percent(x.Lost, x.Arrived),
+		fmt.Sprint(x.Wrong),
+		fmt.Sprintf("%.3f", x.WorthShare), fmt.Sprintf("%.2f", x.LeastServed),
+		fmt.Sprintf("%.2f", x.Goodput))
+}
+
+func times(c *model.ClassResult) string {
+	return fmt.Sprintf("%s / %s / %s", secondsOf(c.P50), secondsOf(c.P95), secondsOf(c.P99))
+}
+
+func secondsOf(d time.Duration) string {
+	return fmt.Sprintf("%.3f", d.Seconds())
+}
+
+func percent(n, of int) string {
+	if of == 0 {
+		return "0%"
+	}
+	return fmt.Sprintf("%.2f%%", 100*float64(n)/float64(of))
+}
+
+// gigabytes returns the bytes of all links.
+func gigabytes(x *model.Result) float64 {
+	var sum int64
+	for _, n := range x.LinkBytes {
+		sum += n
+	}
+	return float64(sum) / 1e9
+}
+
+// busy returns the mean busy share of the links.
+func busy(x *model.Result) float64 {
+	var sum float64
+	for _, b := range x.LinkBusy {
+		sum += b
+	}
+	return sum / float64(max(len(x.LinkBusy), 1))
+}
--- a/internal/policy/baseline/baseline_test.go
+++ b/internal/policy/baseline/baseline_test.go
@@ -61,3 +61,18 @@
 		t.Errorf("prefix hash: got %+v, then %+v", first, d)
 	}
 }
+
+func TestByRoleDividesTheServers(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	c := cell(4)
+	c.Candidates[0].Reserve = true
+	s := NewByRole(NewLeastLoaded(Config{}))
+	for _, priority := range []int{0, route.UrgentBand} {
+		r := &route.Request{}
+		r.Rules.Priority = priority
+		d := s.Decide(start, r, c, random)
+		if c.Candidates[d.Server].Reserve != (priority == route.UrgentBand) {
+			t.Errorf("priority %d went to %d", priority, d.Server)
+		}
+	}
+}
