Don't drain work that is still in flight

The estimate let a server compute all the time since its report, also before the work in flight was sent, so that a server with several urgent requests looked idle to all entries. Work without a first token has not been computed: only the reported queue is drained now. TestStatusReadsStayAheadOfDrafts passes.

--- a/internal/policy/route/in_flight.go
+++ b/internal/policy/route/in_flight.go
@@ -13,7 +13,7 @@
 
 // Apply sets the backlog to what was reported and sent since, less what was computed.
 func (workInFlight) Apply(q *Query, c *Candidate, e *Estimate) {
-	tokens := float64(c.Load.QueuedTokens+c.Since.Total()) - drained(q, c)
-	e.Backlog = max(tokens, 0) / c.Load.PrefillRate
+	reported := max(float64(c.Load.QueuedTokens)-drained(q, c), 0)
+	e.Backlog = (reported + float64(c.Since.Total())) / c.Load.PrefillRate
 	e.Wait = e.Backlog
 }
--- a/internal/policy/route/naive_test.go
+++ b/internal/policy/route/naive_test.go
@@ -134,8 +134,7 @@
 		}
 	}
 	rate := x.Load.PrefillRate
-	queued := (float64(x.Load.QueuedTokens)+since)/rate - start.Sub(x.ReportedAt).Seconds()
-	queued = max(queued, 0)
+	queued := max(float64(x.Load.QueuedTokens)/rate-start.Sub(x.ReportedAt).Seconds(), 0) + since/rate
 	wait := queued
 	if x.PriorityAware && all > 0 && queued > 0 {
 		wait = min(queued, max(queued*before/all, min(chunkTokens/rate, queued)))
