--- /dev/null
+++ b/internal/base/event/callers.go
@@ -0,0 +1,31 @@
+package event
+
+import "github.com/apex/log"
+
+// Events of callers, the ledger and streams, 500 to 599.
+var (
+	// CallClaimed is written when an entry holds the claim of a non-idempotent call.
+	CallClaimed = define(500, log.InfoLevel, "call-claimed", "A non-idempotent call is claimed in the ledger; it is dispatched next.")
+	// CallFound is written when the ledger already has a record under the key.
+	CallFound = define(501, log.InfoLevel, "call-found", "The ledger answers a resend; the field found is outcome, busy, unknown, mismatch, stale or invalid.")
+	// CallDispatched is written before each dispatch to a plain service.
+	CallDispatched = define(502, log.InfoLevel, "call-dispatched", "A call goes to a plain service; the field server names it.")
+	// CallFailed is written when a claimed call has no outcome.
+	CallFailed = define(503, log.WarnLevel, "call-failed", "A claimed call has no outcome; not-run releases the claim, may-have-run makes it unknown.")
+	// CallSettled is written when the outcome of a call is recorded.
+	CallSettled = define(504, log.InfoLevel, "call-settled", "The outcome of a non-idempotent call went to the ledger.")
+	// CallUnrecorded is written when the log stayed away for longer than the entry tries.
+	CallUnrecorded = define(505, log.ErrorLevel, "call-unrecorded", "The ledger could not be told what became of a call; the claim ends as unknown.")
+	// CallRetried is written when an idempotent call is tried elsewhere.
+	CallRetried = define(506, log.InfoLevel, "call-retried", "An idempotent call is tried at another server.")
+	// StreamResumed is written when a broken stream goes on at the same engine.
+	StreamResumed = define(510, log.InfoLevel, "stream-resumed", "A broken stream is resumed at the same engine after the field position.")
+	// StreamRejected is written when an engine's event is not passed on.
+	StreamRejected = define(511, log.WarnLevel, "stream-rejected", "An engine sent what does not belong to the attempt, or ended early; nothing of it was passed on.")
+	// StreamCancelled is written when a run is cancelled because its caller went away.
+	StreamCancelled = define(512, log.InfoLevel, "stream-cancelled", "The caller went away; the run is cancelled at the engine.")
+	// RequestRefused is written for each refusal to a caller.
+	RequestRefused = define(520, log.InfoLevel, "request-refused", "A request was refused; the fields give status, code and verdict.")
+	// RequestServed is written for each answered request.
+	RequestServed = define(521, log.InfoLevel, "request-served", "A request was answered whole.")
+)
--- /dev/null
+++ b/internal/control/ledger/limits.go
@@ -0,0 +1,26 @@
+package ledger
+
+import "time"
+
+const (
+	// Name is the section's name in commands and queries.
+	Name = "ledger"
+	// MaxBody is the largest recorded answer in bytes.
+	MaxBody = 256 << 10
+	// MaxKey is the longest Idempotency-Key in bytes.
+	MaxKey = 256
+	// MaxHeaders is the largest number of recorded headers.
+	MaxHeaders = 16
+	// MaxHeaderBytes is the largest sum of the recorded headers' names and values in bytes.
+	MaxHeaderBytes = 8 << 10
+
+	shardCount = 64
+	// expiryBatch bounds the expired records that one command removes, so
+	// that no command waits for a scan of all records.
+	expiryBatch  = 8
+	sweepShards  = 8
+	releasedKeep = 10 * time.Minute
+	busyRetry    = time.Second
+	minKeep      = time.Minute
+	maxUnknown   = 1000
+)
--- /dev/null
+++ b/internal/entry/caller/exchange.go
@@ -0,0 +1,169 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/settings/rules"
+)
+
+// exchange is one request and its answer.
+type exchange struct {
+	handler   *handler
+	writer    http.ResponseWriter
+	request   *http.Request
+	id        string
+	snapshot  *rules.Snapshot
+	workspace rules.Workspace
+}
+
+type exchangeKey struct{}
+
+func withExchange(ctx context.Context, x *exchange) context.Context {
+	return context.WithValue(ctx, exchangeKey{}, x)
+}
+
+func exchangeOf(ctx context.Context) *exchange {
+	return ctx.Value(exchangeKey{}).(*exchange)
+}
+
+// authorized runs next for a caller whose key is that of a workspace.
+func (h *handler) authorized(next func(*exchange)) http.HandlerFunc {
+	return func(_ http.ResponseWriter, r *http.Request) {
+		x := exchangeOf(r.Context())
+		// The mux hands on its own request, which knows the path's parts.
+		x.request = r
+		if err := x.authorize(); err != nil {
+			x.refuse(err)
+			return
+		}
+		next(x)
+	}
+}
+
+func (x *exchange) authorize() error {
+	snapshot, err := x.handler.Snapshots.Current()
+	if err != nil {
+		return x.early(err)
+	}
+	key, ok := bearer(x.request)
+	if !ok {
+		return unauthorized()
+	}
+	w, ok := x.handler.keys.of(snapshot).workspace(key)
+	if !ok {
+		return unauthorized()
+	}
+	x.snapshot = snapshot
+	x.workspace = w
+	return nil
+}
+
+// enter counts the request in its workspace and returns what to call at its end.
+func (x *exchange) enter(r rules.Rules) (func(), error) {
+	w := x.workspace.Name
+	if !x.handler.running.take(w, r.MaxInFlight) {
+		return nil, x.early(verdict.New(verdict.NotRun, http.StatusTooManyRequests, "too-many-in-flight",
+			"the workspace has %d requests running at this entry", r.MaxInFlight).WithRetryAfter(time.Second))
+	}
+	return func() { x.handler.running.give(w) }, nil
+}
+
+// early returns the refusal of a request that was looked at no further. Of a
+// keyed call it doesn't say not-run: an earlier send under the key may have
+// run, and a caller that believes otherwise has the work done a second time.
+func (x *exchange) early(err error) error {
+	e, ok := verdict.As(err)
+	if !ok || !isKeyed(x.request) {
+		return err
+	}
+	return e.WithVerdict(verdict.MayHaveRun)
+}
+
+// body returns the whole body of at most limit bytes.
+func (x *exchange) body(limit int64) ([]byte, error) {
+	if x.request.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	control := http.NewResponseController(x.writer)
+	// Without a deadline, callers that send a byte now and then could hold
+	// all of this VM's memory for bodies.
+	_ = control.SetReadDeadline(time.Now().Add(x.handler.BodyTimeout))
+	b, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		return b, nil
+	}
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, tooLarge(limit)
+	}
+	x.writer.Header().Set("Connection", "close")
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, verdict.New(verdict.NotRun, http.StatusRequestTimeout, "body-timeout", "the body did not arrive in time").WithCause(err)
+	}
+	return nil, verdict.New(verdict.NotRun, http.StatusBadRequest, "body-incomplete", "the body did not arrive whole").WithCause(err)
+}
+
+// refuse answers with an error.
+func (x *exchange) refuse(err error) {
+	e := asError(err)
+	h := x.writer.Header()
+	h.Set(verdict.Header, e.Verdict.String())
+	if e.RetryAfter > 0 {
+		h.Set(headerRetry, retrySeconds(e.RetryAfter))
+	}
+	x.json(e.Status, newErrorBody(e))
+	f := x.fields()
+	f["status"] = e.Status
+	f["code"] = e.Code
+	f["verdict"] = e.Verdict.String()
+	if e.Cause != nil {
+		f["cause"] = e.Cause.Error()
+	}
+	event.RequestRefused.Write(x.handler.Logger, f)
+}
+
+// served logs an answered request.
+func (x *exchange) served(status int) {
+	f := x.fields()
+	f["status"] = status
+	event.RequestServed.Write(x.handler.Logger, f)
+}
+
+func (x *exchange) fields() log.Fields {
+	return log.Fields{"request": x.id, "workspace": x.workspace.Name, "path": x.request.URL.Path}
+}
+
+func (x *exchange) json(status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		status, b = http.StatusInternalServerError, []byte("{}")
+	}
+	h := x.writer.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	x.extendWrite()
+	x.writer.WriteHeader(status)
+	_, _ = x.writer.Write(b)
+}
+
+// extendWrite gives the caller WriteTimeout to accept what is written next.
+func (x *exchange) extendWrite() {
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(x.handler.WriteTimeout))
+}
+
+// retrySeconds returns d in whole seconds, rounded up.
+func retrySeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
--- /dev/null
+++ b/internal/entry/engine/finish.go
@@ -0,0 +1,29 @@
+package engine
+
+// maxChoices bounds the choices of one completion.
+const maxChoices = 128
+
+// finish follows which choices were opened and which have their finish marker.
+type finish struct {
+	opened   [maxChoices]bool
+	finished [maxChoices]bool
+}
+
+// observe takes in an event's choices and reports whether all are within bounds.
+func (f *finish) observe(choices []choice) bool {
+	for _, c := range choices {
+		if c.Index < 0 || c.Index >= maxChoices {
+			return false
+		}
+		f.opened[c.Index] = true
+		if c.FinishReason != nil {
+			f.finished[c.Index] = true
+		}
+	}
+	return true
+}
+
+// whole reports whether at least one choice was opened and each that was is finished.
+func (f *finish) whole() bool {
+	return f.opened != [maxChoices]bool{} && f.opened == f.finished
+}
--- /dev/null
+++ b/internal/entry/engine/wire.go
@@ -0,0 +1,101 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"hornbeamwood/internal/base/verdict"
+)
+
+// Headers of docs/interfaces/engine.md.
+const (
+	headerRequest       = "Hornbeamwood-Request"
+	headerAttempt       = "Hornbeamwood-Attempt"
+	headerWorkspace     = "Hornbeamwood-Workspace"
+	headerPriority      = "Hornbeamwood-Priority"
+	headerWeightVersion = "Hornbeamwood-Weight-Version"
+	headerResumeAfter   = "Hornbeamwood-Resume-After"
+)
+
+func newRequest(ctx context.Context, address string, r Request) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	for n, v := range r.Header {
+		request.Header[n] = v
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Accept", "text/event-stream")
+	request.Header.Set(headerRequest, r.ID)
+	request.Header.Set(headerAttempt, r.Attempt)
+	request.Header.Set(headerWorkspace, r.Workspace)
+	request.Header.Set(headerPriority, strconv.Itoa(r.Priority))
+	request.Header.Set(headerWeightVersion, r.WeightVersion)
+	return request, nil
+}
+
+// roundTrip returns the response, or an error that says whether a connection was there at all.
+func (c *client) roundTrip(request *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := c.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err == nil {
+		return response, nil
+	}
+	if connected.Load() {
+		return nil, lost(err)
+	}
+	return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "engine-unreachable",
+		"no connection to a model engine could be made").WithRetryAfter(time.Second).WithCause(err)
+}
+
+func lost(err error) verdict.Error {
+	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "stream-lost",
+		"the answer broke off and could not be continued").WithCause(err)
+}
+
+// refusal is the protocol's error object.
+type refusal struct {
+	Error struct {
+		Message string `json:"message"`
+		Code    any    `json:"code"`
+	} `json:"error"`
+}
+
+// refused returns the engine's refusal; without the engine's own word it may have run.
+func refused(response *http.Response) verdict.Error {
+	b, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusal))
+	var said refusal
+	_ = json.Unmarshal(b, &said)
+	if said.Error.Message == "" {
+		said.Error.Message = "the model engine refused the request"
+	}
+	e := verdict.New(verdict.MayHaveRun, statusFor(response.StatusCode), "engine-refused", "%s", said.Error.Message)
+	if response.Header.Get(verdict.Header) == verdict.NotRun.String() {
+		e = e.WithVerdict(verdict.NotRun)
+	}
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return e
+	}
+	return e.WithRetryAfter(min(time.Duration(seconds)*time.Second, maxRetryAfter))
+}
+
+// statusFor returns the caller's status for an engine's; what only concerns the two of us becomes a bad gateway.
+func statusFor(status int) int {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return status
+	default:
+		return http.StatusBadGateway
+	}
+}
--- /dev/null
+++ b/internal/entry/service/client.go
@@ -0,0 +1,115 @@
+package service
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/control/ledger"
+)
+
+// Client calls plain services.
+type Client interface {
+	// Call returns the whole answer to r, or a verdict.Error.
+	Call(ctx context.Context, r Request) (Answer, error)
+	// Abandon makes the claims of an entry's dead incarnations unknown and returns how many there were.
+	Abandon(ctx context.Context, entry string, incarnation uint64) (int, error)
+	// Open returns the number of claimed calls whose outcome isn't recorded yet.
+	Open() int
+	// Drain waits until no claimed call is open; an error means that ctx ended first.
+	Drain(ctx context.Context) error
+}
+
+type client struct {
+	Config
+	transport http.RoundTripper
+	open      sync.WaitGroup
+	mu        sync.Mutex
+	flows     int
+}
+
+// New returns a Client; missing durations and sizes of c get their defaults.
+func New(c Config) Client {
+	c = c.withDefaults()
+	dialer := &net.Dialer{Timeout: c.DialTimeout}
+	return &client{
+		Config: c,
+		transport: &http.Transport{
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+			DisableCompression:     true,
+		},
+	}
+}
+
+// Call implements Client.
+func (c *client) Call(ctx context.Context, r Request) (Answer, error) {
+	if !r.Rules.NonIdempotent {
+		return c.callIdempotent(ctx, r)
+	}
+	if r.Key == "" || len(r.Key) > ledger.MaxKey {
+		return Answer{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "idempotency-key-required",
+			"the service runs each call at most once and needs an Idempotency-Key of 1 to %d bytes", ledger.MaxKey)
+	}
+	return c.callOnce(ctx, r)
+}
+
+// Open implements Client.
+func (c *client) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.flows
+}
+
+// Drain implements Client.
+func (c *client) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		c.open.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *client) begin() {
+	c.open.Add(1)
+	c.mu.Lock()
+	c.flows++
+	c.mu.Unlock()
+}
+
+func (c *client) end() {
+	c.mu.Lock()
+	c.flows--
+	c.mu.Unlock()
+	c.open.Done()
+}
+
+// write logs one event about r.
+func (c *client) write(e event.Event, r Request, f log.Fields) {
+	f["request"] = r.ID
+	f["workspace"] = r.Workspace
+	f["service"] = r.Service
+	e.Write(c.Logger, f)
+}
+
+// deadline returns how long the caller of r waits.
+func (c *client) deadline(r Request) time.Duration {
+	if r.Rules.Deadline > 0 {
+		return r.Rules.Deadline
+	}
+	return c.CallTimeout
+}
--- /dev/null
+++ b/internal/entry/service/config.go
@@ -0,0 +1,97 @@
+package service
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"github.com/apex/log"
+)
+
+const (
+	maxHeaderBytes = 64 << 10
+	maxIdleConns   = 16
+	idleTimeout    = 30 * time.Second
+	attemptBytes   = 16
+)
+
+// Config holds what a Client needs.
+type Config struct {
+	// Log is the control log.
+	Log Log
+	// Picker chooses servers.
+	Picker Picker
+	// Budget bounds retries elsewhere; nil allows none.
+	Budget Budget
+	// Entry is this entry's identity.
+	Entry string
+	// Incarnation is a larger number with each start of this entry, at least 1.
+	Incarnation uint64
+	// CallTimeout is how long a caller waits when its rules give no deadline; default 30 s.
+	CallTimeout time.Duration
+	// DialTimeout bounds the connection's set-up; default 2 s.
+	DialTimeout time.Duration
+	// DispatchTimeout bounds a dispatch that its caller may have left; default 5 min.
+	DispatchTimeout time.Duration
+	// DispatchWindow is the age of a claim after which it isn't dispatched any more; default 10 s.
+	DispatchWindow time.Duration
+	// OutcomeWait is how long a caller waits for its outcome to be recorded; default 5 s.
+	OutcomeWait time.Duration
+	// LogTimeout bounds one try at the log; default 2 s.
+	LogTimeout time.Duration
+	// MaxAnswer is the largest answer to an idempotent call in bytes; default 8 MiB.
+	MaxAnswer int64
+	// NewAttempt returns an id that is unique for ever; default 128 random bits.
+	NewAttempt func() string
+	// Now returns the time on a monotonic clock; default time.Now.
+	Now func() time.Time
+	// Wait returns after d or when ctx ends; default a timer.
+	Wait func(ctx context.Context, d time.Duration) error
+	// Logger gets the events; nil logs nothing.
+	Logger log.Interface
+}
+
+func (c Config) withDefaults() Config {
+	c.CallTimeout = orDefault(c.CallTimeout, 30*time.Second)
+	c.DialTimeout = orDefault(c.DialTimeout, 2*time.Second)
+	c.DispatchTimeout = orDefault(c.DispatchTimeout, 5*time.Minute)
+	c.DispatchWindow = orDefault(c.DispatchWindow, 10*time.Second)
+	c.OutcomeWait = orDefault(c.OutcomeWait, 5*time.Second)
+	c.LogTimeout = orDefault(c.LogTimeout, 2*time.Second)
+	c.MaxAnswer = orDefault(c.MaxAnswer, 8<<20)
+	if c.NewAttempt == nil {
+		c.NewAttempt = newAttempt
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Wait == nil {
+		c.Wait = wait
+	}
+	return c
+}
+
+func orDefault[T time.Duration | int64](v, d T) T {
+	if v > 0 {
+		return v
+	}
+	return d
+}
+
+func newAttempt() string {
+	var b [attemptBytes]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/entry/service/idempotent.go
@@ -0,0 +1,90 @@
+package service
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/verdict"
+)
+
+const retryWait = 20 * time.Millisecond
+
+// callIdempotent sends r, and again elsewhere while the budget and the deadline allow it.
+func (c *client) callIdempotent(ctx context.Context, r Request) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.deadline(r))
+	defer cancel()
+	var excluded []string
+	proved := verdict.NotRun
+	var last error
+	for {
+		s, err := c.Picker.Pick(ctx, r, excluded)
+		if err != nil {
+			if last != nil {
+				err = last
+			}
+			return Answer{}, weakest(err, proved)
+		}
+		c.write(event.CallDispatched, r, log.Fields{"attempt": "", "server": s.Identity})
+		a, err := c.send(ctx, s, r, c.NewAttempt())
+		if err == nil {
+			return a, nil
+		}
+		last = err
+		if verdict.Of(err) != verdict.NotRun {
+			proved = verdict.MayHaveRun
+		}
+		excluded = append(excluded, s.Identity)
+		if !c.again(ctx, r) {
+			return Answer{}, weakest(err, proved)
+		}
+		c.write(event.CallRetried, r, log.Fields{"server": s.Identity, "cause": err.Error()})
+	}
+}
+
+// again reports whether one more try is allowed, after a jittered wait that keeps retries of many callers apart.
+func (c *client) again(ctx context.Context, r Request) bool {
+	if c.Budget == nil || !c.Budget.Retry(r.Workspace) {
+		return false
+	}
+	return c.Wait(ctx, retryWait+rand.N(retryWait)) == nil
+}
+
+// weakest returns err with the verdict that holds for all tries together.
+func weakest(err error, proved verdict.Verdict) verdict.Error {
+	e, ok := verdict.As(err)
+	if !ok {
+		e = asNotRun(err)
+	}
+	return e.WithVerdict(proved)
+}
+
+// send sends an idempotent call on a kept connection.
+func (c *client) send(ctx context.Context, s Server, r Request, attempt string) (Answer, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), s, r, attempt)
+	if err != nil {
+		return Answer{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "invalid-call", "the call can't be sent").WithCause(err)
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil && !connected.Load() {
+		return Answer{}, unreachable(err)
+	}
+	if err != nil {
+		return Answer{}, broken(err)
+	}
+	defer response.Body.Close()
+	a, err := readAnswer(response, c.MaxAnswer+1)
+	if err == nil && int64(len(a.Body)) > c.MaxAnswer {
+		return Answer{}, verdict.New(verdict.Ran, http.StatusBadGateway, "answer-too-large",
+			"the service's answer is larger than %d bytes", c.MaxAnswer)
+	}
+	return a, err
+}
--- /dev/null
+++ b/internal/entry/service/request.go
@@ -0,0 +1,29 @@
+package service
+
+import (
+	"net/http"
+
+	"hornbeamwood/internal/settings/rules"
+)
+
+// Request is one caller's call of a plain service.
+type Request struct {
+	// ID is the id in the header Hornbeamwood-Request.
+	ID string
+	// Workspace is the caller's workspace.
+	Workspace string
+	// Service is the service's name.
+	Service string
+	// Method is the HTTP method.
+	Method string
+	// Path is the path at the service with its query; it opens with a slash.
+	Path string
+	// Key is the caller's Idempotency-Key, empty for none.
+	Key string
+	// Header holds the caller's headers; only those of docs/interfaces/service.md go through.
+	Header http.Header
+	// Body is the whole body.
+	Body []byte
+	// Rules are the workspace's rules for the service.
+	Rules rules.Rules
+}
--- /dev/null
+++ b/internal/entry/service/send_once.go
@@ -0,0 +1,74 @@
+package service
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/control/ledger"
+)
+
+// sendOnce sends a non-idempotent call on a connection of its own.
+//
+// The usual transport sends a request again by itself when a kept connection
+// turns out to be closed, and can't tell whether bytes of it left; here the
+// request is written once to a fresh connection, and until the first byte is
+// handed to the kernel a failure proves that nothing ran.
+func (c *client) sendOnce(ctx context.Context, s Server, r Request, attempt string) (Answer, error) {
+	request, err := newRequest(ctx, s, r, attempt)
+	if err != nil {
+		return Answer{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "invalid-call", "the call can't be sent").WithCause(err)
+	}
+	request.Close = true
+	var b bytes.Buffer
+	if err := request.Write(&b); err != nil {
+		return Answer{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "invalid-call", "the call can't be sent").WithCause(err)
+	}
+	d := net.Dialer{Timeout: c.DialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", s.Address)
+	if err != nil {
+		return Answer{}, unreachable(err)
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	if ctx.Err() != nil {
+		return Answer{}, unreachable(ctx.Err())
+	}
+	return exchange(conn, request, b.Bytes())
+}
+
+// exchange writes the request and reads the answer; from its first byte on, a failure may have run.
+func exchange(conn net.Conn, request *http.Request, b []byte) (Answer, error) {
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Write(b)
+		written <- err
+	}()
+	limit := int64(maxHeaderBytes + 4*ledger.MaxBody)
+	response, err := readResponse(bufio.NewReader(io.LimitReader(conn, limit)), request)
+	if err != nil {
+		conn.Close()
+		return Answer{}, broken(errors.Join(err, <-written))
+	}
+	defer response.Body.Close()
+	return readAnswer(response, ledger.MaxBody+1)
+}
+
+// readResponse returns the first final response; informational ones are passed over.
+func readResponse(b *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(b, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/service/settle.go
@@ -0,0 +1,111 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/control/ledger"
+)
+
+// dispatch sends the call, more than once only while it is proved that it did not run.
+func (f *flow) dispatch(ctx context.Context) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.client.DispatchTimeout)
+	defer cancel()
+	var excluded []string
+	for {
+		s, err := f.client.Picker.Pick(ctx, f.request, excluded)
+		if err != nil {
+			return Answer{}, asNotRun(err)
+		}
+		// An entry that was frozen after its claim may have been declared dead,
+		// and an operator may have let the call run elsewhere; a claim that old
+		// isn't dispatched any more.
+		if f.client.Now().Sub(f.started) > f.client.DispatchWindow {
+			return Answer{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "claim-too-old",
+				"the call was not dispatched in time").WithRetryAfter(time.Second)
+		}
+		f.client.write(event.CallDispatched, f.request, log.Fields{"attempt": f.attempt, "server": s.Identity})
+		a, err := f.client.sendOnce(ctx, s, f.request, f.attempt)
+		if err == nil || verdict.Of(err) != verdict.NotRun {
+			return a, err
+		}
+		excluded = append(excluded, s.Identity)
+		if f.client.Budget == nil || !f.client.Budget.Retry(f.request.Workspace) {
+			return Answer{}, err
+		}
+	}
+}
+
+// asNotRun returns the error of a picker, after which nothing was dispatched.
+func asNotRun(err error) verdict.Error {
+	if e, ok := verdict.As(err); ok {
+		return e.WithVerdict(verdict.NotRun)
+	}
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no-server", "no server runs the service").
+		WithRetryAfter(time.Second).WithCause(err)
+}
+
+// fail records that the call did not run, or that nobody knows, and replies.
+//
+// The caller gets its verdict only after the log has it, within OutcomeWait: a
+// resend that comes at once must not be told that the call is in progress.
+func (f *flow) fail(ctx context.Context, cause error, replies chan<- reply) {
+	command := ledger.Command{MarkUnknown: &ledger.MarkUnknown{Scope: f.scope, Attempt: f.attempt}}
+	if verdict.Of(cause) == verdict.NotRun {
+		command = ledger.Command{Release: &ledger.Release{Scope: f.scope, Attempt: f.attempt}}
+	}
+	f.client.write(event.CallFailed, f.request, log.Fields{
+		"attempt": f.attempt, "verdict": verdict.Of(cause).String(), "cause": cause.Error(),
+	})
+	f.record(ctx, command, replies, reply{err: cause})
+}
+
+// settle records the outcome and replies.
+func (f *flow) settle(ctx context.Context, a Answer, replies chan<- reply) {
+	kept := a.record()
+	p := reply{answer: a}
+	if len(kept.Body) > ledger.MaxBody {
+		kept.Body, kept.Dropped = nil, true
+		p.answer, p.err = repeat(kept)
+	}
+	command := ledger.Command{Outcome: &ledger.Outcome{
+		Scope: f.scope, Attempt: f.attempt, Digest: f.digest, Answer: kept,
+	}}
+	f.record(ctx, command, replies, p)
+	f.client.write(event.CallSettled, f.request, log.Fields{"attempt": f.attempt, "status": a.Status})
+}
+
+// record commits the command and then replies; when the log doesn't answer
+// within OutcomeWait it replies first, with what this entry knows for certain,
+// and goes on until the log has it.
+func (f *flow) record(ctx context.Context, command ledger.Command, replies chan<- reply, p reply) {
+	short, cancel := context.WithTimeout(ctx, f.client.OutcomeWait)
+	_, err := f.client.persist(short, command)
+	cancel()
+	replies <- p
+	if err != nil {
+		f.persistLong(ctx, command)
+	}
+}
+
+// releaseLater takes the claim back, for as long as that takes, without holding the caller.
+func (f *flow) releaseLater(ctx context.Context) {
+	f.client.begin()
+	go func() {
+		defer f.client.end()
+		f.persistLong(ctx, ledger.Command{Release: &ledger.Release{Scope: f.scope, Attempt: f.attempt}})
+	}()
+}
+
+func (f *flow) persistLong(ctx context.Context, command ledger.Command) {
+	ctx, cancel := context.WithTimeout(ctx, f.client.DispatchTimeout)
+	defer cancel()
+	if _, err := f.client.persist(ctx, command); err != nil {
+		f.client.write(event.CallUnrecorded, f.request, log.Fields{"attempt": f.attempt, "cause": err.Error()})
+	}
+}
