--- /dev/null
+++ b/internal/entry/caller/fakes_test.go
@@ -0,0 +1,198 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/entry/service"
+	"hornbeamwood/internal/settings/rules"
+)
+
+// fixedSnapshots gives one snapshot or one error.
+type fixedSnapshots struct {
+	snapshot *rules.Snapshot
+	err      error
+}
+
+func (f *fixedSnapshots) Current() (*rules.Snapshot, error) { return f.snapshot, f.err }
+
+// fakeCompleter streams the given events and remembers what it was asked.
+type fakeCompleter struct {
+	mu     sync.Mutex
+	asked  []Request
+	events []string
+	last   error
+	err    error
+	gate   chan struct{}
+	closed int
+}
+
+func (f *fakeCompleter) Complete(ctx context.Context, r Request) (Stream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, r)
+	if f.err != nil {
+		return nil, f.err
+	}
+	return &fakeStream{completer: f, context: ctx, events: f.events}, nil
+}
+
+func (f *fakeCompleter) requests() []Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Request(nil), f.asked...)
+}
+
+type fakeStream struct {
+	completer *fakeCompleter
+	context   context.Context
+	events    []string
+}
+
+func (s *fakeStream) Next() ([]byte, error) {
+	if s.completer.gate != nil {
+		select {
+		case <-s.completer.gate:
+		case <-s.context.Done():
+			return nil, s.context.Err()
+		}
+	}
+	if len(s.events) == 0 {
+		if s.completer.last != nil {
+			return nil, s.completer.last
+		}
+		return nil, io.EOF
+	}
+	e := s.events[0]
+	s.events = s.events[1:]
+	return []byte(e), nil
+}
+
+func (s *fakeStream) Close() {
+	s.completer.mu.Lock()
+	defer s.completer.mu.Unlock()
+	s.completer.closed++
+}
+
+// fakeServices answers each call with what it was asked.
+type fakeServices struct {
+	mu    sync.Mutex
+	asked []service.Request
+	err   error
+}
+
+func (f *fakeServices) Call(_ context.Context, r service.Request) (service.Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, r)
+	if f.err != nil {
+		return service.Answer{}, f.err
+	}
+	return service.Answer{Status: 200, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte(r.Workspace + r.Path)}, nil
+}
+
+func (f *fakeServices) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.asked)
+}
+
+func digestOf(key string) [32]byte { return sha256.Sum256([]byte(key)) }
+
+func sampleSnapshot() *rules.Snapshot {
+	r := rules.Rules{MaxBody: 4096, MaxInFlight: 2, Deadline: time.Second}
+	once := r
+	once.NonIdempotent = true
+	return &rules.Snapshot{
+		Models:   map[string]rules.Model{"draft": {Name: "draft"}, "secret": {Name: "secret"}},
+		Services: map[string]rules.Service{"stamps": {}, "status": {}, "hidden": {}},
+		Workspaces: map[string]rules.Workspace{
+			"certilote": {
+				KeyDigests: [][32]byte{digestOf("key-1")},
+				Models:     map[string]rules.Rules{"draft": r},
+				Services:   map[string]rules.Rules{"stamps": once, "status": r},
+			},
+			"other": {
+				KeyDigests: [][32]byte{digestOf("key-2")},
+				Models:     map[string]rules.Rules{"secret": r},
+				Services:   map[string]rules.Rules{"hidden": once},
+			},
+		},
+	}
+}
+
+// bench is a handler with its fakes behind a real server.
+type bench struct {
+	snapshots *fixedSnapshots
+	completer *fakeCompleter
+	services  *fakeServices
+	handler   Handler
+	server    *httptest.Server
+}
+
+func newBench(t testing.TB, c Config) *bench {
+	b := &bench{
+		snapshots: &fixedSnapshots{snapshot: sampleSnapshot()},
+		completer: &fakeCompleter{events: chatEvents("Hello", " world")},
+		services:  &fakeServices{},
+	}
+	c.Snapshots, c.Completer, c.Services = b.snapshots, b.completer, b.services
+	b.handler = New(c)
+	b.server = httptest.NewUnstartedServer(b.handler)
+	b.server.Config = c.Server(b.handler)
+	b.server.Start()
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func chatEvents(texts ...string) []string {
+	var events []string
+	for i, text := range texts {
+		finish := "null"
+		if i == len(texts)-1 {
+			finish = `"stop"`
+		}
+		events = append(events, fmt.Sprintf(`{"id":"c","object":"chat.completion.chunk","created":1,"model":"draft",`+
+			`"choices":[{"index":0,"delta":{"role":"assistant","content":%q},"finish_reason":%s}]}`, text, finish))
+	}
+	return append(events, `{"id":"c","object":"chat.completion.chunk","created":1,"model":"draft","choices":[],"usage":{"total_tokens":9}}`)
+}
+
+// answer is a whole HTTP answer.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (b *bench) do(t testing.TB, method, path, key, body string, headers ...string) answer {
+	t.Helper()
+	r, err := http.NewRequest(method, b.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := b.server.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer{status: response.StatusCode, header: response.Header, body: string(text)}
+}
--- /dev/null
+++ b/internal/entry/caller/handler_test.go
@@ -0,0 +1,198 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/base/verdict"
+)
+
+const chatBody = `{"model":"draft","messages":[{"role":"user","content":"Hi"}],"future":{"a":[1]}}`
+
+func TestWholeAnswerOfTheProtocol(t *testing.T) {
+	b := newBench(t, Config{})
+	a := b.do(t, "POST", "/v1/chat/completions", "key-1", chatBody)
+	var got struct {
+		Object  string
+		Choices []struct {
+			Message      struct{ Role, Content string }
+			FinishReason string `json:"finish_reason"`
+		}
+		Usage struct {
+			Total int `json:"total_tokens"`
+		}
+	}
+	if err := json.Unmarshal([]byte(a.body), &got); err != nil || a.status != 200 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	c := got.Choices[0]
+	if got.Object != "chat.completion" || c.Message.Content != "Hello world" || c.Message.Role != "assistant" || c.FinishReason != "stop" || got.Usage.Total != 9 {
+		t.Errorf("got %+v", got)
+	}
+	if a.header.Get(HeaderRequest) == "" || a.header.Get(verdict.Header) != "ran" {
+		t.Errorf("headers %v", a.header)
+	}
+	asked := b.completer.requests()[0]
+	if asked.Workspace != "certilote" || !strings.Contains(string(asked.Body), `"future":{"a":[1]}`) || !strings.Contains(string(asked.Body), `"stream":true`) {
+		t.Errorf("asked %s for %s", asked.Body, asked.Workspace)
+	}
+}
+
+func TestStreamOfTheProtocol(t *testing.T) {
+	b := newBench(t, Config{})
+	plain := b.do(t, "POST", "/v1/chat/completions", "key-1", `{"model":"draft","stream":true,"messages":[{"role":"user","content":[{"type":"text","text":"Hi"}]}]}`)
+	if plain.status != 200 || !strings.HasSuffix(plain.body, "data: [DONE]\n\n") || strings.Contains(plain.body, "usage") || strings.Count(plain.body, "data: ") != 3 {
+		t.Errorf("got %+v", plain)
+	}
+	usage := b.do(t, "POST", "/v1/chat/completions", "key-1", `{"model":"draft","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"Hi"}]}`)
+	if !strings.Contains(usage.body, `"total_tokens":9`) {
+		t.Errorf("got %+v", usage)
+	}
+}
+
+// The engine is lost in the middle of a streamed answer. The caller must see an
+// error event and no [DONE]: a client that reads to the end would otherwise
+// take half a certificate for a whole one.
+func TestBrokenStreamEndsWithAnErrorEvent(t *testing.T) {
+	b := newBench(t, Config{})
+	b.completer.last = verdict.New(verdict.MayHaveRun, 502, "stream-lost", "lost")
+	a := b.do(t, "POST", "/v1/chat/completions", "key-1", `{"model":"draft","stream":true,"messages":[{"role":"user","content":"Hi"}]}`)
+	if strings.Contains(a.body, "[DONE]") || !strings.Contains(a.body, `"code":"stream-lost"`) || !strings.Contains(a.body, `"verdict":"may-have-run"`) {
+		t.Errorf("got %+v", a)
+	}
+	whole := b.do(t, "POST", "/v1/chat/completions", "key-1", chatBody)
+	if whole.status != 502 || whole.header.Get(verdict.Header) != "may-have-run" {
+		t.Errorf("got %+v", whole)
+	}
+}
+
+// refusalCase is a bad request and the refusal that it gets.
+type refusalCase struct {
+	name, method, path, key, body string
+	headers                       []string
+	status                        int
+	code                          string
+}
+
+// Programs send what they shouldn't: too much, no JSON, names of others. Each
+// gets an error of the protocol's shape, nothing runs, and no name of another
+// workspace shows.
+func TestBadRequestsAreRefusedBeforeAnythingRuns(t *testing.T) {
+	chat := "/v1/chat/completions"
+	cases := []refusalCase{
+		{"no key", "POST", chat, "", chatBody, nil, 401, "invalid-key"},
+		{"unknown key", "POST", chat, "nope", chatBody, nil, 401, "invalid-key"},
+		{"no JSON", "POST", chat, "key-1", `{"model":`, nil, 400, "invalid-json"},
+		{"an array", "POST", chat, "key-1", `[]`, nil, 400, "invalid-json"},
+		{"null", "POST", chat, "key-1", `null`, nil, 400, "invalid-json"},
+		{"no model", "POST", chat, "key-1", `{"messages":[{"role":"user","content":"x"}]}`, nil, 400, "invalid-request"},
+		{"no messages", "POST", chat, "key-1", `{"model":"draft"}`, nil, 400, "invalid-request"},
+		{"wrong content", "POST", chat, "key-1", `{"model":"draft","messages":[{"role":"user","content":7}]}`, nil, 400, "invalid-request"},
+		{"wrong stream", "POST", chat, "key-1", `{"model":"draft","stream":"yes","messages":[{"role":"user","content":"x"}]}`, nil, 400, "invalid-request"},
+		{"no prompt", "POST", "/v1/completions", "key-1", `{"model":"draft"}`, nil, 400, "invalid-request"},
+		{"unknown model", "POST", chat, "key-1", strings.Replace(chatBody, "draft", "nope", 1), nil, 404, "model-not-found"},
+		{"another workspace's model", "POST", chat, "key-1", strings.Replace(chatBody, "draft", "secret", 1), nil, 404, "model-not-found"},
+		{"too large", "POST", chat, "key-1", strings.Repeat("x", 5000), nil, 413, "body-too-large"},
+		{"unknown service", "POST", "/services/nope/x", "key-1", "", nil, 404, "service-not-found"},
+		{"another workspace's service", "POST", "/services/hidden/x", "key-1", "", []string{HeaderKey, "k"}, 404, "service-not-found"},
+		{"missing Idempotency-Key", "POST", "/services/stamps/issue", "key-1", "", nil, 400, "idempotency-key-required"},
+		{"overlong Idempotency-Key", "POST", "/services/stamps/issue", "key-1", "", []string{HeaderKey, strings.Repeat("k", 300)}, 400, "idempotency-key-required"},
+		{"unknown path", "GET", "/v2/x", "", "", nil, 404, "unknown-path"},
+		{"wrong method", "GET", chat, "key-1", "", nil, 405, "method-not-allowed"},
+	}
+	b := newBench(t, Config{})
+	for _, c := range cases {
+		a := b.do(t, c.method, c.path, c.key, c.body, c.headers...)
+		var e errorBody
+		if err := json.Unmarshal([]byte(a.body), &e); err != nil {
+			t.Errorf("%s: %v in %q", c.name, err, a.body)
+			continue
+		}
+		if a.status != c.status || e.Error.Code != c.code || e.Verdict != verdict.NotRun || a.header.Get(verdict.Header) != "not-run" {
+			t.Errorf("%s: got %+v", c.name, a)
+		}
+		if strings.Contains(a.body, "other") || strings.Contains(a.body, "secret") || strings.Contains(a.body, "hidden") {
+			t.Errorf("%s: the answer names what belongs to others: %s", c.name, a.body)
+		}
+	}
+	if len(b.completer.requests()) != 0 || b.services.count() != 0 {
+		t.Error("something ran")
+	}
+}
+
+func TestServiceCallGoesThrough(t *testing.T) {
+	b := newBench(t, Config{})
+	a := b.do(t, "POST", "/services/stamps/lots/7%2F8?plant=a", "key-1", "body", HeaderKey, "k")
+	if a.status != 200 || a.body != "certilote/lots/7%2F8?plant=a" {
+		t.Fatalf("got %+v", a)
+	}
+	r := b.services.asked[0]
+	if r.Key != "k" || string(r.Body) != "body" || !r.Rules.NonIdempotent || r.ID != a.header.Get(HeaderRequest) {
+		t.Errorf("got %+v", r)
+	}
+}
+
+func TestModelsAreThoseOfTheWorkspace(t *testing.T) {
+	b := newBench(t, Config{})
+	if a := b.do(t, "GET", "/v1/models", "key-1", ""); !strings.Contains(a.body, `"draft"`) || strings.Contains(a.body, "secret") {
+		t.Errorf("got %s", a.body)
+	}
+	if a := b.do(t, "GET", "/v1/models/secret", "key-1", ""); a.status != 404 {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// The entry can't prove that its settings are in force, or a workspace has as
+// many requests running as it may. The refusal is final and says when to come
+// back; of a keyed call it doesn't claim that nothing ran, because an earlier
+// send through another entry may have run.
+func TestRefusalsForNowSayWhenToComeBack(t *testing.T) {
+	b := newBench(t, Config{})
+	b.snapshots.err = verdict.New(verdict.NotRun, 503, "settings-lease", "out").WithRetryAfter(1500 * time.Millisecond)
+	a := b.do(t, "POST", "/v1/chat/completions", "key-1", chatBody)
+	if a.status != 503 || a.header.Get("Retry-After") != "2" || a.header.Get(verdict.Header) != "not-run" {
+		t.Errorf("got %+v", a)
+	}
+	keyed := b.do(t, "POST", "/services/stamps/issue", "key-1", "", HeaderKey, "k")
+	if keyed.status != 503 || keyed.header.Get(verdict.Header) != "may-have-run" {
+		t.Errorf("got %+v", keyed)
+	}
+}
+
+// A workspace floods an entry. What is beyond its limit is refused at once, and
+// other workspaces and the requests that run already don't notice.
+func TestInFlightLimit(t *testing.T) {
+	b := newBench(t, Config{})
+	b.completer.gate = make(chan struct{})
+	answers := make(chan answer, 3)
+	for range 2 {
+		go func() { answers <- b.do(t, "POST", "/v1/chat/completions", "key-1", chatBody) }()
+	}
+	await(t, func() bool { return len(b.completer.requests()) == 2 })
+	third := b.do(t, "POST", "/v1/chat/completions", "key-1", chatBody)
+	if third.status != http.StatusTooManyRequests || third.header.Get("Retry-After") != "1" || third.header.Get(verdict.Header) != "not-run" {
+		t.Errorf("got %+v", third)
+	}
+	close(b.completer.gate)
+	for range 2 {
+		if a := <-answers; a.status != 200 {
+			t.Errorf("got %+v", a)
+		}
+	}
+	await(t, func() bool { return b.handler.InFlightOf("certilote") == 0 })
+}
+
+// await returns when the condition holds.
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition never held")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/entry/service/once.go
+++ b/internal/entry/service/once.go
@@ -40,10 +40,11 @@
 		started: c.Now(),
 	}
 	replies := make(chan reply, 1)
+	kept := context.WithoutCancel(ctx)
 	c.begin()
 	go func() {
 		defer c.end()
-		f.run(context.WithoutCancel(ctx), replies)
+		f.run(kept, replies)
 	}()
 	ctx, cancel := context.WithTimeout(ctx, c.deadline(r))
 	defer cancel()
