--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -76,7 +76,7 @@
 	case c.Resolve != nil:
 		return l.on(at, c.Resolve.Scope, func(s *shard) Result { return s.resolve(at, c.Resolve) })
 	case c.Abandon != nil:
-		return l.abandon(c.Abandon)
+		return l.abandon(at.UnixNano(), c.Abandon)
 	default:
 		return Result{Kind: Invalid}
 	}
@@ -99,12 +99,12 @@
 	return f(s)
 }
 
-func (l *ledger) abandon(a *Abandon) Result {
+func (l *ledger) abandon(at int64, a *Abandon) Result {
 	done := Result{Kind: Done}
 	for i := range l.shards {
 		s := l.shards[i].Load()
 		s.mu.Lock()
-		done.Count += s.abandon(a)
+		done.Count += s.abandon(at, a)
 		s.mu.Unlock()
 	}
 	return done
--- a/internal/control/ledger/shard.go
+++ b/internal/control/ledger/shard.go
@@ -141,7 +141,9 @@
 	return r.result(Digest{}, c.Attempt)
 }
 
-func (s *shard) abandon(a *Abandon) int {
+// abandon returns how many claims it made unknown; those whose time had come
+// aren't counted, because replicas may have handled them already.
+func (s *shard) abandon(at int64, a *Abandon) int {
 	if a.Incarnation <= s.fences[a.Entry] {
 		return 0
 	}
@@ -152,8 +154,10 @@
 			continue
 		}
 		for r := range records {
+			if r.expires > at {
+				count++
+			}
 			s.settleUnknown(r)
-			count++
 		}
 	}
 	return count
