--- a/internal/base/event/callers.go
+++ b/internal/base/event/callers.go
@@ -24,8 +24,8 @@
 	StreamRejected = define(511, log.WarnLevel, "stream-rejected", "An engine sent what does not belong to the attempt, or ended early; nothing of it was passed on.")
 	// StreamCancelled is written when a run is cancelled because its caller went away.
 	StreamCancelled = define(512, log.InfoLevel, "stream-cancelled", "The caller went away; the run is cancelled at the engine.")
-	// RequestRefused is written for each refusal to a caller.
-	RequestRefused = define(520, log.InfoLevel, "request-refused", "A request was refused; the fields give status, code and verdict.")
+	// CallerRefused is written for each refusal to a caller.
+	CallerRefused = define(520, log.InfoLevel, "caller-refused", "A request was refused; the fields give status, code and verdict.")
 	// RequestServed is written for each answered request.
 	RequestServed = define(521, log.InfoLevel, "request-served", "A request was answered whole.")
 )
--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/base/verdict"
 )
 
 // book is a Machine that keeps the commands in order, each once.
@@ -165,13 +166,28 @@
 	return rest
 }
 
-// write proposes at whoever leads among the nodes until it is committed.
+// write proposes at whoever leads among the nodes until it is committed. A
+// commit that is unknown, as after a change of the leader on a busy machine,
+// is read back before the next try, so that each word is written once.
 func (c *cluster) write(command string, among ...*node) {
 	c.t.Helper()
+	unknown := false
 	c.until("commit of "+command, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
-		_, err := c.leader(among...).replica.Propose(ctx, []byte(command))
+		n := c.leader(among...)
+		if unknown {
+			i, err := n.replica.ReadIndex(ctx)
+			if err != nil || n.replica.WaitApplied(ctx, i) != nil {
+				return false
+			}
+			words := strings.Fields(n.book.text())
+			if len(words) > 0 && words[len(words)-1] == command {
+				return true
+			}
+		}
+		_, err := n.replica.Propose(ctx, []byte(command))
+		unknown = err != nil && verdict.Of(err) != verdict.NotRun
 		return err == nil
 	})
 }
--- a/internal/entry/caller/event_writer.go
+++ b/internal/entry/caller/event_writer.go
@@ -49,5 +49,5 @@
 	f["status"] = http.StatusOK
 	f["code"] = e.Code
 	f["verdict"] = e.Verdict.String()
-	event.RequestRefused.Write(x.handler.Logger, f)
+	event.CallerRefused.Write(x.handler.Logger, f)
 }
--- a/internal/entry/caller/exchange.go
+++ b/internal/entry/caller/exchange.go
@@ -131,7 +131,7 @@
 	if e.Cause != nil {
 		f["cause"] = e.Cause.Error()
 	}
-	event.RequestRefused.Write(x.handler.Logger, f)
+	event.CallerRefused.Write(x.handler.Logger, f)
 }
 
 // served logs an answered request.
