Claims of dead entries end as unknown; a thawed entry serves again

Ruled out: a time limit on each claim alone. A call may run for minutes, and its caller would be told too early that nobody knows.

Change: the control log's leader abandons the claims of an owner that has been without a settings lease at two looks in a row, after all leases of earlier terms have run out. An entry that the ledger refuses takes a new incarnation.

Conclusion: each open call of a dead entry reaches a final verdict; outcomes that come after all still count, and nothing is dispatched a second time.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -13,3 +13,9 @@
 	// SettingsNotApplied is written when an answer of the control log does not fit.
 	SettingsNotApplied = define(450, log.ErrorLevel, "settings-not-applied", "What the control log sent could not be applied; the entry asks again and takes no new work when its lease runs out.")
 )
+
+// Events of the control log's leader beside the replica's own, 350 to 359.
+var (
+	// ClaimsAbandoned is written when the leader gave up the claims of a dead entry.
+	ClaimsAbandoned = define(350, log.WarnLevel, "claims-abandoned", "An entry has been without a settings lease for long; the outcomes of its open calls are unknown from here on.")
+)
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -123,6 +123,8 @@
 		return codec.Marshal(l.countsOf(q.Counts.Workspace))
 	case q.Unknown != nil:
 		return codec.Marshal(l.unknowns(q.Unknown))
+	case q.Owners != nil:
+		return codec.Marshal(l.owners())
 	default:
 		return nil, fmt.Errorf("ledger: the query asks nothing")
 	}
--- a/internal/control/ledger/query.go
+++ b/internal/control/ledger/query.go
@@ -7,6 +7,7 @@
 	Lookup  *Lookup        `cbor:"lookup,omitempty"`
 	Counts  *CountsQuery   `cbor:"counts,omitempty"`
 	Unknown *UnknownsQuery `cbor:"unknown,omitempty"`
+	Owners  *OwnersQuery   `cbor:"owners,omitempty"`
 }
 
 // Lookup asks for one record and is answered by a Result.
--- a/internal/control/quic/server.go
+++ b/internal/control/quic/server.go
@@ -32,8 +32,16 @@
 	Config
 }
 
+// Leader is this process's replica while it leads.
+type Leader interface {
+	// Confirm returns the term in which a quorum confirmed this replica as the leader after the call began.
+	Confirm(ctx context.Context) (uint64, error)
+	// Propose commits a section's command here or at the leader.
+	Propose(ctx context.Context, section string, body []byte) ([]byte, error)
+}
+
 // Register adds the handlers of the control log to the node; it is called before the node serves.
-func Register(c Config) {
+func Register(c Config) Leader {
 	s := &server{Config: c}
 	rpc.Receive(c.Node, protocol.Message, func(_ rpc.Peer, m raft.Message) { c.Replica.Receive(m) })
 	rpc.Handle(c.Node, protocol.Probe, s.probe)
@@ -43,6 +51,19 @@
 	rpc.Handle(c.Node, protocol.Confirm, s.confirm)
 	rpc.Handle(c.Node, protocol.InForce, s.inForce)
 	rpc.Handle(c.Node, protocol.ChangeMember, s.changeMember)
+	return s
+}
+
+// Confirm implements Leader.
+func (s *server) Confirm(ctx context.Context) (uint64, error) {
+	l, err := s.leadership(ctx)
+	return l.term, err
+}
+
+// Propose implements Leader.
+func (s *server) Propose(ctx context.Context, section string, body []byte) ([]byte, error) {
+	a, err := s.propose(ctx, rpc.Peer{}, protocol.Proposal{Section: section, Body: body})
+	return a.Result, err
 }
 
 func (s *server) probe(context.Context, rpc.Peer, protocol.Empty) (replica.Formation, error) {
--- a/internal/entry/service/client.go
+++ b/internal/entry/service/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -29,6 +30,8 @@
 type client struct {
 	Config
 	transport http.RoundTripper
+	// incarnation is Config.Incarnation until the ledger refuses it.
+	incarnation atomic.Uint64
 	open      sync.WaitGroup
 	mu        sync.Mutex
 	flows     int
@@ -38,7 +41,7 @@
 func New(c Config) Client {
 	c = c.withDefaults()
 	dialer := &net.Dialer{Timeout: c.DialTimeout}
-	return &client{
+	k := &client{
 		Config: c,
 		transport: &http.Transport{
 			DialContext:            dialer.DialContext,
@@ -48,6 +51,8 @@
 			DisableCompression:     true,
 		},
 	}
+	k.incarnation.Store(c.Incarnation)
+	return k
 }
 
 // Call implements Client.
--- a/internal/entry/service/config.go
+++ b/internal/entry/service/config.go
@@ -44,6 +44,8 @@
 	MaxAnswer int64
 	// NewAttempt returns an id that is unique for ever; default 128 random bits.
 	NewAttempt func() string
+	// NewIncarnation returns a number larger than all earlier incarnations of this entry; default the wall clock in nanoseconds.
+	NewIncarnation func() uint64
 	// Now returns the time on a monotonic clock; default time.Now.
 	Now func() time.Time
 	// Wait returns after d or when ctx ends; default a timer.
@@ -63,6 +65,9 @@
 	if c.NewAttempt == nil {
 		c.NewAttempt = newAttempt
 	}
+	if c.NewIncarnation == nil {
+		c.NewIncarnation = func() uint64 { return uint64(time.Now().UnixNano()) }
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/entry/service/once.go
+++ b/internal/entry/service/once.go
@@ -80,12 +80,27 @@
 }
 
 // claim returns what the ledger says of this attempt.
+//
+// An entry that was frozen for long is taken for dead and its incarnation is
+// refused. When it goes on it would refuse every call until its restart, so it
+// takes a new incarnation and claims once more.
 func (f *flow) claim(ctx context.Context) (ledger.Result, error) {
+	incarnation := f.client.incarnation.Load()
+	result, err := f.claimAs(ctx, incarnation)
+	if err != nil || result.Kind != ledger.Stale {
+		return result, err
+	}
+	f.client.incarnation.CompareAndSwap(incarnation, f.client.NewIncarnation())
+	f.attempt = f.client.NewAttempt()
+	return f.claimAs(ctx, f.client.incarnation.Load())
+}
+
+func (f *flow) claimAs(ctx context.Context, incarnation uint64) (ledger.Result, error) {
 	result, err := f.client.propose(ctx, ledger.Command{Claim: &ledger.Claim{
 		Scope:       f.scope,
 		Digest:      f.digest,
 		Entry:       f.client.Entry,
-		Incarnation: f.client.Incarnation,
+		Incarnation: incarnation,
 		Attempt:     f.attempt,
 		Keep:        f.request.Rules.LedgerKeep,
 	}})
--- a/internal/process/control/control.go
+++ b/internal/process/control/control.go
@@ -14,6 +14,7 @@
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/control/quic"
+	"hornbeamwood/internal/control/reaper"
 	"hornbeamwood/internal/control/replica"
 	"hornbeamwood/internal/control/state"
 	"hornbeamwood/internal/node/keys"
@@ -55,6 +56,7 @@
 	node      rpc.Node
 	transport quic.Transport
 	replica   replica.Replica
+	reaper    reaper.Reaper
 	metrics   *metrics.Set
 	loops     sync.WaitGroup
 }
@@ -84,11 +86,13 @@
 		p.transport.Close()
 		return nil, errors.Join(err, p.node.Close())
 	}
-	quic.Register(quic.Config{
-		Node:    p.node,
-		Replica: p.replica,
-		Machine: m,
-		Leases:  quic.NewLeases(lease.NewHolders(entryNames(c.File)), c.Terms, time.Now),
+	leases := quic.NewLeases(lease.NewHolders(entryNames(c.File)), c.Terms, time.Now)
+	leader := quic.Register(quic.Config{Node: p.node, Replica: p.replica, Machine: m, Leases: leases})
+	p.reaper = reaper.New(reaper.Config{
+		Leader: leader,
+		Leases: leases,
+		Ledger: ledgerOf{machine: m, leader: leader},
+		Logger: c.Logger,
 	})
 	p.gauges()
 	return p, nil
@@ -138,6 +142,7 @@
 	p.loops.Go(func() {
 		keyring.Watch(serving, keyring.Config{Ring: p.ring, Files: p.files, Logger: p.config.Logger})
 	})
+	p.loops.Go(func() { p.reaper.Run(serving) })
 	if err := p.servePlatform(serving); err != nil {
 		return err
 	}
