Focused proofs of the consensus core; smaller heartbeats

Identities and founding ids have 16 digits, heartbeats go without the sender's address, and no message carries its name. The test state machine takes each command once: a command with an unknown outcome is sent again, and under load one was counted twice.

--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -146,7 +146,7 @@
 			return &Corruption{Path: s.config.Files.Path(ownerName), Reason: "the identity is missing beside " + n}
 		}
 	}
-	b := make([]byte, 16)
+	b := make([]byte, 8)
 	if _, err := io.ReadFull(s.config.Random, b); err != nil {
 		return fmt.Errorf("disk: draw an identity: %w", err)
 	}
--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -166,8 +166,9 @@
 	m.Group = r.config.Group
 	m.Founding = r.config.Founding
 	m.From = r.self()
-	m.Address = r.config.Self.Address
-	m.Name = r.config.Self.Name
+	if m.Kind != MessageHeartbeat && m.Kind != MessageHeartbeatResponse {
+		m.Address = r.config.Self.Address
+	}
 	if m.Term == 0 {
 		m.Term = r.term
 	}
--- /dev/null
+++ b/internal/control/raft/core_test.go
@@ -0,0 +1,276 @@
+package raft_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+
+	"hornbeamwood/internal/control/raft"
+)
+
+// trio is three voters and a learner.
+func trio() raft.Configuration {
+	return raft.NewConfiguration(
+		raft.Member{Name: "a", Identity: "a", Address: "10.0.0.1:1", Voter: true},
+		raft.Member{Name: "b", Identity: "b", Address: "10.0.0.2:1", Voter: true},
+		raft.Member{Name: "c", Identity: "c", Address: "10.0.0.3:1", Voter: true},
+		raft.Member{Name: "l", Identity: "l", Address: "10.0.0.4:1"},
+	)
+}
+
+// commands returns entries of the given terms from index 1 on.
+func commands(terms ...uint64) []raft.Entry {
+	var all []raft.Entry
+	for i, term := range terms {
+		all = append(all, raft.Entry{Index: uint64(i) + 1, Term: term, Data: edit(0, uint64(i))})
+	}
+	return all
+}
+
+// replicaA returns the core of a with the given log.
+func replicaA(term uint64, initial raft.Configuration, entries []raft.Entry) raft.Core {
+	return raft.New(raft.Config{
+		Founding: "f", Self: raft.Member{Identity: "a", Address: "10.0.0.1:1"}, Initial: initial,
+		HardState: raft.HardState{Term: term}, Entries: entries, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+}
+
+// flush carries out all effects at once and returns them joined.
+func flush(c raft.Core) raft.Effects {
+	var all raft.Effects
+	for {
+		e := c.Effects()
+		if e.Empty() {
+			return all
+		}
+		c.Persisted()
+		all.Early = append(all.Early, e.Early...)
+		all.Messages = append(all.Messages, e.Messages...)
+		all.Entries = append(all.Entries, e.Entries...)
+		all.Committed = append(all.Committed, e.Committed...)
+		all.Reads = append(all.Reads, e.Reads...)
+		if e.Install != nil {
+			all.Install = e.Install
+		}
+	}
+}
+
+// from returns m as b, or another, would send it to a.
+func from(id raft.Identity, m raft.Message) raft.Message {
+	m.From, m.To, m.Founding = id, "a", "f"
+	return m
+}
+
+// timeOut lets time pass until the core campaigns.
+func timeOut(c raft.Core) {
+	for c.Status().Role == raft.Follower {
+		c.Tick()
+	}
+}
+
+// elect makes a the leader of the term after its own, with the vote of b.
+func elect(t *testing.T, c raft.Core) uint64 {
+	t.Helper()
+	timeOut(c)
+	term := c.Status().Term + 1
+	c.Step(from("b", raft.Message{Kind: raft.MessagePreVoteResponse, Term: term}))
+	flush(c)
+	c.Step(from("b", raft.Message{Kind: raft.MessageVoteResponse, Term: term}))
+	flush(c)
+	if s := c.Status(); s.Role != raft.Leader || s.Term != term {
+		t.Fatalf("not elected: %+v", s)
+	}
+	return term
+}
+
+func acknowledge(c raft.Core, id raft.Identity, term, index uint64) {
+	c.Step(from(id, raft.Message{Kind: raft.MessageAppendResponse, Term: term, Index: index}))
+}
+
+// A leader finds an entry of an earlier term on a majority of disks. Another
+// replica may still be elected that lacks it and overwrite it; a caller who
+// was told that it is accepted would see it vanish.
+func TestEntryOfEarlierTermIsNotCommittedByCounting(t *testing.T) {
+	c := replicaA(3, trio(), commands(1, 2))
+	term := elect(t, c)
+	acknowledge(c, "b", term, 2)
+	if got := c.Status().Commit; got != 0 {
+		t.Fatalf("commit %d by entries of earlier terms", got)
+	}
+	acknowledge(c, "b", term, 3)
+	if got := c.Status().Commit; got != 3 {
+		t.Errorf("commit %d after the leader's own entry", got)
+	}
+}
+
+// A leader's own disk is slower than the others'. Counting itself before its
+// sync would accept an edit that one disk holds; both others could then elect
+// a leader without it.
+func TestLeaderCountsItselfAfterItsSync(t *testing.T) {
+	c := replicaA(1, trio(), nil)
+	term := elect(t, c)
+	acknowledge(c, "b", term, 1)
+	flush(c)
+	if _, _, err := c.Propose([][]byte{edit(0, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Effects()
+	acknowledge(c, "b", term, 2)
+	if got := c.Status().Commit; got != 1 {
+		t.Fatalf("commit %d while the leader's own entry is not synced", got)
+	}
+	c.Persisted()
+	if got := c.Status().Commit; got != 2 {
+		t.Errorf("commit %d after the sync", got)
+	}
+}
+
+// A snapshot message is late: the follower has got the entries behind it from
+// the log meanwhile and has acknowledged them. Installing it would drop them,
+// and with them an edit that was accepted because this disk holds it.
+func TestLateSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	c := replicaA(1, trio(), nil)
+	c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 1, Entries: commands(1, 1, 1, 1, 1), Commit: 2}))
+	flush(c)
+	meta := raft.SnapshotMeta{Index: 3, Term: 1, Configuration: trio()}.WithData([]byte("x"))
+	c.Step(from("b", raft.Message{Kind: raft.MessageSnapshot, Term: 1, Snapshot: &meta, Data: []byte("x")}))
+	if e := flush(c); e.Install != nil {
+		t.Error("the late snapshot was installed")
+	}
+	if s := c.Status(); s.Last != 5 || s.Commit != 3 {
+		t.Errorf("last %d, commit %d", s.Last, s.Commit)
+	}
+}
+
+// Operators change the members just after an election, or twice at once. Two
+// configurations that each have a quorum of their own could accept different
+// edits under one number.
+func TestMembershipChangesOneAtATime(t *testing.T) {
+	c := replicaA(1, trio(), nil)
+	term := elect(t, c)
+	add := raft.AddLearner(raft.Member{Name: "d", Identity: "d", Address: "10.0.0.5:1"})
+	if _, _, err := c.Change(add); !errors.Is(err, raft.ErrChangePending) {
+		t.Errorf("before the leader's own entry is committed: %v", err)
+	}
+	acknowledge(c, "b", term, 1)
+	if _, _, err := c.Change(add); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := c.Change(raft.Remove("l")); !errors.Is(err, raft.ErrChangePending) {
+		t.Errorf("while a change is not committed: %v", err)
+	}
+	flush(c)
+	acknowledge(c, "b", term, 2)
+	if _, _, err := c.Change(raft.Promote("d")); !errors.Is(err, raft.ErrNotCaughtUp) {
+		t.Errorf("a learner without the log: %v", err)
+	}
+	two := func(latest raft.Configuration) (raft.Configuration, error) {
+		return latest.Without("b").Without("c"), nil
+	}
+	if _, _, err := c.Change(two); !errors.Is(err, raft.ErrSeveralVoters) {
+		t.Errorf("two voters at once: %v", err)
+	}
+}
+
+// A replica alone with a learner is elected by itself at once. Were its first
+// append to leave before its term is on disk, it could crash, lead the same
+// term again and send other entries under the same numbers.
+func TestNothingLeavesBeforeTheTermIsOnDisk(t *testing.T) {
+	c := replicaA(1, trio().Without("b").Without("c"), nil)
+	timeOut(c)
+	e := c.Effects()
+	if e.HardState == nil || len(e.Early) > 0 || len(e.Messages) == 0 {
+		t.Errorf("hard state %v, %d messages before it, %d after", e.HardState, len(e.Early), len(e.Messages))
+	}
+}
+
+// Answers come from replicas without a vote: a learner, a removed one, or one
+// that lost its disk and answers under a new identity. Counted, they would let
+// a leader be elected, or an edit be accepted, without a quorum.
+func TestOnlyVotersCount(t *testing.T) {
+	c := replicaA(1, trio(), nil)
+	timeOut(c)
+	for _, id := range []raft.Identity{"l", "x"} {
+		c.Step(from(id, raft.Message{Kind: raft.MessagePreVoteResponse, Term: 2}))
+	}
+	if s := c.Status(); s.Role != raft.PreCandidate || s.Term != 1 {
+		t.Fatalf("elected by others than voters: %+v", s)
+	}
+	term := elect(t, c)
+	acknowledge(c, "l", term, 1)
+	acknowledge(c, "x", term, 1)
+	if got := c.Status().Commit; got != 0 {
+		t.Errorf("commit %d without a quorum of voters", got)
+	}
+}
+
+// A VM is replaced under its old address, and messages to the former disk, of
+// another group or of another founding still arrive there.
+func TestMessagesForOthersAreNotTaken(t *testing.T) {
+	vote := from("b", raft.Message{Kind: raft.MessageVote, Term: 5, Transfer: true})
+	for _, change := range []func(*raft.Message){
+		func(m *raft.Message) { m.To = "old-a" },
+		func(m *raft.Message) { m.Founding = "g" },
+		func(m *raft.Message) { m.Group = 1 },
+		func(m *raft.Message) { m.From = "a" },
+	} {
+		c := replicaA(1, trio(), nil)
+		m := vote
+		change(&m)
+		c.Step(m)
+		if e := flush(c); len(e.Messages) > 0 || c.Status().Term != 1 {
+			t.Errorf("%+v was taken", m)
+		}
+	}
+}
+
+// A replica that was removed, or hears nothing, asks for votes while the
+// leader works. Were it answered, the leader would be deposed again and again
+// and operators' edits refused each time.
+func TestVotesAreRefusedWhileTheLeaderIsHeard(t *testing.T) {
+	c := replicaA(1, trio(), nil)
+	c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 1}))
+	flush(c)
+	c.Step(from("c", raft.Message{Kind: raft.MessageVote, Term: 9}))
+	if e := flush(c); len(e.Messages) > 0 || c.Status().Term != 1 {
+		t.Errorf("a vote was answered while the leader is heard: %+v", c.Status())
+	}
+	c.Step(from("c", raft.Message{Kind: raft.MessageVote, Term: 9, Transfer: true}))
+	if flush(c); c.Status().Term != 9 {
+		t.Error("a vote that the leader asked for was passed over")
+	}
+}
+
+// A membership change is replaced by another leader's entry before it is
+// committed; who went on with it would count votes in a group that never was.
+func TestReplacedMembershipChangeIsForgotten(t *testing.T) {
+	leader := replicaA(1, trio(), nil)
+	term := elect(t, leader)
+	acknowledge(leader, "b", term, 1)
+	if _, _, err := leader.Change(raft.Remove("c")); err != nil {
+		t.Fatal(err)
+	}
+	e := flush(leader)
+	if leader.Status().Configuration.Voters() != 2 {
+		t.Fatal("the change is not in force at the leader")
+	}
+	index := e.Entries[len(e.Entries)-1].Index
+	leader.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: term + 1, Index: index - 1, LogTerm: term, Entries: []raft.Entry{{Index: index, Term: term + 1, Kind: raft.EntryNoop}}}))
+	if got := leader.Status().Configuration.Voters(); got != 3 {
+		t.Errorf("%d voters after the change was replaced", got)
+	}
+}
+
+// A peer sends entries with a gap, or a heartbeat that names entries which
+// this replica does not have; neither may be counted as its log.
+func TestMalformedAppendIsPassedOver(t *testing.T) {
+	c := replicaA(1, trio(), nil)
+	c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 1, Entries: []raft.Entry{{Index: 2, Term: 1}}, Commit: 2}))
+	c.Step(from("b", raft.Message{Kind: raft.MessageHeartbeat, Term: 1, Commit: 7}))
+	c.Step(from("b", raft.Message{Kind: raft.MessageSnapshot, Term: 1}))
+	c.Step(from("b", raft.Message{Kind: 99, Term: 1}))
+	flush(c)
+	if s := c.Status(); s.Last != 0 || s.Commit != 0 {
+		t.Errorf("last %d, commit %d", s.Last, s.Commit)
+	}
+}
--- a/internal/control/raft/message.go
+++ b/internal/control/raft/message.go
@@ -40,10 +40,8 @@
 	From Identity `cbor:"from"`
 	// To is the receiver; a replica that came back with another disk under the same address does not take it.
 	To Identity `cbor:"to"`
-	// Address is the sender's, for a receiver that does not know the sender yet.
+	// Address is the sender's, for a receiver that does not know the sender yet; heartbeats go without it.
 	Address string `cbor:"address,omitempty"`
-	// Name is the sender's name, for a receiver that does not know the sender yet.
-	Name string `cbor:"name,omitempty"`
 	// Term is the sender's term; in a pre-vote the one it would campaign in.
 	Term uint64 `cbor:"term"`
 	// Index is the entry before Entries, the candidate's last entry, the last entry that matches, or in a heartbeat the leader's commit index.
--- a/internal/control/raft/step.go
+++ b/internal/control/raft/step.go
@@ -38,7 +38,7 @@
 	}
 	leader, address := None, ""
 	if fromLeader(m.Kind) {
-		leader, address = m.From, m.Address
+		leader, address = m.From, r.addressOf(m)
 	}
 	r.follow(m.Term, leader, address)
 	return true
@@ -90,12 +90,25 @@
 	}
 }
 
+// addressOf returns where the sender is reached.
+func (r *core) addressOf(m Message) string {
+	if m.Address != "" {
+		return m.Address
+	}
+	if m.From == r.leader {
+		return r.leaderAddress
+	}
+	sender, _ := r.log.configuration().Member(m.From)
+	return sender.Address
+}
+
 // hear notes that the leader of the term is alive.
 func (r *core) hear(m Message) {
+	address := r.addressOf(m)
 	if r.role != Follower {
-		r.follow(r.term, m.From, m.Address)
+		r.follow(r.term, m.From, address)
 	}
-	r.leader, r.leaderAddress = m.From, m.Address
+	r.leader, r.leaderAddress = m.From, address
 	r.elapsed = 0
 	if m.Kind == MessageSnapshot {
 		return
--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -12,7 +13,8 @@
 	"hornbeamwood/internal/base/codec"
 )
 
-// book is a Machine that keeps the commands in order, each once.
+// book is a Machine that keeps the commands in order, each once: a test that
+// sends a command again after an unknown outcome must not count it twice.
 type book struct {
 	mu    sync.Mutex
 	lines []string
@@ -21,7 +23,9 @@
 func (b *book) Apply(_ uint64, command []byte) []byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lines = append(b.lines, string(command))
+	if !slices.Contains(b.lines, string(command)) {
+		b.lines = append(b.lines, string(command))
+	}
 	return binary.BigEndian.AppendUint64(nil, uint64(len(b.lines)))
 }
 
--- a/internal/control/replica/former.go
+++ b/internal/control/replica/former.go
@@ -154,7 +154,7 @@
 	if !first || !among {
 		return disk.Founding{}, nil
 	}
-	b := make([]byte, 16)
+	b := make([]byte, 8)
 	if _, err := crand.Read(b); err != nil {
 		return disk.Founding{}, err
 	}
