Settings: the line index of a TOML text is bounded in depth

Cause: the index that finds the line of a key kept each prefix of a dotted key.

Change: keys are indexed by their first 16 parts; deeper ones have the line of those.

Ruled out: a limit in the parser of the library; it has one for arrays and inline tables (10,000) and none for keys.

--- a/internal/settings/tomlfile/lines.go
+++ b/internal/settings/tomlfile/lines.go
@@ -11,6 +11,11 @@
 // arrays of tables are counted from 0, as in "control[1].name".
 type Lines map[string]int
 
+// maxParts is the number of parts of a key beyond which its line is that of
+// the parts before. Each part makes a longer key; a hostile text of a million
+// parts would fill the memory of the process.
+const maxParts = 16
+
 // LinesOf returns the Lines of a TOML text, those before the first fault when it has one.
 func LinesOf(data []byte) Lines {
 	l := Lines{}
@@ -49,7 +54,7 @@
 func (l Lines) add(p *unstable.Parser, e *unstable.Node, prefix string) string {
 	line := 0
 	key := prefix
-	for it := e.Key(); it.Next(); {
+	for it, parts := e.Key(), 0; parts < maxParts && it.Next(); parts++ {
 		n := it.Node()
 		if line == 0 {
 			line = p.Shape(n.Raw).Start.Line
@@ -80,7 +85,7 @@
 }
 
 func (l Lines) addInline(p *unstable.Parser, v *unstable.Node, key string) {
-	if v.Kind != unstable.InlineTable {
+	if v.Kind != unstable.InlineTable || strings.Count(key, ".") >= maxParts {
 		return
 	}
 	for it := v.Children(); it.Next(); {
