--- a/internal/cli/settings/edit.go
+++ b/internal/cli/settings/edit.go
@@ -90,7 +90,7 @@
 
 func (c Config) read() ([]byte, error) {
 	if c.File == "" {
-		return nil, usage("FILE", "a TOML file is needed, or - for the standard input")
+		return nil, usage("FILE", "a TOML file is needed")
 	}
 	if c.File == "-" {
 		return io.ReadAll(c.Stdin)
--- a/internal/entry/operator/body.go
+++ b/internal/entry/operator/body.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/settings/tomlfile"
 	"hornbeamwood/internal/settings/tree"
 )
 
@@ -56,6 +57,13 @@
 }
 
 // invalid returns err, the faults of an edit that no log has seen, as an answer.
+//
+// A body of 4 MiB can hold a hundred thousand faults; shown whole, they would
+// fill the log and the operator's screen.
 func invalid(err error) error {
+	var problems tomlfile.Problems
+	if errors.As(err, &problems) {
+		err = problems.Shown()
+	}
 	return verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, "invalid-settings", "the edit is not valid").WithCause(err)
 }
--- a/internal/entry/operator/edit.go
+++ b/internal/entry/operator/edit.go
@@ -124,8 +124,9 @@
 	v := h.Settings.View()
 	if e.Base == v.Revision() {
 		if _, _, err := section.Check(v.Tree, e); err != nil {
+			err = invalid(err)
 			h.refused(e, err)
-			return invalid(err)
+			return err
 		}
 	}
 	body, err := codec.Marshal(e)
--- a/internal/entry/operator/operator_test.go
+++ b/internal/entry/operator/operator_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/settings/tomlfile"
 )
 
 func TestBootstrapKeyWorksUntilThereAreOperators(t *testing.T) {
@@ -158,6 +159,21 @@
 	}
 }
 
+// A file of another program is sent by mistake, with a fault in each line. The
+// answer shows the first and how many more there are.
+func TestManyFaultsAreCutShort(t *testing.T) {
+	b := ready(t)
+	var body strings.Builder
+	for i := range 100 {
+		fmt.Fprintf(&body, "x%d = 1\n", i)
+	}
+	w := b.send("PATCH", "/settings", "ana-key", "x", `"1"`, body.String())
+	if n := strings.Count(w.Body.String(), `"line"`); n != tomlfile.MaxShown {
+		t.Errorf("%d faults are shown", n)
+	}
+	expect(t, w, 422, verdict.NotRun, "and 68 more")
+}
+
 func TestMediaTypes(t *testing.T) {
 	b := ready(t)
 	r := httptest.NewRequest("PUT", "/settings", strings.NewReader("priority=1"))
--- a/internal/settings/section/section.go
+++ b/internal/settings/section/section.go
@@ -123,7 +123,7 @@
 		if !errors.As(err, &reasons) {
 			reasons = tomlfile.Problems{{Message: err.Error()}}
 		}
-		return Outcome{Kind: Refused, Revision: s.revision, Reasons: reasons}, nil, s.tree
+		return Outcome{Kind: Refused, Revision: s.revision, Reasons: reasons.Shown()}, nil, s.tree
 	}
 	return Outcome{Kind: Accepted, Revision: s.revision + 1}, effects, next
 }
--- a/internal/settings/section/section_test.go
+++ b/internal/settings/section/section_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"hornbeamwood/internal/settings/tomlfile"
 	"hornbeamwood/internal/settings/tree"
 )
 
@@ -204,3 +205,17 @@
 		t.Errorf("changes beyond the history: %d whole, %d changes", len(c.Whole), len(c.Changes))
 	}
 }
+
+// An edit makes hundreds of branches invalid at once. Its outcome is kept for
+// resends and stands in every snapshot, so it holds the first faults only.
+func TestReasonsAreBounded(t *testing.T) {
+	s := ready(t)
+	e := Edit{ID: "many", Base: 1, Operator: "ana"}
+	for i := range 300 {
+		e.Changes = append(e.Changes, tree.Change{Action: tree.Create, Path: tree.ModelPath(fmt.Sprint("m", i))})
+	}
+	o := apply(t, s, e)
+	if o.Kind != Refused || len(o.Reasons) != tomlfile.MaxShown+1 || o.Reasons[tomlfile.MaxShown].Message != "and 268 more" {
+		t.Errorf("%s, %d reasons", o.Kind, len(o.Reasons))
+	}
+}
--- a/internal/settings/tomlfile/problem.go
+++ b/internal/settings/tomlfile/problem.go
@@ -48,6 +48,18 @@
 	return strings.Join(lines, "\n")
 }
 
+// MaxShown is the number of problems that are kept and shown of one file or edit.
+const MaxShown = 32
+
+// Shown returns the first problems and, where there are more than MaxShown, how many more there are.
+func (p Problems) Shown() Problems {
+	if len(p) <= MaxShown {
+		return p
+	}
+	shown := append(Problems(nil), p[:MaxShown]...)
+	return append(shown, Problem{Message: fmt.Sprintf("and %d more", len(p)-MaxShown)})
+}
+
 // Err returns p as an error, nil when there is no problem.
 func (p Problems) Err() error {
 	if len(p) == 0 {
