Verbs settings and check

Change: hornbeamwood settings get|set|unset|apply|explain|history|diff and hornbeamwood check. Mistakes in flags, arguments and files exit with 2.

--- a/cmd/hornbeamwood/main.go
+++ b/cmd/hornbeamwood/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"hornbeamwood/internal/cli/settings"
 	"hornbeamwood/internal/settings/tomlfile"
 )
 
@@ -30,7 +31,7 @@
 	flaggy.SetVersion("")
 	flaggy.DefaultParser.ShowHelpOnUnexpected = true
 	var verbs []verb
-	for _, add := range []func() []verb{entryVerb, controlVerb, keysVerbs} {
+	for _, add := range []func() []verb{entryVerb, controlVerb, keysVerbs, settingsVerbs, checkVerbs} {
 		verbs = append(verbs, add()...)
 	}
 	flaggy.Parse()
@@ -60,8 +61,9 @@
 	}
 	fmt.Fprintln(os.Stderr, "hornbeamwood:", err)
 	var u usageError
+	var s settings.UsageError
 	var p tomlfile.Problems
-	if errors.As(err, &u) || errors.As(err, &p) {
+	if errors.As(err, &u) || errors.As(err, &s) || errors.As(err, &p) {
 		return exitUsage
 	}
 	return exitFailed
