Operators see where the deployment stands and resolve unknown calls

GET /status shows control replicas, entries with their settings leases, backend servers, and counts of the ledger; GET /ledger/unknown and POST /ledger/resolve take what an operator found out about a call whose outcome nobody knows.

--- /dev/null
+++ b/internal/cli/status/doc.go
@@ -0,0 +1,2 @@
+// Package status is the command line's view of a deployment.
+package status
--- a/internal/control/protocol/lease.go
+++ b/internal/control/protocol/lease.go
@@ -36,3 +36,23 @@
 	Name:  "control-in-force",
 	Roles: []keys.Role{keys.Entry, keys.Control},
 }
+
+// HolderRevision is one entry that holds a settings lease, with the revision that it has applied.
+type HolderRevision struct {
+	// Holder is the entry.
+	Holder lease.Holder `cbor:"holder"`
+	// Revision is what it has applied.
+	Revision uint64 `cbor:"revision"`
+}
+
+// HolderList answers Holders.
+type HolderList struct {
+	// Holders are the entries whose lease has not run out, as the leader knows them.
+	Holders []HolderRevision `cbor:"holders"`
+}
+
+// Holders asks the leader which entries hold a settings lease; other replicas pass it on.
+var Holders = rpc.Method[Empty, HolderList]{
+	Name:  "control-holders",
+	Roles: []keys.Role{keys.Entry, keys.Control},
+}
--- a/internal/control/quic/leases.go
+++ b/internal/control/quic/leases.go
@@ -1,6 +1,8 @@
 package quic
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"hornbeamwood/internal/control/protocol"
@@ -13,8 +15,8 @@
 	Renew(term uint64, r protocol.Report)
 	// InForce returns whether a revision is in force everywhere, after a quorum has confirmed the leader of the term.
 	InForce(term, revision uint64) lease.Force
-	// Live returns the entries whose lease has not run out.
-	Live() []lease.Holder
+	// Live returns the entries whose lease has not run out, with the revisions that they have applied.
+	Live() []protocol.HolderRevision
 }
 
 // Terms tells what the settings say of leases.
@@ -45,10 +47,11 @@
 }
 
 // Live implements Leases.
-func (l *leases) Live() []lease.Holder {
-	var all []lease.Holder
-	for h := range l.holders.Applied(l.now()) {
-		all = append(all, h)
+func (l *leases) Live() []protocol.HolderRevision {
+	var all []protocol.HolderRevision
+	for h, n := range l.holders.Applied(l.now()) {
+		all = append(all, protocol.HolderRevision{Holder: h, Revision: n})
 	}
+	slices.SortFunc(all, func(a, b protocol.HolderRevision) int { return cmp.Compare(a.Holder.Name, b.Holder.Name) })
 	return all
 }
--- a/internal/control/quic/server.go
+++ b/internal/control/quic/server.go
@@ -50,6 +50,7 @@
 	rpc.Handle(c.Node, protocol.Read, s.read)
 	rpc.Handle(c.Node, protocol.Confirm, s.confirm)
 	rpc.Handle(c.Node, protocol.InForce, s.inForce)
+	rpc.Handle(c.Node, protocol.Holders, s.holders)
 	rpc.Handle(c.Node, protocol.ChangeMember, s.changeMember)
 	return s
 }
@@ -156,6 +157,18 @@
 	return rpc.Call(ctx, s.Node, leader, protocol.InForce, q)
 }
 
+func (s *server) holders(ctx context.Context, _ rpc.Peer, q protocol.Empty) (protocol.HolderList, error) {
+	_, err := s.leadership(ctx)
+	if err == nil {
+		return protocol.HolderList{Holders: s.Leases.Live()}, nil
+	}
+	leader, ok := otherLeader(err)
+	if !ok {
+		return protocol.HolderList{}, err
+	}
+	return rpc.Call(ctx, s.Node, leader, protocol.Holders, q)
+}
+
 // leadership is a moment at which a quorum confirmed this replica as leader of a term.
 type leadership struct {
 	term, index uint64
--- a/internal/control/reaper/reaper.go
+++ b/internal/control/reaper/reaper.go
@@ -8,6 +8,7 @@
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/control/ledger"
+	"hornbeamwood/internal/control/protocol"
 	"hornbeamwood/internal/settings/lease"
 )
 
@@ -29,7 +30,7 @@
 	// InForce is true for revision 0 once every lease of an earlier term has run out.
 	InForce(term, revision uint64) lease.Force
 	// Live returns the entries whose lease has not run out.
-	Live() []lease.Holder
+	Live() []protocol.HolderRevision
 }
 
 // Ledger is the record of calls.
@@ -115,7 +116,7 @@
 func (r *reaper) dead(owners []ledger.Owner) []ledger.Owner {
 	live := make(map[string]bool)
 	for _, h := range r.Leases.Live() {
-		live[h.Name] = true
+		live[h.Holder.Name] = true
 	}
 	missed := make(map[ledger.Owner]int)
 	var dead []ledger.Owner
--- a/internal/control/reaper/reaper_test.go
+++ b/internal/control/reaper/reaper_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"hornbeamwood/internal/control/ledger"
+	"hornbeamwood/internal/control/protocol"
 	"hornbeamwood/internal/settings/lease"
 )
 
@@ -14,14 +15,14 @@
 	term      uint64
 	err       error
 	settled   bool
-	live      []lease.Holder
+	live      []protocol.HolderRevision
 	owners    []ledger.Owner
 	abandoned []ledger.Owner
 }
 
 func (f *fakeControl) Confirm(context.Context) (uint64, error)        { return f.term, f.err }
 func (f *fakeControl) InForce(uint64, uint64) lease.Force             { return lease.Force{InForce: f.settled} }
-func (f *fakeControl) Live() []lease.Holder                           { return f.live }
+func (f *fakeControl) Live() []protocol.HolderRevision                { return f.live }
 func (f *fakeControl) Owners(context.Context) ([]ledger.Owner, error) { return f.owners, nil }
 func (f *fakeControl) Abandon(_ context.Context, o ledger.Owner) error {
 	f.abandoned = append(f.abandoned, o)
@@ -33,7 +34,7 @@
 // entry that lives, or whose leader has just changed, must not lose its claims.
 func TestOnlyClaimsOfDeadEntriesAreAbandoned(t *testing.T) {
 	dead, alive := ledger.Owner{Entry: "entry-1", Incarnation: 4}, ledger.Owner{Entry: "entry-2", Incarnation: 5}
-	f := &fakeControl{term: 1, live: []lease.Holder{{Name: "entry-2", Incarnation: 5}}, owners: []ledger.Owner{dead, alive}}
+	f := &fakeControl{term: 1, live: []protocol.HolderRevision{{Holder: lease.Holder{Name: "entry-2", Incarnation: 5}}}, owners: []ledger.Owner{dead, alive}}
 	r := New(Config{Leader: f, Leases: f, Ledger: f})
 	look := func() { r.Look(context.Background()) }
 
--- /dev/null
+++ b/internal/entry/calls/doc.go
@@ -0,0 +1,3 @@
+// Package calls shows operators the non-idempotent calls whose outcome nobody
+// knows, and takes what they found out about them.
+package calls
--- a/internal/entry/control/client.go
+++ b/internal/entry/control/client.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/control/protocol"
+	"hornbeamwood/internal/control/replica"
 	"hornbeamwood/internal/control/state"
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/settings/lease"
@@ -42,6 +44,10 @@
 	ReadAll(ctx context.Context, r *protocol.Report, queries ...state.Query) (protocol.Answers, error)
 	// InForce returns whether a settings revision is in force everywhere.
 	InForce(ctx context.Context, revision uint64) (lease.Force, error)
+	// Holders returns the entries that hold a settings lease.
+	Holders(ctx context.Context) ([]protocol.HolderRevision, error)
+	// Statuses returns the status of each replica that answers, by the replica's address.
+	Statuses(ctx context.Context) map[string]replica.Status
 }
 
 type client struct {
@@ -94,6 +100,36 @@
 	})
 }
 
+// Holders implements Client.
+func (c *client) Holders(ctx context.Context) ([]protocol.HolderRevision, error) {
+	l, err := try(ctx, c, readTimeout, always, func(ctx context.Context, address string) (protocol.HolderList, error) {
+		return rpc.Call(ctx, c.config.Node, address, protocol.Holders, protocol.Empty{})
+	})
+	return l.Holders, err
+}
+
+// Statuses implements Client.
+func (c *client) Statuses(ctx context.Context) map[string]replica.Status {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	all := make(map[string]replica.Status)
+	for _, a := range c.config.Replicas {
+		asked.Go(func() {
+			s, err := rpc.Call(ctx, c.config.Node, a, protocol.Status, protocol.Empty{})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all[a] = s
+		})
+	}
+	asked.Wait()
+	return all
+}
+
 func onlyNotRun(err error) bool { return verdict.Of(err) == verdict.NotRun }
 
 func always(error) bool { return true }
--- a/internal/entry/operator/config.go
+++ b/internal/entry/operator/config.go
@@ -53,6 +53,8 @@
 	Lease Lease
 	// Force answers "?wait=in-force"; required.
 	Force Force
+	// Actions are further requests for operators.
+	Actions []Action
 	// BootstrapKeyDigest is the digest of the key that may edit while the tree has no operators; zero for none.
 	BootstrapKeyDigest digest.Digest
 	// Logger takes the events; nil for none.
--- a/internal/entry/operator/handler.go
+++ b/internal/entry/operator/handler.go
@@ -34,6 +34,9 @@
 	}
 	mux.Handle("GET /settings-history", h.known(h.history))
 	mux.Handle("GET /settings-diff", h.known(h.diff))
+	for _, a := range c.Actions {
+		mux.Handle(a.Pattern, h.known(a.Run))
+	}
 	return mux
 }
 
--- a/internal/entry/service/client.go
+++ b/internal/entry/service/client.go
@@ -32,9 +32,9 @@
 	transport http.RoundTripper
 	// incarnation is Config.Incarnation until the ledger refuses it.
 	incarnation atomic.Uint64
-	open      sync.WaitGroup
-	mu        sync.Mutex
-	flows     int
+	open        sync.WaitGroup
+	mu          sync.Mutex
+	flows       int
 }
 
 // New returns a Client; missing durations and sizes of c get their defaults.
--- /dev/null
+++ b/internal/entry/status/doc.go
@@ -0,0 +1,3 @@
+// Package status shows operators where the deployment stands, as one entry
+// sees it.
+package status
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -12,6 +12,7 @@
 	"hornbeamwood/internal/cache/store"
 	"hornbeamwood/internal/entry/backend"
 	"hornbeamwood/internal/entry/caller"
+	"hornbeamwood/internal/entry/calls"
 	"hornbeamwood/internal/entry/completion"
 	"hornbeamwood/internal/entry/control"
 	"hornbeamwood/internal/entry/engine"
@@ -19,6 +20,7 @@
 	"hornbeamwood/internal/entry/picker"
 	"hornbeamwood/internal/entry/service"
 	"hornbeamwood/internal/entry/settings"
+	"hornbeamwood/internal/entry/status"
 	"hornbeamwood/internal/fleet/membership"
 	fleetquic "hornbeamwood/internal/fleet/quic"
 	"hornbeamwood/internal/policy/admission"
@@ -139,10 +141,11 @@
 		Settings:           p.parts.settings,
 		Lease:              p.parts.settings,
 		Force:              p.parts.settings,
+		Actions:            p.actions(),
 		BootstrapKeyDigest: p.config.File.BootstrapOperatorKeyDigest,
 		Logger:             p.config.Logger,
 	})
-	for _, r := range operator.Routes {
+	for _, r := range append([]string{"/status", "/ledger/", "/quarantine"}, operator.Routes...) {
 		mux.Handle(r, o)
 	}
 	b, err := backend.NewHandler(backend.HandlerConfig{
@@ -161,6 +164,20 @@
 	return s
 }
 
+// actions returns what operators may ask beside the settings.
+func (p *process) actions() []operator.Action {
+	s := status.Action(status.Config{
+		Entry:       p.config.File.Name,
+		Replicas:    p.config.File.Control,
+		Control:     p.parts.control,
+		Settings:    p.parts.settings,
+		Servers:     p.parts.table,
+		Quarantined: func() int { return 0 },
+		Now:         time.Now,
+	})
+	return append(calls.Actions(p.parts.control), s)
+}
+
 // deleter deletes pieces at stores by the addresses that they announce.
 type deleter struct {
 	table  membership.Table
