Demo of a whole deployment in one process; lost servers are avoided at once

Cause of what the tour found: a lost server stays eligible until its last announcement is too old, and each request of those 2.5 s tried it first; the third was refused because the workspace's retry budget was spent. Ruled out: a larger budget, which would amplify an overload. A server that fails is now used last until it is heard of again. Log lines showed the plans in-memory and import by the same letter; they are m and i now.

--- /dev/null
+++ b/cmd/hornbeamwood/status.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"hornbeamwood/internal/cli/run"
+	"hornbeamwood/internal/cli/status"
+)
+
+func statusVerb() []verb {
+	c := status.Config{Entry: os.Getenv(entryVariable)}
+	f := &settingsFlags{}
+	s := subcommand("status", "shows replicas, entries, backend servers and calls, as one entry sees them")
+	s.String(&c.Entry, "e", "entry", "URL of any entry; "+entryVariable+" when left out")
+	s.String(&f.keyFile, "k", "key-file", "file with the operator's key; "+keyVariable+" when left out")
+	s.Bool(&c.JSON, "j", "json", "print the entry's JSON")
+	flaggy.AttachSubcommand(s, 1)
+	return []verb{{command: s, run: func() error {
+		if err := required("entry", c.Entry); err != nil {
+			return err
+		}
+		key, err := f.operatorKey()
+		if err != nil {
+			return err
+		}
+		c.Key = key
+		return status.Show(run.UntilSignal(), c, os.Stdout)
+	}}}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -50,7 +50,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := process.Run(ctx, k, f); err != nil {
+	if err := process.Run(ctx, k, f, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		return exitFailed
 	}
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,14 @@
+// Package examples holds the settings of the two example deployments.
+package examples
+
+import _ "embed"
+
+// Certilote is the settings tree of Recubrimientos Andinos Franquicias, TOML.
+//
+//go:embed certilote/tree.toml
+var Certilote []byte
+
+// Association is the settings tree of the Korea Time Signal Broadcasters Association, TOML.
+//
+//go:embed association/tree.toml
+var Association []byte
--- a/internal/entry/completion/again.go
+++ b/internal/entry/completion/again.go
@@ -13,6 +13,8 @@
 const (
 	codeCancelled = "caller-gone"
 	codeSilent    = "engine-silent"
+	// codeUnreachable is that of the engine client.
+	codeUnreachable = "engine-unreachable"
 )
 
 // again decides whether a failed attempt is followed by another one. It
--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -144,7 +144,11 @@
 	ctx = context.WithoutCancel(ctx)
 	r.begun(ctx, j, a)
 	identity := a.server.Announcement().Identity
-	r.Guard.Ended(ctx, r.Now(), j.fingerprint, identity, lostServer(cause))
+	lost := lostServer(cause)
+	if lost || unreachable(cause) {
+		r.losses.add(r.Now(), identity)
+	}
+	r.Guard.Ended(ctx, r.Now(), j.fingerprint, identity, lost)
 	if errors.Is(cause, io.EOF) {
 		r.exporter.begin(r, j, a)
 	}
@@ -160,6 +164,12 @@
 	return ok && e.Verdict == verdict.MayHaveRun && e.Code != codeCancelled && e.Code != codeSilent
 }
 
+// unreachable says whether no connection to the server could be made.
+func unreachable(cause error) bool {
+	e, ok := verdict.As(cause)
+	return ok && e.Code == codeUnreachable
+}
+
 // imports pins the pieces that the plan imports; one that can't be pinned is computed instead.
 func (r *router) imports(ctx context.Context, j *job, a *attempt) []importPiece {
 	var all []importPiece
--- a/internal/entry/completion/log.go
+++ b/internal/entry/completion/log.go
@@ -57,11 +57,14 @@
 	})
 }
 
+// planLetters stand for the sources of pieces in a log line.
+var planLetters = map[route.Source]byte{route.InMemory: 'm', route.Import: 'i', route.Recompute: 'r'}
+
 // plan returns one letter a piece: m in memory, i import, r recompute.
 func plan(steps []route.Step) string {
 	var b strings.Builder
 	for _, s := range steps {
-		b.WriteByte(s.Source.String()[0])
+		b.WriteByte(planLetters[s.Source])
 	}
 	return b.String()
 }
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -19,6 +19,7 @@
 	inFlight *inFlight
 	exporter *exporter
 	visits   *visits
+	losses   *losses
 }
 
 // New returns a Router.
@@ -29,6 +30,7 @@
 		inFlight: newInFlight(),
 		exporter: newExporter(c),
 		visits:   newVisits(),
+		losses:   newLosses(),
 	}
 }
 
--- a/internal/entry/completion/view.go
+++ b/internal/entry/completion/view.go
@@ -61,7 +61,7 @@
 		InFlight:      r.inFlight.of(a.Identity).With(peerBand, int32(p.PeerRequests), p.PeerTokens),
 		PriorityAware: true,
 		Reserve:       a.Role == reserveRole,
-		Suspect:       r.Guard.Alone(now, a.Identity),
+		Suspect:       r.Guard.Alone(now, a.Identity) || r.losses.since(now.Add(-s.Age(now)), a.Identity),
 	}
 	if c.Load.PrefillRate <= 0 {
 		c.Load.PrefillRate = assumedPrefillRate
--- a/internal/standin/engine/announce.go
+++ b/internal/standin/engine/announce.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"hornbeamwood/internal/standin/backend"
@@ -20,6 +22,7 @@
 	Role          string     `json:"role,omitempty"`
 	ChecksFencing bool       `json:"checks-fencing"`
 	LastOrder     string     `json:"last-order,omitempty"`
+	UptimeMillis  int64      `json:"uptime-millis"`
 	Load          loadReport `json:"load"`
 }
 
@@ -83,14 +86,24 @@
 		Address:       e.config.Address,
 		Kind:          "engine",
 		State:         state,
-		Holdings:      []holding{{Model: e.model, WeightVersion: e.weightVersion}},
+		Holdings:      e.holdings(),
 		Role:          e.role,
 		ChecksFencing: e.config.ChecksFencing,
 		LastOrder:     e.lastOrder,
+		UptimeMillis:  time.Since(e.config.Started).Milliseconds(),
 		Load:          e.laggingLoad(sequence),
 	}
 }
 
+func (e *engine) holdings() []holding {
+	all := make([]holding, 0, len(e.versions))
+	for m, v := range e.versions {
+		all = append(all, holding{Model: m, WeightVersion: v})
+	}
+	slices.SortFunc(all, func(a, b holding) int { return cmp.Compare(a.Model, b.Model) })
+	return all
+}
+
 // laggingLoad measures the load now and returns the newest measurement that is as old as the lag.
 func (e *engine) laggingLoad(sequence uint64) loadReport {
 	now := time.Now()
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -72,7 +72,8 @@
 	if e.leaving {
 		return "leaving"
 	}
-	if r.body.Model != e.model || version != "" && version != e.weightVersion {
+	held, ok := e.versions[r.body.Model]
+	if !ok || version != "" && version != held {
 		return "weight-version"
 	}
 	if _, ok := e.runs[r.attempt]; ok {
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -6,8 +6,9 @@
 type Config struct {
 	// Identity, Zone and Address are what the engine announces.
 	Identity, Zone, Address string
-	// Model and WeightVersion are what it holds at the start.
-	Model, WeightVersion string
+	// Models are what it holds at the start, all in WeightVersion.
+	Models        []string
+	WeightVersion string
 	// Role is what it announces as its role.
 	Role string
 	// PrefillRate is in prompt tokens a second.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -36,23 +36,22 @@
 	work   chan struct{}
 	loops  sync.WaitGroup
 
-	mu            sync.Mutex
-	random        *rand.Rand
-	runs          map[string]*run
-	waiting       []*run
-	order         uint64
-	running       int
-	queuedTokens  int64
-	cache         *cache
-	leaving       bool
-	model         string
-	weightVersion string
-	role          string
-	fencing       uint64
-	orders        map[string]*orderState
-	lastOrder     string
-	report        Report
-	loads         []loadReport
+	mu           sync.Mutex
+	random       *rand.Rand
+	runs         map[string]*run
+	waiting      []*run
+	order        uint64
+	running      int
+	queuedTokens int64
+	cache        *cache
+	leaving      bool
+	versions     map[string]string
+	role         string
+	fencing      uint64
+	orders       map[string]*orderState
+	lastOrder    string
+	report       Report
+	loads        []loadReport
 }
 
 const importTimeout = 30 * time.Second
@@ -61,19 +60,21 @@
 func New(c Config) Engine {
 	ctx, stop := context.WithCancel(context.Background())
 	e := &engine{
-		config:        c,
-		mux:           http.NewServeMux(),
-		client:        &http.Client{Timeout: importTimeout},
-		ctx:           ctx,
-		stop:          stop,
-		work:          make(chan struct{}, 1),
-		random:        rand.New(rand.NewPCG(c.Seed, 1)),
-		runs:          make(map[string]*run),
-		cache:         newCache(c.CachePieces),
-		model:         c.Model,
-		weightVersion: c.WeightVersion,
-		role:          c.Role,
-		orders:        make(map[string]*orderState),
+		config:   c,
+		mux:      http.NewServeMux(),
+		client:   &http.Client{Timeout: importTimeout},
+		ctx:      ctx,
+		stop:     stop,
+		work:     make(chan struct{}, 1),
+		random:   rand.New(rand.NewPCG(c.Seed, 1)),
+		runs:     make(map[string]*run),
+		cache:    newCache(c.CachePieces),
+		versions: make(map[string]string),
+		role:     c.Role,
+		orders:   make(map[string]*orderState),
+	}
+	for _, m := range c.Models {
+		e.versions[m] = c.WeightVersion
 	}
 	e.routes()
 	e.loops.Go(func() { e.prefillLoop() })
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -84,8 +84,10 @@
 	s.State = "done"
 	switch o.Kind {
 	case "load-weights":
-		e.model, e.weightVersion = o.Model, o.WeightVersion
+		e.versions[o.Model] = o.WeightVersion
 		e.cache.clear()
+	case "unload-weights":
+		delete(e.versions, o.Model)
 	case "set-role":
 		e.role = o.Role
 	}
--- a/internal/standin/process/builders.go
+++ b/internal/standin/process/builders.go
@@ -28,7 +28,7 @@
 		Identity:      f.Identity,
 		Zone:          f.Zone,
 		Address:       address,
-		Model:         f.Engine.Model,
+		Models:        f.Engine.Models,
 		WeightVersion: f.Engine.WeightVersion,
 		Role:          f.Engine.Role,
 		PrefillRate:   f.Engine.PrefillRate,
@@ -67,6 +67,7 @@
 	Kind        string    `json:"kind"`
 	State       string    `json:"state"`
 	Services    []string  `json:"services,omitempty"`
+	Uptime      int64     `json:"uptime-millis"`
 	Load        plainLoad `json:"load"`
 }
 
@@ -94,6 +95,7 @@
 		Address:     address,
 		Kind:        string(k),
 		State:       "ready",
+		Uptime:      time.Since(started).Milliseconds(),
 	}
 	if leaving.Load() {
 		p.State = "leaving"
--- a/internal/standin/process/file.go
+++ b/internal/standin/process/file.go
@@ -50,7 +50,7 @@
 
 // EngineFile is the engine table of a File.
 type EngineFile struct {
-	Model         string   `toml:"model"`
+	Models        []string `toml:"models"`
 	WeightVersion string   `toml:"weight-version"`
 	Role          string   `toml:"role"`
 	PrefillRate   float64  `toml:"prefill-rate"`
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -4,14 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"hornbeamwood/internal/standin/backend"
 )
 
+// ErrLost as the cause of a context's end makes a stand-in vanish as a lost VM would.
+var ErrLost = errors.New("standin: lost")
+
 // drainPoll is how often a leaving stand-in looks whether its last request has ended.
 const drainPoll = 20 * time.Millisecond
 
@@ -29,8 +32,8 @@
 	running      func() int
 }
 
-// Run serves the stand-in of the given kind until ctx ends, then leaves gracefully.
-func Run(ctx context.Context, k Kind, f File) error {
+// Run serves the stand-in of the given kind until ctx ends, then leaves gracefully; it writes one line to w when it serves.
+func Run(ctx context.Context, k Kind, f File, w io.Writer) error {
 	build, ok := builders[k]
 	if !ok {
 		return fmt.Errorf("standin: unknown kind %q", k)
@@ -43,7 +46,7 @@
 	h := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- h.Serve(l) }()
-	fmt.Fprintf(os.Stdout, "ready %s\n", l.Addr())
+	fmt.Fprintf(w, "ready %s\n", l.Addr())
 
 	a := backend.NewAnnouncer(backend.Config{Entries: f.Entries, Key: f.AnnounceKey, Announcement: s.announcement})
 	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -54,6 +57,10 @@
 		return err
 	case <-ctx.Done():
 	}
+	if errors.Is(context.Cause(ctx), ErrLost) {
+		stop()
+		return h.Close()
+	}
 	drain(loops, s, a)
 	if err := h.Shutdown(loops); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
--- a/thin_path_test.go
+++ b/thin_path_test.go
@@ -47,7 +47,7 @@
 
 const engineTable = `
 [engine]
-model = "draft"
+models = ["draft"]
 weight-version = "v1"
 prefill-rate = 200000
 decode-rate = 500
