--- a/internal/base/event/control.go
+++ b/internal/base/event/control.go
@@ -34,4 +34,6 @@
 	LeadershipHandedOver = define(313, log.InfoLevel, "leadership-handed-over", "The leader stops and has asked the named replica to take over.")
 	// ReplicaStopped is written last.
 	ReplicaStopped = define(314, log.InfoLevel, "replica-stopped", "The replica has synced and closed its data folder.")
+	// DiskLow is written when the reserve of free space is used up.
+	DiskLow = define(315, log.ErrorLevel, "disk-low", "The disk of the data folder has less room than the reserve; this replica, when it leads, accepts no commands until there is room again.")
 )
--- a/internal/control/disk/files.go
+++ b/internal/control/disk/files.go
@@ -30,6 +30,8 @@
 	Sync() error
 	// Lock holds the named file against other live processes until it is closed.
 	Lock(name string) (io.Closer, error)
+	// Free returns how many bytes can still be written.
+	Free() (uint64, error)
 	// Path returns what an operator knows the named file by.
 	Path(name string) string
 }
--- a/internal/control/disk/folder.go
+++ b/internal/control/disk/folder.go
@@ -93,6 +93,15 @@
 	return errors.Join(d.Sync(), d.Close())
 }
 
+// Free implements Files.
+func (f folder) Free() (uint64, error) {
+	var s syscall.Statfs_t
+	if err := syscall.Statfs(f.path, &s); err != nil {
+		return 0, err
+	}
+	return s.Bavail * uint64(s.Bsize), nil
+}
+
 // Lock implements Files.
 func (f folder) Lock(name string) (io.Closer, error) {
 	file, err := os.OpenFile(f.Path(name), os.O_CREATE|os.O_RDWR, fileMode)
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -55,6 +55,8 @@
 	LoadSnapshot() (raft.Snapshot, error)
 	// Compact removes segments whose entries all have an index up to the given one, which a snapshot holds.
 	Compact(index uint64) error
+	// Free returns how many bytes can still be written.
+	Free() (uint64, error)
 	// Close releases the folder.
 	Close() error
 }
@@ -198,6 +200,11 @@
 	return nil
 }
 
+// Free implements Store.
+func (s *store) Free() (uint64, error) {
+	return s.config.Files.Free()
+}
+
 // State implements Store.
 func (s *store) State() State {
 	return s.state
--- a/internal/control/faultfile/folder.go
+++ b/internal/control/faultfile/folder.go
@@ -24,11 +24,15 @@
 	pending []func(map[string]*inode)
 	fault   Fault
 	locked  bool
+	free    uint64
 }
 
+// plenty is the free space of a new Folder in bytes.
+const plenty = 1 << 40
+
 // New returns an empty Folder.
 func New() *Folder {
-	return &Folder{names: map[string]*inode{}, durable: map[string]*inode{}}
+	return &Folder{names: map[string]*inode{}, durable: map[string]*inode{}, free: plenty}
 }
 
 // SetFault lets operations fail from now on; nil lets all pass.
@@ -188,6 +192,20 @@
 	return nil
 }
 
+// SetFree sets what Free returns.
+func (f *Folder) SetFree(bytes uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.free = bytes
+}
+
+// Free implements disk.Files.
+func (f *Folder) Free() (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.free, nil
+}
+
 // Lock implements disk.Files.
 func (f *Folder) Lock(string) (io.Closer, error) {
 	f.mu.Lock()
--- a/internal/control/raft/answer.go
+++ b/internal/control/raft/answer.go
@@ -7,7 +7,7 @@
 		return
 	}
 	p.active = true
-	if m.Round > p.round {
+	if m.Round > p.round && m.Round <= r.round {
 		p.round = m.Round
 		r.confirmReads()
 	}
@@ -23,7 +23,7 @@
 
 func (r *core) stepAppendResponse(m Message, p *progress) {
 	if m.Reject {
-		if m.Index < p.match || p.state == restoring || p.state == probing && m.Index != p.next-1 {
+		if m.Index < p.match || m.Index > r.log.last() || p.state == restoring || p.state == probing && m.Index != p.next-1 {
 			return
 		}
 		p.moved = true
@@ -89,7 +89,7 @@
 		return
 	}
 	p.moved = true
-	if m.Offset <= p.offset && m.Offset != 0 {
+	if m.Offset <= p.offset && m.Offset != 0 || m.Offset >= p.meta.Size {
 		return
 	}
 	p.offset = m.Offset
--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"fmt"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,8 +13,7 @@
 	"hornbeamwood/internal/base/verdict"
 )
 
-// book is a Machine that keeps the commands in order, each once: a test that
-// sends a command again after an unknown outcome must not count it twice.
+// book is a Machine that keeps the commands in order.
 type book struct {
 	mu    sync.Mutex
 	lines []string
@@ -24,9 +22,7 @@
 func (b *book) Apply(_ uint64, command []byte) []byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !slices.Contains(b.lines, string(command)) {
-		b.lines = append(b.lines, string(command))
-	}
+	b.lines = append(b.lines, string(command))
 	return binary.BigEndian.AppendUint64(nil, uint64(len(b.lines)))
 }
 
--- a/internal/control/replica/config.go
+++ b/internal/control/replica/config.go
@@ -20,6 +20,11 @@
 	defaultSnapshotBytes   = 8 << 20
 	defaultChunkBytes      = 256 << 10
 	defaultKeepEntries     = 1024
+	// reserveBytes must be free on the disk for commands to be accepted: room
+	// for a snapshot and for what is on its way when the disk runs low.
+	reserveBytes = 64 << 20
+	// reserveTicks is the time between two looks at the free space.
+	reserveTicks = 20
 	// queueLength bounds each kind of call that waits for the loop.
 	queueLength = 4096
 	// drainLimit bounds what the loop takes before it settles.
--- a/internal/control/replica/errors.go
+++ b/internal/control/replica/errors.go
@@ -13,6 +13,7 @@
 	CodeNotFormed     = "not-formed"
 	CodeStopped       = "stopped"
 	CodeQueueFull     = "queue-full"
+	CodeDiskLow       = "disk-low"
 	CodeTooLarge      = "command-too-large"
 	CodeTimeout       = "timeout"
 	CodeCommitUnknown = "commit-unknown"
@@ -43,6 +44,10 @@
 	return unavailable(CodeQueueFull, "too many commands are waiting")
 }
 
+func errDiskLow() error {
+	return verdict.New(verdict.NotRun, http.StatusInsufficientStorage, CodeDiskLow, "the disk of the control log has less than %d MiB left; nothing is accepted until an operator makes room", reserveBytes>>20)
+}
+
 func errTooLarge() error {
 	return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, CodeTooLarge, "a command may have %d bytes at most", MaxCommand)
 }
--- a/internal/control/replica/loop.go
+++ b/internal/control/replica/loop.go
@@ -30,6 +30,9 @@
 	// stop is set when the replica stops; left counts the ticks until it does so in any case.
 	stop context.Context
 	left int
+	// low says that the disk is nearly full, looked at every reserveTicks.
+	low  bool
+	look int
 }
 
 // run returns when the replica has stopped or failed.
@@ -62,11 +65,31 @@
 
 func (l *loop) tick() {
 	l.left--
+	l.reserve()
 	if l.core != nil {
 		l.core.Tick()
 	}
 }
 
+// reserve looks at the free space now and then.
+//
+// A leader that writes until the disk is full ends in the middle of a write,
+// and so would its successors, one after the other; refusing commands while
+// there is room keeps the group, its reads and its leases alive.
+func (l *loop) reserve() {
+	l.look--
+	if l.look > 0 {
+		return
+	}
+	l.look = reserveTicks
+	free, err := l.replica.store.Free()
+	low := err == nil && free < reserveBytes
+	if low && !l.low {
+		event.DiskLow.Write(l.replica.config.Logger, log.Fields{"replica": l.replica.config.Name, "free": free, "needed": reserveBytes})
+	}
+	l.low = low
+}
+
 // drain takes what else is waiting, so that one sync serves all of it.
 func (l *loop) drain() {
 	for range drainLimit {
@@ -144,6 +167,10 @@
 		refuse(batch, errNotFormed())
 		return
 	}
+	if l.low && l.core.Status().Role == raft.Leader {
+		refuse(batch, errDiskLow())
+		return
+	}
 	index, term, err := l.core.Propose(commands)
 	if err != nil {
 		refuse(batch, errNotLeader(l.leader()))
--- a/internal/control/replica/replacement_test.go
+++ b/internal/control/replica/replacement_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"testing"
 
+	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/control/disk"
 	"hornbeamwood/internal/control/faultfile"
 	"hornbeamwood/internal/control/raft"
@@ -163,6 +164,35 @@
 	}
 }
 
+// The leading VM's disk runs full slowly. Commands must be refused truly and
+// with the reason while there is still room, reads go on, and with room made
+// commands are accepted again without a restart.
+func TestLowDiskRefusesCommands(t *testing.T) {
+	folders := map[string]*faultfile.Folder{}
+	c := newCluster(t, 3, func(c *Config) {
+		folders[c.Name] = faultfile.New()
+		c.Files = folders[c.Name]
+	})
+	c.write("one")
+	for _, f := range folders {
+		f.SetFree(reserveBytes - 1)
+	}
+	ctx := context.Background()
+	c.until("a refusal", func() bool {
+		_, err := c.leader().replica.Propose(ctx, []byte("more"))
+		e, ok := verdict.As(err)
+		return ok && e.Code == CodeDiskLow && e.Verdict == verdict.NotRun
+	})
+	c.until("a read", func() bool {
+		_, err := c.leader().replica.ReadIndex(ctx)
+		return err == nil
+	})
+	for _, f := range folders {
+		f.SetFree(reserveBytes)
+	}
+	c.write("two")
+}
+
 // The VM that sends a snapshot is lost when half of it has arrived. The
 // receiver must not use the half, and gets a whole one from the next leader.
 func TestSnapshotCutHalfWay(t *testing.T) {
--- a/internal/control/replica/settle.go
+++ b/internal/control/replica/settle.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"math"
+
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
@@ -93,7 +95,7 @@
 	if len(messages) == 0 {
 		return
 	}
-	c := l.core.Status().Configuration
+	c := l.core.ConfigurationAt(math.MaxUint64)
 	for _, m := range messages {
 		address, ok := l.addresses[m.To]
 		if !ok {
