--- /dev/null
+++ b/internal/entry/service/at_most_once_test.go
@@ -0,0 +1,321 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/control/ledger"
+)
+
+const fixedSeed = 20261203
+
+// wildService runs calls and breaks connections as the random source says.
+type wildService struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	calm   bool
+	bodies map[string][]string
+	answer map[string]string
+}
+
+func (s *wildService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	fault := s.draw(8)
+	if fault == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if fault == 1 {
+		w.Header().Set(verdict.Header, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	text := s.run(r.Header.Get(headerWorkspace)+"/"+r.Header.Get(headerKey), string(b))
+	if fault == 2 {
+		panic(http.ErrAbortHandler)
+	}
+	if fault == 3 {
+		w.Header().Set("Content-Length", fmt.Sprint(len(text)+5))
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+func (s *wildService) draw(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calm {
+		return n
+	}
+	return s.random.IntN(n)
+}
+
+func (s *wildService) run(key, body string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bodies[key] = append(s.bodies[key], body)
+	s.answer[key] = fmt.Sprintf("certificate %s of %s", key, body)
+	return s.answer[key]
+}
+
+// runs returns the bodies with which the key's call ran, and the answer.
+func (s *wildService) runs(key string) ([]string, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.bodies[key]...), s.answer[key]
+}
+
+// wildPicker picks the service or an address where nobody listens.
+type wildPicker struct {
+	service *wildService
+	good    string
+	dead    string
+}
+
+func (p *wildPicker) Pick(_ context.Context, _ Request, excluded []string) (Server, error) {
+	if len(excluded) > 1 {
+		return Server{}, verdict.New(verdict.NotRun, 503, "no-server", "no server")
+	}
+	if p.service.draw(5) == 0 {
+		return Server{Identity: "dead", Address: p.dead}, nil
+	}
+	return Server{Identity: "good", Address: p.good}, nil
+}
+
+// world is one random history of sends through entries that die.
+type world struct {
+	t       *testing.T
+	random  *rand.Rand
+	log     *fakeLog
+	service *wildService
+	picker  *wildPicker
+	end     chan struct{}
+	entries []*fakeEntry
+	started uint64
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	s := &wildService{random: rand.New(rand.NewPCG(seed, 2)), bodies: map[string][]string{}, answer: map[string]string{}}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), log: newFakeLog(), service: s, end: make(chan struct{})}
+	w.picker = &wildPicker{service: s, good: strings.TrimPrefix(server.URL, "http://"), dead: deadAddress(t)}
+	faults := rand.New(rand.NewPCG(seed, 3))
+	w.log.faults = func(ledger.Command) fault {
+		if n := faults.IntN(12); n <= int(faultDropped) {
+			return fault(n)
+		}
+		return faultNone
+	}
+	w.log.reads = func() error {
+		if faults.IntN(4) == 0 {
+			return errNoLeader
+		}
+		return nil
+	}
+	return w
+}
+
+// entry starts a process that may stop at a random step.
+func (w *world) entry(stop step) *fakeEntry {
+	w.started++
+	e := newFakeEntry(w.log, w.picker, fmt.Sprintf("e%d", w.started%3), w.started, stop, w.end)
+	w.entries = append(w.entries, e)
+	return e
+}
+
+// check returns what is wrong with a reply, empty for nothing.
+func (w *world) check(r Request, p *reply) string {
+	key := r.Workspace + "/" + r.Key
+	bodies, text := w.service.runs(key)
+	if len(bodies) > 1 {
+		return fmt.Sprintf("%s ran %d times", key, len(bodies))
+	}
+	if p == nil {
+		return ""
+	}
+	ran := len(bodies) == 1 && bodies[0] == string(r.Body)
+	if p.err == nil {
+		if !ran || string(p.answer.Body) != text {
+			return fmt.Sprintf("%s was answered %q instead of %q", key, p.answer.Body, text)
+		}
+		return ""
+	}
+	e, ok := verdict.As(p.err)
+	if !ok || (e.Verdict == verdict.NotRun && ran) || (e.Verdict == verdict.Ran && !ran) {
+		return fmt.Sprintf("%s got %v; it ran: %t", key, p.err, ran)
+	}
+	return ""
+}
+
+func (w *world) request() Request {
+	workspace := fmt.Sprintf("w%d", w.random.IntN(2))
+	key := fmt.Sprintf("k%d", w.random.IntN(2))
+	return callOf(workspace, key, fmt.Sprintf("lot %d", w.random.IntN(8)/7))
+}
+
+func (w *world) play(sends int) string {
+	defer close(w.end)
+	for range sends {
+		r := w.request()
+		e := w.entry(step(w.random.IntN(int(stepCount) * 2)))
+		if wrong := w.check(r, e.send(r)); wrong != "" {
+			return wrong
+		}
+		w.disturb()
+	}
+	return w.settle()
+}
+
+// disturb lets late commits arrive, declares entries dead and thaws stopped ones.
+func (w *world) disturb() {
+	switch w.random.IntN(4) {
+	case 0:
+		w.log.deliverLate()
+	case 1:
+		e := w.entries[w.random.IntN(len(w.entries))]
+		select {
+		case <-e.thaw:
+		default:
+			close(e.thaw)
+		}
+	case 2:
+		w.abandonAll()
+	}
+}
+
+// abandonAll declares all entries dead that were started so far.
+func (w *world) abandonAll() {
+	for n := range 3 {
+		w.log.apply(w.t, ledger.Command{Abandon: &ledger.Abandon{Entry: fmt.Sprintf("e%d", n), Incarnation: w.started}})
+	}
+}
+
+// settle ends all faults and all stopped processes and sends each call once more.
+func (w *world) settle() string {
+	w.service.mu.Lock()
+	w.service.calm = true
+	w.service.mu.Unlock()
+	w.log.mu.Lock()
+	w.log.faults, w.log.reads = nil, nil
+	w.log.mu.Unlock()
+	for _, e := range w.entries {
+		if e.isStopped() {
+			continue
+		}
+		if err := e.Drain(context.Background()); err != nil {
+			return err.Error()
+		}
+	}
+	w.log.deliverLate()
+	w.abandonAll()
+	for n := range 4 {
+		r := callOf(fmt.Sprintf("w%d", n/2), fmt.Sprintf("k%d", n%2), "lot 0")
+		p := w.entry(stepNone).send(r)
+		if wrong := w.check(r, p); wrong != "" {
+			return wrong
+		}
+		if e, ok := verdict.As(p.err); ok && e.Status == http.StatusConflict {
+			return fmt.Sprintf("%s/%s is held by a claim that nobody holds", r.Workspace, r.Key)
+		}
+	}
+	return ""
+}
+
+// An entry dies before the claim, after it, before the dispatch, before the
+// outcome or before the answer; commits time out, arrive late or are lost with
+// their leader; the service breaks connections before and after it ran a call;
+// and the caller sends again, through other entries, at once and later, also
+// with another body and from another workspace. A hand-over that ran twice
+// would put two transmitters on one hour.
+func TestNonIdempotentCallRunsAtMostOnce(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(fixedSeed)
+	parameters.MinSuccessfulTests = 300
+	properties := gopter.NewProperties(parameters)
+	properties.Property("one run at most, whole outcome or true verdict", prop.ForAllNoShrink(func(seed uint64) string {
+		return newWorld(t, seed).play(10)
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// deadAddress returns a loopback address where nobody listens.
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// A claim's commit times out but took effect. The entry reads back that it
+// holds the claim and goes on; a caller that were told to try again would wait
+// for a call that nobody runs.
+func TestTimedOutClaimIsReadBack(t *testing.T) {
+	log, fake := newFakeLog(), newFakeService(t)
+	log.faults = func(c ledger.Command) fault {
+		if c.Claim != nil {
+			return faultLostAnswer
+		}
+		return faultNone
+	}
+	c := New(Config{Log: log, Picker: onePicker(fake.address()), Entry: "e1", Incarnation: 1})
+	if a, err := c.Call(context.Background(), callOf("w", "k", "x")); err != nil || a.Verdict != verdict.Ran {
+		t.Fatalf("got %+v, %v", a, err)
+	}
+	if n := fake.ran("w", "k"); n != 1 {
+		t.Fatalf("it ran %d times", n)
+	}
+}
+
+// The log doesn't answer when the outcome is to be recorded. The caller gets
+// its answer all the same, and a resend later finds it whole.
+func TestOutcomeIsRecordedWhenTheLogComesBack(t *testing.T) {
+	log, fake := newFakeLog(), newFakeService(t)
+	var mu sync.Mutex
+	away := true
+	log.faults = func(c ledger.Command) fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if c.Outcome != nil && away {
+			return faultRefused
+		}
+		return faultNone
+	}
+	c := New(Config{Log: log, Picker: onePicker(fake.address()), Entry: "e1", Incarnation: 1, OutcomeWait: 1})
+	first, err := c.Call(context.Background(), callOf("w", "k", "x"))
+	if err != nil || first.Verdict != verdict.Ran {
+		t.Fatalf("got %+v, %v", first, err)
+	}
+	_, err = c.Call(context.Background(), callOf("w", "k", "x"))
+	var e verdict.Error
+	if !errors.As(err, &e) || e.Status != http.StatusConflict || e.RetryAfter == 0 || c.Open() != 1 {
+		t.Fatalf("meanwhile: %v with %d open", err, c.Open())
+	}
+	mu.Lock()
+	away = false
+	mu.Unlock()
+	if err := c.Drain(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	again, err := c.Call(context.Background(), callOf("w", "k", "x"))
+	if err != nil || !again.Repeated || string(again.Body) != string(first.Body) {
+		t.Fatalf("got %+v, %v", again, err)
+	}
+}
--- a/internal/entry/service/fake_log_test.go
+++ b/internal/entry/service/fake_log_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"testing"
 	"time"
 
 	"hornbeamwood/internal/base/codec"
@@ -90,3 +91,28 @@
 	}
 	return l.section.Query(body)
 }
+
+// deliverLate commits what had been delayed.
+func (l *fakeLog) deliverLate() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.late {
+		l.section.Apply(l.at, b)
+	}
+	l.late = nil
+}
+
+func (l *fakeLog) apply(t testing.TB, c ledger.Command) ledger.Result {
+	t.Helper()
+	b, err := codec.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, err := codec.Unmarshal[ledger.Result](l.section.Apply(l.at, b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
--- a/internal/entry/service/fake_service_test.go
+++ b/internal/entry/service/fake_service_test.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	runs    map[string]int
 	arrived func(r *http.Request)
+	refuse  func() bool
 	server  *httptest.Server
 }
 
@@ -35,6 +36,12 @@
 	if err != nil {
 		return
 	}
+	if f.refuse != nil && f.refuse() {
+		w.Header().Set(verdict.Header, "not-run")
+		w.Header().Set("Retry-After", "3")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	key := r.Header.Get(headerWorkspace) + "/" + r.Header.Get(headerKey)
 	f.mu.Lock()
 	f.runs[key]++
