At most once: a claim whose commit is unknown is read back

A timed-out commit is neither granted nor refused. The entry reads the record by a linearizable query: it goes on only when it holds the claim; otherwise it dispatches nothing and takes the attempt back, so that a claim that arrives late holds nobody up. Ruled out: proposing the claim again, which says nothing about the first one.

--- a/internal/entry/service/once.go
+++ b/internal/entry/service/once.go
@@ -95,7 +95,19 @@
 	if verdict.Of(err) == verdict.NotRun {
 		return ledger.Result{}, ledgerDown(err)
 	}
-	return ledger.Result{Kind: ledger.Granted, Attempt: f.attempt}, nil
+	return f.readBack(ctx, err)
+}
+
+// readBack finds out what became of a claim whose commit is unknown. When it
+// can't, or the claim isn't there yet, the attempt is released: without that,
+// a claim that arrives late would stay live and hold back every resend.
+func (f *flow) readBack(ctx context.Context, cause error) (ledger.Result, error) {
+	result, err := f.client.lookup(ctx, ledger.Lookup{Scope: f.scope, Digest: f.digest, Attempt: f.attempt})
+	if err == nil && result.Kind != ledger.Absent {
+		return result, nil
+	}
+	f.releaseLater(ctx)
+	return ledger.Result{}, ledgerDown(cause)
 }
 
 // found returns the reply to a call that this attempt may not dispatch.
--- a/internal/entry/service/settle.go
+++ b/internal/entry/service/settle.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// releaseLater takes the claim back, for as long as that takes, without holding the caller.
+func (f *flow) releaseLater(ctx context.Context) {
+	f.client.begin()
+	go func() {
+		defer f.client.end()
+		f.persistLong(ctx, ledger.Command{Release: &ledger.Release{Scope: f.scope, Attempt: f.attempt}})
+	}()
+}
+
 func (f *flow) persistLong(ctx context.Context, command ledger.Command) {
 	ctx, cancel := context.WithTimeout(ctx, f.client.DispatchTimeout)
 	defer cancel()
