--- a/internal/entry/service/wire.go
+++ b/internal/entry/service/wire.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
@@ -104,9 +103,6 @@
 
 // broken is a connection that failed after the call may have left.
 func broken(err error) verdict.Error {
-	if errors.Is(err, syscall.ECONNRESET) {
-		return unreachable(err)
-	}
 	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "connection-lost",
 		"the connection to the service was lost; the call may have run").WithCause(err)
 }
