--- a/internal/entry/engine/fake_engine_test.go
+++ b/internal/entry/engine/fake_engine_test.go
@@ -106,3 +106,7 @@
 	}
 	w.done()
 }
+
+func (w *fakeWriter) flush() {
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
