--- a/internal/entry/engine/stream.go
+++ b/internal/entry/engine/stream.go
@@ -51,6 +51,7 @@
 
 var (
 	errForeign   = errors.New("an event of another attempt")
+	errSkipped   = errors.New("a skipped position")
 	errTruncated = errors.New("an end without the finish marker")
 	errMalformed = errors.New("an event that is no JSON object of the protocol")
 )
@@ -131,6 +132,17 @@
 	if err := s.envelope.decode(data); err != nil {
 		return nil, errMalformed
 	}
+	t := s.envelope.Tag
+	if t.Attempt != s.request.Attempt || t.Request != s.request.ID {
+		return nil, errForeign
+	}
+	if t.Position <= s.position && t.Position > 0 {
+		s.rejected(fmt.Errorf("the repeated position %d", t.Position))
+		return nil, nil
+	}
+	if t.Position != s.position+1 {
+		return nil, errSkipped
+	}
 	if s.envelope.failed() {
 		return nil, failed(s.envelope.Error)
 	}
