--- a/internal/cache/directory/content_test.go
+++ b/internal/cache/directory/content_test.go
@@ -30,7 +30,7 @@
 	p.MinSuccessfulTests = *histories
 	all := gopter.NewProperties(p)
 	var sum tally
-	all.Property("pieces read are whole, sealed, and of the request's version", prop.ForAll(func(seed uint64) string {
+	all.Property("pieces read are whole, sealed, and of the request's version", prop.ForAllNoShrink(func(seed uint64) string {
 		w := newCacheWorld(seed)
 		for range 600 {
 			w.step()
--- a/internal/cache/directory/events_test.go
+++ b/internal/cache/directory/events_test.go
@@ -43,7 +43,7 @@
 	p := gopter.DefaultTestParametersWithSeed(61)
 	p.MinSuccessfulTests = 500
 	all := gopter.NewProperties(p)
-	all.Property("the directory equals the naive memory", prop.ForAll(func(seed uint64) string {
+	all.Property("the directory equals the naive memory", prop.ForAllNoShrink(func(seed uint64) string {
 		r := rand.New(rand.NewPCG(seed, 61))
 		d, now := New(Config{}), time.Unix(0, 0)
 		history := randomEvents(r, 40)
--- a/internal/control/lease/command.go
+++ b/internal/control/lease/command.go
@@ -42,9 +42,12 @@
 	Fencing uint64 `cbor:"fencing"`
 	// Duration is how long the lease lasts.
 	Duration time.Duration `cbor:"duration"`
-	// Note replaces the lease's note when SetNote is true; the next holder gets it.
-	Note    []byte `cbor:"note,omitempty"`
-	SetNote bool   `cbor:"set-note,omitempty"`
+	// Note replaces the lease's note when NoteVersion is above the one that is there; the next holder gets it.
+	//
+	// A renewal that is overtaken by a later one would otherwise put an old
+	// note back, and the next holder would not know of the last orders.
+	Note        []byte `cbor:"note,omitempty"`
+	NoteVersion uint64 `cbor:"note-version,omitempty"`
 }
 
 // Release gives a lease back; the next holder has no time to wait out.
--- a/internal/control/lease/result.go
+++ b/internal/control/lease/result.go
@@ -66,8 +66,12 @@
 	Expires int64 `cbor:"expires"`
 	// Released says that the holder gave it back.
 	Released bool `cbor:"released,omitempty"`
-	// Note is what the holder left for the next one.
+	// Wait is how long the earlier holder may still believe in its lease.
+	Wait time.Duration `cbor:"wait,omitempty"`
+	// Note is what the holder leaves for the next one.
 	Note []byte `cbor:"note,omitempty"`
+	// NoteVersion is a larger number with each note of one holder.
+	NoteVersion uint64 `cbor:"note-version,omitempty"`
 }
 
 func (l Lease) live(at time.Time) bool {
@@ -78,6 +82,14 @@
 	return Result{Granted: true, Holder: l.Holder, Fencing: l.Fencing, Expires: l.Expires}
 }
 
+// acquired returns the grant with what a new holder needs, also when its first answer was lost.
+func (l Lease) acquired() Result {
+	r := l.granted()
+	r.Wait = l.Wait
+	r.Note = l.Note
+	return r
+}
+
 func (l Lease) refused(r Reason) Result {
 	return Result{Reason: r, Holder: l.Holder, Fencing: l.Fencing, Expires: l.Expires}
 }
--- a/internal/control/lease/section.go
+++ b/internal/control/lease/section.go
@@ -69,7 +69,7 @@
 		return l.refused(Held)
 	}
 	if l.live(at) {
-		return s.extend(l, at, c.Duration).granted()
+		return s.extend(l, at, c.Duration).acquired()
 	}
 	s.image.Fencing++
 	n := Lease{
@@ -78,12 +78,10 @@
 		Fencing: s.image.Fencing,
 		Note:    l.Note,
 	}
-	r := s.extend(n, at, c.Duration).granted()
-	r.Note = l.Note
 	if known && !l.Released {
-		r.Wait = l.Duration
+		n.Wait = l.Duration
 	}
-	return r
+	return s.extend(n, at, c.Duration).acquired()
 }
 
 func (s *section) extend(l Lease, at time.Time, d time.Duration) Lease {
@@ -101,8 +99,9 @@
 	if !l.live(at) || l.Holder != c.Holder || l.Fencing != c.Fencing {
 		return l.refused(Lost)
 	}
-	if c.SetNote {
+	if c.NoteVersion > l.NoteVersion {
 		l.Note = c.Note
+		l.NoteVersion = c.NoteVersion
 	}
 	return s.extend(l, at, c.Duration).granted()
 }
--- a/internal/control/lease/section_test.go
+++ b/internal/control/lease/section_test.go
@@ -93,10 +93,15 @@
 	if r := apply(t, s, at, Command{Acquire: &b}); r.Granted || r.Reason != Held || r.Holder != "a" {
 		t.Errorf("got %+v", r)
 	}
-	note := Renew{Name: "orders", Holder: "a", Fencing: first.Fencing, Duration: 10 * time.Second, Note: []byte("x"), SetNote: true}
+	note := Renew{Name: "orders", Holder: "a", Fencing: first.Fencing, Duration: 10 * time.Second, Note: []byte("x"), NoteVersion: 2}
 	if r := apply(t, s, at, Command{Renew: &note}); !r.Granted {
 		t.Errorf("got %+v", r)
 	}
+	old := note
+	old.Note, old.NoteVersion = []byte("w"), 1
+	if r := apply(t, s, at, Command{Renew: &old}); !r.Granted {
+		t.Errorf("got %+v", r)
+	}
 	at = at.Add(10 * time.Second)
 	if r := apply(t, s, at, Command{Renew: &note}); r.Granted || r.Reason != Lost {
 		t.Errorf("a lease that ran out was renewed: %+v", r)
@@ -105,6 +110,9 @@
 	if !second.Granted || second.Fencing <= first.Fencing || second.Wait != 10*time.Second || string(second.Note) != "x" {
 		t.Errorf("got %+v", second)
 	}
+	if again := apply(t, s, at, Command{Acquire: &b}); again.Wait != second.Wait || string(again.Note) != "x" {
+		t.Errorf("the resent acquire does not know what to wait for: %+v", again)
+	}
 	release := Command{Release: &Release{Name: "orders", Holder: "a", Fencing: first.Fencing}}
 	if r := apply(t, s, at, release); r.Granted {
 		t.Errorf("an old holder released the lease: %+v", r)
--- a/internal/fleet/membership/leaving_test.go
+++ b/internal/fleet/membership/leaving_test.go
@@ -30,7 +30,7 @@
 	p.MinSuccessfulTests = *schedules
 	all := gopter.NewProperties(p)
 	naive := 0
-	all.Property("no dispatch later than the limit", prop.ForAll(func(seed uint64) string {
+	all.Property("no dispatch later than the limit", prop.ForAllNoShrink(func(seed uint64) string {
 		w := newWorld(seed)
 		w.run(40 * time.Second)
 		naive += w.naiveLate
