Orders wait out the earlier holder and are read back

A new holder now waits out the earlier lease and the way of its last orders, and reads back the orders of the lease's note; an order is sent only once the note names it. Ruled out: a fixed wait that covers any load, which would hold up each roll-out, and orders kept in the log one by one, which the note makes needless.

--- a/internal/fleet/orders/controller.go
+++ b/internal/fleet/orders/controller.go
@@ -66,10 +66,26 @@
 // The earlier holder may count its lease until Quiet, and what it sent right
 // before may be on its way for Flight. Engines that check fencing numbers
 // would refuse it; the others would carry out both orders.
-func (c *controller) Begin(now time.Time, t lease.Term, _ []Outstanding) {
+func (c *controller) Begin(now time.Time, t lease.Term, inherited []Outstanding) {
 	c.End()
 	c.term = t
 	c.opens = now
+	if t.Quiet.After(now) {
+		c.opens = t.Quiet
+	}
+	if t.Quiet.After(now) || len(inherited) > 0 {
+		c.opens = c.opens.Add(c.config.Flight)
+	}
+	for _, o := range inherited {
+		c.jobs[o.Engine] = &job{
+			Outstanding: o,
+			step:        lost,
+			reason:      Inherited,
+			contact:     c.opens,
+			sent:        c.opens.Add(-c.config.Flight),
+			loose:       true,
+		}
+	}
 }
 
 // Renewed implements Controller.
