Fair queueing at entries, measured with a workspace that floods

One workspace's flood filled the engines' queues, which know no workspaces, and every workspace lost drafts.

--- a/internal/load/comparison/ablations.go
+++ b/internal/load/comparison/ablations.go
@@ -19,7 +19,9 @@
 	none.Exports = model.ExportNone
 	open := Policy("without admission")
 	open.Admission = false
-	return append(all, exports, none, open)
+	unfair := Policy("without fair queueing")
+	unfair.Fair = false
+	return append(all, exports, none, open, unfair)
 }
 
 // essential elements give the estimate its base; without them there is nothing to measure.
--- a/internal/load/comparison/cell.go
+++ b/internal/load/comparison/cell.go
@@ -17,6 +17,8 @@
 	Load float64
 	// Rate is the number of requests a second.
 	Rate float64
+	// Flooder is a workspace that sends too much; empty for none.
+	Flooder string
 	// Failures happen during the run.
 	Failures []model.Failure
 }
--- a/internal/load/comparison/contenders.go
+++ b/internal/load/comparison/contenders.go
@@ -18,6 +18,7 @@
 		},
 		Exports:   model.ExportWorth,
 		Admission: true,
+		Fair:      true,
 	}
 }
 
--- a/internal/load/comparison/report.go
+++ b/internal/load/comparison/report.go
@@ -19,6 +19,8 @@
 	Curve []Row
 	// Failures has them under each scenario at full load.
 	Failures []Row
+	// Flood has them, and the policy without fair queueing, when one workspace floods.
+	Flood []Row
 	// Ablations has the policy without each element.
 	Ablations []Row
 }
@@ -28,6 +30,7 @@
 	r := Report{Deployment: d, Capacity: Capacity(c, d)}
 	r.Curve = Measure(c, CurveCells(d, r.Capacity))
 	r.Failures = Measure(c, FailureCells(c, d, r.Capacity))
+	r.Flood = Measure(c, FloodCells(d, r.Capacity, flooded()))
 	r.Ablations = Measure(c, AblationCells(d, r.Capacity))
 	return r
 }
@@ -39,6 +42,8 @@
 	r.writeLoads(b)
 	r.writeVerdicts(b)
 	r.writeFailures(b)
+	fmt.Fprintf(b, "\n### %s\n\n", FloodName)
+	_ = WriteTable(b, r.Flood)
 	fmt.Fprintf(b, "\n### Without each element\n\n")
 	_ = WriteTable(b, r.Ablations)
 	_, err := io.WriteString(w, b.String())
--- a/internal/load/model/config.go
+++ b/internal/load/model/config.go
@@ -22,6 +22,8 @@
 	Measured time.Duration
 	// Seed gives the same run for the same Config.
 	Seed uint64
+	// Flooder is a workspace that Result.LeastServed leaves out; empty for none.
+	Flooder string
 	// Failures happen during the run.
 	Failures []Failure
 }
--- a/internal/load/model/contender.go
+++ b/internal/load/model/contender.go
@@ -12,6 +12,9 @@
 	Exports ExportRule
 	// Admission says whether what cannot make its deadline is refused at once.
 	Admission bool
+	// Fair says whether requests that are not urgent wait at the entry for their workspace's turn
+	// while each server has more than the window of work.
+	Fair bool
 }
 
 // ExportRule says what is written to stores.
--- a/internal/load/model/result.go
+++ b/internal/load/model/result.go
@@ -33,7 +33,8 @@
 	Worth float64
 	// WorthShare is the part of the worth of all arrivals.
 	WorthShare float64
-	// LeastServed is the smallest part of its worth that any workspace got.
+	// LeastServed is the smallest part that was answered of any workspace's requests of one class;
+	// Config.Flooder and groups of fewer than 100 requests are left out.
 	LeastServed float64
 }
 
--- a/internal/load/model/run.go
+++ b/internal/load/model/run.go
@@ -98,6 +98,7 @@
 		r.clock.every(p.ReportEvery/2, end+tail, func() { r.reportStore(i) })
 	}
 	for _, e := range r.entries {
+		r.clock.every(turnEvery, end+tail, e.turns)
 		r.clock.every(p.GossipEvery, end+tail, func() { e.gossip(r.config.Deployment.ZoneDelay) })
 	}
 	for _, f := range r.config.Failures {
--- a/internal/policy/fairness/config.go
+++ b/internal/policy/fairness/config.go
@@ -9,7 +9,7 @@
 }
 
 const (
-	defaultQuantum    = 0.1
+	defaultQuantum    = 2
 	defaultMaxWaiting = 256
 	// minShare keeps a workspace whose share is zero from waiting for ever.
 	minShare = 0.01
--- a/internal/policy/fairness/flow.go
+++ b/internal/policy/fairness/flow.go
@@ -5,6 +5,7 @@
 	workspace string
 	share     float64
 	deficit   float64
+	cost      float64 // of all items
 	items     []Item[T]
 }
 
@@ -13,5 +14,6 @@
 	f.items[0] = Item[T]{}
 	f.items = f.items[1:]
 	f.deficit -= i.Cost
+	f.cost -= i.Cost
 	return i
 }
--- a/internal/policy/fairness/queue.go
+++ b/internal/policy/fairness/queue.go
@@ -8,6 +8,8 @@
 	Push(i Item[T]) bool
 	// Pop returns the next item by deficit round robin and whether there is one.
 	Pop() (Item[T], bool)
+	// Ahead returns the cost that is popped before a new item of the given workspace, share and cost.
+	Ahead(workspace string, share, cost float64) float64
 	// Len returns the number of waiting items.
 	Len() int
 	// Cost returns the cost of all waiting items.
@@ -32,6 +34,23 @@
 
 func (q *queue[T]) Cost() float64 { return q.cost }
 
+// Ahead counts of each other workspace at most what it gets in the rounds that this one's items take.
+func (q *queue[T]) Ahead(workspace string, share, cost float64) float64 {
+	var own float64
+	if f, ok := q.flows[workspace]; ok {
+		own = f.cost
+	}
+	ahead := own
+	share = max(share, minShare)
+	rounds := math.Ceil((own + cost) / (q.config.Quantum * share))
+	for _, f := range q.active {
+		if f.workspace != workspace {
+			ahead += min(f.cost, rounds*q.config.Quantum*f.share)
+		}
+	}
+	return ahead
+}
+
 func (q *queue[T]) Push(i Item[T]) bool {
 	f, ok := q.flows[i.Workspace]
 	if !ok {
@@ -44,6 +63,7 @@
 	}
 	f.share = max(i.Share, minShare)
 	f.items = append(f.items, i)
+	f.cost += i.Cost
 	q.count++
 	q.cost += i.Cost
 	return true
--- a/internal/policy/fairness/queue_test.go
+++ b/internal/policy/fairness/queue_test.go
@@ -101,3 +101,16 @@
 		t.Errorf("the small workspace got %d of 40", small)
 	}
 }
+
+func TestAheadIsWhatIsPoppedBefore(t *testing.T) {
+	q := New[int](Config{Quantum: 4})
+	for i := range 6 {
+		q.Push(Item[int]{Workspace: "large", Share: 1, Cost: 2, Value: i})
+	}
+	if n := q.Ahead("small", 1, 2); n != 4 {
+		t.Errorf("one round of the large workspace is ahead, got %v", n)
+	}
+	if n := q.Ahead("large", 1, 2); n != 12 {
+		t.Errorf("its own items are ahead, got %v", n)
+	}
+}
