--- a/internal/load/model/entry.go
+++ b/internal/load/model/entry.go
@@ -25,7 +25,7 @@
 	servers   []serverView
 	stores    []storeView
 	own       map[*record]bool
-	peers     [][]record // the last message of each peer
+	peers     []message // the last of each peer
 	carried   map[*request]bool
 	lines     [route.Bands]line
 	dead      bool
@@ -42,7 +42,7 @@
 		servers:   make([]serverView, len(r.engines)),
 		stores:    make([]storeView, len(r.stores)),
 		own:       map[*record]bool{},
-		peers:     make([][]record, r.config.Deployment.Entries),
+		peers:     make([]message, r.config.Deployment.Entries),
 		carried:   map[*request]bool{},
 	}
 	for b := range e.lines {
--- a/internal/load/model/failure.go
+++ b/internal/load/model/failure.go
@@ -40,7 +40,7 @@
 
 var failureActions = map[FailureKind]failureAction{
 	StoreDies: {
-		begin: func(r *run, f Failure) { r.stores[f.Index].die(); r.directory.forgetStore(f.Index) },
+		begin: func(r *run, f Failure) { r.killStore(f.Index) },
 		end:   func(r *run, f Failure) { r.stores[f.Index].revive() },
 	},
 	LinkSlows: {
--- a/internal/load/model/question.go
+++ b/internal/load/model/question.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hornbeamwood/internal/policy/placement"
 	"hornbeamwood/internal/policy/route"
 )
 
@@ -52,13 +53,21 @@
 	for r := range e.own {
 		e.addRecord(cell, at, r)
 	}
-	for _, list := range e.peers {
-		for i := range list {
-			e.addRecord(cell, at, &list[i])
+	for p := range e.peers {
+		e.dropSilent(&e.peers[p])
+		for i := range e.peers[p].work {
+			e.addRecord(cell, at, &e.peers[p].work[i])
 		}
 	}
 }
 
+// dropSilent forgets the work of a peer that is lost.
+func (e *entry) dropSilent(m *message) {
+	if e.run.clock.now-m.heard > silentPeer && placement.React(placement.EntryLost).DropWork {
+		m.work = nil
+	}
+}
+
 func (e *entry) addRecord(cell *route.Cell, at []int, r *record) {
 	for s, bytes := range r.link {
 		if r.sent > e.stores[s].reported {
@@ -125,7 +134,7 @@
 	}
 	for _, p := range e.run.entries {
 		if p != e {
-			e.run.clock.after(delay, func() { p.peers[e.index] = list })
+			e.run.clock.after(delay, func() { p.peers[e.index] = message{heard: e.run.clock.now, work: list} })
 		}
 	}
 }
--- a/internal/load/model/run.go
+++ b/internal/load/model/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hornbeamwood/internal/load/workload"
+	"hornbeamwood/internal/policy/placement"
 	"hornbeamwood/internal/policy/route"
 )
 
@@ -231,6 +232,16 @@
 	}
 }
 
+// killStore loses a store; its locations are forgotten once the loss is noticed.
+func (r *run) killStore(i int) {
+	r.stores[i].die()
+	r.clock.after(lostAfter, func() {
+		if placement.React(placement.StoreLost).ForgetCopies {
+			r.directory.forgetStore(i)
+		}
+	})
+}
+
 func (r *run) killServers(f Failure) {
 	for i := range f.Count {
 		r.engines[f.Index+i].die()
