Lost appends are sent again under steady reads; replaced replicas are admitted

Cause: a control replica that lost its disk never caught up after it was admitted. The leader's count of silent heartbeat intervals was kept at its heartbeat tick, and each read sends heartbeats and begins that interval anew. With a read every 20 ms the count never moved, so an append that was lost was never sent again, and the log went on with one copy less than it seemed.

Ruled out: the address that the old and the new identity share (the learner answered heartbeats); the transport (probes and heartbeats arrived both ways).

Change: the count has a tick of its own. Operators admit a replica by naming its identity in the setting admitted-replicas; the leader adds it as a learner, gives it a vote when it has caught up, and removes the member of its name. Status shows identity and votes.

--- a/hornbeamwood.go
+++ b/hornbeamwood.go
@@ -42,7 +42,7 @@
 	return control.New(control.Config{
 		File:     c.File,
 		Sections: []state.Section{settings, ledger.New()},
-		Terms:    settings,
+		Settings: settings,
 		Logger:   c.Logger,
 	})
 }
--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -18,4 +18,8 @@
 var (
 	// ClaimsAbandoned is written when the leader gave up the claims of a dead entry.
 	ClaimsAbandoned = define(350, log.WarnLevel, "claims-abandoned", "An entry has been without a settings lease for long; the outcomes of its open calls are unknown from here on.")
+	// MemberChanged is written when the leader changed the members as operators admitted them.
+	MemberChanged = define(351, log.InfoLevel, "member-changed", "A replica that operators admit was added, got its vote, or replaced the member of its name.")
+	// MemberChangeRefused is written when such a change has to wait.
+	MemberChangeRefused = define(352, log.InfoLevel, "member-change-refused", "A change of the members has to wait, for example until a learner has caught up; it is tried again.")
 )
--- a/internal/cli/status/status.go
+++ b/internal/cli/status/status.go
@@ -72,9 +72,9 @@
 func table(r status.Report, w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "entry %s, settings revision %d\n\n", r.Entry, r.Revision)
-	fmt.Fprintln(t, "CONTROL REPLICA\tROLE\tTERM\tAPPLIED\tCAUGHT UP\tADDRESS")
+	fmt.Fprintln(t, "CONTROL REPLICA\tROLE\tTERM\tAPPLIED\tVOTERS\tCAUGHT UP\tIDENTITY\tADDRESS")
 	for _, x := range r.Replicas {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%v\t%s\n", x.Name, x.Role, x.Term, x.Applied, x.CaughtUp, x.Address)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%v\t%s\t%s\n", x.Name, x.Role, x.Term, x.Applied, x.Voters, x.CaughtUp, x.Identity, x.Address)
 	}
 	fmt.Fprintln(t, "\nENTRY WITH LEASE\tREVISION")
 	for _, x := range r.Entries {
--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -80,12 +80,14 @@
 	target uint64
 	known  bool
 	// elapsed counts ticks since the leader was heard, or at the leader since the last quorum check.
-	elapsed   int
-	beat      int
-	timeout   int
-	votes     map[Identity]bool
-	members   map[Identity]*progress
-	termStart uint64
+	elapsed int
+	beat    int
+	// sinceWatch counts ticks since the leader last looked for lost appends.
+	sinceWatch int
+	timeout    int
+	votes      map[Identity]bool
+	members    map[Identity]*progress
+	termStart  uint64
 
 	round       uint64
 	roundWanted bool
--- a/internal/control/raft/leader.go
+++ b/internal/control/raft/leader.go
@@ -6,7 +6,7 @@
 func (r *core) lead() {
 	r.role = Leader
 	r.leader, r.leaderAddress = r.self(), r.config.Self.Address
-	r.elapsed, r.beat = 0, 0
+	r.elapsed, r.beat, r.sinceWatch = 0, 0, 0
 	r.members = map[Identity]*progress{}
 	r.reads = nil
 	r.transferee = None
--- /dev/null
+++ b/internal/control/raft/resend_test.go
@@ -0,0 +1,32 @@
+package raft_test
+
+import (
+	"testing"
+
+	"hornbeamwood/internal/control/raft"
+)
+
+// A replica was started anew while an append was on its way to it, and callers
+// read all the time. The lost append must be sent again, or the replica never
+// catches up and the loss of another one stops all edits.
+func TestLostAppendIsSentAgainUnderSteadyReads(t *testing.T) {
+	c := replicaA(1, trio(), commands(1, 1, 1))
+	term := elect(t, c)
+	acknowledge(c, "b", term, 4)
+	flush(c)
+	for i := range 40 {
+		if err := c.Read(uint64(i)); err != nil {
+			t.Fatal(err)
+		}
+		c.Tick()
+		for _, m := range flush(c).Early {
+			if m.Kind == raft.MessageAppend && m.To == "l" {
+				return
+			}
+			if m.Kind == raft.MessageHeartbeat {
+				c.Step(from(m.To, raft.Message{Kind: raft.MessageHeartbeatResponse, Term: term, Round: m.Round}))
+			}
+		}
+	}
+	t.Fatal("the learner answered 40 heartbeats and was not sent the lost append again")
+}
--- a/internal/control/raft/tick.go
+++ b/internal/control/raft/tick.go
@@ -29,14 +29,22 @@
 			return
 		}
 	}
-	if r.beat >= r.config.HeartbeatTicks {
+	r.sinceWatch++
+	if r.sinceWatch >= r.config.HeartbeatTicks {
 		r.watch()
+	}
+	if r.beat >= r.config.HeartbeatTicks {
 		r.heartbeat()
 	}
 }
 
-// watch counts for how many heartbeats each member has answered nothing that it was sent.
+// watch counts for how many heartbeat intervals each member has answered nothing that it was sent.
+//
+// It has a clock of its own: reads send heartbeats too and begin their
+// interval anew. Under steady reads a lost append would otherwise never be
+// counted as lost, and the member would never catch up.
 func (r *core) watch() {
+	r.sinceWatch = 0
 	for _, p := range r.members {
 		p.quiet++
 		if p.moved || p.state == replicating && p.match >= r.log.last() {
--- a/internal/entry/status/collector.go
+++ b/internal/entry/status/collector.go
@@ -94,12 +94,25 @@
 		if s, ok := found[r.Address]; ok {
 			r.Role, r.Term, r.Applied = s.Role, s.Term, s.Applied
 			r.Identity, r.CaughtUp = string(s.Identity), s.CaughtUp
+			r.Voters, r.Votes = voters(s)
 		}
 		all = append(all, r)
 	}
 	return all
 }
 
+// voters returns how many members vote and whether the replica is one of them.
+func voters(s replica.Status) (n int, itself bool) {
+	for _, m := range s.Members {
+		if !m.Voter {
+			continue
+		}
+		n++
+		itself = itself || m.Identity == s.Identity
+	}
+	return n, itself
+}
+
 func (k *collector) ledger(ctx context.Context) (ledger.Counts, error) {
 	q, err := codec.Marshal(ledger.Query{Counts: &ledger.CountsQuery{}})
 	if err != nil {
--- a/internal/entry/status/report.go
+++ b/internal/entry/status/report.go
@@ -36,6 +36,10 @@
 	Applied uint64 `json:"applied"`
 	// Identity names the replica with its disk.
 	Identity string `json:"identity"`
+	// Voters is the number of voting members that it knows.
+	Voters int `json:"voters"`
+	// Votes says that the replica itself is one of them.
+	Votes bool `json:"votes"`
 	// CaughtUp says that it has applied all that was committed.
 	CaughtUp bool `json:"caught-up"`
 }
--- a/internal/process/control/control.go
+++ b/internal/process/control/control.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/control/members"
 	"hornbeamwood/internal/control/quic"
 	"hornbeamwood/internal/control/reaper"
 	"hornbeamwood/internal/control/replica"
@@ -37,12 +38,19 @@
 	File node.File
 	// Sections are the parts of the replicated state.
 	Sections []state.Section
-	// Terms tells what the settings say of leases.
-	Terms quic.Terms
+	// Settings is the section of the settings.
+	Settings Settings
 	// Logger takes the events.
 	Logger log.Interface
 }
 
+// Settings is what a control process reads of the settings.
+type Settings interface {
+	quic.Terms
+	// AdmittedReplicas returns the identities of control replicas that operators admit.
+	AdmittedReplicas() []string
+}
+
 // Process is a running control replica.
 type Process interface {
 	// Run serves until ctx ends or the disk fails; it returns nil after a graceful stop.
@@ -57,6 +65,7 @@
 	transport quic.Transport
 	replica   replica.Replica
 	reaper    reaper.Reaper
+	members   members.Keeper
 	metrics   *metrics.Set
 	loops     sync.WaitGroup
 }
@@ -86,7 +95,7 @@
 		p.transport.Close()
 		return nil, errors.Join(err, p.node.Close())
 	}
-	leases := quic.NewLeases(lease.NewHolders(entryNames(c.File)), c.Terms, time.Now)
+	leases := quic.NewLeases(lease.NewHolders(entryNames(c.File)), c.Settings, time.Now)
 	leader := quic.Register(quic.Config{Node: p.node, Replica: p.replica, Machine: m, Leases: leases})
 	p.reaper = reaper.New(reaper.Config{
 		Leader: leader,
@@ -94,6 +103,13 @@
 		Ledger: ledgerOf{machine: m, leader: leader},
 		Logger: c.Logger,
 	})
+	p.members = members.NewKeeper(members.Config{
+		Replica:  p.replica,
+		Prober:   p.transport,
+		Seeds:    replicaConfig(c, p.transport, m).Seeds,
+		Admitted: c.Settings.AdmittedReplicas,
+		Logger:   c.Logger,
+	})
 	p.gauges()
 	return p, nil
 }
@@ -143,6 +159,7 @@
 		keyring.Watch(serving, keyring.Config{Ring: p.ring, Files: p.files, Logger: p.config.Logger})
 	})
 	p.loops.Go(func() { p.reaper.Run(serving) })
+	p.loops.Go(func() { p.members.Run(serving) })
 	if err := p.servePlatform(serving); err != nil {
 		return err
 	}
--- a/internal/settings/rules/fleet.go
+++ b/internal/settings/rules/fleet.go
@@ -20,6 +20,8 @@
 	QuarantineServers int `cbor:"quarantine-servers"`
 	// QuarantineWindow is the time within which those losses count.
 	QuarantineWindow time.Duration `cbor:"quarantine-window"`
+	// AdmittedReplicas are the identities of control replicas that operators admit in place of the members of the same name.
+	AdmittedReplicas []string `cbor:"admitted-replicas"`
 	// AnnounceKeyDigests are the SHA-256 digests of the keys with which backend servers announce themselves.
 	AnnounceKeyDigests [][32]byte `cbor:"announce-key-digests"`
 }
--- a/internal/settings/section/section.go
+++ b/internal/settings/section/section.go
@@ -23,6 +23,8 @@
 	Terms() lease.Terms
 	// Changes returns what lies above a known revision.
 	Changes(known uint64) Changes
+	// AdmittedReplicas returns the identities of control replicas that operators admit.
+	AdmittedReplicas() []string
 }
 
 // section implements Section.
@@ -148,6 +150,13 @@
 	return s.changes(Query{Known: known})
 }
 
+// AdmittedReplicas implements Section.
+func (s *section) AdmittedReplicas() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.tree.AdmittedReplicas()
+}
+
 // Check returns the tree after edit e of t and its differences, or why t refuses it.
 func Check(t tree.Tree, e Edit) (tree.Tree, []tree.Effect, error) {
 	if err := checkOperator(t, e.Operator); err != nil {
--- a/internal/settings/tree/schema.go
+++ b/internal/settings/tree/schema.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"strings"
 	"time"
 
 	"hornbeamwood/internal/settings/rules"
@@ -146,6 +147,11 @@
 		Meaning: "The time within which those losses count.",
 		fleet:   func(f *rules.Fleet, v Value) { f.QuarantineWindow = v.Duration() },
 	},
+	{
+		Name: "admitted-replicas", Default: TextValue(""), Kinds: fleetKinds,
+		Meaning: "The identities, separated by spaces, of control replicas that come in place of the members of the same name; for VMs that lost their disk.",
+		fleet:   func(f *rules.Fleet, v Value) { f.AdmittedReplicas = strings.Fields(v.Text) },
+	},
 	{
 		Name: "announce-key-digests", Default: DigestsValue(), Kinds: fleetKinds,
 		Meaning: "The SHA-256 digests of the keys with which backend servers announce themselves.",
