--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -12,6 +12,10 @@
 	defaultInflight       = 32
 )
 
+// maxKeptBytes bounds the entries that stay in memory behind a snapshot,
+// however many of them are asked for.
+const maxKeptBytes = 4 << 20
+
 // Config is what a Core starts from.
 type Config struct {
 	// Group and Founding stand in each message; others are not taken.
@@ -147,9 +151,7 @@
 		return
 	}
 	r.log.snapshot = s
-	if s.Index > keep {
-		r.log.compact(s.Index - keep)
-	}
+	r.log.compact(r.log.tail(s.Index, keep, maxKeptBytes))
 }
 
 // send queues a message that must wait for the disk.
--- a/internal/control/raft/log.go
+++ b/internal/control/raft/log.go
@@ -151,6 +151,20 @@
 	return l.configurations[0].configuration
 }
 
+// tail returns the index behind which at most count entries and about limit bytes lead up to index.
+func (l *entryLog) tail(index, count uint64, limit int) uint64 {
+	at := min(index, l.last())
+	size := 0
+	for at > l.base && index-at < count {
+		size += l.entries[at-l.base-1].size()
+		if size > limit {
+			break
+		}
+		at--
+	}
+	return at
+}
+
 // compact forgets the entries up to index, which a snapshot holds.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.base || index > l.last() {
