Quarantine: proofs, with the sharing of losses missing

Red on purpose: whoever ran on two lost servers is condemned. The property test finds innocents in quarantine that ran beside two culprits.

--- /dev/null
+++ b/internal/control/quarantine/changes.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import "hornbeamwood/internal/policy/suspicion"
+
+func (q *quarantine) since(version uint64) Changes {
+	if version < q.forgotten || version > q.version {
+		return Changes{Version: q.version, Whole: true, Changes: q.recordsSince(0)}
+	}
+	return Changes{Version: q.version, Changes: q.changesSince(version)}
+}
+
+// changesSince returns the standings newer than version, the clear ones included.
+func (q *quarantine) changesSince(version uint64) []suspicion.Change {
+	changes := q.recordsSince(version)
+	for _, r := range q.removals {
+		if _, again := q.records[r.Fingerprint]; r.Version > version && !again {
+			changes = append(changes, suspicion.Change{Fingerprint: r.Fingerprint, Standing: suspicion.Clear})
+		}
+	}
+	return changes
+}
+
+func (q *quarantine) recordsSince(version uint64) []suspicion.Change {
+	var changes []suspicion.Change
+	for _, f := range q.order() {
+		if r := q.records[f]; r.Version > version {
+			changes = append(changes, suspicion.Change{Fingerprint: f, Standing: r.Standing})
+		}
+	}
+	return changes
+}
+
+func (q *quarantine) list(workspace string) Listing {
+	var l Listing
+	for _, f := range q.order() {
+		r := q.records[f]
+		if r.Standing != suspicion.Clear && (workspace == "" || workspace == r.Workspace) {
+			l.Items = append(l.Items, r.item())
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/control/quarantine/probe.go
@@ -0,0 +1,58 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"hornbeamwood/internal/policy/suspicion"
+)
+
+const probeRetry = time.Second
+
+// begin gives a suspect a server's slot: one suspect at a time at a server, and
+// one run of a suspect at a time in the fleet. Two suspects on one server would
+// share its loss, and the innocent one would be condemned with the other.
+func (q *quarantine) begin(at time.Time, c *Begin) Result {
+	r, ok := q.records[c.Fingerprint]
+	if !ok || r.Standing == suspicion.Clear {
+		return Result{Valid: true, Granted: true, Standing: suspicion.Clear}
+	}
+	if r.Standing == suspicion.Quarantined {
+		return Result{Valid: true, Standing: r.Standing}
+	}
+	wait := Result{Valid: true, Standing: r.Standing, RetryAfter: probeRetry, Avoid: r.servers()}
+	if c.Elsewhere && slices.Contains(wait.Avoid, c.Server) {
+		return wait
+	}
+	if s, taken := q.slots[c.Server]; taken && s.Attempt != c.Attempt {
+		return wait
+	}
+	for _, s := range q.slots {
+		if s.Fingerprint == c.Fingerprint && s.Attempt != c.Attempt {
+			return wait
+		}
+	}
+	lease := min(max(c.Lease, minLease), maxLease)
+	q.slots[c.Server] = slot{Fingerprint: c.Fingerprint, Attempt: c.Attempt, Until: at.Add(lease).UnixNano()}
+	return Result{Valid: true, Granted: true, Standing: r.Standing}
+}
+
+// finish gives the slot back; a whole answer clears the suspect.
+func (q *quarantine) finish(c *Finish) Result {
+	held := false
+	for server, s := range q.slots {
+		if s.Attempt == c.Attempt && s.Fingerprint == c.Fingerprint {
+			delete(q.slots, server)
+			held = true
+		}
+	}
+	r, ok := q.records[c.Fingerprint]
+	if !ok {
+		return Result{Valid: true, Standing: suspicion.Clear}
+	}
+	if held && c.Whole && r.Standing == suspicion.Suspect {
+		q.remove(c.Fingerprint)
+		return Result{Valid: true, Standing: suspicion.Clear}
+	}
+	return Result{Valid: true, Standing: r.Standing}
+}
--- /dev/null
+++ b/internal/control/quarantine/quarantine_test.go
@@ -0,0 +1,249 @@
+package quarantine
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/control/state"
+	"hornbeamwood/internal/policy/suspicion"
+)
+
+const (
+	fixedSeed = 20261203
+	limit     = 2
+	window    = 10 * time.Minute
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func apply(t testing.TB, s state.Section, at time.Time, c Command) Result {
+	t.Helper()
+	b, err := codec.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := codec.Unmarshal[Result](s.Apply(at, b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func lostWith(server string, incarnation uint64, prompts ...string) Command {
+	c := &Lost{Server: server, Incarnation: incarnation, Servers: limit, Window: window}
+	for _, p := range prompts {
+		c.Running = append(c.Running, Running{Fingerprint: fingerprint(p), Workspace: "w", Model: "m"})
+	}
+	return Command{Lost: c}
+}
+
+func fingerprint(prompt string) suspicion.Fingerprint {
+	return suspicion.Of("w", "m", []byte(prompt))
+}
+
+// view follows the section as an entry does.
+func view(t testing.TB, s state.Section, v suspicion.View) suspicion.View {
+	t.Helper()
+	b, err := codec.Marshal(Query{Since: &Since{Version: v.Version()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err = s.Query(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := codec.Unmarshal[Changes](b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v.With(c.Version, c.Changes, c.Whole)
+}
+
+func standing(t testing.TB, s state.Section, prompt string) suspicion.Standing {
+	t.Helper()
+	return view(t, s, suspicion.View{}).Decide(fingerprint(prompt)).Standing
+}
+
+// A prompt crashes the server that runs it, with twenty others in flight, and
+// is sent again. It is in quarantine after the second server; the twenty are
+// suspects at worst, and the next whole answer of each clears it.
+func TestCulpritIsCondemnedAndInnocentsAreNot(t *testing.T) {
+	s := New()
+	others := make([]string, 20)
+	for i := range others {
+		others[i] = fmt.Sprint("innocent ", i)
+	}
+	apply(t, s, start, lostWith("a", 1, append(others, "culprit")...))
+	if got := standing(t, s, "culprit"); got != suspicion.Suspect {
+		t.Fatalf("after one server: %s", got)
+	}
+	if r := apply(t, s, start, Command{Begin: &Begin{Fingerprint: fingerprint("culprit"), Server: "b", Attempt: "1", Lease: time.Minute}}); !r.Granted {
+		t.Fatal("the first probe had to wait")
+	}
+	for i, o := range others {
+		c := Command{Begin: &Begin{Fingerprint: fingerprint(o), Server: "b", Attempt: o, Lease: time.Minute}}
+		if r := apply(t, s, start, c); r.Granted || r.RetryAfter == 0 {
+			t.Fatalf("innocent %d ran beside another suspect", i)
+		}
+	}
+	apply(t, s, start.Add(time.Second), lostWith("b", 1, "culprit"))
+	if d := view(t, s, suspicion.View{}).Decide(fingerprint("culprit")); d.Standing != suspicion.Quarantined || d.RetryAfter == 0 {
+		t.Fatalf("after two servers: %+v", d)
+	}
+	for _, o := range others {
+		apply(t, s, start, Command{Begin: &Begin{Fingerprint: fingerprint(o), Server: "c", Attempt: o, Lease: time.Minute}})
+		apply(t, s, start, Command{Finish: &Finish{Fingerprint: fingerprint(o), Attempt: o, Whole: true}})
+		if got := standing(t, s, o); got != suspicion.Clear {
+			t.Errorf("%s is %s", o, got)
+		}
+	}
+}
+
+// A server with a broken fan dies every minute, whatever it runs. Nothing that
+// ran there may be condemned for it.
+func TestOneServerLostAgainAndAgainCondemnsNothing(t *testing.T) {
+	s := New()
+	for n := range 5 {
+		apply(t, s, start.Add(time.Duration(n)*time.Minute), lostWith("a", uint64(n+1), "x"))
+	}
+	if got := standing(t, s, "x"); got != suspicion.Suspect {
+		t.Errorf("got %s", got)
+	}
+	apply(t, s, start.Add(time.Hour), Command{Finish: &Finish{}})
+	if got := standing(t, s, "x"); got != suspicion.Clear {
+		t.Errorf("after the window: %s", got)
+	}
+}
+
+// An operator has had the engines mended and clears the prompt; each entry
+// hears of it and serves it again.
+func TestOperatorClears(t *testing.T) {
+	s := New()
+	apply(t, s, start, lostWith("a", 1, "x"))
+	apply(t, s, start, lostWith("b", 1, "x"))
+	v := view(t, s, suspicion.View{})
+	if v.Decide(fingerprint("x")).Standing != suspicion.Quarantined {
+		t.Fatal("it isn't in quarantine")
+	}
+	apply(t, s, start.Add(1000*time.Hour), Command{Begin: &Begin{Fingerprint: fingerprint("x"), Server: "c", Attempt: "1"}})
+	if standing(t, s, "x") != suspicion.Quarantined {
+		t.Fatal("time alone cleared it")
+	}
+	apply(t, s, start, Command{Clear: &Clear{Fingerprint: fingerprint("x"), Operator: "o"}})
+	if v = view(t, s, v); v.Decide(fingerprint("x")).Standing != suspicion.Clear {
+		t.Error("the entry didn't hear of it")
+	}
+}
+
+// Servers die by chance and by culprits, entries send on, probe suspects and
+// hear of changes late. Each culprit costs two servers at most when its caller
+// sends it one after the other, and no innocent stays in quarantine once the
+// culprits beside it are known.
+func TestServersLostAreBounded(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(fixedSeed)
+	parameters.MinSuccessfulTests = 200
+	properties := gopter.NewProperties(parameters)
+	properties.Property("two servers a culprit", prop.ForAllNoShrink(func(seed uint64) string {
+		return crash(t, rand.New(rand.NewPCG(seed, 5)))
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func crash(t *testing.T, r *rand.Rand) string {
+	s := New()
+	at := start
+	culprits := 1 + r.IntN(3)
+	losses := map[int]int{}
+	var v suspicion.View
+	for n := range 120 {
+		at = at.Add(time.Second)
+		v = view(t, s, v)
+		if n%20 == 7 {
+			s = reborn(t, s)
+		}
+		c := r.IntN(culprits)
+		culprit := fmt.Sprint("culprit ", c)
+		server := fmt.Sprint("s", r.IntN(13))
+		d := v.Decide(fingerprint(culprit))
+		if d.Standing == suspicion.Quarantined {
+			continue
+		}
+		if d.Standing == suspicion.Suspect {
+			b := &Begin{Fingerprint: fingerprint(culprit), Server: server, Attempt: fmt.Sprint(n), Lease: time.Minute, Elsewhere: true}
+			if !apply(t, s, at, Command{Begin: b}).Granted {
+				continue
+			}
+		}
+		running := []string{culprit}
+		for range r.IntN(5) {
+			running = append(running, innocent(t, s, at, v, server, r.IntN(60))...)
+		}
+		apply(t, s, at, lostWith(server, uint64(n+1), running...))
+		if losses[c]++; losses[c] > limit+1 {
+			return fmt.Sprintf("culprit %d cost %d servers", c, losses[c])
+		}
+	}
+	v = view(t, s, v)
+	for i := range 60 {
+		if v.Decide(fingerprint(fmt.Sprint("innocent ", i))).Standing == suspicion.Quarantined {
+			return fmt.Sprintf("innocent %d is in quarantine", i)
+		}
+	}
+	return ""
+}
+
+// innocent returns the i-th innocent when it may run at the server now: as any
+// other, or with the server's slot when it is a suspect.
+func innocent(t *testing.T, s state.Section, at time.Time, v suspicion.View, server string, i int) []string {
+	name := fmt.Sprint("innocent ", i)
+	switch v.Decide(fingerprint(name)).Standing {
+	case suspicion.Clear:
+		return []string{name}
+	case suspicion.Suspect:
+		b := &Begin{Fingerprint: fingerprint(name), Server: server, Attempt: name, Lease: time.Second, Elsewhere: true}
+		if apply(t, s, at, Command{Begin: b}).Granted {
+			return []string{name}
+		}
+	}
+	return nil
+}
+
+func reborn(t testing.TB, s state.Section) state.Section {
+	t.Helper()
+	b, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := New()
+	if err := again.Restore(b); err != nil {
+		t.Fatal(err)
+	}
+	second, err := again.Snapshot()
+	if err != nil || !bytes.Equal(b, second) {
+		t.Fatalf("the restored state has another snapshot: %v", err)
+	}
+	return again
+}
+
+func FuzzApply(f *testing.F) {
+	for _, c := range []Command{{}, lostWith("a", 1, "x"), {Begin: &Begin{Server: "a"}}} {
+		b, err := codec.Marshal(c)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, command []byte) {
+		s := New()
+		s.Apply(start, command)
+		reborn(t, s)
+	})
+}
--- /dev/null
+++ b/internal/policy/suspicion/fingerprint.go
@@ -0,0 +1,41 @@
+package suspicion
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Fingerprint identifies a prompt within one workspace and model.
+type Fingerprint [sha256.Size]byte
+
+// Of returns the fingerprint; equal prompts of two workspaces or models have different ones.
+func Of(workspace, model string, prompt []byte) Fingerprint {
+	h := sha256.New()
+	var length [8]byte
+	for _, part := range []string{workspace, model} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write([]byte(part))
+	}
+	digest := sha256.Sum256(prompt)
+	h.Write(digest[:])
+	var f Fingerprint
+	h.Sum(f[:0])
+	return f
+}
+
+// String returns f in hexadecimal digits.
+func (f Fingerprint) String() string {
+	return hex.EncodeToString(f[:])
+}
+
+// Parse returns the fingerprint with the given hexadecimal digits, and false for any other text.
+func Parse(s string) (Fingerprint, bool) {
+	var f Fingerprint
+	if hex.DecodedLen(len(s)) != len(f) {
+		return f, false
+	}
+	_, err := hex.Decode(f[:], []byte(s))
+	return f, err == nil
+}
--- /dev/null
+++ b/internal/policy/suspicion/loss.go
@@ -0,0 +1,40 @@
+package suspicion
+
+import "time"
+
+// Loss is one server lost while it ran a fingerprint.
+type Loss struct {
+	// Server is the lost server's identity.
+	Server string `cbor:"s"`
+	// Incarnation is that of the lost server.
+	Incarnation uint64 `cbor:"i"`
+	// At is when the loss was recorded, in nanoseconds since 1970.
+	At int64 `cbor:"a"`
+}
+
+// same reports whether l and m are one event.
+func (l Loss) same(m Loss) bool {
+	return l.Server == m.Server && l.Incarnation == m.Incarnation
+}
+
+// Has reports whether the event l is among losses.
+func Has(losses []Loss, l Loss) bool {
+	for _, m := range losses {
+		if l.same(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// Recent returns the losses that are younger than window.
+func Recent(losses []Loss, at time.Time, window time.Duration) []Loss {
+	oldest := at.Add(-window).UnixNano()
+	var recent []Loss
+	for _, l := range losses {
+		if l.At > oldest {
+			recent = append(recent, l)
+		}
+	}
+	return recent
+}
--- /dev/null
+++ b/internal/policy/suspicion/view.go
@@ -0,0 +1,65 @@
+package suspicion
+
+import (
+	"maps"
+	"time"
+)
+
+// quarantineRetry is when a caller of a quarantined request may ask again; an operator looks at it meanwhile.
+const quarantineRetry = 10 * time.Minute
+
+// View is what an entry knows of the fleet's suspicions at one version.
+type View struct {
+	version   uint64
+	standings map[Fingerprint]Standing
+}
+
+// Change is the new standing of one fingerprint.
+type Change struct {
+	// Fingerprint is whose standing it is.
+	Fingerprint Fingerprint `cbor:"f"`
+	// Standing is the new one.
+	Standing Standing `cbor:"s"`
+}
+
+// Version returns the version of the fleet's suspicions that v shows.
+func (v View) Version() uint64 {
+	return v.version
+}
+
+// With returns a copy of v at a newer version; whole means that changes list all there is.
+func (v View) With(version uint64, changes []Change, whole bool) View {
+	next := View{version: version, standings: map[Fingerprint]Standing{}}
+	if !whole {
+		maps.Copy(next.standings, v.standings)
+	}
+	for _, c := range changes {
+		next.standings[c.Fingerprint] = c.Standing
+		if c.Standing == Clear {
+			delete(next.standings, c.Fingerprint)
+		}
+	}
+	return next
+}
+
+// Decision says how a request may run.
+type Decision struct {
+	// Standing is Clear for a request that runs as any other, Suspect for one that needs a probe slot, Quarantined for one that is refused.
+	Standing Standing
+	// RetryAfter is set for a refusal.
+	RetryAfter time.Duration
+	// Reason is one clause for the log.
+	Reason string
+}
+
+// Decide returns how a request with the given fingerprint may run.
+func (v View) Decide(f Fingerprint) Decision {
+	switch v.standings[f] {
+	case Quarantined:
+		return Decision{Standing: Quarantined, RetryAfter: quarantineRetry, Reason: "different servers were lost while they ran this request"}
+	case Suspect:
+		return Decision{Standing: Suspect, Reason: "a server was lost while it ran this request"}
+	default:
+		return Decision{Standing: Clear, Reason: "nothing speaks against the request"}
+	}
+}
