Quarantine: a loss counts against the one that a further loss condemns

All who ran on a lost server share its loss. Giving a loss away for good to the first one condemned was tried and failed: an innocent beside two culprits takes both their losses and stays in quarantine. Letting companions of a condemned one run freely failed too: they met again on one server.

--- a/internal/policy/suspicion/judge.go
+++ b/internal/policy/suspicion/judge.go
@@ -27,6 +27,11 @@
 func Judge(cases []*Case, limit int) {
 	limit = max(limit, 1)
 	condemned := candidates(cases, limit)
+	for _, c := range slices.Clone(condemned) {
+		if servers(unexplained(c, condemned)) < limit {
+			condemned = slices.DeleteFunc(condemned, func(d *Case) bool { return d == c })
+		}
+	}
 	for _, c := range cases {
 		c.Standing = stand(c, condemned)
 	}
@@ -58,6 +63,23 @@
 	}
 }
 
+// unexplained returns the losses of c that no other condemned case with a further loss shares.
+func unexplained(c *Case, condemned []*Case) []Loss {
+	var rest []Loss
+	for _, l := range c.Losses {
+		shared := func(d *Case) bool { return d != c && Has(d.Losses, l) && more(d.Losses, c.Losses) }
+		if !slices.ContainsFunc(condemned, shared) {
+			rest = append(rest, l)
+		}
+	}
+	return rest
+}
+
+// more reports whether a has a loss that b has not.
+func more(a, b []Loss) bool {
+	return slices.ContainsFunc(a, func(l Loss) bool { return !Has(b, l) })
+}
+
 // servers returns the number of different servers.
 func servers(losses []Loss) int {
 	n := 0
