--- a/internal/base/event/callers.go
+++ b/internal/base/event/callers.go
@@ -12,8 +12,8 @@
 	CallDispatched = define(502, log.InfoLevel, "call-dispatched", "A call goes to a plain service; the field server names it.")
 	// CallFailed is written when a claimed call has no outcome.
 	CallFailed = define(503, log.WarnLevel, "call-failed", "A claimed call has no outcome; not-run releases the claim, may-have-run makes it unknown.")
-	// CallSettled is written when the outcome of a call is recorded.
-	CallSettled = define(504, log.InfoLevel, "call-settled", "The outcome of a non-idempotent call went to the ledger.")
+	// CallSettled is written when a call has its outcome, before that is recorded.
+	CallSettled = define(504, log.InfoLevel, "call-settled", "A non-idempotent call has its outcome, which goes to the ledger next.")
 	// CallUnrecorded is written when the log stayed away for longer than the entry tries.
 	CallUnrecorded = define(505, log.ErrorLevel, "call-unrecorded", "The ledger could not be told what became of a call; the claim ends as unknown.")
 	// CallRetried is written when an idempotent call is tried elsewhere.
--- /dev/null
+++ b/internal/entry/caller/completion_body_test.go
@@ -0,0 +1,53 @@
+package caller
+
+import (
+	"encoding/json"
+	"testing"
+
+	"hornbeamwood/internal/base/verdict"
+)
+
+// FuzzCompletionBody holds that whatever callers send is refused as not run, or
+// forwarded as a streamed JSON object with the same model and the same prompt.
+func FuzzCompletionBody(f *testing.F) {
+	for _, s := range []string{
+		chatBody,
+		`{"model":"m","prompt":"x","stream":true,"n":2,"max_tokens":7}`,
+		`{"model":"m","prompt":["a",[1,2]],"stream_options":{"include_usage":false,"x":1}}`,
+		`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"image_url","image_url":{"url":"u"}}]}]}`,
+		`{"model":"m","messages":[{"role":"assistant","content":null,"tool_calls":[{"id":"1"}]}],"stream_options":null}`,
+		`{"MODEL":"m"}`, `null`, `[]`, `{`, "\xff",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, p := range []protocol{chatProtocol, textProtocol} {
+			checkParse(t, p, b)
+		}
+	})
+}
+
+func checkParse(t *testing.T, p protocol, b []byte) {
+	body, err := parseCompletion(p, b)
+	if err != nil {
+		if e, ok := verdict.As(err); !ok || e.Verdict != verdict.NotRun || e.Status != 400 {
+			t.Fatalf("%q: %v", b, err)
+		}
+		return
+	}
+	again, err := parseCompletion(p, body.forward)
+	if err != nil || !again.stream || !again.usage || again.model != body.model || string(again.prompt) != string(body.prompt) {
+		t.Fatalf("%q was forwarded as %q: %v", b, body.forward, err)
+	}
+	if !json.Valid(body.forward) {
+		t.Fatalf("%q was forwarded as %q", b, body.forward)
+	}
+}
+
+func TestTokensShareThePrefix(t *testing.T) {
+	k := NewByteTokenizer()
+	short, long := k.Tokens([]byte("abcdefgh")), k.Tokens([]byte("abcdefghij"))
+	if len(short) != 2 || len(long) != 3 || short[0] != long[0] || short[1] != long[1] || len(k.Tokens(nil)) != 0 {
+		t.Errorf("got %v and %v", short, long)
+	}
+}
--- a/internal/entry/service/settle.go
+++ b/internal/entry/service/settle.go
@@ -76,8 +76,8 @@
 	command := ledger.Command{Outcome: &ledger.Outcome{
 		Scope: f.scope, Attempt: f.attempt, Digest: f.digest, Answer: kept,
 	}}
-	f.record(ctx, command, replies, p)
 	f.client.write(event.CallSettled, f.request, log.Fields{"attempt": f.attempt, "status": a.Status})
+	f.record(ctx, command, replies, p)
 }
 
 // record commits the command and then replies; when the log doesn't answer
