--- a/internal/entry/service/once.go
+++ b/internal/entry/service/once.go
@@ -34,7 +34,7 @@
 	f := &flow{
 		client:  c,
 		request: r,
-		scope:   ledger.Scope{Service: r.Service, Key: r.Key},
+		scope:   ledger.Scope{Workspace: r.Workspace, Service: r.Service, Key: r.Key},
 		digest:  ledger.DigestOf(r.Method, r.Path, r.Body),
 		attempt: c.NewAttempt(),
 		started: c.Now(),
