--- a/internal/entry/caller/completion_body.go
+++ b/internal/entry/caller/completion_body.go
@@ -39,15 +39,15 @@
 
 // parseCompletion returns the body taken apart, or a refusal that names the field.
 func parseCompletion(p protocol, b []byte) (completionBody, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(b, &fields); err != nil || fields == nil {
+	fields, err := splitBody(b)
+	if err != nil {
 		return completionBody{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "invalid-json", "the body is no JSON object").WithCause(err)
 	}
 	known, err := parseKnown(fields)
 	if err != nil {
 		return completionBody{}, err
 	}
-	prompt, err := p.prompt(fields[p.promptField])
+	prompt, err := p.prompt(fields.get(p.promptField))
 	if err != nil {
 		return completionBody{}, invalidField(p.promptField, "%s", err)
 	}
@@ -67,7 +67,7 @@
 
 // parseKnown reads the known fields by their exact names: the decoder of the
 // standard library also takes "Model" for model, and engines don't.
-func parseKnown(fields map[string]json.RawMessage) (knownFields, error) {
+func parseKnown(fields bodyFields) (knownFields, error) {
 	var k knownFields
 	targets := []struct {
 		name   string
@@ -81,8 +81,8 @@
 		{"n", &k.Choices},
 	}
 	for _, t := range targets {
-		raw, ok := fields[t.name]
-		if !ok {
+		raw := fields.get(t.name)
+		if raw == nil {
 			continue
 		}
 		if err := json.Unmarshal(raw, t.target); err != nil {
@@ -106,21 +106,19 @@
 }
 
 // forwardBody returns the body for the engine, always streamed and with usage.
-func forwardBody(fields map[string]json.RawMessage) ([]byte, error) {
-	options := map[string]json.RawMessage{}
-	if raw, ok := fields["stream_options"]; ok && !bytes.Equal(raw, []byte("null")) {
-		if err := json.Unmarshal(raw, &options); err != nil {
+func forwardBody(fields bodyFields) ([]byte, error) {
+	var options bodyFields
+	if raw := fields.get("stream_options"); raw != nil && !bytes.Equal(raw, []byte("null")) {
+		var err error
+		if options, err = splitBody(raw); err != nil {
 			return nil, err
 		}
 	}
-	options["include_usage"] = json.RawMessage("true")
-	raw, err := json.Marshal(options)
-	if err != nil {
-		return nil, err
-	}
-	fields["stream_options"] = raw
-	fields["stream"] = json.RawMessage("true")
-	return json.Marshal(fields)
+	options = options.with("include_usage", []byte("true"))
+	return fields.
+		with("stream_options", options.object()).
+		with("stream", []byte("true")).
+		object(), nil
 }
 
 func first(values ...*int) int {
--- a/internal/entry/caller/completion_body_test.go
+++ b/internal/entry/caller/completion_body_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 
 	"hornbeamwood/internal/base/verdict"
@@ -44,6 +46,20 @@
 	}
 }
 
+// A body has half a million members. Compared with each other, they would hold
+// a processor for minutes, and all other callers of the entry would wait.
+func TestBodyOfTooManyMembersIsRefused(t *testing.T) {
+	var b strings.Builder
+	b.WriteString(`{"model":"m","prompt":"x"`)
+	for i := range 500_000 {
+		fmt.Fprintf(&b, `,"%d":0`, i)
+	}
+	b.WriteString("}")
+	if _, err := parseCompletion(textProtocol, []byte(b.String())); verdict.Of(err) != verdict.NotRun {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestTokensShareThePrefix(t *testing.T) {
 	k := NewByteTokenizer()
 	short, long := k.Tokens([]byte("abcdefgh")), k.Tokens([]byte("abcdefghij"))
--- a/internal/entry/caller/prompt.go
+++ b/internal/entry/caller/prompt.go
@@ -4,13 +4,35 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+
+	"hornbeamwood/internal/base/jsonscan"
 )
 
 // message is the part of a chat message that makes up the prompt.
 type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-	Calls   json.RawMessage `json:"tool_calls"`
+	role    []byte
+	content []byte
+	calls   []byte
+}
+
+// parseMessage takes the text of a message apart.
+func parseMessage(raw []byte) (message, error) {
+	var m message
+	err := jsonscan.Members(raw, func(name, value []byte) (err error) {
+		switch string(name) {
+		case "role":
+			m.role, err = jsonscan.Text(value)
+		case "content":
+			m.content = value
+		case "tool_calls":
+			m.calls = value
+		}
+		return err
+	})
+	if err != nil || len(m.role) == 0 {
+		return m, errMessages
+	}
+	return m, nil
 }
 
 // part is one part of a message's content.
@@ -28,33 +50,34 @@
 // chatPrompt returns roles and texts one after the other, each closed by a zero
 // byte, so that no text can pass for a role.
 func chatPrompt(raw []byte) ([]byte, error) {
-	var messages []message
-	if err := json.Unmarshal(raw, &messages); err != nil || len(messages) == 0 {
-		return nil, errMessages
-	}
 	var b bytes.Buffer
-	for _, m := range messages {
-		if m.Role == "" {
-			return nil, errMessages
+	b.Grow(len(raw))
+	err := jsonscan.Elements(raw, func(element []byte) error {
+		m, err := parseMessage(element)
+		if err != nil {
+			return err
 		}
-		b.WriteString(m.Role)
+		b.Write(m.role)
 		b.WriteByte(0)
-		if err := appendContent(&b, m.Content); err != nil {
-			return nil, err
+		if err := appendContent(&b, m.content); err != nil {
+			return err
 		}
-		b.Write(m.Calls)
+		b.Write(m.calls)
 		b.WriteByte(0)
+		return nil
+	})
+	if errors.Is(err, jsonscan.ErrSyntax) || (err == nil && b.Len() == 0) {
+		return nil, errMessages
 	}
-	return b.Bytes(), nil
+	return b.Bytes(), err
 }
 
 func appendContent(b *bytes.Buffer, raw []byte) error {
 	if len(raw) == 0 || string(raw) == "null" {
 		return nil
 	}
-	var text string
-	if json.Unmarshal(raw, &text) == nil {
-		b.WriteString(text)
+	if text, err := jsonscan.Text(raw); err == nil {
+		b.Write(text)
 		return nil
 	}
 	var parts []json.RawMessage
@@ -85,9 +108,8 @@
 
 // textPrompt returns the prompt's text; a list is taken as its compact JSON.
 func textPrompt(raw []byte) ([]byte, error) {
-	var text string
-	if json.Unmarshal(raw, &text) == nil && string(raw) != "null" {
-		return []byte(text), nil
+	if text, err := jsonscan.Text(raw); err == nil {
+		return text, nil
 	}
 	var list []json.RawMessage
 	if json.Unmarshal(raw, &list) != nil || len(list) == 0 {
--- a/internal/entry/engine/event_reader_test.go
+++ b/internal/entry/engine/event_reader_test.go
@@ -72,7 +72,7 @@
 		if strings.Join(whole, "\x00") != strings.Join(split, "\x00") {
 			t.Fatalf("%q read byte by byte is %q", whole, split)
 		}
-		var e envelope
+		e := newEnvelope()
 		for _, data := range whole {
 			_ = e.decode([]byte(data))
 		}
--- a/internal/entry/engine/finish.go
+++ b/internal/entry/engine/finish.go
@@ -12,12 +12,12 @@
 // observe takes in an event's choices and reports whether all are within bounds.
 func (f *finish) observe(choices []choice) bool {
 	for _, c := range choices {
-		if c.Index < 0 || c.Index >= maxChoices {
+		if c.index < 0 || c.index >= maxChoices {
 			return false
 		}
-		f.opened[c.Index] = true
-		if c.FinishReason != nil {
-			f.finished[c.Index] = true
+		f.opened[c.index] = true
+		if c.finished {
+			f.finished[c.index] = true
 		}
 	}
 	return true
--- a/internal/entry/engine/stream.go
+++ b/internal/entry/engine/stream.go
@@ -38,7 +38,7 @@
 	hangUp   context.CancelFunc
 	silence  *time.Timer
 	events   *eventReader
-	envelope envelope
+	envelope *envelope
 	finish   finish
 	position int
 	resumes  int
@@ -58,7 +58,7 @@
 
 func newStream(ctx context.Context, c *client, address string, r Request) *stream {
 	ctx, cancel := context.WithCancel(ctx)
-	return &stream{client: c, context: ctx, cancel: cancel, address: address, request: r}
+	return &stream{client: c, context: ctx, cancel: cancel, address: address, request: r, envelope: newEnvelope()}
 }
 
 // open connects, for the first time or to resume after the last position.
@@ -132,21 +132,21 @@
 	if err := s.envelope.decode(data); err != nil {
 		return nil, errMalformed
 	}
-	t := s.envelope.Tag
-	if t.Attempt != s.request.Attempt || t.Request != s.request.ID {
+	t := s.envelope.tag
+	if string(t.attempt) != s.request.Attempt || string(t.request) != s.request.ID {
 		return nil, errForeign
 	}
-	if t.Position <= s.position && t.Position > 0 {
-		s.rejected(fmt.Errorf("the repeated position %d", t.Position))
+	if t.position <= s.position && t.position > 0 {
+		s.rejected(fmt.Errorf("the repeated position %d", t.position))
 		return nil, nil
 	}
-	if t.Position != s.position+1 {
+	if t.position != s.position+1 {
 		return nil, errSkipped
 	}
 	if s.envelope.failed() {
-		return nil, failed(s.envelope.Error)
+		return nil, failed(s.envelope.fault)
 	}
-	if !s.finish.observe(s.envelope.Choices) {
+	if !s.finish.observe(s.envelope.choices) {
 		return nil, errMalformed
 	}
 	s.position++
