Gossip pushes what servers tell, dated by proved clocks

Entries now push what servers told them to all peers, a new form for two seconds only, and work as counts since the last push. A push is dated by its stamp: the answers to pulls prove how the sender's clock stands to this one. The time between pushes grows with the cell, so that messages stay at 40 a second.

Ruled out: pushes without dates, which take a late message for fresh, and faster pulls, whose digests cost more than all rows.

--- a/internal/fleet/membership/evidence.go
+++ b/internal/fleet/membership/evidence.go
@@ -25,7 +25,7 @@
 	}
 	heard := now.Add(-x.age)
 	if uptime > 0 {
-		e.transit.prove(now, heard, uptime)
+		e.transit.proof.add(now, heard, uptime)
 	}
 	return heard
 }
--- a/internal/fleet/membership/form.go
+++ b/internal/fleet/membership/form.go
@@ -11,7 +11,6 @@
 
 // formOf returns the part of a that changes seldom; gossip sends it only to those who lack it.
 func formOf(a announcement.Announcement) announcement.Announcement {
-	a.Incarnation = 0
 	a.Sequence = 0
 	a.UptimeMillis = 0
 	a.State = ""
@@ -31,6 +30,7 @@
 
 func sameForm(a, b *announcement.Announcement) bool {
 	return a.Identity == b.Identity &&
+		a.Incarnation == b.Incarnation &&
 		a.Zone == b.Zone &&
 		a.Address == b.Address &&
 		a.Kind == b.Kind &&
--- a/internal/fleet/membership/gossip_config.go
+++ b/internal/fleet/membership/gossip_config.go
@@ -7,12 +7,13 @@
 
 // Defaults of GossipConfig.
 const (
-	DefaultPull  = 250 * time.Millisecond
+	DefaultPush  = 250 * time.Millisecond
+	DefaultPull  = time.Second
 	DefaultAwait = 3 * time.Second
 )
 
-// forgetPeer is the silence after which an entry's work report is forgotten.
-const forgetPeer = time.Minute
+// pushEach is the least time between two pushes for each peer; it bounds the messages of an entry to 40 a second whatever the size of its cell.
+const pushEach = 25 * time.Millisecond
 
 // GossipConfig holds what a Gossip needs.
 type GossipConfig struct {
@@ -24,7 +25,9 @@
 	Incarnation uint32
 	// Table is where announcements are merged.
 	Table Table
-	// Pull is the time between two pulls; zero means DefaultPull.
+	// Push is the least time between two pushes to all peers; zero means DefaultPush. It is longer in cells of more than ten entries.
+	Push time.Duration
+	// Pull is the time between two pulls from one peer after the other; zero means DefaultPull.
 	Pull time.Duration
 	// Await is how long an answer is waited for; zero means DefaultAwait.
 	Await time.Duration
--- a/internal/fleet/membership/key.go
+++ b/internal/fleet/membership/key.go
@@ -8,6 +8,11 @@
 // Key is the first eight bytes of the SHA-256 digest of a server's identity, its short name in gossip.
 type Key uint64
 
+// short returns the upper half of the key, which names a server where a mix-up only blurs a count.
+func (k Key) short() uint32 {
+	return uint32(k >> 32)
+}
+
 // KeyOf returns the Key of an identity.
 func KeyOf(identity string) Key {
 	d := sha256.Sum256([]byte(identity))
--- a/internal/fleet/membership/leaving_test.go
+++ b/internal/fleet/membership/leaving_test.go
@@ -295,10 +295,14 @@
 }
 
 func (w *world) gossipNaive(n *node, now time.Time, m Message) {
-	if m.Answer == nil {
-		return
+	var rows []Row
+	if m.Answer != nil {
+		rows = m.Answer.Rows
+	}
+	if m.Push != nil {
+		rows = m.Push.Rows
 	}
-	for _, r := range m.Answer.Rows {
+	for _, r := range rows {
 		if form, ok := formFor(n.table.View(), r); ok {
 			n.naive.merge(now, r.announcement(form))
 		}
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -2,12 +2,12 @@
 
 // Message is one gossip message between two entries of a cell; exactly one field is set.
 type Message struct {
+	// Push tells what the sender heard itself since its last one.
+	Push *Push `cbor:"u,omitempty"`
 	// Pull asks for what the receiver knows better.
 	Pull *Pull `cbor:"p,omitempty"`
 	// Answer answers a Pull.
 	Answer *Answer `cbor:"a,omitempty"`
-	// Notice passes on at once that a server leaves.
-	Notice *Notice `cbor:"n,omitempty"`
 }
 
 // Envelope is a Message with the entry that it goes to.
@@ -18,45 +18,58 @@
 	Message Message
 }
 
+// Push tells what backend servers told the sender itself, and what work it sent to them.
+type Push struct {
+	// Stamp is the sender's time.
+	Stamp Stamp `cbor:"t"`
+	// Rows are the servers that announced themselves to the sender.
+	Rows []Row `cbor:"s,omitempty"`
+	// Work is what the sender sent since its last Push.
+	Work []WorkRow `cbor:"w,omitempty"`
+}
+
 // Pull tells what the sender knows; ages in the Answer are counted from when it was sent.
 type Pull struct {
 	// Round is a larger number with each Pull of one entry.
 	Round uint64 `cbor:"r"`
 	// Versions lists the servers that the sender knows.
 	Versions []Version `cbor:"v"`
-	// Work lists the newest work reports that the sender knows.
-	Work []WorkVersion `cbor:"w,omitempty"`
 }
 
 // Version is what the sender of a Pull knows of one server.
 type Version struct {
-	_           struct{} `cbor:",toarray"`
-	Key         Key
-	Incarnation uint64
-	Sequence    uint64
-	Form        uint64
-	Leaving     bool
-}
-
-// WorkVersion is the newest work report that the sender of a Pull has from one entry.
-type WorkVersion struct {
-	_       struct{} `cbor:",toarray"`
-	Entry   Key
-	Version uint64
+	_        struct{} `cbor:",toarray"`
+	Form     uint64
+	Sequence uint64
+	Leaving  bool
 }
 
 // Answer holds what the receiver of a Pull knows better than its sender.
 type Answer struct {
 	// Round is that of the Pull.
 	Round uint64 `cbor:"r"`
+	// Stamp is the sender's time; it proves when its clock had this reading at the earliest.
+	Stamp Stamp `cbor:"t"`
 	// Rows are the newer servers.
 	Rows []Row `cbor:"s,omitempty"`
-	// Work are the newer work reports.
-	Work []WorkReport `cbor:"w,omitempty"`
 }
 
-// Notice passes on announcements that must not wait for a Pull; it makes nothing fresher.
-type Notice struct {
-	// Rows are the servers; their ages count from the receiver's last proof, so they are never taken as fresh.
-	Rows []Row `cbor:"s"`
+// Stamp is a reading of an entry's monotonic clock.
+type Stamp struct {
+	_ struct{} `cbor:",toarray"`
+	// Incarnation is the entry's; readings of two incarnations have nothing to do with each other.
+	Incarnation uint32
+	// Millis is the time since the entry started, rounded down.
+	Millis int64
+}
+
+// WorkRow is what one entry sent to one server since its last Push.
+type WorkRow struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is the upper half of the Key of the backend server's identity.
+	Server uint32
+	// Requests is the number of requests.
+	Requests int
+	// Tokens is the number of their prompt tokens that have to be computed.
+	Tokens int64
 }
--- a/internal/fleet/membership/row.go
+++ b/internal/fleet/membership/row.go
@@ -8,17 +8,15 @@
 
 // Row is the often changing part of one server, with its form when the receiver lacks it.
 type Row struct {
-	_           struct{} `cbor:",toarray"`
-	Key         Key
-	Incarnation uint64
-	Sequence    uint64
+	_ struct{} `cbor:",toarray"`
+	// Form is the number of the seldom changing part, which names the server and its incarnation as well.
+	Form     uint64
+	Sequence uint64
 	// UptimeMillis is the server's at the announcement, zero when it gives none.
 	UptimeMillis int64
 	Leaving      bool
 	// AgeMillis is an upper bound of the announcement's age when the Row was made.
 	AgeMillis int64
-	// Form is the number of the seldom changing part.
-	Form uint64
 	// Load is left out when the server gave none.
 	Load *RowLoad
 	// Static is the seldom changing part, left out when the receiver has it.
@@ -41,22 +39,20 @@
 	LinkQueued   int64
 }
 
-func newRow(now time.Time, s *Server, knownForm uint64) Row {
+func newRow(now time.Time, s *Server, static bool) Row {
 	r := Row{
-		Key:          s.key,
-		Incarnation:  s.announcement.Incarnation,
+		Form:         s.form,
 		Sequence:     s.announcement.Sequence,
 		UptimeMillis: s.announcement.UptimeMillis,
 		Leaving:      s.announcement.State == announcement.Leaving,
 		AgeMillis:    ceilMillis(s.Age(now)),
-		Form:         s.form,
 	}
 	if l, ok := s.Load(); ok {
 		r.Load = newRowLoad(l, ceilMillis(now.Sub(s.loadTaken)))
 	}
-	if s.form != knownForm {
-		static := formOf(s.announcement)
-		r.Static = &static
+	if static {
+		form := formOf(s.announcement)
+		r.Static = &form
 	}
 	return r
 }
@@ -80,7 +76,6 @@
 // announcement returns the row as an announcement with the given form.
 func (r Row) announcement(form announcement.Announcement) announcement.Announcement {
 	a := form
-	a.Incarnation = r.Incarnation
 	a.Sequence = r.Sequence
 	a.UptimeMillis = r.UptimeMillis
 	a.State = announcement.Ready
--- a/internal/fleet/membership/sent.go
+++ b/internal/fleet/membership/sent.go
@@ -14,11 +14,14 @@
 	last     int64
 }
 
-// add counts one request in the given step; it first clears the steps that passed without work.
-func (s *sent) add(step, tokens int64) {
+// add counts requests in the given step; it first clears the steps that passed without work, and drops what is older than all steps.
+func (s *sent) add(step int64, requests int, tokens int64) {
 	s.advance(step)
+	if step <= s.last-sentBuckets {
+		return
+	}
 	i := step % sentBuckets
-	s.requests[i]++
+	s.requests[i] += int32(requests)
 	s.tokens[i] += tokens
 }
 
--- a/internal/fleet/membership/server.go
+++ b/internal/fleet/membership/server.go
@@ -12,9 +12,12 @@
 	announcement announcement.Announcement
 	key          Key
 	form         uint64
+	formHeard    time.Time
 	heard        time.Time
-	load         announcement.Load
-	loadTaken    time.Time
+	// direct says that the newest announcement came from the server itself.
+	direct    bool
+	load      announcement.Load
+	loadTaken time.Time
 }
 
 // Announcement returns the newest announcement; the caller must not change its slices.
--- a/internal/fleet/membership/shard.go
+++ b/internal/fleet/membership/shard.go
@@ -36,17 +36,17 @@
 }
 
 // next returns the server after a newer announcement; old is nil for a new server.
-func next(old *Server, a announcement.Announcement, heard time.Time) *Server {
-	n := &Server{announcement: a, heard: heard, load: a.Load, loadTaken: taken(a, heard)}
+func next(old *Server, a announcement.Announcement, heard time.Time, direct bool) *Server {
+	n := &Server{announcement: a, heard: heard, direct: direct, load: a.Load, loadTaken: taken(a, heard)}
 	if old == nil {
 		n.key = KeyOf(a.Identity)
-		n.form = formNumber(a)
+		n.form, n.formHeard = formNumber(a), heard
 		return n
 	}
 	n.key = old.key
-	n.form = old.form
+	n.form, n.formHeard = old.form, old.formHeard
 	if !sameForm(&old.announcement, &a) {
-		n.form = formNumber(a)
+		n.form, n.formHeard = formNumber(a), heard
 	}
 	if a.Incarnation != old.announcement.Incarnation {
 		return n
--- a/internal/fleet/membership/table.go
+++ b/internal/fleet/membership/table.go
@@ -85,7 +85,7 @@
 	if a.Address != known.Address {
 		return refuse(IdentityConflict, fmt.Sprintf("%s is announced from %s and from %s in one incarnation", a.Identity, known.Address, a.Address))
 	}
-	return s.same(e, a, e.heard(now, a, x))
+	return s.same(e, a, e.heard(now, a, x), x.direct)
 }
 
 // add takes in a server that was not known.
@@ -98,7 +98,7 @@
 	}
 	t.count.Add(1)
 	e := &entry{}
-	e.server = next(nil, a, e.heard(now, a, x))
+	e.server = next(nil, a, e.heard(now, a, x), x.direct)
 	s.entries[a.Identity] = e
 	s.publish()
 	return Merge{
@@ -119,7 +119,7 @@
 		t.addresses.release(old.Address, a.Identity)
 	}
 	e.transit = transit{}
-	e.server = next(e.server, a, e.heard(now, a, x))
+	e.server = next(e.server, a, e.heard(now, a, x), x.direct)
 	s.publish()
 	return Merge{
 		Outcome: Accepted,
@@ -130,13 +130,13 @@
 }
 
 // same merges an announcement of the incarnation that is known.
-func (s *shard) same(e *entry, a announcement.Announcement, heard time.Time) Merge {
+func (s *shard) same(e *entry, a announcement.Announcement, heard time.Time, direct bool) Merge {
 	old := e.server
 	wasReady := old.announcement.State == announcement.Ready
 	leaves := wasReady && a.State == announcement.Leaving
 	switch {
 	case a.Sequence > old.announcement.Sequence:
-		e.server = next(old, a, heard)
+		e.server = next(old, a, heard, direct)
 		s.publish()
 		return Merge{Outcome: Accepted, Cause: NewerSequence, Leaving: leaves, Changed: e.server.form != old.form}
 	case leaves:
--- a/internal/fleet/membership/work.go
+++ b/internal/fleet/membership/work.go
@@ -15,29 +15,28 @@
 	Pending(now time.Time, server Key, taken time.Time) Pending
 }
 
-// peerReport is the newest report of one peer, with its rows by server.
-type peerReport struct {
-	report WorkReport
-	made   time.Time
-	rows   map[Key]WorkRow
+// tally is the work sent to one server.
+type tally struct {
+	own   sent
+	peers sent
+	// untold is what no Push has told yet.
+	untold WorkRow
 }
 
 type workShard struct {
-	mu   sync.Mutex
-	sent map[Key]*sent
+	mu      sync.Mutex
+	tallies map[uint32]*tally
 }
 
 type work struct {
 	start  time.Time
 	shards [shardCount]*workShard
-	mu     sync.RWMutex
-	peers  map[Key]peerReport
 }
 
 func newWork(start time.Time) *work {
-	w := &work{start: start, peers: map[Key]peerReport{}}
+	w := &work{start: start}
 	for i := range w.shards {
-		w.shards[i] = &workShard{sent: map[Key]*sent{}}
+		w.shards[i] = &workShard{tallies: map[uint32]*tally{}}
 	}
 	return w
 }
@@ -46,108 +45,81 @@
 	return max(0, int64(t.Sub(w.start)/sentStep)) + 1
 }
 
+func (w *work) shard(server uint32) *workShard {
+	return w.shards[server%shardCount]
+}
+
+// maxTallies bounds the servers of one shard, whatever the peers tell.
+const maxTallies = 4096
+
+// tally returns the tally of a server, a new one where there is none, and nil when there are too many.
+func (s *workShard) tally(server uint32) *tally {
+	t := s.tallies[server]
+	if t == nil && len(s.tallies) < maxTallies {
+		t = &tally{untold: WorkRow{Server: server}}
+		s.tallies[server] = t
+	}
+	return t
+}
+
 // Sent implements Work.
 func (w *work) Sent(now time.Time, server Key, tokens int64) {
-	s := w.shards[server%shardCount]
+	s := w.shard(server.short())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.sent[server]
-	if b == nil {
-		b = &sent{}
-		s.sent[server] = b
+	t := s.tally(server.short())
+	if t == nil {
+		return
 	}
-	b.add(w.step(now), tokens)
+	t.own.add(w.step(now), 1, tokens)
+	t.untold.Requests++
+	t.untold.Tokens += tokens
 }
 
 // Pending implements Work.
 func (w *work) Pending(now time.Time, server Key, taken time.Time) Pending {
-	p := w.own(now, server, taken)
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	for _, r := range w.peers {
-		if now.Sub(r.made) > workLife {
-			continue
-		}
-		row := r.rows[server]
-		p.PeerRequests += row.Requests
-		p.PeerTokens += row.Tokens
-	}
-	return p
-}
-
-func (w *work) own(now time.Time, server Key, taken time.Time) Pending {
-	s := w.shards[server%shardCount]
+	s := w.shard(server.short())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.sent[server]
-	if b == nil {
+	t := s.tallies[server.short()]
+	if t == nil {
 		return Pending{}
 	}
-	requests, tokens := b.since(w.step(taken), w.step(now))
-	return Pending{Requests: requests, Tokens: tokens}
+	var p Pending
+	from, to := w.step(taken), w.step(now)
+	p.Requests, p.Tokens = t.own.since(from, to)
+	p.PeerRequests, p.PeerTokens = t.peers.since(from, to)
+	return p
 }
 
-// rows returns this entry's rows for a report: the servers that got work since their load reports.
-func (w *work) rows(now time.Time, v View) []WorkRow {
+// untold returns what was sent since the last call, in the order of the servers.
+func (w *work) untold() []WorkRow {
 	var all []WorkRow
-	for s := range v.All() {
-		p := w.own(now, s.key, s.loadTaken)
-		if p.Requests == 0 {
-			continue
+	for _, s := range w.shards {
+		s.mu.Lock()
+		for k, t := range s.tallies {
+			if t.untold.Requests > 0 {
+				all = append(all, t.untold)
+				t.untold = WorkRow{Server: k}
+			}
 		}
-		all = append(all, WorkRow{Server: s.key, Requests: p.Requests, Tokens: p.Tokens})
+		s.mu.Unlock()
 	}
 	slices.SortFunc(all, func(a, b WorkRow) int { return cmp.Compare(a.Server, b.Server) })
 	return all
 }
 
-// learn takes in a peer's report made at the given time, unless a newer one is known.
-func (w *work) learn(r WorkReport, made time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.peers[r.Entry].report.Version >= r.Version {
-		return
-	}
-	p := peerReport{report: r, made: made, rows: make(map[Key]WorkRow, len(r.Rows))}
-	for _, row := range r.Rows {
-		p.rows[row.Server] = row
-	}
-	w.peers[r.Entry] = p
-}
-
-// versions returns the newest version known of each peer whose reports still count.
-func (w *work) versions(now time.Time) []WorkVersion {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	all := make([]WorkVersion, 0, len(w.peers))
-	for k, p := range w.peers {
-		if now.Sub(p.made) > forgetPeer {
-			delete(w.peers, k)
+// learn counts what a peer sent shortly before made.
+func (w *work) learn(made time.Time, rows []WorkRow) {
+	for _, r := range rows {
+		if r.Requests <= 0 || r.Tokens < 0 {
 			continue
 		}
-		all = append(all, WorkVersion{Entry: k, Version: p.report.Version})
-	}
-	slices.SortFunc(all, func(a, b WorkVersion) int { return cmp.Compare(a.Entry, b.Entry) })
-	return all
-}
-
-// newer returns the reports that are newer than the versions of a Pull and still count.
-func (w *work) newer(now time.Time, known []WorkVersion) []WorkReport {
-	have := make(map[Key]uint64, len(known))
-	for _, k := range known {
-		have[k.Entry] = k.Version
-	}
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	var all []WorkReport
-	for k, p := range w.peers {
-		if p.report.Version <= have[k] || now.Sub(p.made) > workLife {
-			continue
+		s := w.shard(r.Server)
+		s.mu.Lock()
+		if t := s.tally(r.Server); t != nil {
+			t.peers.add(w.step(made), r.Requests, r.Tokens)
 		}
-		r := p.report
-		r.AgeMillis = ceilMillis(now.Sub(p.made))
-		all = append(all, r)
+		s.mu.Unlock()
 	}
-	slices.SortFunc(all, func(a, b WorkReport) int { return cmp.Compare(a.Entry, b.Entry) })
-	return all
 }
--- /dev/null
+++ b/internal/fleet/membership/work_test.go
@@ -0,0 +1,71 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// dispatch is one request that was sent to a server.
+type dispatch struct {
+	at     time.Time
+	tokens int64
+}
+
+// naivePending counts all requests again that were sent in or after the step of taken.
+func naivePending(w *work, all []dispatch, taken time.Time) (requests int, tokens int64) {
+	for _, d := range all {
+		if w.step(d.at) >= w.step(taken) {
+			requests++
+			tokens += d.tokens
+		}
+	}
+	return requests, tokens
+}
+
+// The fast count in steps must tell what a count of all requests tells, or the
+// routing sends too much to a server whose load report lags.
+func TestPendingAgreesWithNaiveCount(t *testing.T) {
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		start := time.Unix(1000, 0)
+		w, now := newWork(start), start
+		server := KeyOf("engine-1")
+		var own, peers []dispatch
+		for range 300 {
+			now = now.Add(time.Duration(r.IntN(120)) * time.Millisecond)
+			tokens := r.Int64N(5000)
+			if r.IntN(2) == 0 {
+				w.Sent(now, server, tokens)
+				own = append(own, dispatch{at: now, tokens: tokens})
+			} else {
+				made := now.Add(-time.Duration(r.IntN(300)) * time.Millisecond)
+				w.learn(made, []WorkRow{{Server: server.short(), Requests: 1, Tokens: tokens}})
+				peers = append(peers, dispatch{at: made, tokens: tokens})
+			}
+			taken := now.Add(-time.Duration(r.IntN(3000)) * time.Millisecond)
+			var want Pending
+			want.Requests, want.Tokens = naivePending(w, own, taken)
+			want.PeerRequests, want.PeerTokens = naivePending(w, peers, taken)
+			if got := w.Pending(now, server, taken); got != want {
+				t.Fatalf("seed %d: got %+v, want %+v", seed, got, want)
+			}
+		}
+	}
+}
+
+// A peer tells of its work once; told twice it would count twice, and kept
+// back it would let both send to the same server.
+func TestWorkIsToldOnce(t *testing.T) {
+	w := newWork(time.Unix(1000, 0))
+	w.Sent(time.Unix(1001, 0), KeyOf("a"), 10)
+	w.Sent(time.Unix(1001, 0), KeyOf("a"), 5)
+	w.Sent(time.Unix(1001, 0), KeyOf("b"), 1)
+	rows := w.untold()
+	if len(rows) != 2 || rows[0].Requests+rows[1].Requests != 3 || rows[0].Tokens+rows[1].Tokens != 16 {
+		t.Errorf("told %+v", rows)
+	}
+	if again := w.untold(); len(again) != 0 {
+		t.Errorf("told again %+v", again)
+	}
+}
