--- a/internal/fleet/membership/table.go
+++ b/internal/fleet/membership/table.go
@@ -142,6 +142,7 @@
 	case leaves:
 		n := *old
 		n.announcement.State = announcement.Leaving
+		n.direct = direct
 		e.server = &n
 		s.publish()
 		return Merge{Outcome: Accepted, Cause: LateLeaving, Leaving: true}
