--- a/internal/load/model/entry.go
+++ b/internal/load/model/entry.go
@@ -126,7 +126,6 @@
 func (e *entry) recordOf(q *request, ask *route.Request, d route.Decision) *record {
 	r := &record{server: q.server, band: route.Band(q.arrival.Rules.Priority), sent: e.run.clock.now}
 	r.tokens = int64(ask.Tail())
-	r.price = q.arrival.Rules.FirstTokenPrice
 	for i, s := range d.Plan {
 		if s.Source == route.Recompute {
 			r.tokens += int64(ask.Pieces[i].Tokens)
--- a/internal/load/model/question.go
+++ b/internal/load/model/question.go
@@ -79,7 +79,7 @@
 		return
 	}
 	c := &cell.Candidates[at[r.server]]
-	c.InFlight = c.InFlight.With(r.band, 1, r.tokens).WithPrice(r.band, r.price)
+	c.InFlight = c.InFlight.With(r.band, 1, r.tokens)
 	if r.sent > e.servers[r.server].reported {
 		c.Since = c.Since.With(r.band, 1, r.tokens)
 	}
--- a/internal/load/model/record.go
+++ b/internal/load/model/record.go
@@ -7,7 +7,6 @@
 	server int
 	band   int
 	tokens int64
-	price  float64
 	sent   time.Duration
 	link   []int64 // bytes to import from each store; nil for none
 	disk   []int64 // the part of them that comes from disk
--- a/internal/policy/route/config.go
+++ b/internal/policy/route/config.go
@@ -20,11 +20,8 @@
 		{Element: reportedQueue{}, Priority: 100},
 		{Element: workInFlight{}, Priority: 110},
 		{Element: priorities{}, Priority: 120},
-		{Element: batchSlots{}, Priority: 130},
-		{Element: displacement{}, Priority: 200},
 		{Element: headRoom{delay: reserveDelay}, Priority: 210},
 		{Element: linkBacklog{}, Priority: 215},
-		{Element: deadlineWorth{}, Priority: 220},
 		{Element: engineMemory{}, Priority: 300},
 		{Element: pieceMix{}, Priority: 310},
 	}
--- a/internal/policy/route/estimate.go
+++ b/internal/policy/route/estimate.go
@@ -20,14 +20,8 @@
 	Split int
 	// TTFT is the time to first token.
 	TTFT float64
-	// ComputePrice is the price of a second of the server's time for the others that wait for it.
-	ComputePrice float64
 	// BacklogPrice is the price of LinkDelay.
 	BacklogPrice float64
-	// SafeUntil is the time to first token up to which the deadline is safe; zero means no deadline.
-	SafeUntil float64
-	// LatePrice is the price of a second after SafeUntil.
-	LatePrice float64
 	// Penalty is the price of what the choice does to others whatever the plan is.
 	Penalty float64
 	// Cost is the price of the choice; the lowest wins.
--- a/internal/policy/route/mix.go
+++ b/internal/policy/route/mix.go
@@ -54,10 +54,7 @@
 
 // mixCost returns the part of the price that depends on m.
 func (q *Query) mixCost(e *Estimate, m *mix) float64 {
-	ttft := max(e.Wait, m.arrived) + m.compute
-	return q.price.firstToken*ttft +
-		e.LatePrice*max(ttft-e.SafeUntil, 0) +
-		e.ComputePrice*m.compute +
+	return q.price.firstToken*(max(e.Wait, m.arrived)+m.compute) +
 		q.price.token*float64(m.recomputed) +
 		q.price.link*m.linkSeconds +
 		e.BacklogPrice*m.linkDelay
--- a/internal/policy/route/naive_test.go
+++ b/internal/policy/route/naive_test.go
@@ -52,16 +52,6 @@
 	cost += r.Rules.RecomputePrice * float64(e.Recomputed) / 1000
 	cost += r.Rules.LinkPrice * e.LinkSeconds
 	cost += r.Rules.LinkPrice * e.LinkDelay
-	if x.PriorityAware {
-		for b := range Bands {
-			if b < r.Rules.Priority {
-				cost += e.Compute * float64(x.InFlight.Prices[b]) / 1000
-			}
-		}
-	}
-	if d := r.Rules.Deadline.Seconds(); d > 0 && e.TTFT > d/2 {
-		cost += 10 * r.Rules.Worth / d * (e.TTFT - d/2)
-	}
 	if x.Reserve && r.Rules.Priority < UrgentBand {
 		cost += naiveGain(c, x) * r.Rules.FirstTokenPrice
 	}
@@ -139,10 +129,6 @@
 	if x.PriorityAware && all > 0 && queued > 0 {
 		wait = min(queued, max(queued*before/all, min(chunkTokens/rate, queued)))
 	}
-	over := x.Load.Running + int(x.Since.Count()) - x.Load.MaxRunning + 1
-	if over > 0 {
-		wait += float64(over) * answerTokens / x.Load.DecodeRate / float64(x.Load.MaxRunning)
-	}
 	return wait
 }
 
--- a/internal/policy/route/price.go
+++ b/internal/policy/route/price.go
@@ -23,7 +23,5 @@
 		q.price.token*float64(e.Recomputed) +
 		q.price.link*e.LinkSeconds +
 		e.BacklogPrice*e.LinkDelay +
-		e.ComputePrice*e.Compute +
-		e.LatePrice*max(e.TTFT-e.SafeUntil, 0) +
 		e.Penalty
 }
--- a/internal/policy/route/work.go
+++ b/internal/policy/route/work.go
@@ -6,8 +6,6 @@
 	Requests [Bands]int32
 	// Tokens is the number of prompt tokens to compute in each band.
 	Tokens [Bands]int64
-	// Prices is the sum of the first-token prices of the requests in each band, in thousandths.
-	Prices [Bands]int64
 }
 
 // With returns w with n requests and their tokens added to a band; both may be negative.
@@ -17,27 +15,11 @@
 	return w
 }
 
-// WithPrice returns w with the first-token price of one more request added to a band.
-func (w Work) WithPrice(band int, price float64) Work {
-	w.Prices[band] += int64(price * 1000)
-	return w
-}
-
-// PriceBelow returns the price of a second for all requests in bands under band.
-func (w *Work) PriceBelow(band int) float64 {
-	var sum int64
-	for _, n := range w.Prices[:band] {
-		sum += n
-	}
-	return float64(sum) / 1000
-}
-
 // Plus returns the sum of w and o.
 func (w Work) Plus(o Work) Work {
 	for b := range Bands {
 		w.Requests[b] += o.Requests[b]
 		w.Tokens[b] += o.Tokens[b]
-		w.Prices[b] += o.Prices[b]
 	}
 	return w
 }
