Entries tell each other of a suspect before its caller gets an answer

Cause: the process test of a request that crashes its servers lost three of five servers instead of two. An entry looks at the record in the control log once a second; a caller that sent the request again through the next entry was faster, and that entry still took it for harmless.

Ruled out: a shorter interval, which only makes the window smaller and costs messages all the time.

Wired in as well: the guard, the giver of orders and their sections of the control log.

--- a/client_test.go
+++ b/client_test.go
@@ -123,3 +123,15 @@
 	}
 	return v
 }
+
+// quick sends a request to a process that may be frozen.
+func quick(c call) answer {
+	answers := make(chan answer, 1)
+	go func() { answers <- c.do() }()
+	select {
+	case a := <-answers:
+		return a
+	case <-time.After(time.Second):
+		return answer{}
+	}
+}
--- /dev/null
+++ b/crashing_request_test.go
@@ -0,0 +1,121 @@
+package hornbeamwood_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"hornbeamwood/internal/standin/engine"
+)
+
+var crashingEngine = engineTable + "crashes = true\n"
+
+// alive counts the engines that still run.
+func (f *fleet) alive() int {
+	n := 0
+	for _, h := range f.engines {
+		select {
+		case <-f.processes[h.name].ended:
+		default:
+			n++
+		}
+	}
+	return n
+}
+
+// One request crashes every server that runs it, and its caller sends it again
+// and again through every entry. Without a limit it takes the whole fleet down
+// and all other users see their answers end; with it two servers are lost, the
+// request gets its final answer at once, and the others are served.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	const servers = 5
+	f := newFleet(t, 3, 3)
+	f.startNodes()
+	for i := range servers {
+		f.engines = append(f.engines, f.startStandin(fmt.Sprintf("engine-%d", i+1), "engine", crashingEngine))
+	}
+	f.applyTree(f.entries[0], smallTree())
+	for _, e := range f.entries {
+		f.serves(e, gateKey, "draft")
+	}
+
+	stop := make(chan struct{})
+	var innocents sync.WaitGroup
+	for i, e := range f.entries {
+		innocents.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+					complete(e, plantKey, "draft", fmt.Sprintf("innocent %d %d", i, n), 5)
+				}
+			}
+		})
+	}
+	crash := func(e *host) answer {
+		b, _ := json.Marshal(map[string]any{"model": "draft", "prompt": engine.CrashMarker, "stream": true})
+		return call{method: http.MethodPost, url: e.url() + "/v1/completions", key: gateKey, body: string(b)}.do()
+	}
+	for _, e := range f.entries {
+		eventually(t, "the request is quarantined at "+e.name, func() bool {
+			return strings.Contains(crash(e).body, "request-quarantined")
+		})
+	}
+	for range 5 {
+		for _, e := range f.entries {
+			a := crash(e)
+			if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || a.header.Get("Hornbeamwood-Verdict") != "not-run" {
+				t.Errorf("%s: status %d, Retry-After %q, verdict %q", e.name, a.status, a.header.Get("Retry-After"), a.header.Get("Hornbeamwood-Verdict"))
+			}
+		}
+	}
+	close(stop)
+	innocents.Wait()
+	if n := f.alive(); n < servers-2 {
+		t.Errorf("%d of %d servers are left; at most two may be lost", n, servers)
+	}
+	for i, e := range f.entries {
+		eventually(t, "an innocent request is served by "+e.name, func() bool {
+			return complete(e, plantKey, "draft", fmt.Sprintf("innocent %d 0", i), 5).done
+		})
+	}
+	f.operatorClears(t, f.entries[1])
+}
+
+// operatorClears takes the request out of quarantine and looks whether every entry forgets it.
+func (f *fleet) operatorClears(t *testing.T, e *host) {
+	list := func(e *host) []string {
+		a := call{method: http.MethodGet, url: e.url() + "/quarantine", key: operatorKey}.do()
+		var l struct {
+			Items []struct {
+				Fingerprint string `json:"fingerprint"`
+				Standing    string `json:"standing"`
+			} `json:"items"`
+		}
+		if json.Unmarshal([]byte(a.body), &l) != nil {
+			return nil
+		}
+		var all []string
+		for _, i := range l.Items {
+			if i.Standing == "quarantined" {
+				all = append(all, i.Fingerprint)
+			}
+		}
+		return all
+	}
+	found := list(e)
+	if len(found) != 1 {
+		t.Fatalf("%d requests in quarantine, want 1", len(found))
+	}
+	a := call{method: http.MethodPost, url: e.url() + "/quarantine/clear", key: operatorKey, body: fmt.Sprintf(`{"fingerprint": %q}`, found[0])}.do()
+	if a.status != http.StatusNoContent {
+		t.Fatalf("clear: %d %s", a.status, a.body)
+	}
+	for _, x := range f.entries {
+		eventually(t, x.name+" has an empty quarantine", func() bool { return len(list(x)) == 0 })
+	}
+}
--- a/hornbeamwood.go
+++ b/hornbeamwood.go
@@ -9,7 +9,9 @@
 
 	"github.com/apex/log"
 
+	"hornbeamwood/internal/control/lease"
 	"hornbeamwood/internal/control/ledger"
+	"hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/control/state"
 	"hornbeamwood/internal/process/control"
 	"hornbeamwood/internal/process/entry"
@@ -41,7 +43,7 @@
 	settings := section.New()
 	return control.New(control.Config{
 		File:     c.File,
-		Sections: []state.Section{settings, ledger.New()},
+		Sections: []state.Section{settings, ledger.New(), lease.New(), quarantine.New()},
 		Settings: settings,
 		Logger:   c.Logger,
 	})
--- a/internal/entry/completion/guard.go
+++ b/internal/entry/completion/guard.go
@@ -22,6 +22,8 @@
 
 // Guard stops requests that crash the servers that run them.
 type Guard interface {
+	// Name notes whose request a fingerprint is, for the operators' list.
+	Name(f Fingerprint, workspace, model string)
 	// Check returns nil when the request may run and otherwise its final refusal.
 	Check(now time.Time, f Fingerprint) error
 	// Started notes that a server runs the request.
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -42,6 +42,7 @@
 // Complete implements caller.Completer.
 func (r *router) Complete(ctx context.Context, q caller.Request) (caller.Stream, error) {
 	j := r.newJob(q)
+	r.Guard.Name(j.fingerprint, q.Workspace, q.Model.Name)
 	if err := r.Guard.Check(r.Now(), j.fingerprint); err != nil {
 		return nil, err
 	}
--- a/internal/entry/quarantine/config.go
+++ b/internal/entry/quarantine/config.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"hornbeamwood/internal/entry/completion"
 )
 
 const (
@@ -44,6 +46,8 @@
 	Limits func() Limits
 	// Incarnation returns a server's last known incarnation; nil means 0 for all.
 	Incarnation func(server string) uint64
+	// Tell tells the other entries of a suspect and returns when they know; nil tells nobody.
+	Tell func(ctx context.Context, f completion.Fingerprint)
 	// Interval is the time between two looks at the record; default 1 s.
 	Interval time.Duration
 	// Lease bounds how long a suspect holds its slot when this entry dies; default 2 min.
@@ -61,6 +65,9 @@
 	if c.Incarnation == nil {
 		c.Incarnation = func(string) uint64 { return 0 }
 	}
+	if c.Tell == nil {
+		c.Tell = func(context.Context, completion.Fingerprint) {}
+	}
 	if c.Interval <= 0 {
 		c.Interval = defaultInterval
 	}
--- a/internal/entry/quarantine/guard.go
+++ b/internal/entry/quarantine/guard.go
@@ -20,6 +20,8 @@
 	completion.Guard
 	// Name notes whose request a fingerprint is, for the operators' list.
 	Name(f completion.Fingerprint, workspace, model string)
+	// Suspect takes in what another entry tells.
+	Suspect(f completion.Fingerprint)
 	// Quarantined returns the number of quarantined requests.
 	Quarantined() int
 	// Close ends the goroutine that follows the record.
@@ -115,8 +117,19 @@
 	return g.book.suspects[server] > 0
 }
 
-// Ended implements completion.Guard. A loss counts in this entry at once and
-// in the fleet when the log has it; the caller's next send may come earlier.
+// Suspect implements Guard.
+func (g *guard) Suspect(f completion.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.view = g.view.WithSuspect(suspicion.Fingerprint(f))
+}
+
+// Ended implements completion.Guard.
+//
+// A loss counts in the fleet when the log has it, and the other entries look
+// there once a second. A caller that sends the request again through each of
+// them would be faster and lose one more server at each; so they are told
+// before the caller gets its answer, and ask the log before they run it.
 func (g *guard) Ended(ctx context.Context, _ time.Time, f completion.Fingerprint, server string, lost bool) {
 	g.mu.Lock()
 	attempt, held := g.book.end(f, server)
@@ -126,6 +139,7 @@
 	who := g.whose(f)
 	g.mu.Unlock()
 	if lost {
+		g.Tell(ctx, f)
 		g.report(ctx, server, who)
 	}
 	if held {
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -18,10 +18,12 @@
 	"hornbeamwood/internal/entry/engine"
 	"hornbeamwood/internal/entry/operator"
 	"hornbeamwood/internal/entry/picker"
+	"hornbeamwood/internal/entry/quarantine"
 	"hornbeamwood/internal/entry/service"
 	"hornbeamwood/internal/entry/settings"
 	"hornbeamwood/internal/entry/status"
 	"hornbeamwood/internal/fleet/membership"
+	"hornbeamwood/internal/fleet/orders"
 	fleetquic "hornbeamwood/internal/fleet/quic"
 	"hornbeamwood/internal/policy/admission"
 	"hornbeamwood/internal/policy/placement"
@@ -30,6 +32,7 @@
 	"hornbeamwood/internal/process/platform"
 	"hornbeamwood/internal/settings/follower"
 	"hornbeamwood/internal/settings/lease"
+	"hornbeamwood/internal/settings/rules"
 )
 
 // returnPrior is the share of prompts that are expected to come back before anything is known.
@@ -51,6 +54,9 @@
 		return x, err
 	}
 	p.buildCache(&x)
+	if err := p.buildGuard(&x); err != nil {
+		return x, err
+	}
 	x.engines = engine.New(engine.Config{Logger: logger})
 	retries := retry.New(retry.Config{})
 	x.services = p.buildServices(&x, retries)
@@ -98,6 +104,37 @@
 	})
 }
 
+// buildGuard builds what looks after backend servers: the guard against requests that crash them, and the giver of orders.
+func (p *process) buildGuard(x *parts) error {
+	suspects := fleetquic.NewSuspects(fleetquic.SuspectsConfig{
+		Node:      p.node,
+		Addresses: p.peers(),
+		Take:      func(f [32]byte) { x.guard.Suspect(completion.Fingerprint(f)) },
+	})
+	x.guard = quarantine.New(quarantine.Config{
+		Log:  x.control,
+		Tell: func(ctx context.Context, f completion.Fingerprint) { suspects.Tell(ctx, f) },
+		Limits: func() quarantine.Limits {
+			f := x.settings.View().Rules.Fleet
+			return quarantine.Limits{Servers: f.QuarantineServers, Window: f.QuarantineWindow}
+		},
+		Incarnation: incarnations(x.table),
+		Logger:      p.config.Logger,
+	})
+	g, err := backend.NewGiver(backend.GiverConfig{
+		Holder:     fmt.Sprintf("%s-%d", p.config.File.Name, p.incarnation),
+		Controller: orders.New(orders.Config{}),
+		Log:        x.control,
+		Engines:    x.orders,
+		Servers:    x.table,
+		Settings:   func() *rules.Snapshot { return x.settings.View().Rules },
+		Now:        time.Now,
+		Logger:     p.config.Logger,
+	})
+	x.giver = g
+	return err
+}
+
 func (p *process) buildServices(x *parts, retries retry.Policy) service.Client {
 	age := func() time.Duration { return x.settings.View().Rules.Fleet.AnnouncementAge }
 	return service.New(service.Config{
@@ -124,7 +161,7 @@
 		Admission:  admission.New(admission.Config{}),
 		Retry:      retries,
 		Returns:    placement.NewReturns(returnPrior),
-		Guard:      openGuard{},
+		Guard:      x.guard,
 		Logger:     p.config.Logger,
 		Now:        time.Now,
 		NewAttempt: newAttempt,
@@ -145,7 +182,7 @@
 		BootstrapKeyDigest: p.config.File.BootstrapOperatorKeyDigest,
 		Logger:             p.config.Logger,
 	})
-	for _, r := range append([]string{"/status", "/ledger/", "/quarantine"}, operator.Routes...) {
+	for _, r := range append([]string{"/status", "/ledger/", "/quarantine", "/quarantine/"}, operator.Routes...) {
 		mux.Handle(r, o)
 	}
 	b, err := backend.NewHandler(backend.HandlerConfig{
@@ -172,10 +209,11 @@
 		Control:     p.parts.control,
 		Settings:    p.parts.settings,
 		Servers:     p.parts.table,
-		Quarantined: func() int { return 0 },
+		Quarantined: p.parts.guard.Quarantined,
 		Now:         time.Now,
 	})
-	return append(calls.Actions(p.parts.control), s)
+	all := append(calls.Actions(p.parts.control), quarantine.Actions(p.parts.control)...)
+	return append(all, s)
 }
 
 // deleter deletes pieces at stores by the addresses that they announce.
--- a/internal/process/entry/parts.go
+++ b/internal/process/entry/parts.go
@@ -14,6 +14,7 @@
 	"hornbeamwood/internal/entry/completion"
 	"hornbeamwood/internal/entry/control"
 	"hornbeamwood/internal/entry/engine"
+	"hornbeamwood/internal/entry/quarantine"
 	"hornbeamwood/internal/entry/service"
 	"hornbeamwood/internal/entry/settings"
 	"hornbeamwood/internal/fleet/membership"
@@ -40,6 +41,8 @@
 	router   completion.Router
 	caller   caller.Handler
 	leavers  backend.Leavers
+	guard    quarantine.Guard
+	giver    backend.Giver
 	exports  completion.Exports
 }
 
