A claim is proposed again while the control log changes its leader

Cause: three stamps of a rolling restart got 503, may-have-run, when the leader handed over: their claims' commits were unknown for a moment.

Ruled out: reading back alone, which was there; it answers that the claim is absent while it may still come.

Change: the same claim of the same attempt is proposed for up to 5 s; the ledger takes it for the attempt that it knows, so it is still dispatched once.

Before: three refused stamps in TestRollingRestartCutsNothing; after: none.

--- a/internal/entry/service/config.go
+++ b/internal/entry/service/config.go
@@ -36,6 +36,8 @@
 	DispatchTimeout time.Duration
 	// DispatchWindow is the age of a claim after which it isn't dispatched any more; default 10 s.
 	DispatchWindow time.Duration
+	// ClaimTimeout is how long a claim is tried while the log does not answer; default 5 s.
+	ClaimTimeout time.Duration
 	// OutcomeWait is how long a caller waits for its outcome to be recorded; default 5 s.
 	OutcomeWait time.Duration
 	// LogTimeout bounds one try at the log; default 2 s.
@@ -59,6 +61,7 @@
 	c.DialTimeout = orDefault(c.DialTimeout, 2*time.Second)
 	c.DispatchTimeout = orDefault(c.DispatchTimeout, 5*time.Minute)
 	c.DispatchWindow = orDefault(c.DispatchWindow, 10*time.Second)
+	c.ClaimTimeout = orDefault(c.ClaimTimeout, 5*time.Second)
 	c.OutcomeWait = orDefault(c.OutcomeWait, 5*time.Second)
 	c.LogTimeout = orDefault(c.LogTimeout, 2*time.Second)
 	c.MaxAnswer = orDefault(c.MaxAnswer, 8<<20)
--- a/internal/entry/service/once.go
+++ b/internal/entry/service/once.go
@@ -95,22 +95,37 @@
 	return f.claimAs(ctx, f.client.incarnation.Load())
 }
 
+// claimAs proposes the claim until the ledger answers or its time is over.
+//
+// While the control log changes its leader, a proposal's commit is unknown or
+// refused for a moment. A caller that was sent away then would see a planned
+// restart as an error. The same claim may be proposed again: the ledger takes
+// it for the attempt that it already knows.
 func (f *flow) claimAs(ctx context.Context, incarnation uint64) (ledger.Result, error) {
-	result, err := f.client.propose(ctx, ledger.Command{Claim: &ledger.Claim{
+	claim := ledger.Command{Claim: &ledger.Claim{
 		Scope:       f.scope,
 		Digest:      f.digest,
 		Entry:       f.client.Entry,
 		Incarnation: incarnation,
 		Attempt:     f.attempt,
 		Keep:        f.request.Rules.LedgerKeep,
-	}})
-	if err == nil {
-		return result, nil
-	}
-	if verdict.Of(err) == verdict.NotRun {
-		return ledger.Result{}, ledgerDown(err)
+	}}
+	unknown := false
+	for backoff := firstBackoff; ; backoff = min(2*backoff, lastBackoff) {
+		result, err := f.client.propose(ctx, claim)
+		if err == nil {
+			return result, nil
+		}
+		unknown = unknown || verdict.Of(err) != verdict.NotRun
+		left := f.client.ClaimTimeout - f.client.Now().Sub(f.started)
+		if backoff < left && f.client.Wait(ctx, backoff) == nil {
+			continue
+		}
+		if !unknown {
+			return ledger.Result{}, ledgerDown(err)
+		}
+		return f.readBack(ctx, err)
 	}
-	return f.readBack(ctx, err)
 }
 
 // readBack finds out what became of a claim whose commit is unknown. When it
