Peers find a restarted process at once; a started entry warms up

Cause: after a restart of an entry its callers got no-server for up to two seconds. The other entries sent their answers on QUIC connections to the process that was gone, and these end by themselves only after 5 s of silence.

Ruled out: a shorter idle timeout, which would cut connections of a process that is merely slow.

Change: a process that stops closes the connections that it accepted; one that was killed answers packets of old connections by a stateless reset, whose key comes from the node's private key and so outlives the process. An entry is not ready for its first 1.5 s, in which every backend server is heard of.

--- a/internal/node/keys/ring.go
+++ b/internal/node/keys/ring.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -30,6 +31,8 @@
 	TLS(protocol string) *tls.Config
 	// Name returns the node's name from its certificate.
 	Name() string
+	// ResetKey returns a secret that stays the same over restarts with the same keys.
+	ResetKey() [32]byte
 }
 
 type ring struct {
@@ -82,6 +85,18 @@
 	return r.loaded.Load().certificate.Leaf.Subject.CommonName
 }
 
+// resetDomain keeps the reset key apart from other uses of the private key.
+const resetDomain = "hornbeamwood stateless reset 1"
+
+// ResetKey implements Ring.
+func (r *ring) ResetKey() [32]byte {
+	b, err := x509.MarshalPKCS8PrivateKey(r.loaded.Load().certificate.PrivateKey)
+	if err != nil {
+		return [32]byte{}
+	}
+	return sha256.Sum256(append([]byte(resetDomain), b...))
+}
+
 // TLS implements Ring.
 //
 // The standard verification is replaced, not dropped: RootCAs is fixed when a
--- a/internal/node/rpc/node.go
+++ b/internal/node/rpc/node.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +56,9 @@
 	handlers  map[string]rawHandler
 	pool      *pool
 	running   sync.WaitGroup
+
+	mu       sync.Mutex
+	accepted map[*quic.Conn]struct{}
 }
 
 // New returns a Node that listens on the configured address.
@@ -66,11 +71,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("rpc: %w", err)
 	}
-	t := &quic.Transport{Conn: s}
+	// A process that was killed comes back under its old address. With a reset
+	// key that outlives it, its answer to packets of old connections ends them at
+	// the peers at once; without it their messages are lost until the idle timeout.
+	reset := quic.StatelessResetKey(c.Ring.ResetKey())
+	t := &quic.Transport{Conn: s, StatelessResetKey: &reset}
 	n := &node{
 		config:    c,
 		transport: t,
 		handlers:  make(map[string]rawHandler),
+		accepted:  make(map[*quic.Conn]struct{}),
 	}
 	n.pool = newPool(t, c.Ring.TLS(Protocol))
 	return n, nil
@@ -94,6 +104,7 @@
 // Close implements Node.
 func (n *node) Close() error {
 	n.pool.close()
+	n.closeAccepted()
 	err := n.transport.Close()
 	n.running.Wait()
 	if e := n.transport.Conn.Close(); err == nil {
@@ -102,6 +113,28 @@
 	return err
 }
 
+// keep remembers an accepted connection until it ends.
+func (n *node) keep(c *quic.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.accepted[c] = struct{}{}
+	context.AfterFunc(c.Context(), func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.accepted, c)
+	})
+}
+
+// closeAccepted tells the peers that this process ends, so that their next message goes to its successor.
+func (n *node) closeAccepted() {
+	n.mu.Lock()
+	all := slices.Collect(maps.Keys(n.accepted))
+	n.mu.Unlock()
+	for _, c := range all {
+		_ = c.CloseWithError(0, "closing")
+	}
+}
+
 func (n *node) register(name string, h rawHandler) {
 	n.handlers[name] = h
 }
@@ -119,6 +152,7 @@
 			return ctx.Err()
 		}
 		event.PeerConnected.Write(n.config.Logger, log.Fields{"peer": peerOf(c.ConnectionState().TLS, c.RemoteAddr().String()).Name})
+		n.keep(c)
 		n.running.Go(func() { n.acceptCalls(ctx, c) })
 		n.running.Go(func() { n.acceptNotices(ctx, c) })
 	}
--- /dev/null
+++ b/internal/node/rpc/restart_test.go
@@ -0,0 +1,85 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"hornbeamwood/internal/node/keys"
+)
+
+// restarted starts a node of the given files on a fixed address and serves until the returned function is called.
+func restarted(t *testing.T, c keys.Config, listen string, close bool) (Node, func()) {
+	t.Helper()
+	r, err := keys.NewRing(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := New(Config{Listen: listen, Ring: r})
+	if err != nil {
+		t.Fatal(err)
+	}
+	Handle(n, echo, func(_ context.Context, _ Peer, q ping) (ping, error) { return q, nil })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer func() { done <- struct{}{} }()
+		_ = n.Serve(ctx)
+	}()
+	return n, func() {
+		if !close {
+			// A killed process says nothing; its socket is gone at once.
+			_ = n.(*node).transport.Conn.Close()
+		}
+		cancel()
+		<-done
+		if close {
+			_ = n.Close()
+		}
+	}
+}
+
+// A process is killed or stopped and comes back under its old address. Its
+// peers hold connections to the one that is gone; what they send on them is
+// lost, and for seconds they believe that the new process does not answer.
+func TestPeersFindARestartedProcessAtOnce(t *testing.T) {
+	for name, graceful := range map[string]bool{"killed": false, "stopped": true} {
+		t.Run(name, func(t *testing.T) {
+			folder := newAuthority(t)
+			a, err := keys.LoadAuthority(folder)
+			if err != nil {
+				t.Fatal(err)
+			}
+			i, err := a.Issue(keys.Request{Name: "entry-1", Role: keys.Entry, Valid: time.Hour}, folder)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := keys.Config{CertificateFile: i.CertificateFile, KeyFile: i.KeyFile, AuthorityFile: folder + "/" + keys.AuthorityCertificate}
+			first, end := restarted(t, c, "127.0.0.1:0", graceful)
+			address := first.Address()
+			client := newNode(t, folder, "entry-2")
+			if _, err := Call(t.Context(), client, address, echo, ping{}); err != nil {
+				t.Fatal(err)
+			}
+			old, err := client.(*node).pool.get(t.Context(), address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			end()
+			_, endSecond := restarted(t, c, address, true)
+			defer endSecond()
+			// The packet that finds the connection gone is one of the client's own keep-alives.
+			<-old.Context().Done()
+			var idle *quic.IdleTimeoutError
+			if cause := context.Cause(old.Context()); errors.As(cause, &idle) {
+				t.Fatalf("the old connection ended by itself: %v", cause)
+			}
+			if _, err := Call(t.Context(), client, address, echo, ping{}); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -23,6 +23,8 @@
 const (
 	// noticeTime is how long a stopping entry goes on serving new requests, while the balancer notices that it is not ready.
 	noticeTime = 3 * time.Second
+	// warmUp is how long a started entry is not ready: within it every backend server announces itself or the other entries tell of it.
+	warmUp = 1500 * time.Millisecond
 	// releaseTime bounds the hand-over of the settings lease.
 	releaseTime = 2 * time.Second
 	// abandonTime bounds one try at abandoning the claims of the entry's earlier incarnations.
@@ -46,6 +48,7 @@
 type process struct {
 	config      Config
 	incarnation uint64
+	started     time.Time
 	files       keys.Config
 	ring        keys.Ring
 	node        rpc.Node
@@ -62,6 +65,7 @@
 	p := &process{
 		config:      c,
 		incarnation: uint64(time.Now().UnixNano()),
+		started:     time.Now(),
 		metrics:     metrics.NewSet(),
 		files: keys.Config{
 			CertificateFile: c.File.Keys.Certificate,
@@ -120,6 +124,8 @@
 	err := p.parts.caller.Drain(ctx)
 	err = errors.Join(err, p.parts.services.Drain(ctx))
 	p.parts.router.Wait()
+	p.parts.giver.Close()
+	p.parts.guard.Close()
 	release, cancel := context.WithTimeout(ctx, releaseTime)
 	defer cancel()
 	// A lease that can't be handed back runs out by itself.
@@ -140,6 +146,9 @@
 	if p.stopping.Load() {
 		return errors.New("the entry stops")
 	}
+	if time.Since(p.started) < warmUp {
+		return errors.New("the entry is learning of the backend servers")
+	}
 	return p.parts.settings.Check()
 }
 
