--- a/internal/control/disk/document.go
+++ b/internal/control/disk/document.go
@@ -15,9 +15,12 @@
 // A file that is written in place is half there after a crash; the final name
 // appears only after the content is on the device.
 func writeDocument(files Files, name string, content []byte) error {
-	if err := writeTemporary(files, name, content); err != nil {
+	if err := writeTemporary(files, name+temporary, content); err != nil {
 		return err
 	}
+	if err := files.Rename(name+temporary, name); err != nil {
+		return fmt.Errorf("disk: rename to %s: %w", files.Path(name), err)
+	}
 	if err := files.Sync(); err != nil {
 		return fmt.Errorf("disk: sync the folder of %s: %w", files.Path(name), err)
 	}
--- a/internal/control/disk/frame.go
+++ b/internal/control/disk/frame.go
@@ -53,5 +53,8 @@
 		return nil, 0, frameTorn
 	}
 	payload = b[headerSize : headerSize+length]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(b[4:]) {
+		return nil, 0, frameCorrupt
+	}
 	return payload, headerSize + length, frameWhole
 }
--- a/internal/control/disk/replay.go
+++ b/internal/control/disk/replay.go
@@ -55,7 +55,7 @@
 // given only after a sync, so that a file that ends within a record can only
 // be a write that was never acknowledged. Anywhere else something is lost.
 func (r *replay) torn(name string, at int, newest bool) (int64, error) {
-	if false {
+	if !newest {
 		return 0, r.corrupt(name, at, "the file ends within a record, yet a later segment exists")
 	}
 	return int64(at), nil
@@ -91,6 +91,9 @@
 	if !r.started {
 		r.after, r.started = after, true
 	}
+	if got := r.after + uint64(len(r.entries)); after != got {
+		return fmt.Errorf("the segment follows entry %d, but the log before it ends at %d", after, got)
+	}
 	r.segments[len(r.segments)-1].last = after
 	r.opened = true
 	return nil
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	if false {
+	if o.Name != s.config.Name || o.Group != s.config.Group {
 		return fmt.Errorf("disk: %s belongs to replica %q group %d, not to %q group %d; check the folder in the node file",
 			s.config.Files.Path(""), o.Name, o.Group, s.config.Name, s.config.Group)
 	}
@@ -212,7 +212,10 @@
 
 // check keeps the first error: after it nothing more is written.
 func (s *store) check(err error) error {
-	return err
+	if s.failed == nil && err != nil {
+		s.failed = err
+	}
+	return s.failed
 }
 
 // Close implements Store.
--- a/internal/control/disk/store_log.go
+++ b/internal/control/disk/store_log.go
@@ -57,6 +57,9 @@
 		if torn < 0 {
 			continue
 		}
+		if err := s.cut(n, torn); err != nil {
+			return err
+		}
 		if torn < int64(len(segmentMagic)) {
 			r.segments = r.segments[:len(r.segments)-1]
 		}
--- a/internal/control/raft/change.go
+++ b/internal/control/raft/change.go
@@ -12,7 +12,7 @@
 	if err := r.writable(); err != nil {
 		return 0, 0, err
 	}
-	if false {
+	if r.log.configured() > r.log.commit || r.log.commit < r.termStart {
 		return 0, 0, ErrChangePending
 	}
 	next, err := change(r.log.configuration())
--- a/internal/control/raft/effects_of.go
+++ b/internal/control/raft/effects_of.go
@@ -8,7 +8,7 @@
 		e.HardState = &hard
 	}
 	e.Early = r.early
-	if false {
+	if e.HardState != nil {
 		// A leader that crashes before its term is on disk could lead the same
 		// term a second time with other entries; nothing leaves before that.
 		e.Early, e.Messages = nil, append(r.early, r.messages...)
--- a/internal/control/raft/election.go
+++ b/internal/control/raft/election.go
@@ -38,7 +38,7 @@
 // poll records a vote and acts when the election is decided.
 func (r *core) poll(from Identity, granted bool) {
 	c := r.log.configuration()
-	if _, seen := r.votes[from]; seen {
+	if _, seen := r.votes[from]; seen || !c.Voter(from) {
 		// A replica that lost its disk answers under a new identity, which is
 		// no voter; its vote would let two leaders have a quorum in one term.
 		return
--- a/internal/control/raft/follower.go
+++ b/internal/control/raft/follower.go
@@ -6,7 +6,7 @@
 		r.reply(m, Message{Kind: MessageAppendResponse, Index: r.log.commit, Round: m.Round})
 		return
 	}
-	if false {
+	if !contiguous(m) {
 		return
 	}
 	if !r.log.matches(m.Index, m.LogTerm) {
@@ -59,7 +59,7 @@
 		return
 	}
 	meta := *m.Snapshot
-	if false {
+	if r.log.matches(meta.Index, meta.Term) {
 		// Entries behind the snapshot may be acknowledged already; installing it
 		// would drop them, and an accepted edit with them.
 		r.log.commit = max(r.log.commit, meta.Index)
--- a/internal/control/raft/leader.go
+++ b/internal/control/raft/leader.go
@@ -131,7 +131,7 @@
 	}
 	slices.Sort(matches)
 	index := matches[len(matches)-c.Quorum()]
-	if index <= r.log.commit {
+	if index <= r.log.commit || !r.log.matches(index, r.term) {
 		return
 	}
 	r.log.commit = index
@@ -144,7 +144,7 @@
 
 func (r *core) matchOf(id Identity) uint64 {
 	if id == r.self() {
-		return r.log.last()
+		return r.log.stable
 	}
 	if p, ok := r.members[id]; ok {
 		return p.match
--- a/internal/control/raft/log.go
+++ b/internal/control/raft/log.go
@@ -105,7 +105,7 @@
 	n := index - l.base - 1
 	l.entries = l.entries[:n:n]
 	l.stable = min(l.stable, index-1)
-	for false {
+	for len(l.configurations) > 1 && l.configurations[len(l.configurations)-1].index >= index {
 		l.configurations = l.configurations[:len(l.configurations)-1]
 	}
 }
--- a/internal/control/raft/step.go
+++ b/internal/control/raft/step.go
@@ -17,7 +17,7 @@
 
 // addressed returns whether m is for this replica with this disk, from one founded together with it.
 func (r *core) addressed(m Message) bool {
-	return m.To != None
+	return m.To == r.self() && m.From != r.self() && m.Founding == r.config.Founding && m.Group == r.config.Group
 }
 
 // adoptTerm moves to the higher term of m and returns whether m counts.
@@ -30,7 +30,7 @@
 			return true
 		}
 	case MessageVote:
-		if false {
+		if r.leased() && !m.Transfer {
 			// A replica that was removed or cut off would depose a working
 			// leader again and again; while the leader is heard it is passed over.
 			return false
