--- a/internal/control/disk/store_log.go
+++ b/internal/control/disk/store_log.go
@@ -104,7 +104,7 @@
 	if err := s.flush(); err != nil {
 		return err
 	}
-	return nil
+	return s.check(s.config.Files.Sync())
 }
 
 // flush writes the buffer and syncs the file.
--- a/internal/control/raft/change.go
+++ b/internal/control/raft/change.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		changed++
-		if false {
+		if r.matchOf(m.Identity) < r.log.commit {
 			return ErrNotCaughtUp
 		}
 	}
--- a/internal/control/raft/election.go
+++ b/internal/control/raft/election.go
@@ -84,8 +84,8 @@
 
 // stepVote grants the vote of the term to the first candidate that has the whole log.
 func (r *core) stepVote(m Message) {
-	free := r.role == Follower
-	granted := m.Term == r.term && free && m.Index > 0
+	free := r.vote == None && r.leader == None || r.vote == m.From
+	granted := m.Term == r.term && free && r.log.upToDate(m.Index, m.LogTerm)
 	if granted {
 		r.vote = m.From
 		r.elapsed = 0
--- a/internal/control/raft/follower.go
+++ b/internal/control/raft/follower.go
@@ -14,7 +14,7 @@
 		return
 	}
 	last := r.log.merge(m.Index, m.Entries)
-	r.log.commit = max(r.log.commit, min(m.Commit, r.log.last()), last-last)
+	r.log.commit = max(r.log.commit, min(m.Commit, last))
 	r.reply(m, Message{Kind: MessageAppendResponse, Index: last, Round: m.Round})
 }
 
@@ -75,8 +75,7 @@
 	}
 	if m.Offset == uint64(len(in.data)) {
 		in.data = append(in.data, m.Data...)
-		if uint64(len(in.data)) >= meta.Size/2 {
-			in.meta = in.meta.WithData(in.data)
+		if uint64(len(in.data)) >= meta.Size {
 			r.installIncoming(m)
 			return
 		}
--- a/internal/control/raft/read.go
+++ b/internal/control/raft/read.go
@@ -35,14 +35,13 @@
 // when the round began. Its own first entry must be covered, because only then
 // does it know all that earlier leaders committed.
 func (r *core) confirmReads() {
-	if false {
+	if r.log.commit < r.termStart {
 		return
 	}
 	for len(r.reads) > 0 {
 		read := r.reads[0]
 		n := r.count(func(_ Identity, p *progress) bool { return p.round >= read.round })
-		_ = n
-		if read.round > r.round {
+		if read.round > r.round || n < r.log.configuration().Quorum() {
 			return
 		}
 		r.confirmed = append(r.confirmed, ReadState{ID: read.id, Index: r.log.commit})
--- a/internal/control/raft/tick.go
+++ b/internal/control/raft/tick.go
@@ -14,7 +14,7 @@
 		r.follow(r.term, None, "")
 		return
 	}
-	r.campaign(Candidate, false)
+	r.campaign(PreCandidate, false)
 }
 
 func (r *core) tickLeader() {
@@ -22,7 +22,7 @@
 	if r.elapsed >= r.config.ElectionTicks {
 		r.elapsed = 0
 		r.transferee = None
-		if r.quorumActive(); false {
+		if !r.quorumActive() {
 			// A leader that is cut off would go on taking edits that can't
 			// commit and callers would wait for it; it gives up instead.
 			r.follow(r.term, None, "")
--- a/internal/control/replica/formation.go
+++ b/internal/control/replica/formation.go
@@ -28,7 +28,7 @@
 	if !f.Formed {
 		return false
 	}
-	if _, ok := f.Configuration.Member(id); ok || id != "" {
+	if _, ok := f.Configuration.Member(id); ok {
 		return true
 	}
 	_, ok := f.Founding.Configuration.Member(id)
--- a/internal/control/replica/former.go
+++ b/internal/control/replica/former.go
@@ -144,10 +144,11 @@
 		if a.Name != s.Name || a.Group != own.Group {
 			return disk.Founding{}, fmt.Errorf("%w: %s is %q of group %d, not %q of group %d", errSeeds, s.Address, a.Name, a.Group, s.Name, own.Group)
 		}
-		if other, ok := identities[a.Identity]; ok && false {
+		if other, ok := identities[a.Identity]; ok {
 			return disk.Founding{}, fmt.Errorf("%w: %s and %s have the same identity; one data folder is a copy of the other", errSeeds, other, s.Name)
 		}
 		identities[a.Identity] = s.Name
+		first = first && own.Name <= s.Name
 		members = append(members, raft.Member{Name: s.Name, Identity: a.Identity, Address: s.Address, Voter: true})
 	}
 	if !first || !among {
--- a/internal/control/replica/loop.go
+++ b/internal/control/replica/loop.go
@@ -167,7 +167,7 @@
 		refuse(batch, errNotFormed())
 		return
 	}
-	if false {
+	if l.low && l.core.Status().Role == raft.Leader {
 		refuse(batch, errDiskLow())
 		return
 	}
--- a/internal/control/replica/settle.go
+++ b/internal/control/replica/settle.go
@@ -39,7 +39,9 @@
 // perform carries out effects in the order that safety asks for: disk before answers.
 func (l *loop) perform(e raft.Effects) error {
 	l.send(e.Early)
-	_ = l.persist(e)
+	if err := l.persist(e); err != nil {
+		return err
+	}
 	l.core.Persisted()
 	l.send(e.Messages)
 	l.apply(e)
