A removed replica that the others need stands still (failing tests)

The removed replica has the longest log and does not campaign; the others need its vote and may not have it.

Change: TestRemovedReplicaCampaignsUntilItsRemovalIsCommitted and the schedule as TestSchedulesThatShowedFaults; both fail. Schedules read steadily while they settle, which shows the lost append that was never sent again as well.

--- a/internal/control/raft/core_test.go
+++ b/internal/control/raft/core_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/control/raft"
 )
 
@@ -333,3 +334,39 @@
 		t.Errorf("%d entries applied, commit %d", len(e.Committed), c.Status().Commit)
 	}
 }
+
+// The leading VM appends the removal of a replica, sends it to that replica
+// only and is lost. The removed replica now has the longest log and the others
+// can't do without its vote, nor may they lead without its entries. Were it to
+// stay still because it is removed, operators would have no leader for ever.
+func TestRemovedReplicaCampaignsUntilItsRemovalIsCommitted(t *testing.T) {
+	c := replicaA(1, trio(), commands(1))
+	without, err := codec.Marshal(trio().Without("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	removal := raft.Entry{Index: 2, Term: 1, Kind: raft.EntryConfiguration, Data: without}
+	c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 1, Index: 1, LogTerm: 1, Entries: []raft.Entry{removal}, Commit: 1}))
+	flush(c)
+	for range 25 {
+		c.Tick()
+	}
+	if s := c.Status(); s.Role != raft.PreCandidate {
+		t.Fatalf("the replica does not campaign: %+v", s)
+	}
+	for _, id := range []raft.Identity{"b", "c"} {
+		c.Step(from(id, raft.Message{Kind: raft.MessagePreVoteResponse, Term: 2}))
+	}
+	flush(c)
+	c.Step(from("b", raft.Message{Kind: raft.MessageVoteResponse, Term: 2}))
+	if s := c.Status(); s.Role == raft.Leader {
+		t.Fatal("the replica counted its own vote, which it no longer has")
+	}
+	c.Step(from("c", raft.Message{Kind: raft.MessageVoteResponse, Term: 2}))
+	flush(c)
+	acknowledge(c, "b", 2, 3)
+	acknowledge(c, "c", 2, 3)
+	if s := c.Status(); s.Commit != 3 || s.Role != raft.Follower {
+		t.Errorf("the removal is not committed, or the removed replica leads on: %+v", s)
+	}
+}
--- a/internal/control/raft/schedule_test.go
+++ b/internal/control/raft/schedule_test.go
@@ -179,6 +179,7 @@
 		w.restart()
 		w.admit()
 		w.tickAll()
+		w.atLeader(0, w.read)
 		for range maxFlight {
 			w.deliver(0, false)
 		}
@@ -295,3 +296,15 @@
 	properties.TestingRun(t)
 	t.Logf("%d steps in %d schedules: %d edits accepted, %d reads confirmed, %d terms with a leader, %d disks lost, %d file faults", steps, run, edits, reads, terms, disks, faults)
 }
+
+// Schedules that broke a rule once; the numbers are their seeds.
+func TestSchedulesThatShowedFaults(t *testing.T) {
+	for _, seed := range []uint64{
+		// A replica that is removed in its own log stood still while the others needed it.
+		15420092677524341948,
+	} {
+		if _, err := runSchedule(seed, draw(seed, stepsPerRun)); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
