A removed replica campaigns until its removal is committed

Change: a replica campaigns also when the last committed configuration has it as a voter. It counts votes of the latest one, so not its own.

--- a/internal/control/raft/tick.go
+++ b/internal/control/raft/tick.go
@@ -10,13 +10,23 @@
 	if r.elapsed < r.timeout {
 		return
 	}
-	if !r.log.configuration().Voter(r.self()) {
+	if !r.eligible() {
 		r.follow(r.term, None, "")
 		return
 	}
 	r.campaign(PreCandidate, false)
 }
 
+// eligible returns whether the replica campaigns: it is a voter, or was one
+// before a change that may not be committed.
+//
+// The replica that got its own removal may be the only one that has it. The
+// others can't win without that entry, and without its vote there may be no
+// quorum of the members before; it has to lead until the removal is committed.
+func (r *core) eligible() bool {
+	return r.log.configuration().Voter(r.self()) || r.log.configurationAt(r.log.commit).Voter(r.self())
+}
+
 func (r *core) tickLeader() {
 	r.beat++
 	if r.elapsed >= r.config.ElectionTicks {
