Settings across processes: the entry looks at its lease

Change: an entry whose lease has run out takes no new work.

Conclusion: after an edit is in force, nobody is served under older settings by an entry that comes back.

--- a/internal/settings/lease/keeper.go
+++ b/internal/settings/lease/keeper.go
@@ -35,7 +35,7 @@
 // Without a recent proof it therefore takes no new work.
 func (k *keeper) Check(now time.Time, serveWithoutQuorum bool) error {
 	p := k.proof.Load()
-	if p != nil {
+	if p != nil && (serveWithoutQuorum || !p.Expired(now)) {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no-settings-lease", "this entry can't prove that its settings are in force").WithRetryAfter(retryAfter)
