Callers' connections keep no write deadline

The time for a caller to accept an answer was set on its connection and stayed there: a request on the kept connection more than two minutes later, also to another handler of the same server, would have lost its answer. What is buffered is now sent under the deadline, and the deadline is taken off.

--- a/internal/entry/caller/exchange.go
+++ b/internal/entry/caller/exchange.go
@@ -163,6 +163,15 @@
 	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(x.handler.WriteTimeout))
 }
 
+// release sends what is buffered and takes the deadline off the connection. Left
+// on, it would fail a later answer to the same caller, of this handler or of
+// another one of the same server, which the caller sees as a lost answer.
+func (x *exchange) release() {
+	control := http.NewResponseController(x.writer)
+	_ = control.Flush()
+	_ = control.SetWriteDeadline(time.Time{})
+}
+
 // retrySeconds returns d in whole seconds, rounded up.
 func retrySeconds(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
--- a/internal/entry/caller/handler.go
+++ b/internal/entry/caller/handler.go
@@ -52,6 +52,7 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{handler: h, writer: w, request: r, id: h.NewID()}
 	w.Header().Set(HeaderRequest, x.id)
+	defer x.release()
 	if !h.gate.enter() {
 		w.Header().Set("Connection", "close")
 		x.refuse(x.early(draining()))
--- a/internal/entry/caller/slow_test.go
+++ b/internal/entry/caller/slow_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -109,6 +110,34 @@
 	}
 }
 
+// deadlines is a response writer that remembers its connection's deadline.
+type deadlines struct {
+	discard
+	set  int
+	last time.Time
+}
+
+func (d *deadlines) SetWriteDeadline(at time.Time) error {
+	d.set++
+	d.last = at
+	return nil
+}
+
+// A caller keeps its connection and asks something else five minutes later. The
+// time that it had for the first answer must not be over for the second one.
+func TestConnectionKeepsNoDeadline(t *testing.T) {
+	b := newBench(t, Config{})
+	for _, key := range []string{"key-1", "nope"} {
+		w := &deadlines{discard: discard{header: http.Header{}}}
+		r := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(chatBody))
+		r.Header.Set("Authorization", "Bearer "+key)
+		b.handler.ServeHTTP(w, r)
+		if w.set < 2 || !w.last.IsZero() || w.bytes == 0 {
+			t.Errorf("%s: deadline %v after %d changes", key, w.last, w.set)
+		}
+	}
+}
+
 // A caller hangs up in the middle of its answer; its run is closed, which
 // cancels it at the engine, and its place in the workspace is free again.
 func TestCallerThatHangsUpEndsItsRun(t *testing.T) {
