The directory forgets engines and stores that have gone

Identities were kept for ever; after 1,024 of them every new engine's events were refused. Who is not heard of for ten minutes is forgotten now, and its place is used again under a higher epoch.

--- a/internal/cache/directory/config.go
+++ b/internal/cache/directory/config.go
@@ -10,6 +10,7 @@
 	DefaultTombstone    = 2 * time.Minute
 	DefaultGapPatience  = 500 * time.Millisecond
 	DefaultListingPause = 2 * time.Second
+	DefaultForget       = 10 * time.Minute
 )
 
 // maxBatches is the number of batches behind a gap that are kept for each engine.
@@ -31,6 +32,8 @@
 	GapPatience time.Duration
 	// ListingPause is the least time between two requests for a listing of one engine.
 	ListingPause time.Duration
+	// Forget is the silence after which an engine or store is forgotten.
+	Forget time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -39,6 +42,7 @@
 	c.Listing = orDefault(c.Listing, DefaultListing)
 	c.Tombstone = orDefault(c.Tombstone, DefaultTombstone)
 	c.GapPatience = orDefault(c.GapPatience, DefaultGapPatience)
+	c.Forget = orDefault(c.Forget, DefaultForget)
 	c.ListingPause = orDefault(c.ListingPause, DefaultListingPause)
 	return c
 }
--- a/internal/cache/directory/directory.go
+++ b/internal/cache/directory/directory.go
@@ -23,7 +23,7 @@
 	Deletable(now time.Time) []Deletion
 	// Lookup returns the locations of the keys, in their order; only sealed pieces and believed engines count.
 	Lookup(keys []block.Key) Locations
-	// Restarted voids what is known of an engine or store of an older incarnation.
+	// Restarted tells the incarnation that an engine or store announces and voids what is known of an older one; who is not heard of for long is forgotten.
 	Restarted(now time.Time, identity string, incarnation uint64) Effect
 	// Lose stops believing what is known of all engines until listings come, for when keys have moved between nodes.
 	Lose(now time.Time)
@@ -105,6 +105,7 @@
 	if p == nil {
 		return Effect{Outcome: Known}
 	}
+	p.touched.Store(d.millis(now))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.restart(incarnation) {
--- a/internal/cache/directory/engine.go
+++ b/internal/cache/directory/engine.go
@@ -13,7 +13,7 @@
 // come, an insertion that is late would bring back a piece whose eviction
 // came first, and requests would be sent to an engine that has to recompute.
 func (d *directory) Update(now time.Time, u Update) Effect {
-	p := d.peers.add(u.Engine)
+	p := d.peers.add(u.Engine, d.millis(now))
 	if p == nil {
 		return Effect{Outcome: Refused}
 	}
@@ -143,7 +143,7 @@
 
 // Listing implements Directory.
 func (d *directory) Listing(now time.Time, l ListingPart) Effect {
-	p := d.peers.add(l.Engine)
+	p := d.peers.add(l.Engine, d.millis(now))
 	if p == nil {
 		return Effect{Outcome: Refused}
 	}
--- a/internal/cache/directory/freeing.go
+++ b/internal/cache/directory/freeing.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -27,6 +28,13 @@
 	}
 }
 
+// forget drops what waits at the peer of an index.
+func (f *freeing) forget(index uint16) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.waiting, func(k pinned, _ Deletion) bool { return k.peer == index })
+}
+
 // Deletable implements Directory.
 func (d *directory) Deletable(now time.Time) []Deletion {
 	d.freed.mu.Lock()
--- a/internal/cache/directory/peer.go
+++ b/internal/cache/directory/peer.go
@@ -16,6 +16,8 @@
 	epoch atomic.Uint32
 	// believed is false while events are missing.
 	believed atomic.Bool
+	// touched is when the peer was last heard of, in milliseconds since the start.
+	touched atomic.Uint64
 
 	mu          sync.Mutex
 	engine      bool
@@ -60,46 +62,3 @@
 	}
 	p.believed.Store(believed)
 }
-
-// peers maps identities to peers; indexes are never reused, so that a location can't name another peer.
-type peers struct {
-	mu    sync.RWMutex
-	named map[string]*peer
-	all   atomic.Pointer[[]*peer]
-	limit int
-}
-
-func newPeers(limit int) *peers {
-	p := &peers{named: map[string]*peer{}, limit: limit}
-	p.all.Store(&[]*peer{})
-	return p
-}
-
-// get returns the peer of an identity and nil when it is not known.
-func (p *peers) get(identity string) *peer {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	return p.named[identity]
-}
-
-// add returns the peer of an identity, a new one where it is not known, and nil when there are too many.
-func (p *peers) add(identity string) *peer {
-	if known := p.get(identity); known != nil {
-		return known
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known, ok := p.named[identity]; ok {
-		return known
-	}
-	old := *p.all.Load()
-	if len(old) >= p.limit {
-		return nil
-	}
-	n := &peer{identity: identity, index: uint16(len(old))}
-	n.believed.Store(true)
-	next := append(append(make([]*peer, 0, len(old)+1), old...), n)
-	p.all.Store(&next)
-	p.named[identity] = n
-	return n
-}
--- a/internal/cache/directory/sweep.go
+++ b/internal/cache/directory/sweep.go
@@ -7,6 +7,7 @@
 
 // Sweep implements Directory.
 func (d *directory) Sweep(now time.Time) {
+	d.forget(now)
 	peers := *d.peers.all.Load()
 	void := d.void(peers, now)
 	from := int(d.swept.Add(sweepShards))
@@ -16,6 +17,18 @@
 	d.pins.expire(now)
 }
 
+// forget removes engines and stores that have gone; identities that never come back would fill the directory otherwise.
+func (d *directory) forget(now time.Time) {
+	forget := uint64(d.config.Forget.Milliseconds())
+	millis := d.millis(now)
+	if millis < forget {
+		return
+	}
+	for _, i := range d.peers.forget(millis - forget) {
+		d.freed.forget(i)
+	}
+}
+
 // void returns a function that tells which locations count no more.
 func (d *directory) void(peers []*peer, now time.Time) func(l *location) bool {
 	millis := d.millis(now)
