--- a/internal/base/event/callers.go
+++ b/internal/base/event/callers.go
@@ -12,8 +12,8 @@
 	CallDispatched = define(502, log.InfoLevel, "call-dispatched", "A call goes to a plain service; the field server names it.")
 	// CallFailed is written when a claimed call has no outcome.
 	CallFailed = define(503, log.WarnLevel, "call-failed", "A claimed call has no outcome; not-run releases the claim, may-have-run makes it unknown.")
-	// CallSettled is written when the outcome of a call is recorded.
-	CallSettled = define(504, log.InfoLevel, "call-settled", "The outcome of a non-idempotent call went to the ledger.")
+	// CallSettled is written when a call has its outcome, before that is recorded.
+	CallSettled = define(504, log.InfoLevel, "call-settled", "A non-idempotent call has its outcome, which goes to the ledger next.")
 	// CallUnrecorded is written when the log stayed away for longer than the entry tries.
 	CallUnrecorded = define(505, log.ErrorLevel, "call-unrecorded", "The ledger could not be told what became of a call; the claim ends as unknown.")
 	// CallRetried is written when an idempotent call is tried elsewhere.
@@ -24,6 +24,10 @@
 	StreamRejected = define(511, log.WarnLevel, "stream-rejected", "An engine sent what does not belong to the attempt, or ended early; nothing of it was passed on.")
 	// StreamCancelled is written when a run is cancelled because its caller went away.
 	StreamCancelled = define(512, log.InfoLevel, "stream-cancelled", "The caller went away; the run is cancelled at the engine.")
+	// RequestQuarantined is written when a request is refused because it crashes servers.
+	RequestQuarantined = define(530, log.WarnLevel, "request-quarantined", "A request was refused because different servers were lost while they ran it; the field fingerprint names it for an operator.")
+	// ServerLostUnder is written for each request that ran on a lost server.
+	ServerLostUnder = define(531, log.WarnLevel, "server-lost-under", "A server was lost while it ran a request, which is a suspect now.")
 	// CallerRefused is written for each refusal to a caller.
 	CallerRefused = define(520, log.InfoLevel, "caller-refused", "A request was refused; the fields give status, code and verdict.")
 	// RequestServed is written for each answered request.
--- a/internal/load/model/run.go
+++ b/internal/load/model/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hornbeamwood/internal/load/workload"
+	"hornbeamwood/internal/policy/placement"
 	"hornbeamwood/internal/policy/route"
 )
 
@@ -98,6 +99,7 @@
 		r.clock.every(p.ReportEvery/2, end+tail, func() { r.reportStore(i) })
 	}
 	for _, e := range r.entries {
+		r.clock.every(turnEvery, end+tail, e.turns)
 		r.clock.every(p.GossipEvery, end+tail, func() { e.gossip(r.config.Deployment.ZoneDelay) })
 	}
 	for _, f := range r.config.Failures {
@@ -230,6 +232,16 @@
 	}
 }
 
+// killStore loses a store; its locations are forgotten once the loss is noticed.
+func (r *run) killStore(i int) {
+	r.stores[i].die()
+	r.clock.after(lostAfter, func() {
+		if placement.React(placement.StoreLost).ForgetCopies {
+			r.directory.forgetStore(i)
+		}
+	})
+}
+
 func (r *run) killServers(f Failure) {
 	for i := range f.Count {
 		r.engines[f.Index+i].die()
