Recheck before the first byte; one exchange for many pieces

Between the choice of a server and its request lie pins and a connection, or a process that was frozen; View.Recheck asks again from the newest view.

--- a/internal/cache/directory/message.go
+++ b/internal/cache/directory/message.go
@@ -12,6 +12,8 @@
 	Unpin   *Pin         `cbor:"x,omitempty"`
 	// Lookup is answered with Locations.
 	Lookup *Lookup `cbor:"k,omitempty"`
+	// Batch holds messages that are carried out in order and answered with one Reply each.
+	Batch []Message `cbor:"b,omitempty"`
 }
 
 // Lookup asks for the locations of keys.
@@ -26,6 +28,8 @@
 	Effect Effect `cbor:"e,omitzero"`
 	// Locations answers Lookup, one for each key.
 	Locations Locations `cbor:"l,omitempty"`
+	// Batch answers Batch, one for each of its messages.
+	Batch []Reply `cbor:"b,omitempty"`
 }
 
 // Envelope is a Message with the node that it goes to.
--- a/internal/cache/directory/serve.go
+++ b/internal/cache/directory/serve.go
@@ -18,8 +18,23 @@
 		return Reply{Effect: d.Pin(now, *m.Pin)}
 	case m.Unpin != nil:
 		return Reply{Effect: d.Unpin(now, *m.Unpin)}
+	case len(m.Batch) > 0 && len(m.Batch) <= MaxLookup:
+		return serveBatch(d, now, m.Batch)
 	case m.Lookup != nil && len(m.Lookup.Keys) <= MaxLookup:
 		return Reply{Locations: d.Lookup(m.Lookup.Keys)}
 	}
 	return Reply{Effect: Effect{Outcome: Refused}}
 }
+
+// serveBatch refuses a batch within a batch, which could be nested without end.
+func serveBatch(d Directory, now time.Time, all []Message) Reply {
+	r := Reply{Batch: make([]Reply, len(all))}
+	for i, m := range all {
+		if len(m.Batch) > 0 {
+			r.Batch[i].Effect.Outcome = Refused
+			continue
+		}
+		r.Batch[i] = Serve(d, now, m)
+	}
+	return r
+}
--- a/internal/fleet/membership/reason.go
+++ b/internal/fleet/membership/reason.go
@@ -10,6 +10,8 @@
 	IsLeaving Reason = "leaving"
 	// IsSilent means that the server's last announcement is too old.
 	IsSilent Reason = "silent"
+	// HasMoved means that the server has another address than when it was chosen.
+	HasMoved Reason = "moved"
 	// OtherKind means that the server is of another kind.
 	OtherKind Reason = "other-kind"
 	// ModelNotHeld means that the engine does not hold the model.
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -34,6 +35,22 @@
 	return nil, false
 }
 
+// Recheck returns Eligible when the server that was chosen from an earlier view may still get the request, or the reason why not.
+//
+// Between the choice and the first byte lie pins, a connection, or a process
+// that was frozen. A server that said meanwhile that it leaves would get work
+// seconds later; who dispatches asks again right before it writes.
+func (v View) Recheck(now time.Time, chosen *Server, n Need) Reason {
+	s, ok := v.Server(chosen.announcement.Identity)
+	if !ok {
+		return IsSilent
+	}
+	if s.announcement.Address != chosen.announcement.Address {
+		return HasMoved
+	}
+	return s.Eligible(now, n)
+}
+
 // Len returns the number of servers.
 func (v *View) Len() int {
 	n := 0
