--- a/internal/fleet/membership/gossip_bench_test.go
+++ b/internal/fleet/membership/gossip_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -203,3 +204,29 @@
 		})
 	}
 }
+
+// BenchmarkTableMemory reports the bytes that an entry keeps for each server.
+func BenchmarkTableMemory(b *testing.B) {
+	for _, n := range []int{13, 60, 940} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			var bytes uint64
+			for b.Loop() {
+				before := heapBytes()
+				t := New(Config{})
+				for i := range n {
+					t.Announce(time.Unix(1000, 0), benchAnnouncement(i))
+				}
+				bytes = heapBytes() - before
+				runtime.KeepAlive(t)
+			}
+			b.ReportMetric(float64(bytes)/float64(n), "B/server")
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
