Admission compares worth for each second of the servers

When not all can be served, a long prompt takes the time in which several others of the same worth could be answered. The part of the deadline that a request may wait now follows its worth for each second of compute against that of its priority band. The setting worth was read by no decision before.

--- a/internal/load/comparison/ablations.go
+++ b/internal/load/comparison/ablations.go
@@ -21,7 +21,9 @@
 	open.Admission = false
 	unfair := Policy("without fair queueing")
 	unfair.Fair = false
-	return append(all, exports, none, open, unfair)
+	worthless := Policy("without worth in admission")
+	worthless.Worthless = true
+	return append(all, exports, none, open, unfair, worthless)
 }
 
 // essential elements give the estimate its base; without them there is nothing to measure.
--- a/internal/load/model/contender.go
+++ b/internal/load/model/contender.go
@@ -12,6 +12,8 @@
 	Exports ExportRule
 	// Admission says whether what cannot make its deadline is refused at once.
 	Admission bool
+	// Worthless says that admission doesn't compare requests by their worth.
+	Worthless bool
 	// Fair says whether requests that are not urgent wait at the entry for their workspace's turn
 	// while each server has more than the window of work.
 	Fair bool
--- a/internal/load/model/entry.go
+++ b/internal/load/model/entry.go
@@ -106,10 +106,26 @@
 		Priority: q.arrival.Rules.Priority,
 		TTFT:     d.TTFT + queueing,
 		Deadline: q.arrival.Rules.Deadline,
+		Worth:    e.worth(q),
+		Compute:  compute(d),
 		Waited:   e.run.clock.now - q.arrival.At,
 	}, e.random).Admit
 }
 
+// worth returns the request's worth where admission compares it.
+func (e *entry) worth(q *request) float64 {
+	if e.run.config.Contender.Worthless {
+		return 0
+	}
+	return q.arrival.Rules.Worth
+}
+
+// compute returns the time that the chosen server would compute.
+func compute(d *route.Decision) time.Duration {
+	chosen, _ := d.Chosen()
+	return span(chosen.Compute)
+}
+
 func (e *entry) send(q *request, ask *route.Request, d route.Decision) {
 	q.record = e.recordOf(q, ask, d)
 	e.own[q.record] = true
--- a/internal/policy/admission/input.go
+++ b/internal/policy/admission/input.go
@@ -12,6 +12,10 @@
 	TTFT time.Duration
 	// Deadline is how long the caller waits; zero means without limit.
 	Deadline time.Duration
+	// Worth is that of the request's rules; zero means that requests are not compared.
+	Worth float64
+	// Compute is the time that a server would compute for the request.
+	Compute time.Duration
 	// Waited is the time since the request arrived.
 	Waited time.Duration
 	// InFlight is the number of the workspace's requests that run at this entry.
--- a/internal/policy/admission/policy.go
+++ b/internal/policy/admission/policy.go
@@ -19,11 +19,12 @@
 type policy struct {
 	config      Config
 	calibration *calibration
+	valuation   *valuation
 }
 
 // New returns the policy that admits what is expected to make its deadline.
 func New(c Config) Policy {
-	return policy{config: c.withDefaults(), calibration: newCalibration()}
+	return policy{config: c.withDefaults(), calibration: newCalibration(), valuation: &valuation{}}
 }
 
 // Decide returns a refusal when there is no server, no room in flight or not enough time.
@@ -34,7 +35,7 @@
 	if in.MaxInFlight > 0 && in.InFlight >= in.MaxInFlight {
 		return p.Refuse(TooManyInFlight, in.TTFT, random)
 	}
-	late := in.Waited + p.calibration.apply(in.Priority, in.TTFT) - p.allowed(in.Deadline)
+	late := in.Waited + p.calibration.apply(in.Priority, in.TTFT) - p.allowed(in)
 	if in.Deadline > 0 && late > 0 {
 		return p.Refuse(DeadlineMissed, late, random)
 	}
@@ -45,8 +46,10 @@
 	p.calibration.observe(priority, expected, actual)
 }
 
-func (p policy) allowed(deadline time.Duration) time.Duration {
-	return time.Duration(float64(deadline) * p.config.Margin)
+// allowed returns how long the request may wait; what is worth less for the time it takes, less long.
+func (p policy) allowed(in Input) time.Duration {
+	value := p.valuation.factor(in.Priority, in.Worth, in.Compute.Seconds())
+	return time.Duration(float64(in.Deadline) * min(p.config.Margin*value, 1))
 }
 
 // Refuse returns a refusal whose wait is at least wait, spread at random and rounded up to seconds.
