--- /dev/null
+++ b/internal/cli/load/request.go
@@ -0,0 +1,157 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"hornbeamwood/internal/load/workload"
+)
+
+const (
+	// bytesPerToken is how entries and stand-ins count the tokens of a text.
+	bytesPerToken = 4
+	maxEvent      = 1 << 20
+	requestTime   = 3 * time.Minute
+)
+
+// prompt returns the text of an arrival; equal pieces give equal text.
+func prompt(d *workload.Deployment, a workload.Arrival) string {
+	var b strings.Builder
+	for _, k := range a.Pieces {
+		fill(&b, fmt.Sprintf("%016x ", k), d.PieceTokens*bytesPerToken)
+	}
+	fill(&b, fmt.Sprintf("question %d ", a.Number), a.Tail*bytesPerToken)
+	return b.String()
+}
+
+// fill writes word again and again until size bytes are written.
+func fill(b *strings.Builder, word string, size int) {
+	whole := size / len(word)
+	for range whole {
+		b.WriteString(word)
+	}
+	b.WriteString(word[:size-whole*len(word)])
+}
+
+type body struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+	Options   streamOptions `json:"stream_options"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// newRequest returns the HTTP request of an arrival.
+func newRequest(ctx context.Context, c Config, d *workload.Deployment, a workload.Arrival, entry string) (*http.Request, error) {
+	class := d.Classes[a.Class]
+	if class.Service != "" {
+		return newCall(ctx, c, class, a, entry)
+	}
+	b, err := json.Marshal(body{
+		Model: class.Name, Prompt: prompt(d, a), MaxTokens: max(1, a.Answer),
+		Stream: true, Options: streamOptions{IncludeUsage: true},
+	})
+	if err != nil {
+		return nil, err
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/v1/completions", bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set("Content-Type", "application/json")
+	q.Header.Set("Authorization", "Bearer "+c.key(a.Workspace))
+	return q, nil
+}
+
+func newCall(ctx context.Context, c Config, class workload.Class, a workload.Arrival, entry string) (*http.Request, error) {
+	method := http.MethodGet
+	if class.Rules.NonIdempotent {
+		method = http.MethodPost
+	}
+	q, err := http.NewRequestWithContext(ctx, method, entry+"/services/"+class.Service+"/"+class.Name, strings.NewReader(""))
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set("Authorization", "Bearer "+c.key(a.Workspace))
+	if class.Rules.NonIdempotent {
+		q.Header.Set("Idempotency-Key", fmt.Sprintf("load-%d-%d-%d", c.Seed, time.Now().UnixNano(), a.Number))
+	}
+	return q, nil
+}
+
+// send carries out one request and returns its outcome.
+func send(client *http.Client, q *http.Request, class string) outcome {
+	o := outcome{class: class}
+	sent := time.Now()
+	r, err := client.Do(q)
+	if err != nil {
+		return o
+	}
+	defer r.Body.Close()
+	o.status = r.StatusCode
+	o.verdict = r.Header.Get("Hornbeamwood-Verdict")
+	if !strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
+		_, err := io.Copy(io.Discard, r.Body)
+		o.first = time.Since(sent)
+		o.whole = err == nil && r.StatusCode/100 == 2
+		return o
+	}
+	o.read(r.Body, sent)
+	return o
+}
+
+// event is the part of a stream's event that is counted.
+type event struct {
+	Usage *struct {
+		Prompt  int64 `json:"prompt_tokens"`
+		Details struct {
+			Cached int64 `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+	Transfer *struct {
+		Imported int64 `json:"imported-bytes"`
+	} `json:"kv_transfer_params"`
+}
+
+func (o *outcome) read(r io.Reader, sent time.Time) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxEvent)
+	for s.Scan() {
+		data, ok := bytes.CutPrefix(s.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if o.first == 0 {
+			o.first = time.Since(sent)
+		}
+		if string(data) == "[DONE]" {
+			o.whole = true
+			continue
+		}
+		if bytes.Contains(data, []byte(`"usage":{`)) {
+			o.count(data)
+		}
+	}
+}
+
+func (o *outcome) count(data []byte) {
+	var e event
+	if json.Unmarshal(data, &e) != nil || e.Usage == nil {
+		return
+	}
+	o.prompt, o.cached = e.Usage.Prompt, e.Usage.Details.Cached
+	if e.Transfer != nil {
+		o.imported = e.Transfer.Imported
+	}
+}
