--- a/internal/entry/completion/again.go
+++ b/internal/entry/completion/again.go
@@ -44,6 +44,7 @@
 	if !pause(ctx, d.Wait) {
 		return nil, cause
 	}
+	r.meters.retried.Inc()
 	a, err := r.start(ctx, j)
 	if err != nil && a == nil {
 		return nil, worse(cause, err)
--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"slices"
+	"sync"
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
@@ -79,6 +81,7 @@
 		return err
 	}
 	a.load = r.loadOf(j, a, imports)
+	r.meters.planned(a, imports)
 	r.inFlight.add(a.load, 1)
 	r.Work.Sent(r.Now(), a.server.Key(), a.load.tokens)
 	r.Guard.Started(r.Now(), j.fingerprint, identity)
@@ -134,8 +137,14 @@
 	a.silence.Stop()
 	r.Admission.Observe(j.Rules.Priority, a.decision.TTFT, r.Now().Sub(a.sent))
 	r.inFlight.add(a.load, -1)
-	for _, p := range a.pins {
-		r.Cache.Unpin(ctx, p)
+	r.unpin(ctx, a.pins)
+}
+
+// unpin takes pins back beside the request, which has its first token by now.
+func (r *router) unpin(ctx context.Context, pins []directory.Pin) {
+	ctx = context.WithoutCancel(ctx)
+	for _, p := range pins {
+		r.running.Go(func() { r.Cache.Unpin(ctx, p) })
 	}
 }
 
@@ -170,42 +179,60 @@
 	return ok && e.Code == codeUnreachable
 }
 
-// imports pins the pieces that the plan imports; one that can't be pinned is computed instead.
+// imports pins the pieces that the plan imports, all at once; from the first
+// one on that can't be pinned the prompt is computed instead.
 func (r *router) imports(ctx context.Context, j *job, a *attempt) []importPiece {
+	wanted := r.wanted(j, a)
+	granted := make([]bool, len(wanted))
+	var asked sync.WaitGroup
+	for i, p := range wanted {
+		asked.Go(func() { granted[i] = r.Cache.Pin(ctx, p.pin(a)) })
+	}
+	asked.Wait()
+	use := len(wanted)
+	for i, ok := range granted {
+		if !ok {
+			use = min(use, i)
+			continue
+		}
+		a.pins = append(a.pins, wanted[i].pin(a))
+	}
+	return wanted[:use]
+}
+
+// wanted returns the pieces that the plan imports.
+func (r *router) wanted(j *job, a *attempt) []importPiece {
 	var all []importPiece
 	for i, s := range a.decision.Plan {
 		if s.Source != route.Import {
 			continue
 		}
-		p, ok := r.importOf(ctx, j, a, i, s)
-		if !ok {
+		store := a.view.stores[s.Copy.Store].Announcement()
+		at := slices.IndexFunc(j.locations[i].Stores, func(c directory.Stored) bool { return c.Store == store.Identity })
+		if at < 0 {
 			break
 		}
-		all = append(all, p)
+		c := j.locations[i].Stores[at]
+		all = append(all, importPiece{
+			Key:        j.keys[i],
+			Store:      store.Address,
+			Generation: c.Generation,
+			Bytes:      c.Bytes,
+			store:      c.Store,
+		})
 	}
 	return all
 }
 
-func (r *router) importOf(ctx context.Context, j *job, a *attempt, piece int, s route.Step) (importPiece, bool) {
-	store := a.view.stores[s.Copy.Store].Announcement()
-	for _, c := range j.locations[piece].Stores {
-		if c.Store != store.Identity {
-			continue
-		}
-		pin := directory.Pin{
-			Store:          c.Store,
-			Key:            j.keys[piece],
-			Generation:     c.Generation,
-			Reader:         reader(a.id),
-			DeadlineMillis: pinTime.Milliseconds(),
-		}
-		if !r.Cache.Pin(ctx, pin) {
-			return importPiece{}, false
-		}
-		a.pins = append(a.pins, pin)
-		return importPiece{Key: j.keys[piece], Store: store.Address, Generation: c.Generation, Bytes: c.Bytes, store: c.Store}, true
+// pin returns the pin that keeps the piece while the attempt reads it.
+func (p importPiece) pin(a *attempt) directory.Pin {
+	return directory.Pin{
+		Store:          p.store,
+		Key:            p.Key,
+		Generation:     p.Generation,
+		Reader:         reader(a.id),
+		DeadlineMillis: pinTime.Milliseconds(),
 	}
-	return importPiece{}, false
 }
 
 // reader returns the number that names an attempt among the readers of a piece.
--- a/internal/entry/completion/config.go
+++ b/internal/entry/completion/config.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/cache/block"
@@ -64,6 +65,8 @@
 	Returns placement.Returns
 	// Guard stops requests that crash their servers.
 	Guard Guard
+	// Metrics takes the counters; nil for none.
+	Metrics *metrics.Set
 	// Logger takes the events.
 	Logger log.Interface
 	// Now returns the local time with its monotonic reading.
--- a/internal/entry/completion/exporter.go
+++ b/internal/entry/completion/exporter.go
@@ -59,6 +59,7 @@
 // exporter runs exports beside the requests that they follow.
 type exporter struct {
 	Config
+	meters  *meters
 	slots   chan struct{}
 	running sync.WaitGroup
 
@@ -66,8 +67,8 @@
 	bytes map[string]int64
 }
 
-func newExporter(c Config) *exporter {
-	return &exporter{Config: c, slots: make(chan struct{}, maxExports), bytes: make(map[string]int64)}
+func newExporter(c Config, m *meters) *exporter {
+	return &exporter{Config: c, meters: m, slots: make(chan struct{}, maxExports), bytes: make(map[string]int64)}
 }
 
 func (x *exporter) wait() {
@@ -178,6 +179,8 @@
 		c.Generation, c.Bytes, c.Tier = results[i].Generation, results[i].Bytes, p.Tier
 		x.Cache.Change(ctx, c)
 	}
+	x.meters.exported.Add(sealed)
+	x.meters.exportLost.Add(len(e.Pieces) - sealed)
 	event.ExportEnded.Write(x.Logger, log.Fields{"request": j.ID, "sealed": sealed, "pieces": len(e.Pieces)})
 }
 
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 
 	"hornbeamwood/internal/entry/caller"
 )
@@ -10,7 +11,7 @@
 // Router runs completions.
 type Router interface {
 	caller.Completer
-	// Wait returns when all exports that were begun have ended.
+	// Wait returns when all exports and other work beside requests has ended.
 	Wait()
 }
 
@@ -20,15 +21,19 @@
 	exporter *exporter
 	visits   *visits
 	losses   *losses
+	meters   *meters
+	running  sync.WaitGroup
 }
 
 // New returns a Router.
 func New(c Config) Router {
 	c.Random = rand.New(&lockedSource{source: c.Random})
+	m := newMeters(c.Metrics)
 	return &router{
 		Config:   c,
+		meters:   m,
 		inFlight: newInFlight(),
-		exporter: newExporter(c),
+		exporter: newExporter(c, m),
 		visits:   newVisits(),
 		losses:   newLosses(),
 	}
@@ -37,6 +42,7 @@
 // Wait implements Router.
 func (r *router) Wait() {
 	r.exporter.wait()
+	r.running.Wait()
 }
 
 // Complete implements caller.Completer.
@@ -44,6 +50,7 @@
 	j := r.newJob(q)
 	r.Guard.Name(j.fingerprint, q.Workspace, q.Model.Name)
 	if err := r.Guard.Check(r.Now(), j.fingerprint); err != nil {
+		r.meters.ended(err)
 		return nil, err
 	}
 	j.locations = r.Cache.Lookup(ctx, j.keys)
@@ -51,6 +58,7 @@
 	a, err := r.start(ctx, j)
 	for err != nil {
 		if a == nil {
+			r.meters.ended(err)
 			return nil, err
 		}
 		j.exclude(a)
--- a/internal/entry/completion/stream.go
+++ b/internal/entry/completion/stream.go
@@ -29,8 +29,7 @@
 	for s.ended == nil {
 		b, err := s.attempt.stream.Next()
 		if err == nil {
-			s.router.begun(s.ctx, s.job, s.attempt)
-			s.sent = true
+			s.begin()
 			return b, nil
 		}
 		s.failed(err)
@@ -38,6 +37,21 @@
 	return nil, s.ended
 }
 
+// begin notes the first event that goes to the caller.
+func (s *stream) begin() {
+	s.router.begun(s.ctx, s.job, s.attempt)
+	if !s.sent {
+		s.router.meters.firstToken.Update(s.router.Now().Sub(s.job.Received).Seconds())
+	}
+	s.sent = true
+}
+
+// end sets what the stream ends with.
+func (s *stream) end(cause error) {
+	s.ended = cause
+	s.router.meters.ended(cause)
+}
+
 // failed ends the attempt and either replaces it or ends the stream.
 func (s *stream) failed(cause error) {
 	if !s.attempt.first && s.ctx.Err() == nil && !errors.Is(cause, io.EOF) && s.silent() {
@@ -45,13 +59,13 @@
 	}
 	s.router.end(s.ctx, s.job, s.attempt, cause)
 	if s.sent || errors.Is(cause, io.EOF) {
-		s.ended = cause
+		s.end(cause)
 		return
 	}
 	a, err := s.attempt, cause
 	for err != nil {
 		if a == nil {
-			s.ended = err
+			s.end(err)
 			return
 		}
 		s.job.exclude(a)
@@ -70,6 +84,6 @@
 	if s.ended != nil {
 		return
 	}
-	s.ended = verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, codeCancelled, "the caller has gone")
+	s.end(verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, codeCancelled, "the caller has gone"))
 	s.router.end(s.ctx, s.job, s.attempt, s.ended)
 }
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -61,6 +61,7 @@
 	retries := retry.New(retry.Config{})
 	x.services = p.buildServices(&x, retries)
 	x.router = p.buildRouter(&x, retries)
+	p.gauges(&x)
 	x.caller = caller.New(caller.Config{
 		Snapshots: x.settings,
 		Completer: x.router,
@@ -92,11 +93,12 @@
 	stores := store.New(newHTTPClient())
 	x.orders = backend.NewEngine(newHTTPClient())
 	x.exports = cacheengine.NewExports(cacheengine.Config{Engine: x.orders, Heads: stores})
+	x.directory = directory.New(directory.Config{Start: time.Now()})
 	x.cache = cachequic.New(cachequic.Config{
 		Node:        p.node,
 		Self:        p.config.File.Name,
 		Addresses:   p.peers(),
-		Directory:   directory.New(directory.Config{Start: time.Now()}),
+		Directory:   x.directory,
 		Deleter:     deleter{table: x.table, stores: stores},
 		Incarnation: incarnations(x.table),
 		Each:        eachIncarnation(x.table),
@@ -162,6 +164,7 @@
 		Retry:      retries,
 		Returns:    placement.NewReturns(returnPrior),
 		Guard:      x.guard,
+		Metrics:    p.metrics,
 		Logger:     p.config.Logger,
 		Now:        time.Now,
 		NewAttempt: newAttempt,
--- a/internal/process/entry/parts.go
+++ b/internal/process/entry/parts.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"hornbeamwood/internal/cache/directory"
 	cachequic "hornbeamwood/internal/cache/quic"
 	"hornbeamwood/internal/entry/backend"
 	"hornbeamwood/internal/entry/caller"
@@ -41,9 +42,11 @@
 	router   completion.Router
 	caller   caller.Handler
 	leavers  backend.Leavers
-	guard    quarantine.Guard
-	giver    backend.Giver
-	exports  completion.Exports
+	// directory is this entry's share of the cache directory.
+	directory directory.Directory
+	guard     quarantine.Guard
+	giver     backend.Giver
+	exports   completion.Exports
 }
 
 // newRandom returns a source with a seed of its own, so that entries that see the same do not all do the same.
