--- a/internal/control/raft/answer.go
+++ b/internal/control/raft/answer.go
@@ -57,6 +57,7 @@
 	}
 	p.quiet = 0
 	if p.state == restoring {
+		p.offset = p.wanted
 		r.sendChunk(m.From, p)
 		return
 	}
@@ -68,7 +69,7 @@
 func (r *core) startSnapshot(id Identity, p *progress) {
 	p.state = restoring
 	p.meta = r.log.snapshot
-	p.offset = 0
+	p.offset, p.wanted = 0, 0
 	p.sent = nil
 	r.sendChunk(id, p)
 }
@@ -78,20 +79,27 @@
 	if p.meta.Index < r.log.snapshot.Index {
 		// The older snapshot is no longer on disk.
 		p.meta = r.log.snapshot
-		p.offset = 0
+		p.offset, p.wanted = 0, 0
 	}
 	meta := p.meta
 	r.sendEarly(Message{Kind: MessageSnapshot, To: id, Snapshot: &meta, Offset: p.offset})
 }
 
+// stepSnapshotResponse goes on with the chunk that the member wants.
+//
+// An answer that wants an earlier chunk may be old, or come from a member that
+// restarted and took a late copy of the first ones. Going back at once would
+// send everything several times; never going back would leave that member
+// without the snapshot. It is noted, and counts when nothing else moves.
 func (r *core) stepSnapshotResponse(m Message, p *progress) {
-	if p.state != restoring || m.Index != p.meta.Index {
+	if p.state != restoring || m.Index != p.meta.Index || m.Offset >= p.meta.Size {
 		return
 	}
-	p.moved = true
-	if m.Offset <= p.offset && m.Offset != 0 || m.Offset >= p.meta.Size {
+	p.wanted = m.Offset
+	if m.Offset <= p.offset && m.Offset != 0 {
 		return
 	}
+	p.moved = true
 	p.offset = m.Offset
 	r.sendChunk(m.From, p)
 }
--- a/internal/control/raft/progress.go
+++ b/internal/control/raft/progress.go
@@ -30,9 +30,9 @@
 	quiet int
 	// round is the latest heartbeat round that the member answered.
 	round uint64
-	// meta and offset are the snapshot being sent and the chunk in flight.
-	meta   SnapshotMeta
-	offset uint64
+	// meta and offset are the snapshot being sent and the chunk in flight, wanted the chunk that was last asked for.
+	meta           SnapshotMeta
+	offset, wanted uint64
 }
 
 // acknowledge records that the member has everything up to index and returns whether that is news.
