--- a/internal/settings/rules/workspace.go
+++ b/internal/settings/rules/workspace.go
@@ -4,7 +4,7 @@
 type Workspace struct {
 	// Name is the workspace's branch in the tree.
 	Name string `cbor:"name"`
-	// KeyDigests are the SHA-256 digests of the caller keys.
+	// KeyDigests are the SHA-256 digests of the caller keys; read by entry/caller.
 	KeyDigests [][32]byte `cbor:"key-digests"`
 	// Models maps a model's name to the rules of this workspace's requests to it.
 	Models map[string]Rules `cbor:"models"`
