Thawed entries: test of a claim that was abandoned, resolved and run elsewhere

Resumes of streams wait 0, 100 and 200 ms, so that an engine that restarts doesn't use up all three at once.

--- a/internal/entry/engine/config.go
+++ b/internal/entry/engine/config.go
@@ -29,6 +29,8 @@
 	CancelTimeout time.Duration
 	// Resumes is the largest number of resumes of one stream; default 3, negative for none.
 	Resumes int
+	// ResumeWait is the wait before the second resume of one fault, doubled for each further one; default 100 ms.
+	ResumeWait time.Duration
 	// Logger gets the events; nil logs nothing.
 	Logger log.Interface
 }
@@ -43,6 +45,9 @@
 	if c.CancelTimeout <= 0 {
 		c.CancelTimeout = 2 * time.Second
 	}
+	if c.ResumeWait <= 0 {
+		c.ResumeWait = 100 * time.Millisecond
+	}
 	if c.Resumes == 0 {
 		c.Resumes = 3
 	}
--- a/internal/entry/engine/stream.go
+++ b/internal/entry/engine/stream.go
@@ -175,8 +175,10 @@
 		return e
 	}
 	s.rejected(cause)
-	for s.resumes < s.client.Resumes && s.context.Err() == nil {
+	wait := time.Duration(0)
+	for s.resumes < s.client.Resumes && s.pause(wait) {
 		s.resumes++
+		wait = max(2*wait, s.client.ResumeWait)
 		s.disconnect()
 		err := s.open(true)
 		if err == nil {
@@ -191,6 +193,23 @@
 	return lost(cause)
 }
 
+// pause reports whether the stream still goes on after d. The first resume
+// comes at once; an engine that restarts or a link that is down for a moment
+// would otherwise use up all of them within a millisecond.
+func (s *stream) pause(d time.Duration) bool {
+	if d == 0 {
+		return s.context.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-s.context.Done():
+		return false
+	}
+}
+
 func (s *stream) rejected(cause error) {
 	f := s.fields()
 	f["cause"] = cause.Error()
--- a/internal/entry/engine/stream_test.go
+++ b/internal/entry/engine/stream_test.go
@@ -18,6 +18,7 @@
 // collect returns the texts of all events and what the stream ended with.
 func collect(t testing.TB, address string, c Config) ([]string, error) {
 	t.Helper()
+	c.ResumeWait = 1
 	client := New(c)
 	s, err := client.Run(context.Background(), address, attempt)
 	if err != nil {
--- a/internal/entry/service/at_most_once_test.go
+++ b/internal/entry/service/at_most_once_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
@@ -284,6 +285,49 @@
 	}
 }
 
+// An entry stands still between its claim and its dispatch. Meanwhile its claim
+// is abandoned, an operator finds that nothing ran, and the caller's resend
+// runs through another entry. When the first entry goes on it must neither
+// dispatch the old claim nor say that nothing ran.
+func TestThawedEntryNeitherRunsNorDeniesTheCall(t *testing.T) {
+	log, fake := newFakeLog(), newFakeService(t)
+	end := make(chan struct{})
+	defer close(end)
+	frozen := newFakeEntry(log, onePicker(fake.address()), "e1", 1, stepAfterClaim, end)
+	frozen.Client.(*client).Now = timesApart()
+	r := callOf("w", "k", "x")
+	replies := make(chan reply, 1)
+	go func() {
+		a, err := frozen.Call(context.Background(), r)
+		replies <- reply{answer: a, err: err}
+	}()
+	<-frozen.stopped
+	log.apply(t, ledger.Command{Abandon: &ledger.Abandon{Entry: "e1", Incarnation: 1}})
+	scope := ledger.Scope{Workspace: "w", Service: "stamps", Key: "k"}
+	log.apply(t, ledger.Command{Resolve: &ledger.Resolve{Scope: scope, Operator: "o"}})
+	other := New(Config{Log: log, Picker: onePicker(fake.address()), Entry: "e2", Incarnation: 1})
+	if _, err := other.Call(context.Background(), r); err != nil {
+		t.Fatal(err)
+	}
+	close(frozen.thaw)
+	p := <-replies
+	if verdict.Of(p.err) != verdict.MayHaveRun || p.err == nil || fake.ran("w", "k") != 1 {
+		t.Errorf("got %v after %d runs", p.err, fake.ran("w", "k"))
+	}
+}
+
+// timesApart returns a clock on which a minute goes by between two looks.
+func timesApart() func() time.Time {
+	var mu sync.Mutex
+	at := time.Unix(1_800_000_000, 0)
+	return func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		at = at.Add(time.Minute)
+		return at
+	}
+}
+
 // The log doesn't answer when the outcome is to be recorded. The caller gets
 // its answer all the same, and a resend later finds it whole.
 func TestOutcomeIsRecordedWhenTheLogComesBack(t *testing.T) {
