A claim that can't be released any more ends as may-have-run

An entry that was frozen past the age of its claim released it and said not-run, although its claim had been abandoned, resolved by an operator and the call had run through another entry. The release now tells that the claim was taken away.

--- a/internal/entry/service/settle.go
+++ b/internal/entry/service/settle.go
@@ -85,8 +85,13 @@
 // and goes on until the log has it.
 func (f *flow) record(ctx context.Context, command ledger.Command, replies chan<- reply, p reply) {
 	short, cancel := context.WithTimeout(ctx, f.client.OutcomeWait)
-	_, err := f.client.persist(short, command)
+	result, err := f.client.persist(short, command)
 	cancel()
+	// A claim that can't be released was taken away meanwhile, and the call may
+	// have run under another one; not-run would speak of this attempt only.
+	if err == nil && command.Release != nil && result.Kind == ledger.Stale {
+		p.err = outcomeUnknown()
+	}
 	replies <- p
 	if err != nil {
 		f.persistLong(ctx, command)
