A paused server VM gets work again

A server VM that was paused comes back with an uptime that lags. Five direct announcements in a row that agree on the start, over four seconds, now set it anew. Ruled out: to drop old evidence by time, since entries renew each other's, and to trust any announcement at its arrival, which a backlog exploits.

--- a/internal/fleet/membership/transit.go
+++ b/internal/fleet/membership/transit.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// directWindow is how long a direct announcement counts as evidence at least.
+const directWindow = 15 * time.Second
+
 // transit estimates when a server started, and with it how long its announcements were on their way.
 //
 // An announcement that waited in a broken connection, or in the socket of an
@@ -14,11 +17,12 @@
 	proof  proof
 	since  time.Time
 	direct [2]time.Time
+	streak streak
 }
 
 // arrived takes in an announcement that came from the server itself and returns how long it was on its way.
 func (t *transit) arrived(now time.Time, uptime time.Duration) time.Duration {
-	if now.Sub(t.since) > proofWindow {
+	if now.Sub(t.since) > directWindow {
 		t.since = now
 		t.direct = [2]time.Time{{}, t.direct[0]}
 	}
@@ -26,6 +30,9 @@
 	if t.direct[0].IsZero() || start.Before(t.direct[0]) {
 		t.direct[0] = start
 	}
+	if steady, ok := t.streak.add(now, start); ok {
+		return start.Sub(steady)
+	}
 	return max(0, start.Sub(t.start(now)))
 }
 
