--- a/cmd/compare/main.go
+++ b/cmd/compare/main.go
@@ -14,35 +14,64 @@
 	"hornbeamwood/internal/load/workload"
 )
 
+// options are the command's flags.
+type options struct {
+	out      string
+	part     string
+	only     string
+	short    bool
+	parallel int
+}
+
 func main() {
-	out := "docs"
-	short := false
-	parallel := comparison.Full().Parallel
+	o := options{out: "docs", parallel: comparison.Full().Parallel}
 	flaggy.SetName("compare")
 	flaggy.SetDescription("Compares routing strategies in virtual time.")
-	flaggy.String(&out, "o", "out", "folder for measurements/ and plots/")
-	flaggy.Bool(&short, "s", "short", "one seed and less time, for a look")
-	flaggy.Int(&parallel, "p", "parallel", "runs at once")
+	flaggy.String(&o.out, "o", "out", "folder for measurements/ and plots/")
+	flaggy.String(&o.part, "", "part", "only this part: loads, failures or elements")
+	flaggy.String(&o.only, "d", "deployment", "only this deployment: certilote or association")
+	flaggy.Bool(&o.short, "s", "short", "one seed and less time, for a look")
+	flaggy.Int(&o.parallel, "p", "parallel", "runs at once")
 	flaggy.Parse()
-	c := comparison.Full()
-	if short {
-		c = comparison.Short()
-	}
-	c.Parallel = parallel
-	if err := run(c, out); err != nil {
+	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "compare:", err)
 		os.Exit(1)
 	}
 }
 
-func run(c comparison.Config, out string) error {
+func run(o options) error {
+	c := comparison.Full()
+	if o.short {
+		c = comparison.Short()
+	}
+	c.Parallel = o.parallel
 	for _, folder := range []string{"measurements", "plots"} {
-		if err := os.MkdirAll(filepath.Join(out, folder), 0o755); err != nil {
+		if err := os.MkdirAll(filepath.Join(o.out, folder), 0o755); err != nil {
 			return fmt.Errorf("create folder: %w", err)
 		}
 	}
 	for _, d := range []workload.Deployment{workload.Certilote(), workload.Association()} {
-		if err := write(comparison.Run(c, d), c, out); err != nil {
+		if o.only != "" && o.only != d.Name {
+			continue
+		}
+		if err := runDeployment(o, c, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func runDeployment(o options, c comparison.Config, d workload.Deployment) error {
+	capacity := comparison.Capacity(c, d)
+	for _, p := range comparison.Parts() {
+		if o.part != "" && o.part != p.Name {
+			continue
+		}
+		r := p.Run(c, d, capacity)
+		if err := write(r, c, o.out); err != nil {
+			return err
+		}
+		if err := plot(r, o.out); err != nil {
 			return err
 		}
 	}
@@ -51,21 +80,23 @@
 
 func write(r comparison.Report, c comparison.Config, out string) error {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "# Policy comparison: %s\n\nWritten by `go run ./cmd/compare`: seeds %v, %v warm-up, %v measured, the mean of the seeds.\n\n",
-		r.Deployment.Name, c.Seeds, c.Warmup, c.Measured)
+	fmt.Fprintf(&b, "# Policy comparison: %s, %s\n\n", r.Deployment.Name, r.Part)
+	fmt.Fprintf(&b, "Written by `go run ./cmd/compare --part %s`: seeds %v, %v warm-up, %v measured, the mean of the seeds.\n\n",
+		r.Part, c.Seeds, c.Warmup, c.Measured)
 	if err := r.Write(&b); err != nil {
 		return fmt.Errorf("write tables: %w", err)
 	}
-	if err := save(filepath.Join(out, "measurements", "policy-"+r.Deployment.Name+".md"), b.Bytes()); err != nil {
-		return err
-	}
-	return plot(r, out)
+	return save(filepath.Join(out, "measurements", fmt.Sprintf("policy-%s-%s.md", r.Deployment.Name, r.Part)), b.Bytes())
 }
 
+// plot draws the rows of the part that has several loads.
 func plot(r comparison.Report, out string) error {
-	for _, p := range comparison.Plots(r.Curve) {
+	if r.Part != comparison.LoadsPart {
+		return nil
+	}
+	for _, p := range comparison.Plots(r.Rows) {
 		var b bytes.Buffer
-		if err := p.Write(&b, r.Curve); err != nil {
+		if err := p.Write(&b, r.Rows); err != nil {
 			return fmt.Errorf("plot %s: %w", p.File, err)
 		}
 		if err := save(filepath.Join(out, "plots", p.File), b.Bytes()); err != nil {
--- a/internal/load/comparison/flood.go
+++ b/internal/load/comparison/flood.go
@@ -18,8 +18,8 @@
 	return append(Baselines(), unfair, Policy(PolicyName))
 }
 
-// FloodCells returns contenders at full load when a small workspace sends half of the capacity besides.
-func FloodCells(d workload.Deployment, capacity float64, all []model.Contender) []Cell {
+// floodCells returns contenders at full load when a small workspace sends half of the capacity besides.
+func floodCells(d workload.Deployment, capacity float64, all []model.Contender) []Cell {
 	flooder := d.Customers[len(d.Customers)-1].Workspace
 	cells := contenderCells(d.WithFlood(flooder, floodFactor), capacity, floodFactor, all)
 	for i := range cells {
--- a/internal/load/comparison/matrix.go
+++ b/internal/load/comparison/matrix.go
@@ -11,14 +11,14 @@
 // curve are the parts of the capacity that are plotted.
 var curve = []float64{0.5, 0.75, 1, 1.25, 1.5}
 
-// AblationCells returns the policy and its ablations at full load and beyond.
-func AblationCells(d workload.Deployment, capacity float64) []Cell {
+// ablationCells returns the policy and its ablations at full load and beyond.
+func ablationCells(_ Config, d workload.Deployment, capacity float64) []Cell {
 	all := append([]model.Contender{Policy(PolicyName)}, Ablations()...)
 	return append(contenderCells(d, capacity, 1, all), contenderCells(d, capacity, 1.5, all)...)
 }
 
-// FailureCells returns the policy and the baselines under each scenario at full load.
-func FailureCells(c Config, d workload.Deployment, capacity float64) []Cell {
+// failureCells returns the policy and the baselines under each scenario at full load and under a flood.
+func failureCells(c Config, d workload.Deployment, capacity float64) []Cell {
 	var cells []Cell
 	for _, s := range Scenarios() {
 		for _, x := range contenderCells(d, capacity, 1, append(Baselines(), Policy(PolicyName))) {
@@ -27,11 +27,11 @@
 			cells = append(cells, x)
 		}
 	}
-	return cells
+	return append(cells, floodCells(d, capacity, flooded())...)
 }
 
-// CurveCells returns the policy and the baselines at each load that is plotted.
-func CurveCells(d workload.Deployment, capacity float64) []Cell {
+// curveCells returns the policy and the baselines at each load that is plotted.
+func curveCells(_ Config, d workload.Deployment, capacity float64) []Cell {
 	var cells []Cell
 	for _, l := range curve {
 		cells = append(cells, contenderCells(d, capacity, l, append(Baselines(), Policy(PolicyName)))...)
--- a/internal/load/comparison/plot.go
+++ b/internal/load/comparison/plot.go
@@ -1,9 +1,11 @@
 package comparison
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/wcharczuk/go-chart/v2"
+	"github.com/wcharczuk/go-chart/v2/drawing"
 )
 
 // Plot is a figure against load for each contender of a deployment.
@@ -47,10 +49,11 @@
 		Width:      900,
 		Height:     480,
 		Background: chart.Style{Padding: chart.Box{Top: 40, Left: 190, Right: 20, Bottom: 20}},
-		XAxis:      chart.XAxis{Name: "load (part of the capacity)"},
+		XAxis:      chart.XAxis{Name: "load (part of the capacity)", Ticks: ticks()},
 		YAxis:      chart.YAxis{Name: p.Axis},
 		Series:     p.series(rows),
 	}
+	graph.YAxisSecondary.Style.Hidden = true
 	graph.Elements = []chart.Renderable{chart.LegendLeft(&graph)}
 	return graph.Render(chart.SVG, w)
 }
@@ -73,11 +76,26 @@
 	return all
 }
 
-// style draws the policy thicker than the baselines.
+// ticks returns the measured loads.
+func ticks() []chart.Tick {
+	all := make([]chart.Tick, len(curve))
+	for i, l := range curve {
+		all[i] = chart.Tick{Value: l, Label: fmt.Sprintf("%.2f", l)}
+	}
+	return all
+}
+
+// palette has a colour for each pair of baselines; the second of a pair is dashed.
+var palette = []string{"1f77b4", "2ca02c", "d62728", "9467bd"}
+
+// style draws the policy thick and black.
 func style(name string, i int) chart.Style {
-	s := chart.Style{StrokeColor: chart.GetDefaultColor(i), StrokeWidth: 1.5}
 	if name == PolicyName {
-		s.StrokeColor, s.StrokeWidth = chart.ColorBlack, 3.5
+		return chart.Style{StrokeColor: chart.ColorBlack, StrokeWidth: 4}
+	}
+	s := chart.Style{StrokeColor: drawing.ColorFromHex(palette[i/2%len(palette)]), StrokeWidth: 2}
+	if i%2 == 1 {
+		s.StrokeDashArray = []float64{6, 4}
 	}
 	return s
 }
--- a/internal/load/comparison/report.go
+++ b/internal/load/comparison/report.go
@@ -9,76 +9,78 @@
 	"hornbeamwood/internal/load/workload"
 )
 
-// Report holds all rows of one deployment.
+// Report is one part of the comparison for one deployment.
 type Report struct {
+	// Part names the part.
+	Part string
 	// Deployment gives sizes and classes.
 	Deployment workload.Deployment
 	// Capacity is the load that the servers can carry, in requests a second.
 	Capacity float64
-	// Curve has the policy and the baselines at each load.
-	Curve []Row
-	// Failures has them under each scenario at full load.
-	Failures []Row
-	// Flood has them, and the policy without fair queueing, when one workspace floods.
-	Flood []Row
-	// Ablations has the policy without each element.
-	Ablations []Row
+	// Rows are the measured rows.
+	Rows  []Row
+	write func(b *strings.Builder, rows []Row)
 }
 
-// Run returns the report of a deployment.
-func Run(c Config, d workload.Deployment) Report {
-	r := Report{Deployment: d, Capacity: Capacity(c, d)}
-	r.Curve = Measure(c, CurveCells(d, r.Capacity))
-	r.Failures = Measure(c, FailureCells(c, d, r.Capacity))
-	r.Flood = Measure(c, FloodCells(d, r.Capacity, flooded()))
-	r.Ablations = Measure(c, AblationCells(d, r.Capacity))
-	return r
+// Part is a part of the comparison that can be run by itself.
+type Part struct {
+	// Name is the kebab-case name.
+	Name  string
+	cells func(c Config, d workload.Deployment, capacity float64) []Cell
+	write func(b *strings.Builder, rows []Row)
+}
+
+// LoadsPart is the name of the part whose rows are plotted.
+const LoadsPart = "loads"
+
+// Parts returns the parts in the order in which they are run.
+func Parts() []Part {
+	return []Part{
+		{Name: LoadsPart, cells: curveCells, write: writeLoads},
+		{Name: "failures", cells: failureCells, write: writeFailures},
+		{Name: "elements", cells: ablationCells, write: writeAblations},
+	}
+}
+
+// Run returns the report of part p for a deployment with the given capacity.
+func (p Part) Run(c Config, d workload.Deployment, capacity float64) Report {
+	rows := Measure(c, p.cells(c, d, capacity))
+	return Report{Part: p.Name, Deployment: d, Capacity: capacity, Rows: rows, write: p.write}
 }
 
 // Write writes the report as Markdown.
 func (r Report) Write(w io.Writer) error {
 	b := &strings.Builder{}
-	fmt.Fprintf(b, "## %s\n\nCapacity: %.1f requests a second.\n", r.Deployment.Name, r.Capacity)
-	r.writeLoads(b)
-	r.writeVerdicts(b)
-	r.writeFailures(b)
-	fmt.Fprintf(b, "\n### %s\n\n", FloodName)
-	_ = WriteTable(b, r.Flood)
-	fmt.Fprintf(b, "\n### Without each element\n\n")
-	_ = WriteTable(b, r.Ablations)
+	fmt.Fprintf(b, "Capacity: %.1f requests a second.\n", r.Capacity)
+	r.write(b, r.Rows)
 	_, err := io.WriteString(w, b.String())
 	return err
 }
 
-func (r Report) writeLoads(b *strings.Builder) {
+func writeLoads(b *strings.Builder, rows []Row) {
 	for _, l := range Loads {
-		fmt.Fprintf(b, "\n### Load %.1f\n\n", l)
-		_ = WriteTable(b, r.At(l))
+		fmt.Fprintf(b, "\n## Load %.1f\n\n", l)
+		writeTable(b, at(rows, l))
 	}
-}
-
-// At returns the rows of the curve at one load.
-func (r Report) At(load float64) []Row {
-	return slices.Collect(func(yield func(Row) bool) {
-		for _, x := range r.Curve {
-			if x.Cell.Load == load && !yield(x) {
-				return
-			}
-		}
-	})
-}
-
-func (r Report) writeVerdicts(b *strings.Builder) {
 	for _, l := range Loads {
-		fmt.Fprintf(b, "\n### The policy and the best baseline of each column at load %.1f\n", l)
-		rows := r.At(l)
-		writeVerdicts(b, "of all baselines", Compare(rows, Any))
-		writeVerdicts(b, "of the baselines that answer 99 of 100 requests in time", Compare(rows, Serves))
+		fmt.Fprintf(b, "\n## The policy and the best baseline of each column at load %.1f\n", l)
+		writeVerdicts(b, "of all baselines", at(rows, l), every)
+		writeVerdicts(b, "of the baselines that answer 99 of 100 requests in time", at(rows, l), serves)
 	}
 }
 
-func writeVerdicts(b *strings.Builder, what string, all []Verdict) {
+// at returns the rows at one load.
+func at(rows []Row, load float64) []Row {
+	return slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return r.Cell.Load != load })
+}
+
+func writeVerdicts(b *strings.Builder, what string, rows []Row, keep func(r *Row) bool) {
 	fmt.Fprintf(b, "\nBest %s:\n\n", what)
+	all, ok := compare(rows, keep)
+	if !ok {
+		b.WriteString("There is none.\n")
+		return
+	}
 	b.WriteString(line([]string{"column", "policy", "best", "baseline", "ratio"}) + "\n")
 	b.WriteString(line(dashes(5)) + "\n")
 	for _, v := range all {
@@ -86,19 +88,20 @@
 	}
 }
 
-func (r Report) writeFailures(b *strings.Builder) {
-	for _, s := range Scenarios() {
-		fmt.Fprintf(b, "\n### Failure at full load: %s\n\n", s.Name)
-		_ = WriteTable(b, r.under(s.Name))
+func writeFailures(b *strings.Builder, rows []Row) {
+	var names []string
+	for i := range rows {
+		if !slices.Contains(names, rows[i].Cell.Scenario) {
+			names = append(names, rows[i].Cell.Scenario)
+		}
+	}
+	for _, name := range names {
+		fmt.Fprintf(b, "\n## %s\n\n", name)
+		writeTable(b, slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return r.Cell.Scenario != name }))
 	}
 }
 
-func (r Report) under(scenario string) []Row {
-	var rows []Row
-	for _, x := range r.Failures {
-		if x.Cell.Scenario == scenario {
-			rows = append(rows, x)
-		}
-	}
-	return rows
+func writeAblations(b *strings.Builder, rows []Row) {
+	b.WriteString("\n## Without each element\n\n")
+	writeTable(b, rows)
 }
--- a/internal/load/comparison/table.go
+++ b/internal/load/comparison/table.go
@@ -2,25 +2,22 @@
 
 import (
 	"fmt"
-	"io"
 	"strings"
 	"time"
 
 	"hornbeamwood/internal/load/model"
 )
 
-// WriteTable writes rows of one deployment as a Markdown table, with the times of each class with TTFT.
-func WriteTable(w io.Writer, rows []Row) error {
+// writeTable writes rows of one deployment as a Markdown table, with the times of each class with TTFT.
+func writeTable(b *strings.Builder, rows []Row) {
 	if len(rows) == 0 {
-		return nil
+		return
 	}
 	header := tableHeader(&rows[0])
-	lines := []string{line(header), line(dashes(len(header)))}
+	b.WriteString(line(header) + "\n" + line(dashes(len(header))) + "\n")
 	for i := range rows {
-		lines = append(lines, line(tableRow(&rows[i])))
+		b.WriteString(line(tableRow(&rows[i])) + "\n")
 	}
-	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
-	return err
 }
 
 func line(cells []string) string {
