Heartbeats say where to answer

It knew only the founding configuration, without the identity of the leader, which had been replaced itself. Heartbeats carried no address, so it could not answer them; the first append, which does carry one, was lost while the replica was still blank, and a leader sends a lost append again only to one that answers.

Change: heartbeats carry the leader's address, about 20 bytes more each.

Before: TestHeartbeatsSayWhereToAnswer fails; after: it passes, and TestSecondLossRightAfterRepair six times in a row under the race detector.

--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -170,7 +170,10 @@
 	m.Group = r.config.Group
 	m.Founding = r.config.Founding
 	m.From = r.self()
-	if m.Kind != MessageHeartbeat && m.Kind != MessageHeartbeatResponse {
+	// A learner may know only a configuration without the leader's identity. A
+	// heartbeat that did not say where to answer would stay unanswered, and an
+	// append that was lost before would never be sent again.
+	if m.Kind != MessageHeartbeatResponse {
 		m.Address = r.config.Self.Address
 	}
 	if m.Term == 0 {
--- a/internal/control/raft/resend_test.go
+++ b/internal/control/raft/resend_test.go
@@ -30,3 +30,21 @@
 	}
 	t.Fatal("the learner answered 40 heartbeats and was not sent the lost append again")
 }
+
+// Both VMs of the first members were replaced one after the other, and the
+// first append to the newest one is lost. All that this learner knows is the
+// founding configuration, without the leader; unless heartbeats say where to
+// answer, the leader never learns that the append was lost, and the learner
+// stays empty.
+func TestHeartbeatsSayWhereToAnswer(t *testing.T) {
+	c := replicaA(1, trio(), commands(1, 1, 1))
+	elect(t, c)
+	for range 10 {
+		c.Tick()
+		for _, m := range flush(c).Early {
+			if m.Kind == raft.MessageHeartbeat && m.Address != "10.0.0.1:1" {
+				t.Fatalf("a heartbeat to %s says %q", m.To, m.Address)
+			}
+		}
+	}
+}
