Long requests wait at the entry for their workspace's turn; router tests on fakes

Imports count on the stores' links in what entries tell each other. Tests with small fakes: lost, silent and refusing engines, the callers' own transfer field, a piece that can't be pinned, and waiting requests.

--- a/internal/entry/completion/again.go
+++ b/internal/entry/completion/again.go
@@ -21,7 +21,7 @@
 // returns a nil attempt when there is none, with the error for the caller.
 func (r *router) again(ctx context.Context, j *job, cause error) (*attempt, error) {
 	if ctx.Err() != nil {
-		return nil, verdict.New(verdict.Of(cause), http.StatusServiceUnavailable, codeCancelled, "the caller has gone").WithCause(cause)
+		return nil, callerGone(cause).WithVerdict(verdict.Of(cause))
 	}
 	if j.attempts == 0 || final(cause) {
 		return nil, cause
@@ -52,6 +52,10 @@
 	return a, err
 }
 
+func callerGone(cause error) verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeCancelled, "the caller has gone").WithCause(cause)
+}
+
 // final says whether a failure is the caller's own, which another server would repeat.
 func final(cause error) bool {
 	e, ok := verdict.As(cause)
--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -13,7 +13,6 @@
 	"hornbeamwood/internal/cache/directory"
 	"hornbeamwood/internal/entry/engine"
 	"hornbeamwood/internal/fleet/membership"
-	"hornbeamwood/internal/policy/admission"
 	"hornbeamwood/internal/policy/route"
 )
 
@@ -35,6 +34,7 @@
 	view     view
 	load     load
 	sent     time.Time
+	expected time.Duration
 	pins     []directory.Pin
 	stream   engine.Stream
 	cancel   context.CancelFunc
@@ -42,30 +42,33 @@
 	first    bool
 }
 
-// start decides, admits and dispatches once.
+// start decides, admits, waits for the workspace's turn where servers are full, and dispatches once.
+//
+// It returns a nil attempt when nothing was dispatched.
 func (r *router) start(ctx context.Context, j *job) (*attempt, error) {
-	now := r.Now()
-	v := r.view(now, j)
-	q := j.request(&v)
-	d := r.Strategy.Decide(now, &q, &v.cell, r.Random)
-	in := admission.Input{
-		Server:   d.Server != route.None,
-		TTFT:     d.TTFT,
-		Deadline: j.Rules.Deadline,
-		Waited:   now.Sub(j.Received),
-		Priority: j.Rules.Priority,
-	}
-	verdict := r.Admission.Decide(in, r.Random)
-	if err := verdict.Err(); err != nil {
-		r.logRefused(j, d, verdict)
+	c := r.consider(j)
+	queueing, wait := r.lines.queueing(j, &c)
+	if err := r.admit(j, &c, queueing); err != nil {
 		return nil, err
 	}
+	if wait {
+		sent, err := r.lines.wait(ctx, j, &c, queueing)
+		if err != nil {
+			return nil, err
+		}
+		defer sent()
+		c = r.consider(j)
+		if err := r.admit(j, &c, 0); err != nil {
+			return nil, err
+		}
+	}
 	a := &attempt{
 		id:       r.NewAttempt(),
-		server:   v.servers[d.Server],
-		decision: d,
-		request:  q,
-		view:     v,
+		server:   c.view.servers[c.decision.Server],
+		decision: c.decision,
+		request:  c.request,
+		view:     c.view,
+		expected: c.decision.TTFT,
 	}
 	j.attempts++
 	r.logRouted(j, a)
@@ -80,10 +83,11 @@
 	if err != nil {
 		return err
 	}
-	a.load = r.loadOf(j, a, imports)
+	a.load = r.loadOf(j, a)
 	r.meters.planned(a, imports)
 	r.inFlight.add(a.load, 1)
 	r.Work.Sent(r.Now(), a.server.Key(), a.load.tokens)
+	r.sentOnLinks(a, imports)
 	r.Guard.Started(r.Now(), j.fingerprint, identity)
 	a.sent = r.Now()
 	ctx, a.cancel = context.WithCancel(ctx)
@@ -103,28 +107,39 @@
 	return err
 }
 
+// sentOnLinks tells the other entries of the bytes that the imports bring onto the stores' links.
+func (r *router) sentOnLinks(a *attempt, imports []importPiece) {
+	for _, s := range a.view.stores {
+		bytes := int64(0)
+		for _, p := range imports {
+			if p.store == s.Announcement().Identity {
+				bytes += p.Bytes
+			}
+		}
+		if bytes > 0 {
+			r.Work.Sent(r.Now(), s.Key(), bytes)
+		}
+	}
+}
+
 // patience returns how long the first token is waited for.
 func (r *router) patience(j *job, a *attempt) time.Duration {
 	p := max(silenceFactor*a.decision.TTFT, silenceFloor)
 	return min(p, max(j.remaining(r.Now()), silenceFloor))
 }
 
-// loadOf returns what the attempt adds to its server and to the links until its first token.
-func (r *router) loadOf(j *job, a *attempt, imports []importPiece) load {
+// loadOf returns what the attempt adds to its server until its first token.
+func (r *router) loadOf(j *job, a *attempt) load {
 	l := load{
 		server: a.server.Announcement().Identity,
 		band:   route.Band(j.Rules.Priority),
 		tokens: int64(a.request.Tail()),
-		links:  make(map[string]int64),
 	}
 	for i, s := range a.decision.Plan {
 		if s.Source == route.Recompute {
 			l.tokens += int64(a.request.Pieces[i].Tokens)
 		}
 	}
-	for _, p := range imports {
-		l.links[p.store] += p.Bytes
-	}
 	return l
 }
 
@@ -135,7 +150,7 @@
 	}
 	a.first = true
 	a.silence.Stop()
-	r.Admission.Observe(j.Rules.Priority, a.decision.TTFT, r.Now().Sub(a.sent))
+	r.Admission.Observe(j.Rules.Priority, a.expected, r.Now().Sub(a.sent))
 	r.inFlight.add(a.load, -1)
 	r.unpin(ctx, a.pins)
 }
--- a/internal/entry/completion/config.go
+++ b/internal/entry/completion/config.go
@@ -65,6 +65,8 @@
 	Returns placement.Returns
 	// Guard stops requests that crash their servers.
 	Guard Guard
+	// Entries is the number of entries of the cell.
+	Entries int
 	// Metrics takes the counters; nil for none.
 	Metrics *metrics.Set
 	// Logger takes the events.
--- a/internal/entry/completion/in_flight.go
+++ b/internal/entry/completion/in_flight.go
@@ -6,15 +6,14 @@
 	"hornbeamwood/internal/policy/route"
 )
 
-// inFlight is the work of this entry that has no first token yet, by backend server and by link.
+// inFlight is the work of this entry that has no first token yet, by backend server.
 type inFlight struct {
-	mu    sync.Mutex
-	work  map[string]route.Work
-	links map[string]int64
+	mu   sync.Mutex
+	work map[string]route.Work
 }
 
 func newInFlight() *inFlight {
-	return &inFlight{work: make(map[string]route.Work), links: make(map[string]int64)}
+	return &inFlight{work: make(map[string]route.Work)}
 }
 
 // load is what one attempt adds until its first token.
@@ -22,7 +21,6 @@
 	server string
 	band   int
 	tokens int64
-	links  map[string]int64
 }
 
 func (f *inFlight) add(l load, sign int64) {
@@ -33,12 +31,6 @@
 	if w.Count() == 0 {
 		delete(f.work, l.server)
 	}
-	for s, n := range l.links {
-		f.links[s] += sign * n
-		if f.links[s] == 0 {
-			delete(f.links, s)
-		}
-	}
 }
 
 func (f *inFlight) of(server string) route.Work {
@@ -46,9 +38,3 @@
 	defer f.mu.Unlock()
 	return f.work[server]
 }
-
-func (f *inFlight) onLink(store string) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.links[store]
-}
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -11,8 +11,8 @@
 // Router runs completions.
 type Router interface {
 	caller.Completer
-	// Wait returns when all exports and other work beside requests has ended.
-	Wait()
+	// Close ends the work beside requests, exports among it, and returns when it has ended; it is called after the last request.
+	Close()
 }
 
 type router struct {
@@ -22,25 +22,33 @@
 	visits   *visits
 	losses   *losses
 	meters   *meters
+	lines    *lines
 	running  sync.WaitGroup
+	cancel   context.CancelFunc
 }
 
 // New returns a Router.
 func New(c Config) Router {
 	c.Random = rand.New(&lockedSource{source: c.Random})
 	m := newMeters(c.Metrics)
-	return &router{
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &router{
 		Config:   c,
+		cancel:   cancel,
 		meters:   m,
 		inFlight: newInFlight(),
 		exporter: newExporter(c, m),
 		visits:   newVisits(),
 		losses:   newLosses(),
 	}
+	r.lines = newLines(r)
+	r.running.Go(func() { r.lines.run(ctx) })
+	return r
 }
 
-// Wait implements Router.
-func (r *router) Wait() {
+// Close implements Router.
+func (r *router) Close() {
+	r.cancel()
 	r.exporter.wait()
 	r.running.Wait()
 }
--- /dev/null
+++ b/internal/entry/completion/router_test.go
@@ -0,0 +1,208 @@
+package completion
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/cache/block"
+	"hornbeamwood/internal/cache/directory"
+)
+
+var (
+	errRefused = verdict.New(verdict.NotRun, 503, codeUnreachable, "no connection")
+	errLost    = verdict.New(verdict.MayHaveRun, 502, "stream-lost", "the connection broke")
+)
+
+// A server vanishes before its first token. The caller must not notice: the
+// request goes to another server, and the lost one is not asked again first.
+func TestLostServerBeforeTheFirstToken(t *testing.T) {
+	for name, first := range map[string]script{"no connection": {refuse: errRefused}, "cut before the first event": {end: errLost}} {
+		b := newBench(t, 2, 0)
+		for _, e := range []string{"engine-1", "engine-2"} {
+			b.engines.scripts[address(e)] = script{events: []string{"whole"}}
+		}
+		s, err := b.router.Complete(context.Background(), newCall("which server is first?", 7))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = drain(s)
+		lost := b.engines.ran()[0]
+		b.engines.scripts[lost] = first
+
+		for range 3 {
+			s, err := b.router.Complete(context.Background(), newCall("short question", 7))
+			if err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			if got, err := drain(s); got != "whole" || err != nil {
+				t.Fatalf("%s: %q, %v", name, got, err)
+			}
+		}
+		tries := 0
+		for _, a := range b.engines.ran()[1:] {
+			if a == lost {
+				tries++
+			}
+		}
+		if tries > 1 {
+			t.Errorf("%s: the lost server was asked %d times", name, tries)
+		}
+	}
+}
+
+// A server vanishes after a part of the answer has gone to the caller. The rest
+// of another run would not fit, so the caller must get an error and no more text.
+func TestLostServerAfterTheFirstToken(t *testing.T) {
+	b := newBench(t, 2, 0)
+	for _, e := range []string{"engine-1", "engine-2"} {
+		b.engines.scripts[address(e)] = script{events: []string{"half"}, end: errLost}
+	}
+	s, err := b.router.Complete(context.Background(), newCall("a question", 7))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := drain(s)
+	if got != "half" || verdict.Of(err) != verdict.MayHaveRun || len(b.engines.ran()) != 1 {
+		t.Errorf("got %q, %v after %d runs", got, err, len(b.engines.ran()))
+	}
+	if len(b.guard.lost) != 1 {
+		t.Errorf("the guard heard of %v", b.guard.lost)
+	}
+}
+
+// A refusal after an attempt that may have run must not say that nothing ran.
+func TestRefusalAfterALostAttemptKeepsItsVerdict(t *testing.T) {
+	b := newBench(t, 1, 0)
+	b.engines.scripts[address("engine-1")] = script{end: errLost}
+	s, err := b.router.Complete(context.Background(), newCall("a question", 7))
+	if err == nil {
+		_, err = drain(s)
+	}
+	if verdict.Of(err) != verdict.MayHaveRun {
+		t.Errorf("got %v", err)
+	}
+}
+
+// A caller names pieces for import in its own body. Passed on, they could be
+// another workspace's; only what the entry itself plans may reach the engine.
+func TestCallersTransferFieldIsReplaced(t *testing.T) {
+	b := newBench(t, 1, 0)
+	b.engines.scripts[address("engine-1")] = script{events: []string{"x"}}
+	s, err := b.router.Complete(context.Background(), newCall("a question", 7))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = drain(s)
+	if body := b.engines.bodies[0]; strings.Contains(body, "another workspace") || !strings.Contains(body, `"weight-version":"v1"`) {
+		t.Errorf("the engine got %s", body)
+	}
+}
+
+// A piece is being freed at its store while a request that wants to import it
+// is routed. The pieces from there on are computed, and no pin stays behind.
+func TestPieceThatCanNotBePinnedIsComputed(t *testing.T) {
+	b := newBench(t, 1, 0)
+	b.engines.scripts[address("engine-1")] = script{events: []string{"x"}}
+	q := newCall(strings.Repeat("logbook of the station, page ", 20), 7)
+	keys := block.Scope{Workspace: "gate", Model: "draft", WeightVersion: "v1", PieceTokens: pieceTokens}.Tokens(q.Tokens)
+	for _, k := range keys {
+		b.cache.found[k] = directory.Location{Stores: []directory.Stored{{Store: "store-1", Generation: 5, Bytes: 10}}}
+	}
+	b.cache.refused[keys[2]] = true
+	s, err := b.router.Complete(context.Background(), q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = drain(s)
+	body := b.engines.bodies[0]
+	_, imports, _ := strings.Cut(body, `"imports":`)
+	if n := strings.Count(imports, `"generation":5`); n != 2 {
+		t.Errorf("%d pieces are imported, want the two before the refused one: %s", n, imports)
+	}
+	b.router.Close()
+	if b.cache.pinned != 0 {
+		t.Errorf("%d pins stayed behind", b.cache.pinned)
+	}
+}
+
+// An engine is frozen: it took the request and says nothing. The caller must
+// not wait for its whole deadline while another engine is free.
+func TestSilentEngineIsGivenUp(t *testing.T) {
+	b := newBench(t, 2, 0)
+	frozen := make(chan struct{})
+	defer close(frozen)
+	b.engines.scripts[address("engine-1")] = script{hold: frozen}
+	b.engines.scripts[address("engine-2")] = script{hold: frozen}
+	s, err := b.router.Complete(context.Background(), newCall("a question", 7))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.engines.mu.Lock()
+	for _, e := range []string{"engine-1", "engine-2"} {
+		if address(e) != b.engines.runs[0] {
+			b.engines.scripts[address(e)] = script{events: []string{"whole"}}
+		}
+	}
+	b.engines.mu.Unlock()
+	if got, err := drain(s); got != "whole" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// Servers are full of long work. Requests wait at the entry for their turn
+// instead of at a server, go when there is room, and leave when their caller does.
+func TestLongRequestsWaitForTheirTurn(t *testing.T) {
+	const full = 10_000 * 15
+	b := newBench(t, 1, full)
+	b.engines.scripts[address("engine-1")] = script{events: []string{"whole"}}
+	ctx, leave := context.WithCancel(context.Background())
+	var waiting sync.WaitGroup
+	gone := make(chan error, 1)
+	waiting.Go(func() {
+		_, err := b.router.Complete(ctx, newCall("a draft whose caller leaves", 2))
+		gone <- err
+	})
+	answers := make(chan string, 1)
+	waiting.Go(func() {
+		s, err := b.router.Complete(context.Background(), newCall("a draft that waits", 2))
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		got, _ := drain(s)
+		answers <- got
+	})
+	urgent, err := b.router.Complete(context.Background(), newCall("urgent", 7))
+	if err != nil {
+		t.Fatalf("an urgent request does not wait at the entry: %v", err)
+	}
+	_, _ = drain(urgent)
+	leave()
+	if err := <-gone; verdict.Of(err) != verdict.NotRun {
+		t.Errorf("the caller that left got %v", err)
+	}
+	b.announceFree(t)
+	if got := <-answers; got != "whole" {
+		t.Errorf("the waiting request got %q", got)
+	}
+	waiting.Wait()
+}
+
+// announceFree reports that the queue of the engine is empty.
+func (b *bench) announceFree(t *testing.T) {
+	t.Helper()
+	v := b.table.View()
+	s, ok := v.Server("engine-1")
+	if !ok {
+		t.Fatal("the engine is not known")
+	}
+	a := s.Announcement()
+	a.Sequence++
+	a.Load.Sequence++
+	a.Load.QueuedTokens = 0
+	b.table.Announce(time.Now(), a)
+}
--- a/internal/entry/completion/view.go
+++ b/internal/entry/completion/view.go
@@ -38,7 +38,7 @@
 		}
 		if s.Eligible(now, membership.Need{Kind: announcement.Store, Age: need.Age}) == membership.Eligible {
 			v.stores = append(v.stores, s)
-			v.cell.Stores = append(v.cell.Stores, r.store(s))
+			v.cell.Stores = append(v.cell.Stores, r.store(now, s))
 		}
 	}
 	return v
@@ -76,14 +76,16 @@
 	assumedPrefillRate = 10_000
 )
 
-// store returns a store's link with what this entry has on it beyond the report.
-func (r *router) store(s *membership.Server) route.Store {
+// store returns a store's link with what this entry and its peers brought onto it since the report.
+func (r *router) store(now time.Time, s *membership.Server) route.Store {
 	a := s.Announcement()
 	load, _ := s.Load()
+	p := r.Work.Pending(now, s.Key(), s.LoadTaken())
+	drained := int64(now.Sub(s.LoadTaken()).Seconds() * load.LinkRate)
 	return route.Store{
 		Identity:   a.Identity,
 		LinkRate:   load.LinkRate,
-		LinkQueued: max(load.LinkQueued, r.inFlight.onLink(a.Identity)),
+		LinkQueued: max(load.LinkQueued+p.Tokens+p.PeerTokens-drained, 0),
 		DiskRate:   load.LinkRate,
 	}
 }
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -164,6 +164,7 @@
 		Retry:      retries,
 		Returns:    placement.NewReturns(returnPrior),
 		Guard:      x.guard,
+		Entries:    max(1, len(p.config.File.Entries)),
 		Metrics:    p.metrics,
 		Logger:     p.config.Logger,
 		Now:        time.Now,
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -123,7 +123,7 @@
 	time.Sleep(noticeTime)
 	err := p.parts.caller.Drain(ctx)
 	err = errors.Join(err, p.parts.services.Drain(ctx))
-	p.parts.router.Wait()
+	p.parts.router.Close()
 	p.parts.giver.Close()
 	p.parts.guard.Close()
 	release, cancel := context.WithTimeout(ctx, releaseTime)
