Random schedules know only the addresses that a replica would know

Cause: heartbeats without an address left a learner without a way to answer. The schedules missed it, because their network looked every identity up in the whole world.

Change: a VM knows the addresses that messages gave and those of its own configuration.

--- a/internal/control/raft/vm_test.go
+++ b/internal/control/raft/vm_test.go
@@ -33,10 +33,12 @@
 	snapshot raft.Snapshot
 	machine  register
 	applied  uint64
-	edits    map[uint64]pendingEdit
-	reads    map[uint64]*pendingRead
-	readID   uint64
-	starts   uint64
+	// heard are the addresses that the senders of messages gave.
+	heard  map[raft.Identity]string
+	edits  map[uint64]pendingEdit
+	reads  map[uint64]*pendingRead
+	readID uint64
+	starts uint64
 	// last is the configuration that the replica had when it was last up.
 	last raft.Configuration
 }
@@ -106,6 +108,7 @@
 	s := v.store.State()
 	// Equal draws at two replicas would split the votes for ever.
 	v.starts++
+	v.heard = map[raft.Identity]string{}
 	v.edits, v.reads = map[uint64]pendingEdit{}, map[uint64]*pendingRead{}
 	v.core = raft.New(raft.Config{
 		Founding: f.ID, Self: raft.Member{Name: v.name, Identity: v.identity, Address: v.address}, Initial: f.Configuration,
--- a/internal/control/raft/world_test.go
+++ b/internal/control/raft/world_test.go
@@ -98,17 +98,14 @@
 	}
 }
 
-// addressOf returns where an identity was last seen, also when its disk is gone: the new VM has the old address.
+// addressOf returns where v believes an identity to be: where it was last heard
+// from, or what the configuration says; the new VM has the old one's address.
 func (w *world) addressOf(v *vm, id raft.Identity) string {
-	if m, ok := v.core.Status().Configuration.Member(id); ok {
-		return m.Address
+	if address, ok := v.heard[id]; ok {
+		return address
 	}
-	for _, o := range w.vms {
-		if o.identity == id {
-			return o.address
-		}
-	}
-	return ""
+	m, _ := v.core.Status().Configuration.Member(id)
+	return m.Address
 }
 
 // deliver hands over the i-th message under way; a duplicate stays under way.
@@ -126,6 +123,9 @@
 	}
 	for _, v := range w.vms {
 		if v.address == p.to && v.core != nil && !v.frozen {
+			if p.message.Address != "" && p.message.To == v.identity {
+				v.heard[p.message.From] = p.message.Address
+			}
 			v.core.Step(p.message)
 			v.settle()
 		}
