Frozen leaders: no edit is accepted for 6 s in some runs, failing

Cause: a control VM that was frozen keeps QUIC connections that its peers have closed as idle. What waited in its socket makes it believe that they live; its messages on them are dropped without an answer until its own idle timeout. When the leader is lost just then, the two others can't elect one.

Change: TestSettingsAcrossProcesses freezes the leader three times in a row.

Conclusion: a fault of availability in the connections between processes.

--- a/settings_test.go
+++ b/settings_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"hornbeamwood/internal/settings/digest"
 )
@@ -89,6 +90,7 @@
 	t.Run("race", func(t *testing.T) { raceThroughTwoEntries(t, a, b) })
 	t.Run("verbs", func(t *testing.T) { verbsAgainstAnEntry(t, a) })
 	t.Run("frozen entry", func(t *testing.T) { frozenEntry(t, f, a, b) })
+	t.Run("frozen leaders", func(t *testing.T) { frozenLeaders(t, f) })
 	t.Run("late replica", func(t *testing.T) { lateReplica(t, f) })
 	t.Run("no quorum", func(t *testing.T) { withoutQuorum(t, f) })
 }
@@ -205,6 +207,69 @@
 	return r.StatusCode
 }
 
+// The leading control VM is frozen for more than a lease while operators edit,
+// and goes on; then the one that leads by then. It must not bring an older
+// revision back to anybody, nor keep the others from accepting, the one that
+// has only just come back among them.
+func frozenLeaders(t *testing.T, f *fleet) {
+	for i := range 3 {
+		c := f.leader()
+		p := f.processes[c.name]
+		p.signal(syscall.SIGSTOP)
+		last := editsFor(t, f, 6*time.Second, fmt.Sprint("frozen-", i))
+		p.signal(syscall.SIGCONT)
+		if last == 0 {
+			t.Errorf("no edit was accepted while %s was frozen", c.name)
+		}
+		for range 100 {
+			for _, e := range f.entries {
+				if r := revision(e); r != 0 && r < last {
+					t.Fatalf("%s reads revision %d after %d once %s went on", e.name, r, last, c.name)
+				}
+			}
+		}
+	}
+}
+
+// leader returns the replica that was elected in the highest term, by what the replicas log.
+func (f *fleet) leader() *host {
+	var leader *host
+	highest := -1
+	for _, c := range f.controls {
+		for line := range strings.Lines(f.processes[c.name].output.String()) {
+			_, after, elected := strings.Cut(line, "message=leader-elected ")
+			_, text, _ := strings.Cut(after, "term=")
+			term := 0
+			if _, err := fmt.Sscan(text, &term); elected && err == nil && term > highest {
+				leader, highest = c, term
+			}
+		}
+	}
+	if leader == nil {
+		f.t.Fatal("no replica logged that it leads")
+	}
+	return leader
+}
+
+// editsFor edits through all entries in turn and returns the last accepted revision, 0 for none.
+func editsFor(t *testing.T, f *fleet, d time.Duration, name string) uint64 {
+	last := uint64(0)
+	until := time.Now().Add(d)
+	for n := 0; time.Now().Before(until); n++ {
+		e := f.entries[n%len(f.entries)]
+		base := revision(e)
+		if base == 0 {
+			continue
+		}
+		if base < last {
+			t.Errorf("%s reads revision %d after %d", e.name, base, last)
+		}
+		x := edit(e, plant, fmt.Sprintf("%s-%d", name, n), base, priority(n))
+		last = max(last, x.Revision)
+	}
+	return last
+}
+
 // A control VM misses hundreds of edits, comes back, and another one is lost
 // at once. No accepted edit may be lost with it, and an operator whose answer
 // was lost at the beginning still gets the first outcome.
