A server is checked again right before the dispatch; pins go as one exchange a node

Between the choice of a server and the first byte lie pins of up to 300 ms; a server that says in between that it leaves must not get the request. With the check taken out, TestServerThatLeavesBeforeTheDispatch sends it there.

--- a/internal/cache/quic/cache.go
+++ b/internal/cache/quic/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,12 +35,12 @@
 	Lookup(ctx context.Context, keys []block.Key) directory.Locations
 	// Report passes an engine's report on to the holders of its keys and returns whether a listing is wanted.
 	Report(now time.Time, r events.Report) bool
-	// Change tells the holders of a key about a step in the life of its piece in a store.
-	Change(ctx context.Context, c directory.StoreChange)
-	// Pin keeps a sealed piece from being freed and returns whether a holder granted it.
-	Pin(ctx context.Context, p directory.Pin) bool
-	// Unpin takes a pin back.
-	Unpin(ctx context.Context, p directory.Pin)
+	// Change tells the holders of the keys about steps in the life of their pieces in stores.
+	Change(ctx context.Context, all ...directory.StoreChange)
+	// Pin keeps sealed pieces from being freed and returns for each whether that was granted.
+	Pin(ctx context.Context, all []directory.Pin) []bool
+	// Unpin takes pins back.
+	Unpin(ctx context.Context, all []directory.Pin)
 	// Close ends the goroutines.
 	Close()
 }
@@ -141,47 +142,71 @@
 }
 
 // Change implements Cache.
-func (k *cache) Change(ctx context.Context, c directory.StoreChange) {
-	k.both(ctx, c.Key, directory.Message{Store: &c})
+func (k *cache) Change(ctx context.Context, all ...directory.StoreChange) {
+	keyed := make([]directory.Keyed, len(all))
+	for i := range all {
+		keyed[i] = directory.Keyed{Key: all[i].Key, Message: directory.Message{Store: &all[i]}}
+	}
+	k.each(ctx, keyed)
 }
 
 // Pin implements Cache.
 //
-// The holders free a piece only when their own pins are gone, and each of them
-// may free it. A pin counts when every holder that answers has granted it and
-// at least one did.
-func (k *cache) Pin(ctx context.Context, p directory.Pin) bool {
-	granted := 0
-	for _, r := range k.both(ctx, p.Key, directory.Message{Pin: &p}) {
-		if r.Effect.Outcome != directory.Applied {
-			return false
-		}
-		granted++
+// Both holders of a key may free its piece, each when its own pins are gone. A
+// pin counts when every holder that answers has granted it and at least one did.
+func (k *cache) Pin(ctx context.Context, all []directory.Pin) []bool {
+	keyed := make([]directory.Keyed, len(all))
+	for i := range all {
+		keyed[i] = directory.Keyed{Key: all[i].Key, Message: directory.Message{Pin: &all[i]}}
 	}
-	return granted > 0
+	granted := make([]bool, len(all))
+	for i, replies := range k.each(ctx, keyed) {
+		granted[i] = len(replies) > 0 && !slices.ContainsFunc(replies, func(r directory.Reply) bool {
+			return r.Effect.Outcome != directory.Applied
+		})
+	}
+	return granted
 }
 
 // Unpin implements Cache.
-func (k *cache) Unpin(ctx context.Context, p directory.Pin) {
-	k.both(ctx, p.Key, directory.Message{Unpin: &p})
+func (k *cache) Unpin(ctx context.Context, all []directory.Pin) {
+	keyed := make([]directory.Keyed, len(all))
+	for i := range all {
+		keyed[i] = directory.Keyed{Key: all[i].Key, Message: directory.Message{Unpin: &all[i]}}
+	}
+	k.each(ctx, keyed)
 }
 
-// both sends m to each holder of the key and returns the replies that came.
-func (k *cache) both(ctx context.Context, key block.Key, m directory.Message) []directory.Reply {
-	all := k.ring.Both(key, m)
-	replies := make([]directory.Reply, 0, len(all))
-	for _, e := range all {
-		if e.To == k.Self {
-			replies = append(replies, directory.Serve(k.Directory, k.Now(), m))
-			continue
-		}
-		if r, err := k.call(ctx, e.To, m); err == nil {
-			replies = append(replies, r)
-		}
+// each sends each message to the holders of its key, one exchange with each
+// node, and returns the replies that came, by message.
+func (k *cache) each(ctx context.Context, all []directory.Keyed) [][]directory.Reply {
+	replies := make([][]directory.Reply, len(all))
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	for _, b := range k.ring.Bundles(all) {
+		asked.Go(func() {
+			r, err := k.exchange(ctx, b)
+			if err != nil || len(r.Batch) != len(b.Places) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for i, at := range b.Places {
+				replies[at] = append(replies[at], r.Batch[i])
+			}
+		})
 	}
+	asked.Wait()
 	return replies
 }
 
+func (k *cache) exchange(ctx context.Context, b directory.Bundle) (directory.Reply, error) {
+	if b.To == k.Self {
+		return directory.Serve(k.Directory, k.Now(), b.Message), nil
+	}
+	return k.call(ctx, b.To, b.Message)
+}
+
 // post carries out a message here or queues it for its entry.
 func (k *cache) post(now time.Time, e directory.Envelope) {
 	if e.To == k.Self {
--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -5,8 +5,8 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
@@ -92,6 +92,10 @@
 	a.sent = r.Now()
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.silence = time.AfterFunc(r.patience(j, a), a.cancel)
+	if err = r.recheck(j, a); err != nil {
+		r.end(ctx, j, a, err)
+		return err
+	}
 	a.stream, err = r.Engines.Run(ctx, a.server.Announcement().Address, engine.Request{
 		ID:            j.ID,
 		Attempt:       a.id,
@@ -107,6 +111,20 @@
 	return err
 }
 
+// recheck asks again whether the server may get the request, right before it is sent.
+//
+// Between the choice and the first byte lie pins and perhaps a frozen process;
+// a server that has said meanwhile that it leaves would get work too late.
+func (r *router) recheck(j *job, a *attempt) error {
+	v := r.Servers.View()
+	why := v.Recheck(r.Now(), a.server, j.need())
+	if why == membership.Eligible {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "server-left",
+		"the chosen model engine takes no new work any more").WithCause(errors.New(string(why)))
+}
+
 // sentOnLinks tells the other entries of the bytes that the imports bring onto the stores' links.
 func (r *router) sentOnLinks(a *attempt, imports []importPiece) {
 	for _, s := range a.view.stores {
@@ -157,10 +175,11 @@
 
 // unpin takes pins back beside the request, which has its first token by now.
 func (r *router) unpin(ctx context.Context, pins []directory.Pin) {
-	ctx = context.WithoutCancel(ctx)
-	for _, p := range pins {
-		r.running.Go(func() { r.Cache.Unpin(ctx, p) })
+	if len(pins) == 0 {
+		return
 	}
+	ctx = context.WithoutCancel(ctx)
+	r.running.Go(func() { r.Cache.Unpin(ctx, pins) })
 }
 
 // end notes how the attempt ended; io.EOF stands for a whole answer.
@@ -194,25 +213,27 @@
 	return ok && e.Code == codeUnreachable
 }
 
-// imports pins the pieces that the plan imports, all at once; from the first
-// one on that can't be pinned the prompt is computed instead.
+// imports pins the pieces that the plan imports; from the first one on that
+// can't be pinned the prompt is computed instead.
 func (r *router) imports(ctx context.Context, j *job, a *attempt) []importPiece {
 	wanted := r.wanted(j, a)
-	granted := make([]bool, len(wanted))
-	var asked sync.WaitGroup
+	if len(wanted) == 0 {
+		return nil
+	}
+	pins := make([]directory.Pin, len(wanted))
 	for i, p := range wanted {
-		asked.Go(func() { granted[i] = r.Cache.Pin(ctx, p.pin(a)) })
+		pins[i] = p.pin(a)
 	}
-	asked.Wait()
-	use := len(wanted)
+	granted := r.Cache.Pin(ctx, pins)
 	for i, ok := range granted {
-		if !ok {
-			use = min(use, i)
-			continue
+		if ok {
+			a.pins = append(a.pins, pins[i])
 		}
-		a.pins = append(a.pins, wanted[i].pin(a))
 	}
-	return wanted[:use]
+	if refused := slices.Index(granted, false); refused >= 0 {
+		return wanted[:refused]
+	}
+	return wanted
 }
 
 // wanted returns the pieces that the plan imports.
--- a/internal/entry/completion/config.go
+++ b/internal/entry/completion/config.go
@@ -22,12 +22,12 @@
 type Cache interface {
 	// Lookup returns the locations of the keys in their order.
 	Lookup(ctx context.Context, keys []block.Key) directory.Locations
-	// Change tells the holders of a key about a step in the life of its piece in a store.
-	Change(ctx context.Context, c directory.StoreChange)
-	// Pin keeps a sealed piece from being freed and returns whether that was granted.
-	Pin(ctx context.Context, p directory.Pin) bool
-	// Unpin takes a pin back.
-	Unpin(ctx context.Context, p directory.Pin)
+	// Change tells the holders of the keys about steps in the life of their pieces in stores.
+	Change(ctx context.Context, all ...directory.StoreChange)
+	// Pin keeps sealed pieces from being freed and returns for each whether that was granted.
+	Pin(ctx context.Context, all []directory.Pin) []bool
+	// Unpin takes pins back.
+	Unpin(ctx context.Context, all []directory.Pin)
 }
 
 // Engines runs attempts at engines.
--- a/internal/entry/completion/exporter.go
+++ b/internal/entry/completion/exporter.go
@@ -161,29 +161,38 @@
 func (x *exporter) run(j *job, a *attempt, e Export) {
 	ctx, cancel := context.WithTimeout(context.Background(), exportTime)
 	defer cancel()
-	for _, p := range e.Pieces {
-		x.Cache.Change(ctx, p.change(directory.Writing))
+	writing := make([]directory.StoreChange, len(e.Pieces))
+	for i, p := range e.Pieces {
+		writing[i] = p.change(directory.Writing)
 	}
+	x.Cache.Change(ctx, writing...)
 	results, err := x.Exports.Export(ctx, a.server.Announcement().Address, e)
-	sealed := 0
-	for i, p := range e.Pieces {
-		if err != nil || i >= len(results) || !results[i].Sealed {
-			c := p.change(directory.Writing)
-			c.Failed = true
-			x.Cache.Change(ctx, c)
-			continue
-		}
-		sealed++
-		x.learn(j.Model.Name, results[i].Bytes)
-		c := p.change(directory.Sealed)
-		c.Generation, c.Bytes, c.Tier = results[i].Generation, results[i].Bytes, p.Tier
-		x.Cache.Change(ctx, c)
+	if err != nil {
+		results = nil
 	}
+	ended, sealed := x.ended(j, e, results)
+	x.Cache.Change(context.WithoutCancel(ctx), ended...)
 	x.meters.exported.Add(sealed)
 	x.meters.exportLost.Add(len(e.Pieces) - sealed)
 	event.ExportEnded.Write(x.Logger, log.Fields{"request": j.ID, "sealed": sealed, "pieces": len(e.Pieces)})
 }
 
+// ended returns what became of each piece, and how many the stores hold now.
+func (x *exporter) ended(j *job, e Export, results []ExportResult) (all []directory.StoreChange, sealed int) {
+	for i, p := range e.Pieces {
+		c := p.change(directory.Writing)
+		c.Failed = true
+		if i < len(results) && results[i].Sealed {
+			sealed++
+			x.learn(j.Model.Name, results[i].Bytes)
+			c = p.change(directory.Sealed)
+			c.Generation, c.Bytes, c.Tier = results[i].Generation, results[i].Bytes, p.Tier
+		}
+		all = append(all, c)
+	}
+	return all, sealed
+}
+
 func (p ExportPiece) change(to directory.State) directory.StoreChange {
 	return directory.StoreChange{
 		Store:          p.Store,
--- a/internal/entry/completion/fake_test.go
+++ b/internal/entry/completion/fake_test.go
@@ -93,6 +93,8 @@
 	refused map[block.Key]bool
 	pinned  int
 	changes []directory.StoreChange
+	// pinning is called while pins are asked for.
+	pinning func()
 }
 
 func (f *fakeCache) Lookup(_ context.Context, keys []block.Key) directory.Locations {
@@ -103,26 +105,32 @@
 	return all
 }
 
-func (f *fakeCache) Change(_ context.Context, c directory.StoreChange) {
+func (f *fakeCache) Change(_ context.Context, all ...directory.StoreChange) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.changes = append(f.changes, c)
+	f.changes = append(f.changes, all...)
 }
 
-func (f *fakeCache) Pin(_ context.Context, p directory.Pin) bool {
+func (f *fakeCache) Pin(_ context.Context, all []directory.Pin) []bool {
+	if f.pinning != nil {
+		f.pinning()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.refused[p.Key] {
-		return false
+	granted := make([]bool, len(all))
+	for i, p := range all {
+		granted[i] = !f.refused[p.Key]
+		if granted[i] {
+			f.pinned++
+		}
 	}
-	f.pinned++
-	return true
+	return granted
 }
 
-func (f *fakeCache) Unpin(context.Context, directory.Pin) {
+func (f *fakeCache) Unpin(_ context.Context, all []directory.Pin) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pinned--
+	f.pinned -= len(all)
 }
 
 type fakeExports struct{}
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -10,6 +10,7 @@
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/cache/block"
 	"hornbeamwood/internal/cache/directory"
+	"hornbeamwood/internal/fleet/announcement"
 )
 
 var (
@@ -192,6 +193,47 @@
 	waiting.Wait()
 }
 
+// A server says that it leaves while the pieces of a request that was given to
+// it are being pinned. It must not get the request; the caller notices nothing.
+func TestServerThatLeavesBeforeTheDispatch(t *testing.T) {
+	b := newBench(t, 2, 0)
+	for _, e := range []string{"engine-1", "engine-2"} {
+		b.engines.scripts[address(e)] = script{events: []string{"whole"}}
+	}
+	q := newCall(strings.Repeat("logbook of the station, page ", 20), 7)
+	for i, k := range (block.Scope{Workspace: "gate", Model: "draft", WeightVersion: "v1", PieceTokens: pieceTokens}).Tokens(q.Tokens) {
+		l := directory.Location{Stores: []directory.Stored{{Store: "store-1", Generation: 5, Bytes: 10}}}
+		if i > 0 {
+			l.Engines = []string{"engine-1"}
+		}
+		b.cache.found[k] = l
+	}
+	b.cache.pinning = func() { b.leave(t, "engine-1") }
+	s, err := b.router.Complete(context.Background(), q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := drain(s); got != "whole" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if runs := b.engines.ran(); len(runs) != 1 || runs[0] != address("engine-2") {
+		t.Errorf("dispatched to %v", runs)
+	}
+}
+
+// leave announces that an engine leaves.
+func (b *bench) leave(t *testing.T, identity string) {
+	t.Helper()
+	s, ok := b.table.View().Server(identity)
+	if !ok {
+		t.Fatalf("%s is not known", identity)
+	}
+	a := s.Announcement()
+	a.Sequence++
+	a.State = announcement.Leaving
+	b.table.Announce(time.Now(), a)
+}
+
 // announceFree reports that the queue of the engine is empty.
 func (b *bench) announceFree(t *testing.T) {
 	t.Helper()
--- a/internal/entry/completion/view.go
+++ b/internal/entry/completion/view.go
@@ -21,12 +21,7 @@
 func (r *router) view(now time.Time, q *job) view {
 	var v view
 	all := r.Servers.View()
-	need := membership.Need{
-		Kind:          announcement.Engine,
-		Model:         q.Model.Name,
-		WeightVersion: q.Model.WeightVersion,
-		Age:           q.Snapshot.Fleet.AnnouncementAge,
-	}
+	need := q.need()
 	for s := range all.All() {
 		if q.excluded[s.Announcement().Identity] {
 			continue
@@ -44,6 +39,16 @@
 	return v
 }
 
+// need returns what the request asks of an engine.
+func (q *job) need() membership.Need {
+	return membership.Need{
+		Kind:          announcement.Engine,
+		Model:         q.Model.Name,
+		WeightVersion: q.Model.WeightVersion,
+		Age:           q.Snapshot.Fleet.AnnouncementAge,
+	}
+}
+
 // peerBand is the band in which the work of other entries counts; they tell sums only.
 const peerBand = 0
 
--- a/internal/settings/tree/schema.go
+++ b/internal/settings/tree/schema.go
@@ -118,7 +118,7 @@
 		fleet:   func(f *rules.Fleet, v Value) { f.ServeWithoutQuorum = v.Bool() },
 	},
 	{
-		Name: "announcement-age", Default: DurationValue(2 * time.Second), Min: DurationValue(500 * time.Millisecond), Max: DurationValue(3 * time.Second), Kinds: fleetKinds,
+		Name: "announcement-age", Default: DurationValue(2500 * time.Millisecond), Min: DurationValue(500 * time.Millisecond), Max: DurationValue(3 * time.Second), Kinds: fleetKinds,
 		Meaning: "The age of a backend server's last announcement after which it gets no new work.",
 		fleet:   func(f *rules.Fleet, v Value) { f.AnnouncementAge = v.Duration() },
 	},
