--- /dev/null
+++ b/internal/node/rpc/counting_conn.go
@@ -0,0 +1,26 @@
+package rpc
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// countingConn counts the bytes that leave a UDP socket, headers of IP and UDP left out.
+type countingConn struct {
+	*net.UDPConn
+	sent atomic.Int64
+}
+
+// WriteMsgUDP implements the writer that QUIC uses where the system allows it.
+func (c *countingConn) WriteMsgUDP(b, oob []byte, a *net.UDPAddr) (n, oobn int, err error) {
+	n, oobn, err = c.UDPConn.WriteMsgUDP(b, oob, a)
+	c.sent.Add(int64(n))
+	return n, oobn, err
+}
+
+// WriteTo implements net.PacketConn.
+func (c *countingConn) WriteTo(b []byte, a net.Addr) (int, error) {
+	n, err := c.UDPConn.WriteTo(b, a)
+	c.sent.Add(int64(n))
+	return n, err
+}
--- a/internal/node/rpc/node.go
+++ b/internal/node/rpc/node.go
@@ -42,6 +42,8 @@
 	Serve(ctx context.Context) error
 	// Address returns the UDP address that the node listens on.
 	Address() string
+	// BytesSent returns the bytes that left the UDP socket, headers of IP and UDP left out.
+	BytesSent() int64
 	// Close ends all connections.
 	Close() error
 
@@ -53,6 +55,7 @@
 type node struct {
 	config    Config
 	transport *quic.Transport
+	conn      *countingConn
 	handlers  map[string]rawHandler
 	pool      *pool
 	running   sync.WaitGroup
@@ -75,10 +78,12 @@
 	// key that outlives it, its answer to packets of old connections ends them at
 	// the peers at once; without it their messages are lost until the idle timeout.
 	reset := quic.StatelessResetKey(c.Ring.ResetKey())
-	t := &quic.Transport{Conn: s, StatelessResetKey: &reset}
+	conn := &countingConn{UDPConn: s}
+	t := &quic.Transport{Conn: conn, StatelessResetKey: &reset}
 	n := &node{
 		config:    c,
 		transport: t,
+		conn:      conn,
 		handlers:  make(map[string]rawHandler),
 		accepted:  make(map[*quic.Conn]struct{}),
 	}
@@ -101,6 +106,11 @@
 	return n.transport.Conn.LocalAddr().String()
 }
 
+// BytesSent implements Node.
+func (n *node) BytesSent() int64 {
+	return n.conn.sent.Load()
+}
+
 // Close implements Node.
 func (n *node) Close() error {
 	n.pool.close()
--- a/internal/node/rpc/rpc_test.go
+++ b/internal/node/rpc/rpc_test.go
@@ -22,7 +22,7 @@
 	hello  = Notice[ping]{Name: "hello", Roles: []keys.Role{keys.Entry}}
 )
 
-func newNode(t *testing.T, folder, name string) Node {
+func newNode(t testing.TB, folder, name string) Node {
 	t.Helper()
 	a, err := keys.LoadAuthority(folder)
 	if err != nil {
@@ -44,7 +44,7 @@
 	return n
 }
 
-func newAuthority(t *testing.T) string {
+func newAuthority(t testing.TB) string {
 	t.Helper()
 	folder := t.TempDir()
 	if _, err := keys.NewAuthority(folder, time.Hour); err != nil {
@@ -53,7 +53,7 @@
 	return folder
 }
 
-func serve(t *testing.T, n Node) {
+func serve(t testing.TB, n Node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/process/control/control.go
+++ b/internal/process/control/control.go
@@ -147,6 +147,7 @@
 	gauge("commit_index", func(s replica.Status) uint64 { return s.Commit })
 	gauge("applied_index", func(s replica.Status) uint64 { return s.Applied })
 	gauge("snapshot_index", func(s replica.Status) uint64 { return s.Snapshot })
+	p.metrics.NewGauge("hornbeamwood_quic_sent_bytes", func() float64 { return float64(p.node.BytesSent()) })
 	p.metrics.NewGauge("hornbeamwood_keys_expire_seconds", func() float64 { return time.Until(p.ring.Expires()).Seconds() })
 }
 
--- a/internal/process/entry/gauges.go
+++ b/internal/process/entry/gauges.go
@@ -12,6 +12,7 @@
 	gauge := func(name string, value func() float64) {
 		p.metrics.NewGauge("hornbeamwood_"+name, value)
 	}
+	gauge("quic_sent_bytes", func() float64 { return float64(p.node.BytesSent()) })
 	gauge("settings_revision", func() float64 { return float64(x.settings.View().Revision()) })
 	gauge("settings_lease", func() float64 { return oneIf(x.settings.Check() == nil) })
 	gauge("quarantined_requests", func() float64 { return float64(x.guard.Quarantined()) })
--- a/process_test.go
+++ b/process_test.go
@@ -35,7 +35,11 @@
 		if binaries.err != nil {
 			return
 		}
-		b, err := exec.Command("go", "build", "-race", "-o", binaries.folder, "./cmd/hornbeamwood", "./cmd/standin").CombinedOutput()
+		build := exec.Command("go", "build", "-race", "-o", binaries.folder, "./cmd/hornbeamwood", "./cmd/standin")
+		if *measure {
+			build = exec.Command("go", "build", "-o", binaries.folder, "./cmd/hornbeamwood", "./cmd/standin")
+		}
+		b, err := build.CombinedOutput()
 		if err != nil {
 			binaries.err = fmt.Errorf("build: %w\n%s", err, b)
 		}
