--- /dev/null
+++ b/internal/control/raft/snapshot_transfer_test.go
@@ -0,0 +1,59 @@
+package raft_test
+
+import (
+	"testing"
+
+	"hornbeamwood/internal/control/raft"
+)
+
+// A snapshot message is late: the follower has got the entries behind it from
+// the log meanwhile and has acknowledged them. Installing it would drop them,
+// and with them an edit that was accepted because this disk holds it.
+func TestLateSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	c := replicaA(1, trio(), nil)
+	c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 1, Entries: commands(1, 1, 1, 1, 1), Commit: 2}))
+	flush(c)
+	meta := raft.SnapshotMeta{Index: 3, Term: 1, Configuration: trio()}.WithData([]byte("x"))
+	c.Step(from("b", raft.Message{Kind: raft.MessageSnapshot, Term: 1, Snapshot: &meta, Data: []byte("x")}))
+	if e := flush(c); e.Install != nil {
+		t.Error("the late snapshot was installed")
+	}
+	if s := c.Status(); s.Last != 5 || s.Commit != 3 {
+		t.Errorf("last %d, commit %d", s.Last, s.Commit)
+	}
+}
+
+// A learner restarts in the middle of a snapshot, and a late copy of the first
+// chunk reaches it. It stands at the second chunk while the leader goes on
+// sending a later one; were its answers passed over as old ones, it would never
+// catch up and the operator would wait for its vote for ever.
+func TestSnapshotGoesOnAfterTheReceiverRestarts(t *testing.T) {
+	c := replicaA(1, trio(), commands(1, 1, 1))
+	term := elect(t, c)
+	acknowledge(c, "b", term, 4)
+	flush(c)
+	meta := raft.SnapshotMeta{Index: 4, Term: term, Configuration: trio()}.WithData(make([]byte, 100))
+	c.Compact(meta, 0)
+	c.Step(from("l", raft.Message{Kind: raft.MessageAppendResponse, Term: term, Reject: true, Index: 3}))
+	for offset := uint64(10); offset <= 50; offset += 10 {
+		c.Step(from("l", raft.Message{Kind: raft.MessageSnapshotResponse, Term: term, Index: 4, Offset: offset}))
+	}
+	flush(c)
+	for range 40 {
+		c.Tick()
+		for _, m := range flush(c).Early {
+			if m.To != "l" {
+				continue
+			}
+			if m.Kind == raft.MessageSnapshot && m.Offset == 10 {
+				return
+			}
+			c.Step(from("b", raft.Message{Kind: raft.MessageHeartbeatResponse, Term: term}))
+			c.Step(from("l", raft.Message{Kind: raft.MessageHeartbeatResponse, Term: term}))
+			if m.Kind == raft.MessageSnapshot {
+				c.Step(from("l", raft.Message{Kind: raft.MessageSnapshotResponse, Term: term, Index: 4, Offset: 10}))
+			}
+		}
+	}
+	t.Fatal("the learner was never sent the chunk that it lacks")
+}
