A learner that is needed for a quorum stands still (failing tests)

A leader sent its last entries to a learner only and lost its disk. A candidate with an uncommitted promotion of the learner can't win without its vote and is refused, its log being shorter; the others have no quorum without that candidate.

Change: TestLearnerThatIsNeededCampaigns and the schedule among TestSchedulesThatShowedFaults; both fail.

--- a/internal/control/raft/election_test.go
+++ b/internal/control/raft/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"testing"
 
 	"hornbeamwood/internal/base/codec"
@@ -132,3 +133,43 @@
 		t.Errorf("the one that was asked is %s in term %d", s.Role, s.Term)
 	}
 }
+
+// A learner alone got the last entries of a leader that is lost. Another
+// replica, which believes it to be a voter, can't win without its vote and does
+// not get it, and nobody else has a quorum. Were the learner to stand still,
+// operators would have no leader for ever.
+func TestLearnerThatIsNeededCampaigns(t *testing.T) {
+	c := raft.New(raft.Config{
+		Founding: "f", Self: raft.Member{Identity: "l", Address: "10.0.0.4:1"}, Initial: trio(),
+		HardState: raft.HardState{Term: 3}, Entries: commands(1, 3), Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	to := func(m raft.Message) raft.Message {
+		m.To, m.Founding = "l", "f"
+		return m
+	}
+	for range 50 {
+		c.Tick()
+	}
+	if s := c.Status(); s.Role != raft.Follower {
+		t.Fatalf("a learner that nobody asked is %s", s.Role)
+	}
+	c.Step(to(raft.Message{Kind: raft.MessagePreVote, From: "b", Term: 4, Index: 2, LogTerm: 2}))
+	for range 25 {
+		c.Tick()
+	}
+	c.Step(to(raft.Message{Kind: raft.MessagePreVoteResponse, From: "a", Term: 4}))
+	c.Step(to(raft.Message{Kind: raft.MessagePreVoteResponse, From: "b", Term: 4}))
+	flush(c)
+	c.Step(to(raft.Message{Kind: raft.MessageVoteResponse, From: "a", Term: 4}))
+	if s := c.Status(); s.Role != raft.Candidate {
+		t.Fatalf("with one vote of three voters the learner is %s", s.Role)
+	}
+	c.Step(to(raft.Message{Kind: raft.MessageVoteResponse, From: "b", Term: 4}))
+	flush(c)
+	for _, id := range []raft.Identity{"a", "b"} {
+		c.Step(to(raft.Message{Kind: raft.MessageAppendResponse, From: id, Term: 4, Index: 3}))
+	}
+	if s := c.Status(); s.Commit != 3 || s.Role != raft.Follower {
+		t.Errorf("the entries are not committed, or the learner leads on: %+v", s)
+	}
+}
--- a/internal/control/raft/schedule_test.go
+++ b/internal/control/raft/schedule_test.go
@@ -304,6 +304,8 @@
 		1844937388822592023,
 		// A learner restarted in the middle of a snapshot and got a late copy of its first chunk.
 		12418803768635305241,
+		// A learner alone had the last entries, and a candidate took it for a voter.
+		683914461263213200,
 	} {
 		if _, err := runSchedule(seed, draw(seed, stepsPerRun)); err != nil {
 			t.Errorf("seed %d: %v", seed, err)
