A learner that a candidate needs campaigns

Change: a replica that refused a candidate because its own log is longer campaigns, voter or not, while no leader is heard. It counts the votes of the voters in its log, not its own, and steps down once its entries are committed.

Ruled out: letting it vote for the shorter log, which could drop committed entries.

--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -89,9 +89,11 @@
 	// sinceWatch counts ticks since the leader last looked for lost appends.
 	sinceWatch int
 	timeout    int
-	votes      map[Identity]bool
-	members    map[Identity]*progress
-	termStart  uint64
+	// asked says that a candidate took this replica for a voter and that its log was too short.
+	asked     bool
+	votes     map[Identity]bool
+	members   map[Identity]*progress
+	termStart uint64
 
 	round       uint64
 	roundWanted bool
--- a/internal/control/raft/election.go
+++ b/internal/control/raft/election.go
@@ -18,6 +18,7 @@
 // campaign starts an election, or with PreCandidate asks whether one could be won.
 func (r *core) campaign(role Role, transfer bool) {
 	r.role = role
+	r.asked = false
 	r.leader, r.leaderAddress, r.known = None, "", false
 	r.votes = map[Identity]bool{}
 	r.members = nil
@@ -74,7 +75,9 @@
 
 // stepPreVote answers whether the sender could get this replica's vote.
 func (r *core) stepPreVote(m Message) {
-	granted := m.Term > r.term && !r.leased() && r.log.upToDate(m.Index, m.LogTerm)
+	behind := !r.log.upToDate(m.Index, m.LogTerm)
+	granted := m.Term > r.term && !r.leased() && !behind
+	r.asked = r.asked || behind && !r.leased()
 	answer := Message{Kind: MessagePreVoteResponse, To: m.From, Term: m.Term, Reject: !granted}
 	if !granted {
 		answer.Term = r.term
--- a/internal/control/raft/step.go
+++ b/internal/control/raft/step.go
@@ -104,6 +104,7 @@
 
 // hear notes that the leader of the term is alive.
 func (r *core) hear(m Message) {
+	r.asked = false
 	address := r.addressOf(m)
 	if r.role != Follower {
 		r.follow(r.term, m.From, address)
--- a/internal/control/raft/tick.go
+++ b/internal/control/raft/tick.go
@@ -17,14 +17,16 @@
 	r.campaign(PreCandidate, false)
 }
 
-// eligible returns whether the replica campaigns: it is a voter, or was one
-// before a change that may not be committed.
+// eligible returns whether the replica campaigns: it is a voter, was one before
+// a change that may not be committed, or was taken for one by a candidate that
+// it had to refuse.
 //
-// The replica that got its own removal may be the only one that has it. The
-// others can't win without that entry, and without its vote there may be no
-// quorum of the members before; it has to lead until the removal is committed.
+// A replica that is removed in its own log, or a learner, may be the only one
+// with a leader's last entries. Candidates that need its vote can't win without
+// them, and nobody else may have a quorum; it has to lead until they are
+// committed. It counts only the votes of the voters in its log, so not its own.
 func (r *core) eligible() bool {
-	return r.log.configuration().Voter(r.self()) || r.log.configurationAt(r.log.commit).Voter(r.self())
+	return r.asked || r.log.configuration().Voter(r.self()) || r.log.configurationAt(r.log.commit).Voter(r.self())
 }
 
 func (r *core) tickLeader() {
