--- a/internal/control/raft/commit_test.go
+++ b/internal/control/raft/commit_test.go
@@ -88,3 +88,18 @@
 		t.Errorf("%d entries applied, commit %d", len(e.Committed), c.Status().Commit)
 	}
 }
+
+// A leader's entries arrive behind one that this replica has from another
+// leader. Taking them would leave a log that no leader ever had.
+func TestAppendThatDoesNotFitIsRefused(t *testing.T) {
+	c := replicaA(2, trio(), commands(1, 1, 1))
+	c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 2, Index: 2, LogTerm: 2, Entries: []raft.Entry{{Index: 3, Term: 2}}}))
+	e := flush(c)
+	if len(e.Messages) != 1 || !e.Messages[0].Reject || len(e.Entries) > 0 {
+		t.Fatalf("got %+v", e)
+	}
+	c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 2, Index: 1, LogTerm: 1, Entries: []raft.Entry{{Index: 2, Term: 2}}}))
+	if e := flush(c); len(e.Messages) != 1 || e.Messages[0].Reject || e.Messages[0].Index != 2 || c.Status().Last != 2 {
+		t.Errorf("got %+v, last %d", e, c.Status().Last)
+	}
+}
