--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -5,15 +5,14 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/cache/directory"
 	"hornbeamwood/internal/entry/engine"
 	"hornbeamwood/internal/fleet/membership"
-	"hornbeamwood/internal/policy/admission"
 	"hornbeamwood/internal/policy/route"
 )
 
@@ -35,6 +34,7 @@
 	view     view
 	load     load
 	sent     time.Time
+	expected time.Duration
 	pins     []directory.Pin
 	stream   engine.Stream
 	cancel   context.CancelFunc
@@ -42,30 +42,33 @@
 	first    bool
 }
 
-// start decides, admits and dispatches once.
+// start decides, admits, waits for the workspace's turn where servers are full, and dispatches once.
+//
+// It returns a nil attempt when nothing was dispatched.
 func (r *router) start(ctx context.Context, j *job) (*attempt, error) {
-	now := r.Now()
-	v := r.view(now, j)
-	q := j.request(&v)
-	d := r.Strategy.Decide(now, &q, &v.cell, r.Random)
-	in := admission.Input{
-		Server:   d.Server != route.None,
-		TTFT:     d.TTFT,
-		Deadline: j.Rules.Deadline,
-		Waited:   now.Sub(j.Received),
-		Priority: j.Rules.Priority,
-	}
-	verdict := r.Admission.Decide(in, r.Random)
-	if err := verdict.Err(); err != nil {
-		r.logRefused(j, d, verdict)
+	c := r.consider(j)
+	queueing, wait := r.lines.queueing(j, &c)
+	if err := r.admit(j, &c, queueing); err != nil {
 		return nil, err
 	}
+	if wait {
+		sent, err := r.lines.wait(ctx, j, &c, queueing)
+		if err != nil {
+			return nil, err
+		}
+		defer sent()
+		c = r.consider(j)
+		if err := r.admit(j, &c, 0); err != nil {
+			return nil, err
+		}
+	}
 	a := &attempt{
 		id:       r.NewAttempt(),
-		server:   v.servers[d.Server],
-		decision: d,
-		request:  q,
-		view:     v,
+		server:   c.view.servers[c.decision.Server],
+		decision: c.decision,
+		request:  c.request,
+		view:     c.view,
+		expected: c.decision.TTFT,
 	}
 	j.attempts++
 	r.logRouted(j, a)
@@ -80,14 +83,19 @@
 	if err != nil {
 		return err
 	}
-	a.load = r.loadOf(j, a, imports)
+	a.load = r.loadOf(j, a)
 	r.meters.planned(a, imports)
 	r.inFlight.add(a.load, 1)
 	r.Work.Sent(r.Now(), a.server.Key(), a.load.tokens)
+	r.sentOnLinks(a, imports)
 	r.Guard.Started(r.Now(), j.fingerprint, identity)
 	a.sent = r.Now()
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.silence = time.AfterFunc(r.patience(j, a), a.cancel)
+	if err = r.recheck(j, a); err != nil {
+		r.end(ctx, j, a, err)
+		return err
+	}
 	a.stream, err = r.Engines.Run(ctx, a.server.Announcement().Address, engine.Request{
 		ID:            j.ID,
 		Attempt:       a.id,
@@ -103,28 +111,53 @@
 	return err
 }
 
+// recheck asks again whether the server may get the request, right before it is sent.
+//
+// Between the choice and the first byte lie pins and perhaps a frozen process;
+// a server that has said meanwhile that it leaves would get work too late.
+func (r *router) recheck(j *job, a *attempt) error {
+	v := r.Servers.View()
+	why := v.Recheck(r.Now(), a.server, j.need())
+	if why == membership.Eligible {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "server-left",
+		"the chosen model engine takes no new work any more").WithCause(errors.New(string(why)))
+}
+
+// sentOnLinks tells the other entries of the bytes that the imports bring onto the stores' links.
+func (r *router) sentOnLinks(a *attempt, imports []importPiece) {
+	for _, s := range a.view.stores {
+		bytes := int64(0)
+		for _, p := range imports {
+			if p.store == s.Announcement().Identity {
+				bytes += p.Bytes
+			}
+		}
+		if bytes > 0 {
+			r.Work.Sent(r.Now(), s.Key(), bytes)
+		}
+	}
+}
+
 // patience returns how long the first token is waited for.
 func (r *router) patience(j *job, a *attempt) time.Duration {
 	p := max(silenceFactor*a.decision.TTFT, silenceFloor)
 	return min(p, max(j.remaining(r.Now()), silenceFloor))
 }
 
-// loadOf returns what the attempt adds to its server and to the links until its first token.
-func (r *router) loadOf(j *job, a *attempt, imports []importPiece) load {
+// loadOf returns what the attempt adds to its server until its first token.
+func (r *router) loadOf(j *job, a *attempt) load {
 	l := load{
 		server: a.server.Announcement().Identity,
 		band:   route.Band(j.Rules.Priority),
 		tokens: int64(a.request.Tail()),
-		links:  make(map[string]int64),
 	}
 	for i, s := range a.decision.Plan {
 		if s.Source == route.Recompute {
 			l.tokens += int64(a.request.Pieces[i].Tokens)
 		}
 	}
-	for _, p := range imports {
-		l.links[p.store] += p.Bytes
-	}
 	return l
 }
 
@@ -135,17 +168,18 @@
 	}
 	a.first = true
 	a.silence.Stop()
-	r.Admission.Observe(j.Rules.Priority, a.decision.TTFT, r.Now().Sub(a.sent))
+	r.Admission.Observe(j.Rules.Priority, a.expected, r.Now().Sub(a.sent))
 	r.inFlight.add(a.load, -1)
 	r.unpin(ctx, a.pins)
 }
 
 // unpin takes pins back beside the request, which has its first token by now.
 func (r *router) unpin(ctx context.Context, pins []directory.Pin) {
-	ctx = context.WithoutCancel(ctx)
-	for _, p := range pins {
-		r.running.Go(func() { r.Cache.Unpin(ctx, p) })
+	if len(pins) == 0 {
+		return
 	}
+	ctx = context.WithoutCancel(ctx)
+	r.running.Go(func() { r.Cache.Unpin(ctx, pins) })
 }
 
 // end notes how the attempt ended; io.EOF stands for a whole answer.
@@ -179,25 +213,27 @@
 	return ok && e.Code == codeUnreachable
 }
 
-// imports pins the pieces that the plan imports, all at once; from the first
-// one on that can't be pinned the prompt is computed instead.
+// imports pins the pieces that the plan imports; from the first one on that
+// can't be pinned the prompt is computed instead.
 func (r *router) imports(ctx context.Context, j *job, a *attempt) []importPiece {
 	wanted := r.wanted(j, a)
-	granted := make([]bool, len(wanted))
-	var asked sync.WaitGroup
+	if len(wanted) == 0 {
+		return nil
+	}
+	pins := make([]directory.Pin, len(wanted))
 	for i, p := range wanted {
-		asked.Go(func() { granted[i] = r.Cache.Pin(ctx, p.pin(a)) })
+		pins[i] = p.pin(a)
 	}
-	asked.Wait()
-	use := len(wanted)
+	granted := r.Cache.Pin(ctx, pins)
 	for i, ok := range granted {
-		if !ok {
-			use = min(use, i)
-			continue
+		if ok {
+			a.pins = append(a.pins, pins[i])
 		}
-		a.pins = append(a.pins, wanted[i].pin(a))
 	}
-	return wanted[:use]
+	if refused := slices.Index(granted, false); refused >= 0 {
+		return wanted[:refused]
+	}
+	return wanted
 }
 
 // wanted returns the pieces that the plan imports.
