--- a/internal/control/raft/core_test.go
+++ b/internal/control/raft/core_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/control/raft"
 )
 
@@ -274,3 +275,165 @@
 		t.Errorf("last %d, commit %d", s.Last, s.Commit)
 	}
 }
+
+// Two candidates ask in one term, one of them without an accepted edit. A
+// second vote would elect two leaders, a vote for the one that is behind would
+// undo the edit; either would show as an accepted edit that is gone.
+func TestOneVoteForACandidateWithTheWholeLog(t *testing.T) {
+	c := replicaA(2, trio(), commands(1, 2))
+	ask := func(id raft.Identity, index, term uint64) (granted bool, saved *raft.HardState) {
+		c.Step(from(id, raft.Message{Kind: raft.MessageVote, Term: 3, Index: index, LogTerm: term}))
+		e := c.Effects()
+		c.Persisted()
+		if len(e.Early) > 0 || len(e.Messages) != 1 {
+			t.Fatalf("%d early messages, %d answers", len(e.Early), len(e.Messages))
+		}
+		return !e.Messages[0].Reject, e.HardState
+	}
+	if granted, _ := ask("b", 1, 1); granted {
+		t.Error("a vote for a shorter log")
+	}
+	if granted, _ := ask("b", 9, 1); granted {
+		t.Error("a vote for a log of an earlier term")
+	}
+	if granted, saved := ask("c", 2, 2); !granted || saved == nil || saved.Vote != "c" {
+		t.Errorf("granted %v, saved %+v", granted, saved)
+	}
+	if granted, _ := ask("b", 2, 2); granted {
+		t.Error("a second vote in the term")
+	}
+}
+
+// A new leader does not know yet what its predecessors committed. A read that
+// it confirms before its own first entry is committed could miss an accepted
+// edit.
+func TestReadWaitsForTheLeadersFirstEntry(t *testing.T) {
+	c := replicaA(1, trio(), commands(1))
+	term := elect(t, c)
+	if err := c.Read(1); err != nil {
+		t.Fatal(err)
+	}
+	flush(c)
+	c.Step(from("b", raft.Message{Kind: raft.MessageHeartbeatResponse, Term: term, Round: 1}))
+	if e := flush(c); len(e.Reads) > 0 {
+		t.Fatalf("confirmed %+v before the first entry is committed", e.Reads)
+	}
+	acknowledge(c, "b", term, 2)
+	if e := flush(c); len(e.Reads) != 1 || e.Reads[0].Index != 2 {
+		t.Errorf("got %+v", e.Reads)
+	}
+}
+
+// A follower has entries that the leader does not know of, and the leader's
+// commit index is beyond what it has confirmed. Applying those entries would
+// give the follower a state that no other replica has.
+func TestCommitStopsAtWhatMatches(t *testing.T) {
+	c := replicaA(2, trio(), commands(1, 1, 1))
+	c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 2, Index: 1, LogTerm: 1, Commit: 3}))
+	if e := flush(c); len(e.Committed) != 1 || c.Status().Commit != 1 {
+		t.Errorf("%d entries applied, commit %d", len(e.Committed), c.Status().Commit)
+	}
+}
+
+// The leading VM appends the removal of a replica, sends it to that replica
+// only and is lost. The removed replica now has the longest log and the others
+// can't do without its vote, nor may they lead without its entries. Were it to
+// stay still because it is removed, operators would have no leader for ever.
+func TestRemovedReplicaCampaignsUntilItsRemovalIsCommitted(t *testing.T) {
+	c := replicaA(1, trio(), commands(1))
+	without, err := codec.Marshal(trio().Without("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	removal := raft.Entry{Index: 2, Term: 1, Kind: raft.EntryConfiguration, Data: without}
+	c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 1, Index: 1, LogTerm: 1, Entries: []raft.Entry{removal}, Commit: 1}))
+	flush(c)
+	for range 25 {
+		c.Tick()
+	}
+	if s := c.Status(); s.Role != raft.PreCandidate {
+		t.Fatalf("the replica does not campaign: %+v", s)
+	}
+	for _, id := range []raft.Identity{"b", "c"} {
+		c.Step(from(id, raft.Message{Kind: raft.MessagePreVoteResponse, Term: 2}))
+	}
+	flush(c)
+	c.Step(from("b", raft.Message{Kind: raft.MessageVoteResponse, Term: 2}))
+	if s := c.Status(); s.Role == raft.Leader {
+		t.Fatal("the replica counted its own vote, which it no longer has")
+	}
+	c.Step(from("c", raft.Message{Kind: raft.MessageVoteResponse, Term: 2}))
+	flush(c)
+	acknowledge(c, "b", 2, 3)
+	acknowledge(c, "c", 2, 3)
+	if s := c.Status(); s.Commit != 3 || s.Role != raft.Follower {
+		t.Errorf("the removal is not committed, or the removed replica leads on: %+v", s)
+	}
+}
+
+// A learner restarts in the middle of a snapshot, and a late copy of the first
+// chunk reaches it. It stands at the second chunk while the leader goes on
+// sending a later one; were its answers passed over as old ones, it would never
+// catch up and the operator would wait for its vote for ever.
+func TestSnapshotGoesOnAfterTheReceiverRestarts(t *testing.T) {
+	c := replicaA(1, trio(), commands(1, 1, 1))
+	term := elect(t, c)
+	acknowledge(c, "b", term, 4)
+	flush(c)
+	meta := raft.SnapshotMeta{Index: 4, Term: term, Configuration: trio()}.WithData(make([]byte, 100))
+	c.Compact(meta, 0)
+	c.Step(from("l", raft.Message{Kind: raft.MessageAppendResponse, Term: term, Reject: true, Index: 3}))
+	for offset := uint64(10); offset <= 50; offset += 10 {
+		c.Step(from("l", raft.Message{Kind: raft.MessageSnapshotResponse, Term: term, Index: 4, Offset: offset}))
+	}
+	flush(c)
+	for range 40 {
+		c.Tick()
+		for _, m := range flush(c).Early {
+			if m.To != "l" {
+				continue
+			}
+			if m.Kind == raft.MessageSnapshot && m.Offset == 10 {
+				return
+			}
+			c.Step(from("b", raft.Message{Kind: raft.MessageHeartbeatResponse, Term: term}))
+			c.Step(from("l", raft.Message{Kind: raft.MessageHeartbeatResponse, Term: term}))
+			if m.Kind == raft.MessageSnapshot {
+				c.Step(from("l", raft.Message{Kind: raft.MessageSnapshotResponse, Term: term, Index: 4, Offset: 10}))
+			}
+		}
+	}
+	t.Fatal("the learner was never sent the chunk that it lacks")
+}
+
+// A leader that stops asks the member with most of the log to take over at
+// once; without that, operators' edits are refused for an election timeout at
+// each planned stop.
+func TestLeaderHandsOverAtOnce(t *testing.T) {
+	c := replicaA(1, trio(), commands(1))
+	term := elect(t, c)
+	acknowledge(c, "b", term, 2)
+	acknowledge(c, "c", term, 1)
+	flush(c)
+	if !c.Transfer() {
+		t.Fatal("no member was found to take over")
+	}
+	asked := raft.None
+	for _, m := range flush(c).Early {
+		if m.Kind == raft.MessageTimeoutNow {
+			asked = m.To
+		}
+	}
+	if asked != "b" {
+		t.Errorf("%q was asked to take over", asked)
+	}
+	if _, _, err := c.Propose([][]byte{edit(0, 1)}); !errors.Is(err, raft.ErrTransferring) {
+		t.Errorf("a command during the hand-over: %v", err)
+	}
+	follower := replicaA(1, trio(), nil)
+	follower.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 1}))
+	follower.Step(from("b", raft.Message{Kind: raft.MessageTimeoutNow, Term: 1}))
+	if s := follower.Status(); s.Role != raft.Candidate || s.Term != 2 {
+		t.Errorf("the one that was asked is %s in term %d", s.Role, s.Term)
+	}
+}
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 
 	"hornbeamwood/internal/entry/caller"
 )
@@ -10,8 +11,8 @@
 // Router runs completions.
 type Router interface {
 	caller.Completer
-	// Wait returns when all exports that were begun have ended.
-	Wait()
+	// Close ends the work beside requests, exports among it, and returns when it has ended; it is called after the last request.
+	Close()
 }
 
 type router struct {
@@ -20,29 +21,44 @@
 	exporter *exporter
 	visits   *visits
 	losses   *losses
+	meters   *meters
+	lines    *lines
+	running  sync.WaitGroup
+	cancel   context.CancelFunc
 }
 
 // New returns a Router.
 func New(c Config) Router {
 	c.Random = rand.New(&lockedSource{source: c.Random})
-	return &router{
+	m := newMeters(c.Metrics)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &router{
 		Config:   c,
+		cancel:   cancel,
+		meters:   m,
 		inFlight: newInFlight(),
-		exporter: newExporter(c),
+		exporter: newExporter(c, m),
 		visits:   newVisits(),
 		losses:   newLosses(),
 	}
+	r.lines = newLines(r)
+	r.running.Go(func() { r.lines.run(ctx) })
+	return r
 }
 
-// Wait implements Router.
-func (r *router) Wait() {
+// Close implements Router.
+func (r *router) Close() {
+	r.cancel()
 	r.exporter.wait()
+	r.running.Wait()
 }
 
 // Complete implements caller.Completer.
 func (r *router) Complete(ctx context.Context, q caller.Request) (caller.Stream, error) {
 	j := r.newJob(q)
+	r.Guard.Name(j.fingerprint, q.Workspace, q.Model.Name)
 	if err := r.Guard.Check(r.Now(), j.fingerprint); err != nil {
+		r.meters.ended(err)
 		return nil, err
 	}
 	j.locations = r.Cache.Lookup(ctx, j.keys)
@@ -50,6 +66,7 @@
 	a, err := r.start(ctx, j)
 	for err != nil {
 		if a == nil {
+			r.meters.ended(err)
 			return nil, err
 		}
 		j.exclude(a)
--- a/internal/entry/completion/view.go
+++ b/internal/entry/completion/view.go
@@ -21,12 +21,7 @@
 func (r *router) view(now time.Time, q *job) view {
 	var v view
 	all := r.Servers.View()
-	need := membership.Need{
-		Kind:          announcement.Engine,
-		Model:         q.Model.Name,
-		WeightVersion: q.Model.WeightVersion,
-		Age:           q.Snapshot.Fleet.AnnouncementAge,
-	}
+	need := q.need()
 	for s := range all.All() {
 		if q.excluded[s.Announcement().Identity] {
 			continue
@@ -38,12 +33,22 @@
 		}
 		if s.Eligible(now, membership.Need{Kind: announcement.Store, Age: need.Age}) == membership.Eligible {
 			v.stores = append(v.stores, s)
-			v.cell.Stores = append(v.cell.Stores, r.store(s))
+			v.cell.Stores = append(v.cell.Stores, r.store(now, s))
 		}
 	}
 	return v
 }
 
+// need returns what the request asks of an engine.
+func (q *job) need() membership.Need {
+	return membership.Need{
+		Kind:          announcement.Engine,
+		Model:         q.Model.Name,
+		WeightVersion: q.Model.WeightVersion,
+		Age:           q.Snapshot.Fleet.AnnouncementAge,
+	}
+}
+
 // peerBand is the band in which the work of other entries counts; they tell sums only.
 const peerBand = 0
 
@@ -76,14 +81,16 @@
 	assumedPrefillRate = 10_000
 )
 
-// store returns a store's link with what this entry has on it beyond the report.
-func (r *router) store(s *membership.Server) route.Store {
+// store returns a store's link with what this entry and its peers brought onto it since the report.
+func (r *router) store(now time.Time, s *membership.Server) route.Store {
 	a := s.Announcement()
 	load, _ := s.Load()
+	p := r.Work.Pending(now, s.Key(), s.LoadTaken())
+	drained := int64(now.Sub(s.LoadTaken()).Seconds() * load.LinkRate)
 	return route.Store{
 		Identity:   a.Identity,
 		LinkRate:   load.LinkRate,
-		LinkQueued: max(load.LinkQueued, r.inFlight.onLink(a.Identity)),
+		LinkQueued: max(load.LinkQueued+p.Tokens+p.PeerTokens-drained, 0),
 		DiskRate:   load.LinkRate,
 	}
 }
--- a/internal/node/rpc/node.go
+++ b/internal/node/rpc/node.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +42,8 @@
 	Serve(ctx context.Context) error
 	// Address returns the UDP address that the node listens on.
 	Address() string
+	// BytesSent returns the bytes that left the UDP socket, headers of IP and UDP left out.
+	BytesSent() int64
 	// Close ends all connections.
 	Close() error
 
@@ -51,9 +55,13 @@
 type node struct {
 	config    Config
 	transport *quic.Transport
+	conn      *countingConn
 	handlers  map[string]rawHandler
 	pool      *pool
 	running   sync.WaitGroup
+
+	mu       sync.Mutex
+	accepted map[*quic.Conn]struct{}
 }
 
 // New returns a Node that listens on the configured address.
@@ -66,11 +74,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("rpc: %w", err)
 	}
-	t := &quic.Transport{Conn: s}
+	// A process that was killed comes back under its old address. With a reset
+	// key that outlives it, its answer to packets of old connections ends them at
+	// the peers at once; without it their messages are lost until the idle timeout.
+	reset := quic.StatelessResetKey(c.Ring.ResetKey())
+	conn := &countingConn{UDPConn: s}
+	t := &quic.Transport{Conn: conn, StatelessResetKey: &reset}
 	n := &node{
 		config:    c,
 		transport: t,
+		conn:      conn,
 		handlers:  make(map[string]rawHandler),
+		accepted:  make(map[*quic.Conn]struct{}),
 	}
 	n.pool = newPool(t, c.Ring.TLS(Protocol))
 	return n, nil
@@ -91,9 +106,15 @@
 	return n.transport.Conn.LocalAddr().String()
 }
 
+// BytesSent implements Node.
+func (n *node) BytesSent() int64 {
+	return n.conn.sent.Load()
+}
+
 // Close implements Node.
 func (n *node) Close() error {
 	n.pool.close()
+	n.closeAccepted()
 	err := n.transport.Close()
 	n.running.Wait()
 	if e := n.transport.Conn.Close(); err == nil {
@@ -102,6 +123,28 @@
 	return err
 }
 
+// keep remembers an accepted connection until it ends.
+func (n *node) keep(c *quic.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.accepted[c] = struct{}{}
+	context.AfterFunc(c.Context(), func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.accepted, c)
+	})
+}
+
+// closeAccepted tells the peers that this process ends, so that their next message goes to its successor.
+func (n *node) closeAccepted() {
+	n.mu.Lock()
+	all := slices.Collect(maps.Keys(n.accepted))
+	n.mu.Unlock()
+	for _, c := range all {
+		_ = c.CloseWithError(0, "closing")
+	}
+}
+
 func (n *node) register(name string, h rawHandler) {
 	n.handlers[name] = h
 }
@@ -119,6 +162,7 @@
 			return ctx.Err()
 		}
 		event.PeerConnected.Write(n.config.Logger, log.Fields{"peer": peerOf(c.ConnectionState().TLS, c.RemoteAddr().String()).Name})
+		n.keep(c)
 		n.running.Go(func() { n.acceptCalls(ctx, c) })
 		n.running.Go(func() { n.acceptNotices(ctx, c) })
 	}
