Reads of the control log share rounds; waiting givers and quarantine ask less often

Cause: measured idle, the control leader sent 4 KB/s and used 4.3 ms/s of processor time for each entry (23.2 KB/s and 44 ms/s at 6 entries, 48.1 KB/s and 76 ms/s at 12): each entry asked four times a second whether the lease of those who give orders is free, and each read cost a round to every voter.

--- a/internal/control/quic/server.go
+++ b/internal/control/quic/server.go
@@ -30,6 +30,7 @@
 
 type server struct {
 	Config
+	rounds rounds
 }
 
 // Leader is this process's replica while it leads.
@@ -43,6 +44,7 @@
 // Register adds the handlers of the control log to the node; it is called before the node serves.
 func Register(c Config) Leader {
 	s := &server{Config: c}
+	s.rounds.confirm = s.confirmOnce
 	rpc.Receive(c.Node, protocol.Message, func(_ rpc.Peer, m raft.Message) { c.Replica.Receive(m) })
 	rpc.Handle(c.Node, protocol.Probe, s.probe)
 	rpc.Handle(c.Node, protocol.Status, s.status)
@@ -175,11 +177,19 @@
 }
 
 // leadership returns a confirmed moment after the call began, with all that was committed by then applied.
+func (s *server) leadership(ctx context.Context) (leadership, error) {
+	if s.Replica.Status().Role != raft.Leader.String() {
+		return s.confirmOnce(ctx)
+	}
+	return s.rounds.next(ctx)
+}
+
+// confirmOnce carries out one round.
 //
 // The term is read before and after. Leadership that was lost and won again in
 // between would be answered from an account of leases that misses what the
 // other leader granted.
-func (s *server) leadership(ctx context.Context) (leadership, error) {
+func (s *server) confirmOnce(ctx context.Context) (leadership, error) {
 	before := s.Replica.Status().Term
 	i, err := s.Replica.ReadIndex(ctx)
 	if err != nil {
--- a/internal/entry/backend/giver.go
+++ b/internal/entry/backend/giver.go
@@ -34,6 +34,7 @@
 	noted   uint64
 	renewed time.Time
 	watch   watch
+	asked   time.Time
 }
 
 // NewGiver returns a Giver that works until it is closed.
@@ -97,7 +98,8 @@
 	if g.term.Fencing > 0 && !g.term.Valid(now) {
 		g.lost("the lease ran out")
 	}
-	if g.term.Fencing == 0 {
+	if g.term.Fencing == 0 && now.Sub(g.asked) >= g.duration()/askShare {
+		g.asked = now
 		g.acquire(ctx)
 	}
 	if g.term.Fencing == 0 {
--- a/internal/entry/backend/giver_config.go
+++ b/internal/entry/backend/giver_config.go
@@ -20,6 +20,8 @@
 const (
 	// orderTimeout is less than the time that the controller takes an order to be on its way.
 	orderTimeout = 4 * time.Second
+	// askShare is how often, in one lease, a process that does not hold it asks whether it is free.
+	askShare = 2
 	// orderLease is the lease's name in the control log.
 	orderLease = "orders"
 )
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -38,6 +38,9 @@
 // returnPrior is the share of prompts that are expected to come back before anything is known.
 const returnPrior = 0.5
 
+// quarantineInterval is the time between two looks at the quarantine's record; suspects are told of at once.
+const quarantineInterval = 2 * time.Second
+
 // build makes the parts; the handlers of the QUIC node are registered on the way.
 func (p *process) build() (parts, error) {
 	var x parts
@@ -121,6 +124,7 @@
 			return quarantine.Limits{Servers: f.QuarantineServers, Window: f.QuarantineWindow}
 		},
 		Incarnation: incarnations(x.table),
+		Interval:    quarantineInterval,
 		Logger:      p.config.Logger,
 	})
 	g, err := backend.NewGiver(backend.GiverConfig{
