--- a/internal/load/comparison/contenders.go
+++ b/internal/load/comparison/contenders.go
@@ -28,21 +28,21 @@
 // division of the servers by role.
 func Baselines() []model.Contender {
 	var all []model.Contender
-	for _, make := range []func(baseline.Config) route.Strategy{
+	for _, build := range []func(baseline.Config) route.Strategy{
 		baseline.NewRoundRobin, baseline.NewLeastLoaded, baseline.NewPrefixHash,
 	} {
-		all = append(all, contender(make, baseline.Config{}, model.ExportNone))
-		all = append(all, contender(make, baseline.Config{Imports: true}, model.ExportAll))
+		all = append(all, contender(build, baseline.Config{}, model.ExportNone))
+		all = append(all, contender(build, baseline.Config{Imports: true}, model.ExportAll))
 	}
 	divided := func(c baseline.Config) route.Strategy { return baseline.NewByRole(baseline.NewLeastLoaded(c)) }
 	all = append(all, contender(divided, baseline.Config{}, model.ExportNone))
 	return append(all, contender(divided, baseline.Config{Imports: true}, model.ExportAll))
 }
 
-func contender(make func(baseline.Config) route.Strategy, c baseline.Config, e model.ExportRule) model.Contender {
+func contender(build func(baseline.Config) route.Strategy, c baseline.Config, e model.ExportRule) model.Contender {
 	return model.Contender{
-		Name:     make(c).Name(),
-		Strategy: func() route.Strategy { return make(c) },
+		Name:     build(c).Name(),
+		Strategy: func() route.Strategy { return build(c) },
 		Exports:  e,
 	}
 }
--- a/internal/load/comparison/direction_test.go
+++ b/internal/load/comparison/direction_test.go
@@ -20,10 +20,10 @@
 // rivals returns baselines with engine memory alone and the policy, which is the last.
 func rivals() []model.Contender {
 	var all []model.Contender
-	for _, make := range []func(baseline.Config) route.Strategy{
+	for _, build := range []func(baseline.Config) route.Strategy{
 		baseline.NewRoundRobin, baseline.NewLeastLoaded, baseline.NewPrefixHash,
 	} {
-		all = append(all, contender(make, baseline.Config{}, model.ExportNone))
+		all = append(all, contender(build, baseline.Config{}, model.ExportNone))
 	}
 	return append(all, Policy(PolicyName))
 }
