An engine's error is no loss of its server

An engine that answers with an error lives. Only a connection that broke and could not be taken up again counts; TestEngineErrorIsNoLoss failed before.

--- a/internal/entry/completion/again.go
+++ b/internal/entry/completion/again.go
@@ -13,8 +13,9 @@
 const (
 	codeCancelled = "caller-gone"
 	codeSilent    = "engine-silent"
-	// codeUnreachable is that of the engine client.
+	// codeUnreachable and codeLost are those of the engine client.
 	codeUnreachable = "engine-unreachable"
+	codeLost        = "stream-lost"
 )
 
 // again decides whether a failed attempt is followed by another one. It
--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -201,10 +201,12 @@
 	a.cancel()
 }
 
-// lostServer says whether the attempt's end looks like the loss of its server and not like a refusal.
+// lostServer says whether the attempt ended as if its server were lost: the
+// connection broke and could not be taken up again. An engine that answers with
+// an error lives; counted as lost, it would bring a harmless prompt into quarantine.
 func lostServer(cause error) bool {
 	e, ok := verdict.As(cause)
-	return ok && e.Verdict == verdict.MayHaveRun && e.Code != codeCancelled && e.Code != codeSilent
+	return ok && e.Code == codeLost
 }
 
 // unreachable says whether no connection to the server could be made.
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -15,7 +15,8 @@
 
 var (
 	errRefused = verdict.New(verdict.NotRun, 503, codeUnreachable, "no connection")
-	errLost    = verdict.New(verdict.MayHaveRun, 502, "stream-lost", "the connection broke")
+	errLost    = verdict.New(verdict.MayHaveRun, 502, codeLost, "the connection broke")
+	errEngine  = verdict.New(verdict.MayHaveRun, 502, "engine-failed", "out of memory")
 )
 
 // A server vanishes before its first token. The caller must not notice: the
@@ -75,6 +76,20 @@
 	}
 }
 
+// An engine answers a prompt with an error, as engines do for many reasons. It
+// lives; the prompt must not be held for one that crashes servers.
+func TestEngineErrorIsNoLoss(t *testing.T) {
+	b := newBench(t, 1, 0)
+	b.engines.scripts[address("engine-1")] = script{end: errEngine}
+	s, err := b.router.Complete(context.Background(), newCall("a question", 7))
+	if err == nil {
+		_, err = drain(s)
+	}
+	if err == nil || len(b.guard.lost) != 0 {
+		t.Errorf("got %v, the guard heard of %v", err, b.guard.lost)
+	}
+}
+
 // A refusal after an attempt that may have run must not say that nothing ran.
 func TestRefusalAfterALostAttemptKeepsItsVerdict(t *testing.T) {
 	b := newBench(t, 1, 0)
