Entries learn anew what stores hold; failed imports are forgotten

A directory holder that restarted knew of stores' pieces only by new seals, so after a restart of all entries every prompt that came back was computed and exported again. Each entry lists each store once in the life of both. Imports that an engine says have failed are looked up at their store, and forgotten when the piece is gone; before, each return waited for the same failing read.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -33,6 +33,8 @@
 	engines   []*host
 	stores    []*host
 	processes map[string]*process
+	// fillers counts the prompts that pushed others out of the engines' memory.
+	fillers int
 }
 
 // host is one VM: an address and the process on it.
--- a/internal/cache/quic/cache.go
+++ b/internal/cache/quic/cache.go
@@ -79,6 +79,7 @@
 		return directory.Serve(c.Directory, c.Now(), m), nil
 	})
 	k.running.Go(func() { k.sweep(ctx) })
+	k.running.Go(func() { k.relearn(ctx) })
 	return k
 }
 
--- a/internal/cache/quic/config.go
+++ b/internal/cache/quic/config.go
@@ -19,6 +19,10 @@
 	Directory directory.Directory
 	// Deleter deletes pieces at their stores.
 	Deleter Deleter
+	// Lister lists what stores hold.
+	Lister Lister
+	// Stores returns the stores that are ready.
+	Stores func() []StoreVM
 	// Incarnation returns the newest known incarnation of an engine or store, zero for an unknown one.
 	Incarnation func(identity string) uint64
 	// Each calls its argument with the newest known incarnation of each engine and store.
--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -36,6 +36,7 @@
 	sent     time.Time
 	expected time.Duration
 	pins     []directory.Pin
+	imports  []importPiece
 	stream   engine.Stream
 	cancel   context.CancelFunc
 	silence  *time.Timer
@@ -84,6 +85,7 @@
 		return err
 	}
 	a.load = r.loadOf(j, a)
+	a.imports = imports
 	r.meters.planned(a, imports)
 	r.inFlight.add(a.load, 1)
 	r.Work.Sent(r.Now(), a.server.Key(), a.load.tokens)
@@ -256,7 +258,9 @@
 			Store:      store.Address,
 			Generation: c.Generation,
 			Bytes:      c.Bytes,
-			store:      c.Store,
+
+			store:       c.Store,
+			incarnation: store.Incarnation,
 		})
 	}
 	return all
--- a/internal/entry/completion/config.go
+++ b/internal/entry/completion/config.go
@@ -10,6 +10,7 @@
 
 	"hornbeamwood/internal/cache/block"
 	"hornbeamwood/internal/cache/directory"
+	"hornbeamwood/internal/cache/store"
 	"hornbeamwood/internal/entry/engine"
 	"hornbeamwood/internal/fleet/membership"
 	"hornbeamwood/internal/policy/admission"
@@ -42,6 +43,12 @@
 	Export(ctx context.Context, address string, e Export) ([]ExportResult, error)
 }
 
+// Heads asks stores what they hold.
+type Heads interface {
+	// Head returns the sealed piece of a key and false when the store has none.
+	Head(ctx context.Context, address string, k block.Key) (store.Piece, bool, error)
+}
+
 // Servers are the backend servers as this entry knows them.
 type Servers interface {
 	// View returns all servers as they are known now.
@@ -57,6 +64,8 @@
 	// Engines and Exports talk to engines.
 	Engines Engines
 	Exports Exports
+	// Heads asks stores for pieces that could not be imported.
+	Heads Heads
 	// Strategy, Admission and Retry decide.
 	Strategy  route.Strategy
 	Admission admission.Policy
--- a/internal/entry/completion/fake_test.go
+++ b/internal/entry/completion/fake_test.go
@@ -14,6 +14,7 @@
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/cache/block"
 	"hornbeamwood/internal/cache/directory"
+	"hornbeamwood/internal/cache/store"
 	"hornbeamwood/internal/entry/caller"
 	"hornbeamwood/internal/entry/engine"
 	"hornbeamwood/internal/fleet/announcement"
@@ -133,6 +134,14 @@
 	f.pinned -= len(all)
 }
 
+// fakeHeads holds the pieces that a store still has.
+type fakeHeads map[block.Key]store.Piece
+
+func (f fakeHeads) Head(_ context.Context, _ string, k block.Key) (store.Piece, bool, error) {
+	p, ok := f[k]
+	return p, ok, nil
+}
+
 type fakeExports struct{}
 
 func (fakeExports) Export(_ context.Context, _ string, e Export) ([]ExportResult, error) {
@@ -169,6 +178,7 @@
 	cache   *fakeCache
 	guard   *fakeGuard
 	table   membership.Table
+	heads   fakeHeads
 }
 
 func newBench(t *testing.T, engines int, queued int64) *bench {
@@ -177,6 +187,7 @@
 		engines: &fakeEngines{scripts: make(map[string]script)},
 		cache:   &fakeCache{found: make(map[block.Key]directory.Location), refused: make(map[block.Key]bool)},
 		guard:   &fakeGuard{},
+		heads:   fakeHeads{},
 		table:   membership.New(membership.Config{}),
 	}
 	now := time.Now()
@@ -190,7 +201,7 @@
 	}
 	attempts := 0
 	b.router = New(Config{
-		Servers: b.table, Work: g.Work(), Cache: b.cache, Engines: b.engines, Exports: fakeExports{},
+		Servers: b.table, Work: g.Work(), Cache: b.cache, Engines: b.engines, Exports: fakeExports{}, Heads: b.heads,
 		Strategy: route.New(route.Config{}), Admission: admission.New(admission.Config{}),
 		Retry: retry.New(retry.Config{}), Returns: placement.NewReturns(0.5), Guard: b.guard, Entries: 1,
 		Now:        func() time.Time { return now },
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -10,6 +10,7 @@
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/cache/block"
 	"hornbeamwood/internal/cache/directory"
+	"hornbeamwood/internal/cache/store"
 	"hornbeamwood/internal/fleet/announcement"
 )
 
@@ -145,6 +146,35 @@
 	}
 }
 
+// A store has dropped a piece on its own, and the engine says that it could not
+// be imported. Nobody must try that piece again; but one that failed because a
+// connection broke is still there and must not be forgotten.
+func TestMissedImportIsForgotten(t *testing.T) {
+	b := newBench(t, 1, 0)
+	q := newCall(strings.Repeat("logbook of the station, page ", 20), 7)
+	keys := block.Scope{Workspace: "gate", Model: "draft", WeightVersion: "v1", PieceTokens: pieceTokens}.Tokens(q.Tokens)
+	for _, k := range keys {
+		b.cache.found[k] = directory.Location{Stores: []directory.Stored{{Store: "store-1", Generation: 5, Bytes: 10}}}
+	}
+	b.engines.scripts[address("engine-1")] = script{events: []string{`{"choices":[],"kv_transfer_params":{"failed":["` + keys[1].String() + `","` + keys[2].String() + `"]}}`}}
+	b.heads[keys[2]] = store.Piece{Key: keys[2], Generation: 5, Bytes: 10}
+	s, err := b.router.Complete(context.Background(), q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = drain(s)
+	b.router.Close()
+	var freed []block.Key
+	for _, c := range b.cache.changes {
+		if c.To == directory.Freed && c.Generation == 5 && c.Store == "store-1" {
+			freed = append(freed, c.Key)
+		}
+	}
+	if len(freed) != 1 || freed[0] != keys[1] {
+		t.Errorf("freed %v, want %s", freed, keys[1])
+	}
+}
+
 // An engine is frozen: it took the request and says nothing. The caller must
 // not wait for its whole deadline while another engine is free.
 func TestSilentEngineIsGivenUp(t *testing.T) {
--- a/internal/entry/completion/stream.go
+++ b/internal/entry/completion/stream.go
@@ -30,6 +30,7 @@
 		b, err := s.attempt.stream.Next()
 		if err == nil {
 			s.begin()
+			s.router.noteMissed(s.ctx, s.attempt, b)
 			return b, nil
 		}
 		s.failed(err)
--- a/internal/entry/completion/transfer.go
+++ b/internal/entry/completion/transfer.go
@@ -26,7 +26,8 @@
 	Generation uint64    `json:"generation"`
 	Bytes      int64     `json:"bytes"`
 
-	store string
+	store       string
+	incarnation uint64
 }
 
 // withTransfer returns the caller's body with the system's own transfer field.
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -22,6 +22,7 @@
 	"hornbeamwood/internal/entry/service"
 	"hornbeamwood/internal/entry/settings"
 	"hornbeamwood/internal/entry/status"
+	"hornbeamwood/internal/fleet/announcement"
 	"hornbeamwood/internal/fleet/membership"
 	"hornbeamwood/internal/fleet/orders"
 	fleetquic "hornbeamwood/internal/fleet/quic"
@@ -93,16 +94,18 @@
 }
 
 func (p *process) buildCache(x *parts) {
-	stores := store.New(newHTTPClient())
+	x.stores = store.New(newHTTPClient())
 	x.orders = backend.NewEngine(newHTTPClient())
-	x.exports = cacheengine.NewExports(cacheengine.Config{Engine: x.orders, Heads: stores})
+	x.exports = cacheengine.NewExports(cacheengine.Config{Engine: x.orders, Heads: x.stores})
 	x.directory = directory.New(directory.Config{Start: time.Now()})
 	x.cache = cachequic.New(cachequic.Config{
 		Node:        p.node,
 		Self:        p.config.File.Name,
 		Addresses:   p.peers(),
 		Directory:   x.directory,
-		Deleter:     deleter{table: x.table, stores: stores},
+		Deleter:     deleter{table: x.table, stores: x.stores},
+		Lister:      x.stores,
+		Stores:      readyStores(x.table),
 		Incarnation: incarnations(x.table),
 		Each:        eachIncarnation(x.table),
 		Now:         time.Now,
@@ -163,6 +166,7 @@
 		Cache:      x.cache,
 		Engines:    x.engines,
 		Exports:    x.exports,
+		Heads:      x.stores,
 		Strategy:   route.New(route.Config{}),
 		Admission:  admission.New(admission.Config{}),
 		Retry:      retries,
@@ -239,6 +243,20 @@
 	return d.stores.Delete(ctx, s.Announcement().Address, x.Key, x.Generation)
 }
 
+func readyStores(t membership.Table) func() []cachequic.StoreVM {
+	return func() []cachequic.StoreVM {
+		var all []cachequic.StoreVM
+		v := t.View()
+		for s := range v.All() {
+			a := s.Announcement()
+			if a.Kind == announcement.Store && a.State == announcement.Ready {
+				all = append(all, cachequic.StoreVM{Identity: a.Identity, Incarnation: a.Incarnation, Address: a.Address})
+			}
+		}
+		return all
+	}
+}
+
 func incarnations(t membership.Table) func(string) uint64 {
 	return func(identity string) uint64 {
 		s, ok := t.View().Server(identity)
--- a/internal/process/entry/parts.go
+++ b/internal/process/entry/parts.go
@@ -10,6 +10,7 @@
 
 	"hornbeamwood/internal/cache/directory"
 	cachequic "hornbeamwood/internal/cache/quic"
+	"hornbeamwood/internal/cache/store"
 	"hornbeamwood/internal/entry/backend"
 	"hornbeamwood/internal/entry/caller"
 	"hornbeamwood/internal/entry/completion"
@@ -38,6 +39,7 @@
 	cache    cachequic.Cache
 	engines  engine.Client
 	orders   backend.Engine
+	stores   store.Client
 	services service.Client
 	router   completion.Router
 	caller   caller.Handler
--- a/thin_path_test.go
+++ b/thin_path_test.go
@@ -130,8 +130,9 @@
 }
 
 // A dossier comes back after other prompts have pushed its cache out of the
-// engines' memory. Its user waits for a whole prefill unless a store still
-// has the pieces.
+// engines' memory, and once more after all entries were restarted. Its user
+// waits for a whole prefill unless a store still has the pieces and somebody
+// knows of them.
 func returningPrompt(t *testing.T, f *fleet, store *host, servers []*host) {
 	dossier := strings.Repeat("specification of coatings and lots; ", 230)
 	if c := complete(f.entries[0], gateKey, "draft", dossier, 4); !c.done {
@@ -143,14 +144,14 @@
 	eventually(t, "the pieces are in the store", func() bool {
 		return len(getJSON[pieces](t, store.url()+"/pieces").Pieces) >= 8
 	})
-	eventually(t, "the dossier is served from the store", func() bool {
-		for i := range 4 {
-			complete(f.entries[i%2], plantKey, "draft", strings.Repeat(fmt.Sprintf("filler %d of other plants; ", i), 300), 1)
-		}
-		before := importedBytes(t, servers)
-		c := complete(f.entries[1], gateKey, "draft", dossier, 4)
-		return c.done && c.cached > 0 && importedBytes(t, servers) > before
-	})
+	f.returns(t, servers, dossier)
+	for _, e := range f.entries {
+		f.restart(e, f.startEntry, true)
+	}
+	for _, e := range f.entries {
+		f.serves(e, gateKey, "draft")
+	}
+	f.returns(t, servers, dossier)
 	for _, s := range servers {
 		if r := getJSON[engine.Report](t, s.url()+"/standin/report"); r.WrongPieces != 0 {
 			t.Errorf("%s imported %d wrong pieces", s.name, r.WrongPieces)
@@ -158,6 +159,21 @@
 	}
 }
 
+// returns pushes a prompt out of the engines' memory by those of another
+// workspace and sends it again, until its pieces come from the store.
+func (f *fleet) returns(t *testing.T, servers []*host, prompt string) {
+	t.Helper()
+	eventually(t, "the prompt is served from the store", func() bool {
+		for i := range 4 {
+			f.fillers++
+			complete(f.entries[i%2], plantKey, "draft", strings.Repeat(fmt.Sprintf("filler %d of other plants; ", f.fillers), 300), 1)
+		}
+		before := importedBytes(t, servers)
+		c := complete(f.entries[1], gateKey, "draft", prompt, 4)
+		return c.done && c.cached > 0 && importedBytes(t, servers) > before
+	})
+}
+
 func importedBytes(t *testing.T, servers []*host) int {
 	n := 0
 	for _, s := range servers {
