Every effective setting is read: context, region, the fleet's share of retries

A test that looks at all fields of the effective settings found three that no serving code read. A prompt beyond its model's context is refused before it is queued; non-idempotent calls are taken in the workspace's own region only, because each region has its own ledger; the fleet's share of retries comes from the settings.

--- a/internal/cli/demo/site.go
+++ b/internal/cli/demo/site.go
@@ -89,7 +89,7 @@
 		Name:                       p.Name,
 		Role:                       r,
 		Zone:                       p.Zone,
-		Region:                     "andes-centro",
+		Region:                     region,
 		LogFormat:                  node.Text,
 		BootstrapOperatorKeyDigest: digest.Of(bootstrapKey),
 		Listen:                     node.Listen{QUIC: p.Address},
--- a/internal/cli/demo/tree.go
+++ b/internal/cli/demo/tree.go
@@ -34,6 +34,7 @@
 	}
 	for _, t := range []table{first, second} {
 		t.sink()
+		t.move()
 	}
 	for _, name := range []string{workspacesTable, modelsTable, servicesTable} {
 		maps.Copy(first.sub(name), second.sub(name))
@@ -55,6 +56,18 @@
 	return m
 }
 
+// region is that of the demo's processes; a workspace's calls are claimed in its own region only.
+const region = "andes-centro"
+
+// move puts all workspaces into the demo's region.
+func (t table) move() {
+	for _, b := range t.sub(workspacesTable) {
+		if m, ok := b.(map[string]any); ok {
+			m["region"] = region
+		}
+	}
+}
+
 // modelSettings are those of a root's settings that belong to models.
 var modelSettings = map[string]bool{"piece-tokens": true, "context-tokens": true}
 
--- a/internal/entry/completion/fake_test.go
+++ b/internal/entry/completion/fake_test.go
@@ -246,7 +246,7 @@
 		Prompt: []byte(prompt), Tokens: tokens, Received: time.Now(),
 		Model:    rules.Model{Name: "draft", WeightVersion: "v1", PieceTokens: pieceTokens},
 		Rules:    rules.Rules{Deadline: time.Minute, Priority: priority, Share: 1, RetryShare: 1, FirstTokenPrice: 1, LinkPrice: 0.01, RecomputePrice: 1},
-		Snapshot: &rules.Snapshot{Fleet: rules.Fleet{AnnouncementAge: 2 * time.Second}},
+		Snapshot: &rules.Snapshot{Fleet: rules.Fleet{AnnouncementAge: 2 * time.Second, RetryShare: 1}},
 	}
 }
 
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 
+	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/entry/caller"
 )
 
@@ -55,6 +57,10 @@
 
 // Complete implements caller.Completer.
 func (r *router) Complete(ctx context.Context, q caller.Request) (caller.Stream, error) {
+	if err := fits(q); err != nil {
+		r.meters.ended(err)
+		return nil, err
+	}
 	j := r.newJob(q)
 	r.Guard.Name(j.fingerprint, q.Workspace, q.Model.Name)
 	if err := r.Guard.Check(r.Now(), j.fingerprint); err != nil {
@@ -62,7 +68,7 @@
 		return nil, err
 	}
 	j.locations = r.Cache.Lookup(ctx, j.keys)
-	r.Retry.First(q.Workspace, q.Rules.RetryShare)
+	r.Retry.First(q.Workspace, q.Rules.RetryShare, q.Snapshot.Fleet.RetryShare)
 	a, err := r.start(ctx, j)
 	for err != nil {
 		if a == nil {
@@ -74,3 +80,13 @@
 	}
 	return newStream(ctx, r, j, a), nil
 }
+
+// fits refuses a prompt that is longer than its model's context; an engine would refuse it after it was read and queued.
+func fits(q caller.Request) error {
+	limit := q.Model.ContextTokens
+	if limit <= 0 || len(q.Tokens) <= limit {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, http.StatusBadRequest, "context-length-exceeded",
+		"the prompt has about %d tokens; model %s takes %d with the answer", len(q.Tokens), q.Model.Name, limit)
+}
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -104,6 +104,16 @@
 	}
 }
 
+func TestPromptBeyondTheContextIsRefused(t *testing.T) {
+	b := newBench(t, 1, 0)
+	q := newCall(strings.Repeat("word", 40), 7)
+	q.Model.ContextTokens = 39
+	_, err := b.router.Complete(context.Background(), q)
+	if e, ok := verdict.As(err); !ok || e.Code != "context-length-exceeded" || e.Verdict != verdict.NotRun || len(b.engines.ran()) != 0 {
+		t.Errorf("got %v", err)
+	}
+}
+
 // A caller names pieces for import in its own body. Passed on, they could be
 // another workspace's; only what the entry itself plans may reach the engine.
 func TestCallersTransferFieldIsReplaced(t *testing.T) {
--- a/internal/load/model/entry.go
+++ b/internal/load/model/entry.go
@@ -57,14 +57,14 @@
 // arrive takes a request from its caller.
 func (e *entry) arrive(q *request) {
 	q.entry = e
-	e.retries.First(q.arrival.Workspace, retryShare)
+	e.retries.First(q.arrival.Workspace, retryShare, retryShare)
 	if q.arrival.Document != 0 {
 		e.returns.Seen(q.arrival.Workspace, q.arrival.Visit)
 	}
 	e.attempt(q)
 }
 
-// retryShare is the part of a workspace's requests that may be repeated.
+// retryShare is the part of a workspace's requests, and of all, that may be repeated.
 const retryShare = 0.1
 
 // attempt decides and sends.
--- a/internal/policy/retry/config.go
+++ b/internal/policy/retry/config.go
@@ -4,8 +4,6 @@
 
 // Config says how attempts are repeated; zero values mean the defaults.
 type Config struct {
-	// FleetShare is the share of all first tries that may be repeated.
-	FleetShare float64
 	// Burst is the number of repeats that a quiet workspace may have at once.
 	Burst float64
 	// FleetBurst is the number of repeats that all workspaces together may have at once.
@@ -17,7 +15,6 @@
 }
 
 const (
-	defaultFleetShare = 0.1
 	defaultBurst      = 3
 	defaultFleetBurst = 10
 	defaultBaseWait   = 20 * time.Millisecond
@@ -25,9 +22,6 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.FleetShare <= 0 {
-		c.FleetShare = defaultFleetShare
-	}
 	if c.Burst <= 0 {
 		c.Burst = defaultBurst
 	}
--- a/internal/policy/retry/policy.go
+++ b/internal/policy/retry/policy.go
@@ -14,8 +14,8 @@
 // Each entry fills its budgets from its own first tries, so that the sum over the entries
 // stays within the share of all.
 type Policy interface {
-	// First counts a first try of a workspace whose rules allow share of its requests to be repeated.
-	First(workspace string, share float64)
+	// First counts a first try of a workspace whose rules allow share of its requests, and of all requests fleetShare, to be repeated.
+	First(workspace string, share, fleetShare float64)
 	// Decide returns whether the failed attempt is followed by another and takes it from the budgets.
 	Decide(f Failure, random *rand.Rand) Decision
 	// Forget drops the budget of a workspace that no longer exists.
@@ -50,7 +50,7 @@
 	return &p.shards[xxhash.Sum64String(workspace)%shards]
 }
 
-func (p *policy) First(workspace string, share float64) {
+func (p *policy) First(workspace string, share, fleetShare float64) {
 	s := p.shard(workspace)
 	s.mutex.Lock()
 	b, ok := s.buckets[workspace]
@@ -61,7 +61,7 @@
 	b.fill(share, p.config.Burst)
 	s.mutex.Unlock()
 	p.mutex.Lock()
-	p.fleet.fill(p.config.FleetShare, p.config.FleetBurst)
+	p.fleet.fill(fleetShare, p.config.FleetBurst)
 	p.mutex.Unlock()
 }
 
--- a/internal/policy/retry/policy_test.go
+++ b/internal/policy/retry/policy_test.go
@@ -27,14 +27,15 @@
 	properties.Property("retries never exceed the share of first tries and the burst", prop.ForAll(
 		func(seed uint64, first, workspaces int, share float64) bool {
 			random := rand.New(rand.NewPCG(seed, 0))
-			c := Config{FleetShare: 0.1}.withDefaults()
+			const fleetShare = 0.1
+			c := Config{}.withDefaults()
 			p := New(c)
 			tries := map[string]float64{}
 			retries := map[string]float64{}
 			var all float64
 			for range first {
 				w := string(rune('a' + random.IntN(workspaces)))
-				p.First(w, share)
+				p.First(w, share, fleetShare)
 				tries[w]++
 				for a := 1; ; a++ {
 					f := failure(w)
@@ -51,7 +52,7 @@
 					return false
 				}
 			}
-			return all <= c.FleetShare*float64(first)+c.FleetBurst+1e-9
+			return all <= fleetShare*float64(first)+c.FleetBurst+1e-9
 		}, gen.UInt64(), gen.IntRange(1, 500), gen.IntRange(1, 5), gen.Float64Range(0, 0.5)))
 	properties.TestingRun(t)
 }
@@ -61,7 +62,7 @@
 func TestWhatIsNeverRepeated(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	p := New(Config{})
-	p.First("a", 1)
+	p.First("a", 1, 1)
 	cases := map[Reason]func(f *Failure){
 		MayRepeat:      func(f *Failure) { f.Idempotent, f.Verdict = false, verdict.MayHaveRun },
 		PartAnswered:   func(f *Failure) { f.Answered = true },
--- a/internal/process/entry/budget.go
+++ b/internal/process/entry/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -42,14 +43,25 @@
 	}, b.random).Retry
 }
 
-// counted fills the budgets from the first tries of calls.
-type counted struct {
-	client  service.Client
-	retries retry.Policy
+// calls lets the region of the workspace serve its calls, and fills the budgets from first tries.
+type calls struct {
+	client   service.Client
+	retries  retry.Policy
+	settings settings.Keeper
+	region   string
 }
 
 // Call implements caller.Services.
-func (c counted) Call(ctx context.Context, r service.Request) (service.Answer, error) {
-	c.retries.First(r.Workspace, r.Rules.RetryShare)
+//
+// Each region has its own ledger. A call claimed in two regions would run in
+// both, so only the workspace's own region takes its non-idempotent calls.
+func (c calls) Call(ctx context.Context, r service.Request) (service.Answer, error) {
+	s := c.settings.View().Rules
+	home := s.Workspaces[r.Workspace].Region
+	if r.Rules.NonIdempotent && home != c.region {
+		return service.Answer{}, verdict.New(verdict.MayHaveRun, http.StatusMisdirectedRequest, "other-region",
+			"calls of this workspace are claimed in region %s; this send dispatched nothing", home)
+	}
+	c.retries.First(r.Workspace, r.Rules.RetryShare, s.Fleet.RetryShare)
 	return c.client.Call(ctx, r)
 }
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -12,7 +12,7 @@
 	"hornbeamwood/internal/cache/store"
 	"hornbeamwood/internal/entry/backend"
 	"hornbeamwood/internal/entry/caller"
-	"hornbeamwood/internal/entry/calls"
+	entrycalls "hornbeamwood/internal/entry/calls"
 	"hornbeamwood/internal/entry/completion"
 	"hornbeamwood/internal/entry/control"
 	"hornbeamwood/internal/entry/engine"
@@ -69,7 +69,7 @@
 	x.caller = caller.New(caller.Config{
 		Snapshots: x.settings,
 		Completer: x.router,
-		Services:  counted{client: x.services, retries: retries},
+		Services:  calls{client: x.services, retries: retries, settings: x.settings, region: p.config.File.Region},
 		Logger:    logger,
 	})
 	return x, nil
@@ -224,7 +224,7 @@
 		Quarantined: p.parts.guard.Quarantined,
 		Now:         time.Now,
 	})
-	all := append(calls.Actions(p.parts.control), quarantine.Actions(p.parts.control)...)
+	all := append(entrycalls.Actions(p.parts.control), quarantine.Actions(p.parts.control)...)
 	return append(all, s)
 }
 
