--- a/measure_test.go
+++ b/measure_test.go
@@ -19,6 +19,8 @@
 
 var measure = flag.Bool("measure", false, "run the measurements of whole processes, with binaries without the race detector")
 
+var measurePart = flag.String("measure.part", "", "run one part only: entries, workspaces, cell, load")
+
 // measureTime is how long each figure is taken over.
 const measureTime = 10 * time.Second
 
@@ -115,15 +117,15 @@
 	return b.String()
 }
 
-// measuredFleet starts a deployment of three replicas, some entries, thirteen engines, a store and a service.
-func measuredFleet(t *testing.T, entries, workspaces int) *fleet {
+// measuredFleet starts a deployment of three replicas, some entries and engines, a store and a service.
+func measuredFleet(t *testing.T, entries, engines, workspaces int) *fleet {
 	f := newFleet(t, 3, entries)
 	for _, h := range f.controls {
 		f.replaceIn(h, "[listen]\n", fmt.Sprintf("[listen]\nmetrics = \"%s:%d\"\n", h.ip, httpPort))
 	}
 	f.startNodes()
 	table := "[engine]\nmodels = [\"draft\", \"lot-note-check\", \"status-read\"]\nweight-version = \"v1\"\nprefill-rate = 10000000\ndecode-rate = 5000\nmax-running = 256\ncache-pieces = 60\npiece-bytes = 65536\n"
-	for i := range 13 {
+	for i := range engines {
 		f.engines = append(f.engines, f.startStandin(fmt.Sprintf("engine-%d", i+1), "engine", table))
 	}
 	f.startStandin("store-1", "store", "[store]\nmemory-bytes = 500000000\ndisk-bytes = 8000000\nlink-rate = 1000000000\n")
@@ -142,21 +144,42 @@
 	if !*measure {
 		return
 	}
-	for _, n := range []int{2, 6, 12} {
-		f := measuredFleet(t, n, 0)
-		f.print(fmt.Sprintf("idle, %d entries", n), func() { time.Sleep(measureTime) })
-		f.stopEverything()
+	for name, part := range measureParts {
+		if *measurePart == "" || *measurePart == name {
+			part(t)
+		}
 	}
-	for _, n := range []int{340, 1390} {
-		f := measuredFleet(t, 6, n)
-		f.print(fmt.Sprintf("idle, 6 entries, %d workspaces", n+10), func() { time.Sleep(measureTime) })
+}
+
+// measureParts are the parts of TestMeasureProcesses.
+var measureParts = map[string]func(t *testing.T){
+	"entries": func(t *testing.T) {
+		for _, n := range []int{2, 6, 12} {
+			idle(t, n, 13, 0)
+		}
+	},
+	"workspaces": func(t *testing.T) {
+		for _, n := range []int{340, 1390} {
+			idle(t, 6, 13, n)
+		}
+	},
+	"cell": func(t *testing.T) { idle(t, 20, 58, 0) },
+	"load": func(t *testing.T) {
+		f := measuredFleet(t, 6, 13, 0)
+		for _, rate := range []float64{20, 60, 180} {
+			f.print(fmt.Sprintf("load, 6 entries, %g requests a second", rate), func() { f.load(rate) })
+		}
+		f.edits()
 		f.stopEverything()
-	}
-	f := measuredFleet(t, 6, 0)
-	for _, rate := range []float64{20, 60, 180} {
-		f.print(fmt.Sprintf("load, 6 entries, %g requests a second", rate), func() { f.load(rate) })
-	}
-	f.edits()
+	},
+}
+
+// idle measures a fleet without requests.
+func idle(t *testing.T, entries, engines, workspaces int) {
+	f := measuredFleet(t, entries, engines, workspaces)
+	what := fmt.Sprintf("idle, %d entries, %d servers, %d workspaces", entries, engines+2, workspaces+10)
+	f.print(what, func() { time.Sleep(measureTime) })
+	f.stopEverything()
 }
 
 func (f *fleet) print(what string, run func()) {
