--- a/internal/cli/demo/row.go
+++ b/internal/cli/demo/row.go
@@ -25,24 +25,24 @@
 }
 
 func (r row) firstToken() string {
-	if r.answer.first == 0 {
+	if r.answer.First == 0 {
 		return "-"
 	}
-	return r.answer.first.Round(time.Millisecond).String()
+	return r.answer.First.Round(time.Millisecond).String()
 }
 
 func (r row) recomputed() string {
-	if r.answer.prompt == 0 {
+	if r.answer.Prompt == 0 {
 		return "-"
 	}
-	return fmt.Sprintf("%.0f %%", 100*r.answer.recomputed())
+	return fmt.Sprintf("%.0f %%", 100*r.answer.Recomputed())
 }
 
 func (r row) linkBytes() string {
-	if r.answer.prompt == 0 {
+	if r.answer.Prompt == 0 {
 		return "-"
 	}
-	return fmt.Sprint(r.answer.imported)
+	return fmt.Sprint(r.answer.Imported)
 }
 
 func (r row) outcome() string {
--- a/internal/cli/demo/tour.go
+++ b/internal/cli/demo/tour.go
@@ -72,8 +72,8 @@
 	if err != nil {
 		return a, err
 	}
-	if a.status != http.StatusOK || !a.whole {
-		return a, fmt.Errorf("status %d, whole %v: %.200s", a.status, a.whole, a.body)
+	if a.status != http.StatusOK || !a.Whole {
+		return a, fmt.Errorf("status %d, whole %v: %.200s", a.status, a.Whole, a.body)
 	}
 	return a, nil
 }
@@ -108,8 +108,8 @@
 		if a, err = t.whole(ctx, 1, key, model, prompt); err != nil {
 			return err
 		}
-		if a.imported == 0 || a.recomputed() > 0.5 {
-			return fmt.Errorf("%.0f %% recomputed, %d bytes imported", 100*a.recomputed(), a.imported)
+		if a.Imported == 0 || a.Recomputed() > 0.5 {
+			return fmt.Errorf("%.0f %% recomputed, %d bytes imported", 100*a.Recomputed(), a.Imported)
 		}
 		return nil
 	})
--- a/internal/cli/load/request.go
+++ b/internal/cli/load/request.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -11,13 +10,13 @@
 	"strings"
 	"time"
 
+	"hornbeamwood/internal/cli/stream"
 	"hornbeamwood/internal/load/workload"
 )
 
 const (
 	// bytesPerToken is how entries and stand-ins count the tokens of a text.
 	bytesPerToken = 4
-	maxEvent      = 1 << 20
 	requestTime   = 3 * time.Minute
 )
 
@@ -107,51 +106,8 @@
 		o.whole = err == nil && r.StatusCode/100 == 2
 		return o
 	}
-	o.read(r.Body, sent)
+	a, err := stream.Read(r.Body, sent)
+	o.first, o.whole = a.First, a.Whole && err == nil
+	o.prompt, o.cached, o.imported = a.Prompt, a.Cached, a.Imported
 	return o
 }
-
-// event is the part of a stream's event that is counted.
-type event struct {
-	Usage *struct {
-		Prompt  int64 `json:"prompt_tokens"`
-		Details struct {
-			Cached int64 `json:"cached_tokens"`
-		} `json:"prompt_tokens_details"`
-	} `json:"usage"`
-	Transfer *struct {
-		Imported int64 `json:"imported-bytes"`
-	} `json:"kv_transfer_params"`
-}
-
-func (o *outcome) read(r io.Reader, sent time.Time) {
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxEvent)
-	for s.Scan() {
-		data, ok := bytes.CutPrefix(s.Bytes(), []byte("data: "))
-		if !ok {
-			continue
-		}
-		if o.first == 0 {
-			o.first = time.Since(sent)
-		}
-		if string(data) == "[DONE]" {
-			o.whole = true
-			continue
-		}
-		if bytes.Contains(data, []byte(`"usage":{`)) {
-			o.count(data)
-		}
-	}
-}
-
-func (o *outcome) count(data []byte) {
-	var e event
-	if json.Unmarshal(data, &e) != nil || e.Usage == nil {
-		return
-	}
-	o.prompt, o.cached = e.Usage.Prompt, e.Usage.Details.Cached
-	if e.Transfer != nil {
-		o.imported = e.Transfer.Imported
-	}
-}
