--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -82,6 +82,7 @@
 	imports := r.imports(ctx, j, a)
 	body, err := withTransfer(j, imports)
 	if err != nil {
+		r.unpin(ctx, a.pins)
 		return err
 	}
 	a.load = r.loadOf(j, a)
@@ -92,27 +93,45 @@
 	r.sentOnLinks(a, imports)
 	r.Guard.Started(r.Now(), j.fingerprint, identity)
 	a.sent = r.Now()
-	ctx, a.cancel = context.WithCancel(ctx)
-	a.silence = time.AfterFunc(r.patience(j, a), a.cancel)
-	if err = r.recheck(j, a); err != nil {
-		r.end(ctx, j, a, err)
-		return err
+	running, cancel := context.WithCancel(ctx)
+	a.cancel = cancel
+	a.silence = time.AfterFunc(r.patience(j, a), cancel)
+	if err = r.recheck(j, a); err == nil {
+		a.stream, err = r.Engines.Run(running, a.server.Announcement().Address, engine.Request{
+			ID:            j.ID,
+			Attempt:       a.id,
+			Workspace:     j.Workspace,
+			Path:          j.Path,
+			Body:          body,
+			Priority:      j.Rules.Priority,
+			WeightVersion: j.Model.WeightVersion,
+		})
 	}
-	a.stream, err = r.Engines.Run(ctx, a.server.Announcement().Address, engine.Request{
-		ID:            j.ID,
-		Attempt:       a.id,
-		Workspace:     j.Workspace,
-		Path:          j.Path,
-		Body:          body,
-		Priority:      j.Rules.Priority,
-		WeightVersion: j.Model.WeightVersion,
-	})
-	if err != nil {
-		r.end(ctx, j, a, err)
+	if err == nil {
+		return nil
 	}
+	err = classify(ctx, a, err)
+	r.end(ctx, j, a, err)
 	return err
 }
 
+// classify tells a failed attempt's own end from those that the entry brought
+// about: the caller has left, or the first token did not come in time. Taken
+// for the loss of their server, these would bring harmless prompts into quarantine.
+func classify(ctx context.Context, a *attempt, cause error) error {
+	if errors.Is(cause, io.EOF) {
+		return cause
+	}
+	if ctx.Err() != nil {
+		return callerGone(cause).WithVerdict(verdict.Of(cause))
+	}
+	if !a.first && !a.silence.Stop() {
+		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, codeSilent,
+			"the model engine sent nothing in time").WithCause(cause)
+	}
+	return cause
+}
+
 // recheck asks again whether the server may get the request, right before it is sent.
 //
 // Between the choice and the first byte lie pins and perhaps a frozen process;
@@ -163,16 +182,21 @@
 	return l
 }
 
-// begun takes the attempt out of the work in flight, once, and tells admission how good its estimate was.
-func (r *router) begun(ctx context.Context, j *job, a *attempt) {
+// begun takes the attempt out of the work in flight, once, and returns whether it was in.
+func (r *router) begun(ctx context.Context, a *attempt) bool {
 	if a.first {
-		return
+		return false
 	}
 	a.first = true
 	a.silence.Stop()
-	r.Admission.Observe(j.Rules.Priority, a.expected, r.Now().Sub(a.sent))
 	r.inFlight.add(a.load, -1)
 	r.unpin(ctx, a.pins)
+	return true
+}
+
+// observe tells admission how long the first token took, or how long its caller waited in vain.
+func (r *router) observe(j *job, a *attempt) {
+	r.Admission.Observe(j.Rules.Priority, a.expected, r.Now().Sub(a.sent))
 }
 
 // unpin takes pins back beside the request, which has its first token by now.
@@ -187,10 +211,12 @@
 // end notes how the attempt ended; io.EOF stands for a whole answer.
 func (r *router) end(ctx context.Context, j *job, a *attempt, cause error) {
 	ctx = context.WithoutCancel(ctx)
-	r.begun(ctx, j, a)
+	if r.begun(ctx, a) && gaveUp(cause) {
+		r.observe(j, a)
+	}
 	identity := a.server.Announcement().Identity
 	lost := lostServer(cause)
-	if lost || unreachable(cause) {
+	if lost || unanswered(cause) {
 		r.losses.add(r.Now(), identity)
 	}
 	r.Guard.Ended(ctx, r.Now(), j.fingerprint, identity, lost)
@@ -211,10 +237,16 @@
 	return ok && e.Code == codeLost
 }
 
-// unreachable says whether no connection to the server could be made.
-func unreachable(cause error) bool {
+// unanswered says whether no connection to the server could be made, or nothing came over it in time.
+func unanswered(cause error) bool {
+	e, ok := verdict.As(cause)
+	return ok && (e.Code == codeUnreachable || e.Code == codeSilent)
+}
+
+// gaveUp says whether somebody stopped waiting for a first token.
+func gaveUp(cause error) bool {
 	e, ok := verdict.As(cause)
-	return ok && e.Code == codeUnreachable
+	return ok && (e.Code == codeCancelled || e.Code == codeSilent)
 }
 
 // imports pins the pieces that the plan imports; from the first one on that
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -185,6 +185,28 @@
 	}
 }
 
+// A caller hangs up before the first token, as impatient callers do. Its prompt
+// must not be taken for one that crashes servers, nor its server for lost.
+func TestCallerThatLeavesIsNoLoss(t *testing.T) {
+	b := newBench(t, 1, 0)
+	slow := make(chan struct{})
+	defer close(slow)
+	b.engines.scripts[address("engine-1")] = script{hold: slow}
+	ctx, leave := context.WithCancel(context.Background())
+	s, err := b.router.Complete(ctx, newCall("a question", 7))
+	if err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	if _, err := drain(s); err == nil {
+		t.Error("a stream without its caller ended whole")
+	}
+	s.Close()
+	if len(b.guard.lost) != 0 {
+		t.Errorf("the guard heard of %v", b.guard.lost)
+	}
+}
+
 // An engine is frozen: it took the request and says nothing. The caller must
 // not wait for its whole deadline while another engine is free.
 func TestSilentEngineIsGivenUp(t *testing.T) {
--- a/internal/entry/completion/stream.go
+++ b/internal/entry/completion/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 
 	"hornbeamwood/internal/base/verdict"
 )
@@ -40,7 +39,9 @@
 
 // begin notes the first event that goes to the caller.
 func (s *stream) begin() {
-	s.router.begun(s.ctx, s.job, s.attempt)
+	if s.router.begun(s.ctx, s.attempt) {
+		s.router.observe(s.job, s.attempt)
+	}
 	if !s.sent {
 		s.router.meters.firstToken.Update(s.router.Now().Sub(s.job.Received).Seconds())
 	}
@@ -55,9 +56,7 @@
 
 // failed ends the attempt and either replaces it or ends the stream.
 func (s *stream) failed(cause error) {
-	if !s.attempt.first && s.ctx.Err() == nil && !errors.Is(cause, io.EOF) && s.silent() {
-		cause = verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, codeSilent, "the model engine sent nothing in time").WithCause(cause)
-	}
+	cause = classify(s.ctx, s.attempt, cause)
 	s.router.end(s.ctx, s.job, s.attempt, cause)
 	if s.sent || errors.Is(cause, io.EOF) {
 		s.end(cause)
@@ -75,16 +74,11 @@
 	s.attempt = a
 }
 
-// silent says whether the attempt was given up because no first token came in time.
-func (s *stream) silent() bool {
-	return !s.attempt.silence.Stop()
-}
-
 // Close implements caller.Stream.
 func (s *stream) Close() {
 	if s.ended != nil {
 		return
 	}
-	s.end(verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, codeCancelled, "the caller has gone"))
+	s.end(callerGone(nil).WithVerdict(verdict.MayHaveRun))
 	s.router.end(s.ctx, s.job, s.attempt, s.ended)
 }
