--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
-	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
@@ -115,23 +112,6 @@
 	return err
 }
 
-// classify tells a failed attempt's own end from those that the entry brought
-// about: the caller has left, or the first token did not come in time. Taken
-// for the loss of their server, these would bring harmless prompts into quarantine.
-func classify(ctx context.Context, a *attempt, cause error) error {
-	if errors.Is(cause, io.EOF) {
-		return cause
-	}
-	if ctx.Err() != nil {
-		return callerGone(cause).WithVerdict(verdict.Of(cause))
-	}
-	if !a.first && !a.silence.Stop() {
-		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, codeSilent,
-			"the model engine sent nothing in time").WithCause(cause)
-	}
-	return cause
-}
-
 // recheck asks again whether the server may get the request, right before it is sent.
 //
 // Between the choice and the first byte lie pins and perhaps a frozen process;
@@ -193,125 +173,3 @@
 	r.unpin(ctx, a.pins)
 	return true
 }
-
-// observe tells admission how long the first token took, or how long its caller waited in vain.
-func (r *router) observe(j *job, a *attempt) {
-	r.Admission.Observe(j.Rules.Priority, a.expected, r.Now().Sub(a.sent))
-}
-
-// unpin takes pins back beside the request, which has its first token by now.
-func (r *router) unpin(ctx context.Context, pins []directory.Pin) {
-	if len(pins) == 0 {
-		return
-	}
-	ctx = context.WithoutCancel(ctx)
-	r.running.Go(func() { r.Cache.Unpin(ctx, pins) })
-}
-
-// end notes how the attempt ended; io.EOF stands for a whole answer.
-func (r *router) end(ctx context.Context, j *job, a *attempt, cause error) {
-	ctx = context.WithoutCancel(ctx)
-	if r.begun(ctx, a) && gaveUp(cause) {
-		r.observe(j, a)
-	}
-	identity := a.server.Announcement().Identity
-	lost := lostServer(cause)
-	if lost || unanswered(cause) {
-		r.losses.add(r.Now(), identity)
-	}
-	r.Guard.Ended(ctx, r.Now(), j.fingerprint, identity, lost)
-	if errors.Is(cause, io.EOF) {
-		r.exporter.begin(r, j, a)
-	}
-	if a.stream != nil {
-		a.stream.Close()
-	}
-	a.cancel()
-}
-
-// lostServer says whether the attempt ended as if its server were lost: the
-// connection broke and could not be taken up again. An engine that answers with
-// an error lives; counted as lost, it would bring a harmless prompt into quarantine.
-func lostServer(cause error) bool {
-	e, ok := verdict.As(cause)
-	return ok && e.Code == codeLost
-}
-
-// unanswered says whether no connection to the server could be made, or nothing came over it in time.
-func unanswered(cause error) bool {
-	e, ok := verdict.As(cause)
-	return ok && (e.Code == codeUnreachable || e.Code == codeSilent)
-}
-
-// gaveUp says whether somebody stopped waiting for a first token.
-func gaveUp(cause error) bool {
-	e, ok := verdict.As(cause)
-	return ok && (e.Code == codeCancelled || e.Code == codeSilent)
-}
-
-// imports pins the pieces that the plan imports; from the first one on that
-// can't be pinned the prompt is computed instead.
-func (r *router) imports(ctx context.Context, j *job, a *attempt) []importPiece {
-	wanted := r.wanted(j, a)
-	if len(wanted) == 0 {
-		return nil
-	}
-	pins := make([]directory.Pin, len(wanted))
-	for i, p := range wanted {
-		pins[i] = p.pin(a)
-	}
-	granted := r.Cache.Pin(ctx, pins)
-	for i, ok := range granted {
-		if ok {
-			a.pins = append(a.pins, pins[i])
-		}
-	}
-	if refused := slices.Index(granted, false); refused >= 0 {
-		return wanted[:refused]
-	}
-	return wanted
-}
-
-// wanted returns the pieces that the plan imports.
-func (r *router) wanted(j *job, a *attempt) []importPiece {
-	var all []importPiece
-	for i, s := range a.decision.Plan {
-		if s.Source != route.Import {
-			continue
-		}
-		store := a.view.stores[s.Copy.Store].Announcement()
-		at := slices.IndexFunc(j.locations[i].Stores, func(c directory.Stored) bool { return c.Store == store.Identity })
-		if at < 0 {
-			break
-		}
-		c := j.locations[i].Stores[at]
-		all = append(all, importPiece{
-			Key:        j.keys[i],
-			Store:      store.Address,
-			Generation: c.Generation,
-			Bytes:      c.Bytes,
-
-			store:       c.Store,
-			incarnation: store.Incarnation,
-		})
-	}
-	return all
-}
-
-// pin returns the pin that keeps the piece while the attempt reads it.
-func (p importPiece) pin(a *attempt) directory.Pin {
-	return directory.Pin{
-		Store:          p.store,
-		Key:            p.Key,
-		Generation:     p.Generation,
-		Reader:         reader(a.id),
-		DeadlineMillis: pinTime.Milliseconds(),
-	}
-}
-
-// reader returns the number that names an attempt among the readers of a piece.
-func reader(attempt string) uint64 {
-	var b [8]byte
-	copy(b[:], attempt)
-	return binary.BigEndian.Uint64(b[:])
-}
--- a/thin_path_test.go
+++ b/thin_path_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -122,6 +124,20 @@
 		}
 	})
 
+	t.Run("the operators' page lists every metric", func(t *testing.T) {
+		page, err := os.ReadFile("docs/OPERATORS.md")
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := call{method: http.MethodGet, url: f.entries[0].url() + "/metrics"}.do()
+		for _, name := range regexp.MustCompile(`(?m)^hornbeamwood_[a-z_]+`).FindAllString(a.body, -1) {
+			name = strings.TrimSuffix(strings.TrimSuffix(strings.TrimSuffix(name, "_bucket"), "_sum"), "_count")
+			if !strings.Contains(string(page), name) {
+				t.Errorf("%s is not listed", name)
+			}
+		}
+	})
+
 	t.Run("every process stops with exit code 0", func(t *testing.T) {
 		f.stopAll(append([]*host{stamps, store}, servers...))
 		f.stopAll(f.entries)
