TestFaults tells what its callers were told

Cause: the count of failed completions varied between runs, and nothing said what they were. Change: they are counted by the code of the refusal.

--- a/faults_test.go
+++ b/faults_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,13 +29,18 @@
 	edits       map[uint64]string
 	wrong       []string
 	completions atomic.Int64
-	failures    atomic.Int64
+	failures    map[string]int
 	stop        chan struct{}
 	running     sync.WaitGroup
 }
 
 func newRecord() *record {
-	return &record{stamps: make(map[string][]answer), edits: make(map[uint64]string), stop: make(chan struct{})}
+	return &record{
+		stamps:   make(map[string][]answer),
+		edits:    make(map[uint64]string),
+		failures: make(map[string]int),
+		stop:     make(chan struct{}),
+	}
 }
 
 func (r *record) fault(format string, args ...any) {
@@ -63,7 +69,7 @@
 	tokens := 3 + i%5
 	c := complete(e, gateKey, "draft", prompt, tokens)
 	if c.status != http.StatusOK || !c.done {
-		r.failures.Add(1)
+		r.failed(c)
 		return
 	}
 	r.completions.Add(1)
@@ -76,6 +82,22 @@
 	}
 }
 
+// failed counts a completion that was not whole by what its caller was told.
+func (r *record) failed(c completion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	what := "no answer"
+	if code := failureCode.FindStringSubmatch(c.raw); code != nil {
+		what = code[1]
+	} else if c.status == http.StatusOK {
+		what = "cut"
+	}
+	r.failures[what]++
+}
+
+// failureCode finds the code in an error body or an error event.
+var failureCode = regexp.MustCompile(`"code":"([a-z-]+)"`)
+
 // stamp sends one non-idempotent call through one entry after the other until it has an outcome.
 func (r *record) stamp(f *fleet, name string, i int) {
 	key := fmt.Sprintf("%s-%d", name, i)
@@ -217,8 +239,8 @@
 			t.Errorf("%s imported %d pieces with wrong bytes", e.name, n)
 		}
 	}
-	t.Logf("completions %d whole, %d failed; stamps %d, of them %d with outcome; edits accepted %d",
-		r.completions.Load(), r.failures.Load(), len(r.stamps), outcomes, len(r.edits))
+	t.Logf("completions %d whole, failed %v; stamps %d, of them %d with outcome; edits accepted %d",
+		r.completions.Load(), r.failures, len(r.stamps), outcomes, len(r.edits))
 	if r.completions.Load() == 0 || outcomes == 0 || len(r.edits) == 0 {
 		t.Error("nothing was served during the faults; the checks say nothing")
 	}
