--- a/internal/cache/quic/cache.go
+++ b/internal/cache/quic/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"hornbeamwood/internal/cache/directory"
 	"hornbeamwood/internal/cache/events"
 	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/outbox"
 	"hornbeamwood/internal/node/rpc"
 )
 
@@ -47,11 +49,11 @@
 
 type cache struct {
 	Config
-	ring     directory.Ring
-	wants    directory.Wants
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
-	outboxes map[string]chan directory.Message
+	ring    directory.Ring
+	wants   directory.Wants
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	outbox  outbox.Outbox[directory.Message]
 
 	mu     sync.Mutex
 	failed map[string]time.Time
@@ -61,19 +63,13 @@
 func New(c Config) Cache {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &cache{
-		Config:   c,
-		wants:    directory.NewWants(),
-		cancel:   cancel,
-		outboxes: make(map[string]chan directory.Message),
-		failed:   make(map[string]time.Time),
-	}
-	nodes := []string{c.Self}
-	for n := range c.Addresses {
-		nodes = append(nodes, n)
-		o := make(chan directory.Message, outboxLength)
-		k.outboxes[n] = o
-		k.running.Go(func() { k.drain(ctx, n, o) })
+		Config: c,
+		wants:  directory.NewWants(),
+		cancel: cancel,
+		failed: make(map[string]time.Time),
 	}
+	k.outbox = outbox.New(outbox.Config[directory.Message]{Length: outboxLength, Send: k.send})
+	nodes := append(slices.Collect(maps.Keys(c.Addresses)), c.Self)
 	k.ring = directory.NewRing(nodes)
 	rpc.Handle(c.Node, exchange, func(_ context.Context, _ rpc.Peer, m directory.Message) (directory.Reply, error) {
 		return directory.Serve(c.Directory, c.Now(), m), nil
@@ -87,6 +83,7 @@
 func (k *cache) Close() {
 	k.cancel()
 	k.running.Wait()
+	k.outbox.Close()
 }
 
 // Lookup implements Cache.
@@ -214,22 +211,12 @@
 		k.note(e.Message, directory.Serve(k.Directory, now, e.Message))
 		return
 	}
-	select {
-	case k.outboxes[e.To] <- e.Message:
-	default:
-	}
+	k.outbox.Post(e.To, e.Message)
 }
 
-func (k *cache) drain(ctx context.Context, node string, o chan directory.Message) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-o:
-			if r, err := k.call(ctx, node, m); err == nil {
-				k.note(m, r)
-			}
-		}
+func (k *cache) send(ctx context.Context, node string, m directory.Message) {
+	if r, err := k.call(ctx, node, m); err == nil {
+		k.note(m, r)
 	}
 }
 
--- a/internal/fleet/quic/gossip.go
+++ b/internal/fleet/quic/gossip.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"hornbeamwood/internal/fleet/membership"
 	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/outbox"
 	"hornbeamwood/internal/node/rpc"
 )
 
@@ -45,23 +48,17 @@
 
 type carrier struct {
 	Config
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
-	outboxes map[string]chan membership.Message
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	outbox  outbox.Outbox[membership.Message]
 }
 
 // New registers the receiver and starts to send; it is called before the node serves.
 func New(c Config) Carrier {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &carrier{Config: c, cancel: cancel, outboxes: make(map[string]chan membership.Message)}
-	names := make([]string, 0, len(c.Addresses))
-	for n, a := range c.Addresses {
-		names = append(names, n)
-		o := make(chan membership.Message, outboxLength)
-		r.outboxes[n] = o
-		r.running.Go(func() { r.drain(ctx, a, o) })
-	}
-	c.Gossip.SetPeers(names)
+	r := &carrier{Config: c, cancel: cancel}
+	r.outbox = outbox.New(outbox.Config[membership.Message]{Length: outboxLength, Send: r.send})
+	c.Gossip.SetPeers(slices.Collect(maps.Keys(c.Addresses)))
 	rpc.Receive(c.Node, gossip, func(p rpc.Peer, m membership.Message) {
 		r.post(c.Gossip.Receive(c.Now(), p.Name, m))
 	})
@@ -73,6 +70,7 @@
 func (r *carrier) Close() {
 	r.cancel()
 	r.running.Wait()
+	r.outbox.Close()
 }
 
 func (r *carrier) tick(ctx context.Context) {
@@ -88,23 +86,11 @@
 	}
 }
 
-// post queues messages; one entry that does not answer must not hold up what the others hear.
+// post queues messages for their entries.
 func (r *carrier) post(all []membership.Envelope) {
 	for _, e := range all {
-		select {
-		case r.outboxes[e.To] <- e.Message:
-		default:
-		}
-	}
-}
-
-func (r *carrier) drain(ctx context.Context, address string, o chan membership.Message) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-o:
-			r.send(ctx, address, m)
+		if a, ok := r.Addresses[e.To]; ok {
+			r.outbox.Post(a, e.Message)
 		}
 	}
 }
