Returns are learned by document, not by the workspace's common first piece

Cause, found by reading: the entry counted visits by a prompt's first piece. The prompts of a workspace share that one, so every new document looked like one that returns, and was exported at a return's worth. Change: the first piece after it names the document. With the first piece in its place, TestDocumentsWithCommonInstructionsAreTold fails.

--- a/internal/entry/completion/exporter.go
+++ b/internal/entry/completion/exporter.go
@@ -77,10 +77,11 @@
 
 // begin plans the export of what an ended run left in its engine's memory and starts it.
 func (x *exporter) begin(r *router, j *job, a *attempt) {
-	if len(j.keys) == 0 {
+	document, ok := j.document()
+	if !ok {
 		return
 	}
-	visit := r.visits.seen(short(j.keys[0]))
+	visit := r.visits.seen(document)
 	x.Returns.Seen(j.Workspace, visit)
 	d := placement.Decide(x.input(j, a, visit))
 	e := x.export(j, a, d)
--- a/internal/entry/completion/job.go
+++ b/internal/entry/completion/job.go
@@ -39,6 +39,17 @@
 	return q.Rules.Deadline - now.Sub(q.Received)
 }
 
+// document returns a number that tells the prompt's document, and false for a prompt without a whole piece.
+//
+// The prompts of a workspace often share their first piece, its instructions.
+// Counted by that one, each new document would look like one that returns.
+func (q *job) document() (uint64, bool) {
+	if len(q.keys) == 0 {
+		return 0, false
+	}
+	return short(q.keys[min(1, len(q.keys)-1)]), true
+}
+
 // exclude keeps later attempts from the server of a failed one.
 func (q *job) exclude(a *attempt) {
 	q.excluded[a.server.Announcement().Identity] = true
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -104,6 +104,20 @@
 	}
 }
 
+// All prompts of a workspace open with the same instructions. New documents
+// must not count as returns, or the entry fills the stores with what never
+// comes back.
+func TestDocumentsWithCommonInstructionsAreTold(t *testing.T) {
+	instructions := strings.Repeat("workspace rules ", pieceTokens/4)
+	a := (&router{}).newJob(newCall(instructions+strings.Repeat("dossier one ", 40), 2))
+	b := (&router{}).newJob(newCall(instructions+strings.Repeat("dossier two ", 40), 2))
+	one, _ := a.document()
+	two, _ := b.document()
+	if a.keys[0] != b.keys[0] || one == two {
+		t.Errorf("documents %d and %d with common first piece %v", one, two, a.keys[0] == b.keys[0])
+	}
+}
+
 func TestPromptBeyondTheContextIsRefused(t *testing.T) {
 	b := newBench(t, 1, 0)
 	q := newCall(strings.Repeat("word", 40), 7)
--- a/internal/entry/completion/view.go
+++ b/internal/entry/completion/view.go
@@ -134,9 +134,7 @@
 		Tokens:    max(1, len(q.Tokens)),
 		Pieces:    v.pieces(q.Model.PieceTokens, q.locations),
 	}
-	if len(q.keys) > 0 {
-		r.Key = short(q.keys[0])
-	}
+	r.Key, _ = q.document()
 	return r
 }
 
--- a/internal/entry/completion/visits.go
+++ b/internal/entry/completion/visits.go
@@ -5,7 +5,7 @@
 // maxVisits bounds the prompts whose visits are counted.
 const maxVisits = 1 << 16
 
-// visits counts how often each prompt came, by its first piece.
+// visits counts how often each document came.
 type visits struct {
 	mu     sync.Mutex
 	counts map[uint64]uint8
