A request that waits for its turn ends before its deadline

Cause: the fair queue held a request until it was called or its caller left.

Change: a waiting request is refused with deadline-missed, not-run and a Retry-After once its deadline leaves less time than its own computing takes.

Before: TestWaitingRequestEndsBeforeItsDeadline got caller-gone after 10 min (the whole time its caller stayed). After: deadline-missed within the minute. The package's other tests pass.

--- a/internal/entry/completion/lines.go
+++ b/internal/entry/completion/lines.go
@@ -71,23 +71,36 @@
 }
 
 // wait returns when it is the request's turn; the caller calls the returned function once the request is sent.
+//
+// Servers that take requests and answer none, or lines that grow faster than
+// was foreseen, would hold a request until its caller leaves. From the moment
+// at which it can't make its deadline any more it is refused instead.
 func (l *lines) wait(ctx context.Context, j *job, c *consideration, queueing time.Duration) (sent func(), err error) {
-	t := &ticket{job: j, ctx: ctx, called: make(chan struct{}), gone: make(chan struct{})}
+	waiting, cancel := context.WithTimeout(ctx, j.remaining(l.router.Now())-seconds(c.compute()))
+	defer cancel()
+	t := &ticket{job: j, ctx: waiting, called: make(chan struct{}), gone: make(chan struct{})}
 	sent = sync.OnceFunc(func() { close(t.gone) })
 	if !l.push(t, c.compute()) {
-		r := l.router
-		v := r.Admission.Refuse(admission.QueueFull, queueing, r.Random)
-		r.logRefused(j, c.decision, v)
-		return sent, v.Err()
+		return sent, l.refuse(j, c, admission.QueueFull, queueing)
 	}
 	event.RequestQueued.Write(l.router.Logger, log.Fields{"request": j.ID, "workspace": j.Workspace, "expected": queueing.String()})
 	select {
 	case <-t.called:
 		return sent, nil
-	case <-ctx.Done():
+	case <-waiting.Done():
 		sent()
+	}
+	if ctx.Err() != nil {
 		return sent, callerGone(nil)
 	}
+	return sent, l.refuse(j, c, admission.DeadlineMissed, queueing)
+}
+
+func (l *lines) refuse(j *job, c *consideration, why admission.Reason, queueing time.Duration) error {
+	r := l.router
+	v := r.Admission.Refuse(why, queueing, r.Random)
+	r.logRefused(j, c.decision, v)
+	return v.Err()
 }
 
 func (l *lines) push(t *ticket, cost float64) bool {
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
@@ -12,6 +13,7 @@
 	"hornbeamwood/internal/cache/directory"
 	"hornbeamwood/internal/cache/store"
 	"hornbeamwood/internal/fleet/announcement"
+	"hornbeamwood/internal/policy/admission"
 )
 
 var (
@@ -284,6 +286,28 @@
 	waiting.Wait()
 }
 
+// Servers are full and stay so, or take requests and answer none. A request that
+// waits for its turn must get its refusal once it can't make its deadline any
+// more; its caller would otherwise hang until it leaves by itself, and could not
+// tell that nothing has run.
+func TestWaitingRequestEndsBeforeItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const full = 10_000 * 15
+		b := newBench(t, 1, full)
+		ctx, leave := context.WithTimeout(context.Background(), 10*time.Minute)
+		defer leave()
+		start := time.Now()
+		_, err := b.router.Complete(ctx, newCall("a draft that waits", 2))
+		e, ok := verdict.As(err)
+		if !ok || e.Verdict != verdict.NotRun || e.Code != string(admission.DeadlineMissed) || e.RetryAfter <= 0 {
+			t.Errorf("got %v", err)
+		}
+		if waited := time.Since(start); waited > time.Minute {
+			t.Errorf("the refusal came after %s", waited)
+		}
+	})
+}
+
 // A server says that it leaves while the pieces of a request that was given to
 // it are being pinned. It must not get the request; the caller notices nothing.
 func TestServerThatLeavesBeforeTheDispatch(t *testing.T) {
--- a/internal/standin/process/file.go
+++ b/internal/standin/process/file.go
@@ -97,7 +97,7 @@
 	return err
 }
 
-// Load returns the File at path; unknown keys are errors.
+// Load returns the File at path; unknown keys are errors, and so are rates that are missing.
 func Load(path string) (File, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
