--- a/internal/standin/process/file.go
+++ b/internal/standin/process/file.go
@@ -48,7 +48,7 @@
 	Weights WeightsFile `toml:"weights"`
 }
 
-// EngineFile is the engine table of a File.
+// EngineFile is the engine table of a File: speeds in tokens a second, sizes in pieces and bytes.
 type EngineFile struct {
 	Models        []string `toml:"models"`
 	WeightVersion string   `toml:"weight-version"`
@@ -97,7 +97,7 @@
 	return err
 }
 
-// Load returns the File at path; unknown keys are errors, and so are rates that are missing.
+// Load returns the File at path; unknown keys are errors.
 func Load(path string) (File, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -32,7 +32,7 @@
 	running      func() int
 }
 
-// Run serves the stand-in of the given kind until ctx ends, then leaves gracefully; it writes one line to w when it serves.
+// Run serves the stand-in of the given kind, with defaults for speeds and sizes that f leaves out, until ctx ends, then leaves gracefully; it writes one line to w when it serves.
 func Run(ctx context.Context, k Kind, f File, w io.Writer) error {
 	build, ok := builders[k]
 	if !ok {
@@ -42,7 +42,7 @@
 	if err != nil {
 		return fmt.Errorf("standin: %w", err)
 	}
-	s := build(f, l.Addr().String())
+	s := build(f.withDefaults(), l.Addr().String())
 	h := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- h.Serve(l) }()
