A red test for a busy engine that is given up

Cause: an entry gives an attempt up after 3 s of silence (or four times the expected first token) even where no other attempt is possible: the workspace's retry budget is spent, or there is no other server. An engine that computes a long prompt without parts is then taken for a frozen one, and a request with 7 s left ends as engine-silent, may-have-run.

Ruled out: frozen engines (both announced throughout), lost streams (the entry's own timer cut them).

No change: the patience guards against frozen servers, and a change to it has to be measured against them first.

--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -247,6 +247,27 @@
 	}
 }
 
+// The only engine computes another request's long prompt and says nothing to
+// this one for 7 s, well within its deadline of 10 s. The caller must get the
+// answer, and not an error that leaves open whether the request has run.
+func TestBusyEngineIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 0)
+		busy := make(chan struct{})
+		time.AfterFunc(7*time.Second, func() { close(busy) })
+		b.engines.scripts[address("engine-1")] = script{hold: busy, events: []string{"whole"}}
+		q := newCall("a question", 5)
+		q.Rules.Deadline = 10 * time.Second
+		s, err := b.router.Complete(context.Background(), q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := drain(s); got != "whole" || err != nil {
+			t.Errorf("got %q, %v", got, err)
+		}
+	})
+}
+
 // Servers are full of long work. Requests wait at the entry for their turn
 // instead of at a server, go when there is room, and leave when their caller does.
 func TestLongRequestsWaitForTheirTurn(t *testing.T) {
