--- /dev/null
+++ b/internal/standin/process/file_test.go
@@ -0,0 +1,33 @@
+package process
+
+import (
+	"path/filepath"
+	"testing"
+)
+
+// A stand-in's file leaves out its speeds, as the example files do. An engine
+// that computed at no speed would take each request and answer none.
+func TestExampleFilesHaveSpeeds(t *testing.T) {
+	all, err := filepath.Glob("../../../examples/*/standins/*.toml")
+	if err != nil || len(all) == 0 {
+		t.Fatalf("no example files: %v", err)
+	}
+	for _, p := range all {
+		f, err := Load(p)
+		if err != nil {
+			t.Errorf("%s: %v", p, err)
+		}
+		f = f.withDefaults()
+		if f.Identity == "" || f.Engine.PrefillRate <= 0 || f.Engine.DecodeRate <= 0 || f.Engine.MaxRunning <= 0 || f.Store.LinkRate <= 0 {
+			t.Errorf("%s: %+v", p, f)
+		}
+	}
+}
+
+// What a file says goes before the defaults.
+func TestFileGoesBeforeDefaults(t *testing.T) {
+	f := File{Engine: EngineFile{PrefillRate: 7, MaxRunning: 3}, Store: StoreFile{LinkRate: 9}}.withDefaults()
+	if f.Engine.PrefillRate != 7 || f.Engine.MaxRunning != 3 || f.Store.LinkRate != 9 {
+		t.Errorf("%+v", f)
+	}
+}
