--- /dev/null
+++ b/internal/base/event/site.go
@@ -0,0 +1,35 @@
+package event
+
+import "github.com/apex/log"
+
+// Events of a site's processes, 900 to 999.
+var (
+	// JoinAsked is written when a replica asks to be taken into the control log.
+	JoinAsked = define(900, log.InfoLevel, "join-asked", "A replica that belongs to no group asked the named leader to be taken in.")
+	// ReplicaLost is written when a control replica stops answering polls.
+	ReplicaLost = define(901, log.WarnLevel, "replica-lost", "A control replica doesn't answer polls; what it would tell comes from the others.")
+	// ReplicaRegained is written when a control replica answers polls again.
+	ReplicaRegained = define(902, log.InfoLevel, "replica-regained", "A control replica answers polls, for the first time or again.")
+	// DocumentInForce is written when a process obeys another document.
+	DocumentInForce = define(903, log.InfoLevel, "document-in-force", "The process obeys the document with the given number; the field before is the number of the earlier one.")
+	// DocumentTaken is written when a replica answers a document that an operator sent.
+	DocumentTaken = define(904, log.InfoLevel, "document-taken", "An operator's document was answered; changed says whether it is another one than before, error why it wasn't taken.")
+	// VersionNamed is written when a replica answers an order for new weights.
+	VersionNamed = define(905, log.InfoLevel, "version-named", "An operator's order for new weights was answered; error says why it wasn't taken.")
+	// ServerAnnounced is written when what is known of a backend server changes.
+	ServerAnnounced = define(906, log.InfoLevel, "server-announced", "What is known of a backend server has changed; the fields give its start, sequence and state.")
+	// AnnouncementNotAcknowledged is written when an announcement is not acknowledged.
+	AnnouncementNotAcknowledged = define(907, log.WarnLevel, "announcement-not-acknowledged", "An announcement wasn't acknowledged, so that the server tells another replica; error says why.")
+	// DocumentRead is written when an operator reads the document.
+	DocumentRead = define(908, log.InfoLevel, "document-read", "An operator read the document in force; error says why it couldn't be confirmed.")
+	// AttemptRouted is written for each attempt at a backend server.
+	AttemptRouted = define(910, log.InfoLevel, "attempt-routed", "A request goes to the named server; the fields give what the choice was made from.")
+	// RequestEnded is written when a caller has its final answer.
+	RequestEnded = define(911, log.InfoLevel, "request-ended", "A request has ended; the fields give status, attempts, verdict and time.")
+	// AttemptFailed is written when an attempt at a server brought no answer to pass on.
+	AttemptFailed = define(912, log.InfoLevel, "attempt-failed", "An attempt at a server failed; the fields give the verdict, the reason and what follows.")
+	// LinesDropped is written when log lines were dropped because output was slow or too much.
+	LinesDropped = define(920, log.WarnLevel, "lines-dropped", "Log lines were dropped because they came faster than they could be written; count says how many.")
+	// SettingsReloaded is written when the settings file has changed.
+	SettingsReloaded = define(921, log.InfoLevel, "settings-reloaded", "The settings file was read anew; error says why the earlier settings stay.")
+)
--- /dev/null
+++ b/internal/base/logline/doc.go
@@ -0,0 +1,2 @@
+// Package logline writes log lines without ever making the one who logs wait.
+package logline
--- /dev/null
+++ b/internal/control/admission/view.go
@@ -0,0 +1,33 @@
+package admission
+
+import (
+	"time"
+
+	"hornbeamwood/internal/control/raft"
+)
+
+// View is what the leader knows when it decides.
+type View struct {
+	// Self is the leader's identity.
+	Self raft.Identity
+	// Members are those of the latest committed configuration.
+	Members []raft.Member
+	// Matches is the last entry on each member's disk.
+	Matches map[raft.Identity]uint64
+	// Commit is the last committed entry.
+	Commit uint64
+	// Silent is how long each member has not answered under its identity.
+	Silent map[raft.Identity]time.Duration
+	// Replaced holds members at whose address another identity answered.
+	Replaced map[raft.Identity]bool
+}
+
+// alive returns whether the member answered lately under its identity.
+func (v View) alive(m raft.Member) bool {
+	return m.Identity == v.Self || !v.Replaced[m.Identity] && v.Silent[m.Identity] < SilentAfter
+}
+
+// caughtUp returns whether the member's disk holds nearly all that is committed.
+func (v View) caughtUp(m raft.Member) bool {
+	return v.Matches[m.Identity]+maxLag >= v.Commit && v.Matches[m.Identity] > 0
+}
--- a/internal/control/quic/server.go
+++ b/internal/control/quic/server.go
@@ -39,6 +39,8 @@
 	Confirm(ctx context.Context) (uint64, error)
 	// Propose commits a section's command here or at the leader.
 	Propose(ctx context.Context, section string, body []byte) ([]byte, error)
+	// CatchUp returns once this replica has applied all that was accepted before the call began, as a quorum confirms.
+	CatchUp(ctx context.Context) error
 }
 
 // Register adds the handlers of the control log to the node; it is called before the node serves.
@@ -69,6 +71,15 @@
 	return a.Result, err
 }
 
+// CatchUp implements Leader.
+func (s *server) CatchUp(ctx context.Context) error {
+	c, err := s.confirmed(ctx, protocol.Confirmation{})
+	if err != nil {
+		return err
+	}
+	return s.Replica.WaitApplied(ctx, c.Index)
+}
+
 func (s *server) probe(context.Context, rpc.Peer, protocol.Empty) (replica.Formation, error) {
 	return s.Replica.Formation(), nil
 }
--- a/internal/control/replica/config.go
+++ b/internal/control/replica/config.go
@@ -13,7 +13,7 @@
 // Defaults and limits.
 const (
 	// MaxCommand is the largest command in bytes.
-	MaxCommand = 1 << 20
+	MaxCommand = 6 << 20
 
 	defaultTick            = 50 * time.Millisecond
 	defaultSnapshotEntries = 8192
@@ -43,6 +43,14 @@
 	Address string
 	// Seeds are the first members of the group, this replica among them if it is one.
 	Seeds []Seed
+	// Join keeps the replica from founding a group: it only takes part in one that exists.
+	//
+	// A disk that comes back blank at a time when the other replicas can't be
+	// reached would otherwise found a second, empty group, and what the first
+	// one accepted would be gone for whoever asks there.
+	Join bool
+	// Peers returns addresses beyond the seeds at which a group may be found; nil for none.
+	Peers func() []string
 	// Transport carries messages to the others.
 	Transport Transport
 	// Machine is the replicated state; it must be empty.
--- a/internal/control/replica/former.go
+++ b/internal/control/replica/former.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,6 +69,9 @@
 			return disk.Founding{}, false
 		}
 	}
+	if f.replica.config.Join {
+		return disk.Founding{}, false
+	}
 	founding, err := found(own, f.replica.config.Seeds, answers)
 	if err != nil {
 		f.tell(err.Error(), event.SeedsDisagree, log.Fields{"replica": own.Name, "error": err.Error()})
@@ -87,10 +91,7 @@
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	answers := map[string]Formation{}
-	for _, s := range f.replica.config.Seeds {
-		if s.Name == f.replica.config.Name {
-			continue
-		}
+	for _, s := range f.targets() {
 		wait.Go(func() {
 			a, err := f.replica.config.Transport.Probe(ctx, s.Address)
 			if err != nil {
@@ -105,6 +106,18 @@
 	return answers
 }
 
+// targets returns the seeds and the other known addresses, without this replica.
+func (f *former) targets() []Seed {
+	c := f.replica.config
+	all := slices.Clone(c.Seeds)
+	if c.Peers != nil {
+		for _, a := range c.Peers() {
+			all = append(all, Seed{Name: a, Address: a})
+		}
+	}
+	return slices.DeleteFunc(all, func(s Seed) bool { return s.Name == c.Name || s.Address == c.Address })
+}
+
 // blank notes that the group exists without this disk.
 func (f *former) blank(a Formation) {
 	f.replica.mu.Lock()
--- /dev/null
+++ b/internal/node/tcp/socket.go
@@ -0,0 +1,55 @@
+package tcp
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// userTimeout is how long sent bytes may stay unacknowledged until the
+	// connection counts as broken: some retransmissions, well under a caller's patience.
+	userTimeout = 4 * time.Second
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find a silent peer of an idle connection in 4 s.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+}
+
+// control sets the user timeout on a socket.
+//
+// A cut link answers nothing: without it, a write seems to succeed and the
+// connection hangs for many minutes.
+func control(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err == nil {
+		err = failed
+	}
+	if err != nil {
+		return fmt.Errorf("tcp: set the user timeout: %w", err)
+	}
+	return nil
+}
+
+// Listen listens on an IP and port.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	c := net.ListenConfig{Control: control, KeepAliveConfig: keepAlive()}
+	return c.Listen(ctx, "tcp4", address)
+}
+
+// Dial connects to an IP and port before ctx ends.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Control: control, KeepAliveConfig: keepAlive()}
+	return d.DialContext(ctx, "tcp4", address)
+}
--- /dev/null
+++ b/internal/process/sitecontrol/control.go
@@ -0,0 +1,313 @@
+package sitecontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/control/admission"
+	controllease "hornbeamwood/internal/control/lease"
+	"hornbeamwood/internal/control/quic"
+	"hornbeamwood/internal/control/replica"
+	"hornbeamwood/internal/control/state"
+	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/node/tcp"
+	"hornbeamwood/internal/process/platform"
+	"hornbeamwood/internal/settings/lease"
+	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/directory"
+	"hornbeamwood/internal/site/host"
+	"hornbeamwood/internal/site/section"
+	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
+)
+
+const (
+	// headerTimeout bounds how long a request's headers may take.
+	headerTimeout = 3 * time.Second
+	// stopTimeout bounds the hand-over of leadership; a stop without a quorum must end too.
+	stopTimeout = 3 * time.Second
+	// membersInterval is the time between two looks at the members of the log.
+	membersInterval = 250 * time.Millisecond
+)
+
+// Config is what a Process needs.
+type Config struct {
+	// Host is the VM's place in the site.
+	Host host.Host
+	// Load reads the host's settings anew.
+	Load host.Load
+	// Handler speaks the site's protocol towards operators and servers.
+	Handler func(s Service) http.Handler
+	// Logger takes the events.
+	Logger log.Interface
+}
+
+// Process is a running control replica of a site.
+type Process interface {
+	// Run serves until ctx ends or the disk fails; it returns nil after a graceful stop.
+	Run(ctx context.Context) error
+}
+
+type process struct {
+	config    Config
+	host      atomic.Pointer[host.Host]
+	node      rpc.Node
+	transport quic.Transport
+	replica   replica.Replica
+	leader    quic.Leader
+	section   section.Section
+	board     board.Board
+	follower  watch.Follower
+	servers   *announcements
+	admission admission.Keeper
+	metrics   *metrics.Set
+	loops     sync.WaitGroup
+	peers     atomic.Pointer[[]string]
+}
+
+// New opens the data folder and the sockets of a control process.
+func New(c Config) (Process, error) {
+	p := &process{config: c, metrics: metrics.NewSet(), board: board.New(uint64(time.Now().UnixNano()))}
+	p.host.Store(&c.Host)
+	p.peers.Store(&c.Host.Seeds)
+	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Control)
+	if err != nil {
+		return nil, err
+	}
+	if p.node, err = rpc.New(rpc.Config{Listen: c.Host.Internal, Ring: ring, Logger: c.Logger}); err != nil {
+		return nil, err
+	}
+	p.section = section.New(section.Config{Changed: p.show})
+	m, err := state.New(p.section, controllease.New())
+	if err != nil {
+		return nil, errors.Join(err, p.node.Close())
+	}
+	p.transport = quic.NewTransport(p.node)
+	if p.replica, err = replica.New(p.replicaConfig(m)); err != nil {
+		p.transport.Close()
+		return nil, errors.Join(err, p.node.Close())
+	}
+	p.leader = quic.Register(quic.Config{Node: p.node, Replica: p.replica, Machine: m, Leases: quic.NewLeases(lease.NewHolders(nil), noTerms{}, time.Now)})
+	p.watchers()
+	p.admission = admission.NewKeeper(admission.Config{Replica: p.replica, Peers: peers{p.node, p.transport}, Addresses: p.addresses, Logger: c.Logger})
+	p.gauges()
+	p.show()
+	return p, nil
+}
+
+// noTerms are the terms of a site without a settings tree: no entry holds a settings lease.
+type noTerms struct{}
+
+// Terms implements quic.Terms.
+func (noTerms) Terms() lease.Terms { return lease.Terms{} }
+
+func (p *process) replicaConfig(m state.Machine) replica.Config {
+	h := p.config.Host
+	c := replica.Config{
+		Name: h.Internal, Address: h.Internal, Folder: h.DataFolder,
+		Transport: p.transport, Machine: m, Logger: p.config.Logger,
+		Join: !h.FirstStart, Peers: func() []string { return *p.peers.Load() },
+	}
+	for _, s := range h.Seeds {
+		c.Seeds = append(c.Seeds, replica.Seed{Name: s, Address: s})
+	}
+	return c
+}
+
+func (p *process) watchers() {
+	server := watch.NewServer(watch.Config{Node: p.node, Board: p.board, CaughtUp: func() bool { return p.replica.Status().CaughtUp }})
+	p.follower = watch.NewFollower(watch.FollowerConfig{
+		Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), Take: p.take, Logger: p.config.Logger,
+	})
+	p.servers = &announcements{
+		home: p.config.Host.Internal, heartbeat: p.config.Host.Bounds.Heartbeat,
+		directory: directory.New(), board: p.board, watchers: server,
+		replicas:  func() int { return len(p.replica.Status().Members) },
+		heard:     p.follower.Heard,
+		reachable: func() bool { return p.replica.Status().CaughtUp },
+		logger:    p.config.Logger,
+		direct:    map[string]time.Time{}, changed: map[string]time.Time{}, swept: time.Now(),
+	}
+	p.metrics.NewGauge("hornbeamwood_site_entries", func() float64 { return float64(server.Entries()) })
+}
+
+func (p *process) gauges() {
+	gauge := func(name string, value func(replica.Status) uint64) {
+		p.metrics.NewGauge("hornbeamwood_control_"+name, func() float64 { return float64(value(p.replica.Status())) })
+	}
+	gauge("term", func(s replica.Status) uint64 { return s.Term })
+	gauge("commit_index", func(s replica.Status) uint64 { return s.Commit })
+	gauge("applied_index", func(s replica.Status) uint64 { return s.Applied })
+	p.metrics.NewGauge("hornbeamwood_site_document", func() float64 {
+		h, _ := p.section.Held()
+		return float64(h.Document.Number)
+	})
+	p.metrics.NewGauge("hornbeamwood_quic_sent_bytes", func() float64 { return float64(p.node.BytesSent()) })
+}
+
+// show puts what the log holds on the board.
+func (p *process) show() {
+	if h, ok := p.section.Held(); ok {
+		p.put(topic.Document, "", h.Document)
+	}
+	for model, version := range p.section.Versions() {
+		p.put(topic.Versions, model, version)
+	}
+}
+
+func (p *process) put(t board.Topic, key string, value any) {
+	b, err := codec.Marshal(value)
+	if err != nil {
+		event.AnnouncementNotAcknowledged.Write(p.config.Logger, log.Fields{"topic": t, "key": key, "error": err.Error()})
+		return
+	}
+	p.board.Put(t, key, b)
+}
+
+// take takes what another replica shows: servers only, the log is this replica's own.
+func (p *process) take(_ string, a watch.Answer) {
+	for _, r := range a.Rows {
+		if r.Topic != topic.Servers || len(r.Value) == 0 {
+			continue
+		}
+		s, err := codec.Unmarshal[directory.Server](r.Value)
+		if err != nil {
+			event.NoticeRefused.Write(p.config.Logger, log.Fields{"notice": "server row", "error": err.Error()})
+			continue
+		}
+		p.servers.take(s)
+	}
+}
+
+// addresses returns where replicas may be found: the members of the log, the seeds, and whom this process heard of before.
+func (p *process) addresses() []string {
+	all := slices.Clone(p.host.Load().Seeds)
+	for _, m := range p.replica.Status().Members {
+		all = append(all, m.Address)
+	}
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return slices.DeleteFunc(all, func(a string) bool { return a == p.config.Host.Internal })
+}
+
+// followMembers keeps the polls and the board's row of members up to date.
+func (p *process) followMembers(ctx context.Context) {
+	t := time.NewTicker(membersInterval)
+	defer t.Stop()
+	for {
+		all := p.addresses()
+		p.peers.Store(&all)
+		p.follower.Follow(ctx, all)
+		p.showMembers()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (p *process) showMembers() {
+	members := p.replica.Status().Members
+	if len(members) == 0 {
+		return
+	}
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.Address)
+	}
+	slices.Sort(addresses)
+	p.put(topic.Members, "", slices.Compact(addresses))
+}
+
+// Run implements Process.
+func (p *process) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p.loops.Go(func() {
+		if err := p.node.Serve(serving); err != nil && serving.Err() == nil {
+			event.ReplicaFailed.Write(p.config.Logger, log.Fields{"replica": p.config.Host.Internal, "error": err.Error()})
+		}
+	})
+	p.loops.Go(func() { p.admission.Run(serving) })
+	p.loops.Go(func() { p.servers.run(serving) })
+	p.loops.Go(func() { p.followMembers(serving) })
+	p.loops.Go(func() {
+		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.host.Store(&h) }, p.config.Logger)
+	})
+	if err := p.serve(serving); err != nil {
+		return err
+	}
+	event.ProcessStarted.Write(p.config.Logger, log.Fields{"role": "control", "name": p.config.Host.Name, "quic": p.node.Address(), "zone": p.config.Host.Zone})
+	select {
+	case <-ctx.Done():
+	case <-p.replica.Done():
+	}
+	event.ProcessStopping.Write(p.config.Logger, log.Fields{"role": "control", "name": p.config.Host.Name})
+	err := p.close()
+	stop()
+	p.loops.Wait()
+	event.ProcessStopped.Write(p.config.Logger, log.Fields{"role": "control", "name": p.config.Host.Name})
+	return err
+}
+
+// close hands leadership over before the connections go, because the hand-over needs them.
+func (p *process) close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := p.replica.Stop(ctx)
+	if failed := p.replica.Err(); failed != nil {
+		err = fmt.Errorf("control: the replica ended by itself: %w", failed)
+	}
+	p.transport.Close()
+	return errors.Join(err, p.node.Close())
+}
+
+// serve answers operators, servers and the collector of metrics.
+func (p *process) serve(ctx context.Context) error {
+	if err := p.listen(ctx, p.config.Host.Listen, p.config.Handler(p)); err != nil {
+		return err
+	}
+	if p.config.Host.Metrics == "" {
+		return nil
+	}
+	return p.listen(ctx, p.config.Host.Metrics, platform.New(platform.Config{Ready: p.ready, Metrics: p.metrics}))
+}
+
+func (p *process) listen(ctx context.Context, address string, h http.Handler) error {
+	l, err := tcp.Listen(ctx, address)
+	if err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	p.loops.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			event.ReplicaFailed.Write(p.config.Logger, log.Fields{"replica": address, "error": err.Error()})
+		}
+	})
+	p.loops.Go(func() {
+		<-ctx.Done()
+		// The connections that are left wait for answers that this process can't give any more.
+		_ = s.Close()
+	})
+	return nil
+}
+
+func (p *process) ready() error {
+	if s := p.replica.Status(); !s.CaughtUp {
+		return fmt.Errorf("the replica is %s and has not caught up", s.Role)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/sitecontrol/operator.go
@@ -0,0 +1,102 @@
+package sitecontrol
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/site/directory"
+	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/section"
+)
+
+const (
+	// acceptTimeout bounds an operator's change; operators ask another replica after about a second.
+	acceptTimeout = 1500 * time.Millisecond
+	// readTimeout bounds a read; it takes one round among the replicas.
+	readTimeout = 900 * time.Millisecond
+)
+
+var _ Service = (*process)(nil)
+
+// Address implements Service.
+func (p *process) Address() string {
+	return p.config.Host.Listen
+}
+
+// Announce implements Service.
+func (p *process) Announce(ctx context.Context, s directory.Server) error {
+	return p.servers.announce(ctx, s)
+}
+
+// Depart implements Service.
+func (p *process) Depart(ctx context.Context, id string, born int64) error {
+	return p.servers.depart(ctx, id, born)
+}
+
+// PutDocument implements Service.
+func (p *process) PutDocument(ctx context.Context, d document.Document, source []byte) error {
+	began := time.Now()
+	r, err := p.change(ctx, section.Command{Put: &section.Put{Document: d, Source: source}})
+	f := log.Fields{"number": d.Number, "changed": r.Changed, "in-force": r.Number, "ms": time.Since(began).Milliseconds()}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	event.DocumentTaken.Write(p.config.Logger, f)
+	return err
+}
+
+// NameVersion implements Service.
+func (p *process) NameVersion(ctx context.Context, model string, version int64) error {
+	r, err := p.change(ctx, section.Command{NameVersion: &section.NameVersion{Model: model, Version: version}})
+	f := log.Fields{"model": model, "version": version, "changed": r.Changed}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	event.VersionNamed.Write(p.config.Logger, f)
+	return err
+}
+
+// change commits a command and returns its result.
+func (p *process) change(ctx context.Context, c section.Command) (section.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	body, err := codec.Marshal(c)
+	if err != nil {
+		return section.Result{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "malformed-command", "the change could not be encoded").WithCause(err)
+	}
+	b, err := p.leader.Propose(ctx, section.Name, body)
+	if err != nil {
+		return section.Result{}, err
+	}
+	r, err := codec.Unmarshal[section.Result](b)
+	if err == nil && !r.Taken {
+		err = verdict.New(verdict.Ran, http.StatusInternalServerError, "not-taken", "the control log could not read the change")
+	}
+	return r, err
+}
+
+// Document implements Service.
+//
+// A replica that is cut off would answer with a document that a newer one has
+// overtaken; the round among the replicas shows that it isn't.
+func (p *process) Document(ctx context.Context) (section.Held, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	err := p.leader.CatchUp(ctx)
+	h, ok := p.section.Held()
+	if err == nil && !ok {
+		err = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no-document", "no document is in force yet")
+	}
+	f := log.Fields{"number": h.Document.Number}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	event.DocumentRead.Write(p.config.Logger, f)
+	return h, err
+}
--- /dev/null
+++ b/internal/process/siteentry/doc.go
@@ -0,0 +1,3 @@
+// Package siteentry is the entry process of a site: it follows the control
+// replicas and answers callers.
+package siteentry
--- /dev/null
+++ b/internal/process/siteentry/entry.go
@@ -0,0 +1,281 @@
+package siteentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/node/tcp"
+	"hornbeamwood/internal/process/platform"
+	"hornbeamwood/internal/serve/backend"
+	"hornbeamwood/internal/serve/caller"
+	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/serve/retry"
+	"hornbeamwood/internal/site/host"
+	"hornbeamwood/internal/site/parts"
+	"hornbeamwood/internal/site/watch"
+)
+
+const (
+	// headerTimeout bounds how long a caller's headers may take when no document says otherwise.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long an idle connection of a caller is kept: longer
+	// than documents promise, so that a request never crosses the closing.
+	idleTimeout = 40 * time.Second
+	// maxHeaderBytes bounds the headers of a request before a document's limit is looked at.
+	maxHeaderBytes = 64 << 10
+	// lingerLeast is how long a process that is to stop still answers new
+	// connections: the balancer asks every second and turns away after two answers.
+	lingerLeast = 3500 * time.Millisecond
+	// lastRefuse is how long before its end a process refuses new requests, and lastCut how long before its end it leaves those that still run.
+	lastRefuse = 1200 * time.Millisecond
+	lastCut    = 300 * time.Millisecond
+	// stopLook is the time between two looks whether the last request has ended.
+	stopLook = 50 * time.Millisecond
+)
+
+// Config is what a Process needs.
+type Config struct {
+	// Host is the VM's place in the site.
+	Host host.Host
+	// Load reads the host's settings anew.
+	Load host.Load
+	// Codec translates headers.
+	Codec caller.Codec
+	// Ready answers the balancer's check whether the process takes new connections; it is given that answer.
+	Ready func(ready func() bool) http.Handler
+	// Logger takes the events.
+	Logger log.Interface
+}
+
+// Process is a running entry of a site.
+type Process interface {
+	// Run serves until ctx ends and the running requests have ended.
+	Run(ctx context.Context) error
+}
+
+type process struct {
+	config   Config
+	node     rpc.Node
+	site     *site
+	follower watch.Follower
+	client   backend.Client
+	budget   retry.Budget
+	handler  http.Handler
+	metrics  *metrics.Set
+	loops    sync.WaitGroup
+	seeds    atomic.Pointer[[]string]
+	running  atomic.Int64
+	open     atomic.Int64
+	// ending is when the process ends at the latest, zero until it is told to stop.
+	ending atomic.Pointer[time.Time]
+}
+
+// New opens the sockets of an entry process.
+func New(c Config) (Process, error) {
+	p := &process{config: c, site: newSite(c.Logger), metrics: metrics.NewSet()}
+	p.seeds.Store(&c.Host.Seeds)
+	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Entry)
+	if err != nil {
+		return nil, err
+	}
+	if p.node, err = rpc.New(rpc.Config{Listen: c.Host.Internal, Ring: ring, Logger: c.Logger}); err != nil {
+		return nil, err
+	}
+	p.follower = watch.NewFollower(watch.FollowerConfig{
+		Node: p.node, Watcher: fmt.Sprintf("%s/%d", c.Host.Internal, time.Now().UnixNano()), Entry: true, Take: p.take, Logger: c.Logger,
+	})
+	dialled := p.metrics.NewCounter("hornbeamwood_site_dialled_total")
+	p.client = backend.New(backend.Config{
+		Belongs: func(attempt string, h http.Header) bool {
+			told := c.Codec.Answer(h).Attempt
+			return told == "" || told == attempt
+		},
+		Dialled: dialled.Inc,
+	})
+	b := c.Host.Bounds
+	p.budget = retry.NewBudget(retry.Terms{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack})
+	p.handler = caller.New(caller.Config{
+		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: observe.New(), Memory: parts.NewMemory(),
+		Budget: p.budget, Stopping: p.stopping, Refusing: p.refusing, Metrics: p.metrics, Logger: c.Logger,
+	})
+	p.gauges()
+	return p, nil
+}
+
+func (p *process) gauges() {
+	p.metrics.NewGauge("hornbeamwood_site_running", func() float64 { return float64(p.running.Load()) })
+	p.metrics.NewGauge("hornbeamwood_site_connections", func() float64 { return float64(p.open.Load()) })
+	p.metrics.NewGauge("hornbeamwood_site_document", func() float64 {
+		if t := p.site.Table(); t != nil {
+			return float64(t.Document().Number)
+		}
+		return 0
+	})
+	p.metrics.NewGauge("hornbeamwood_quic_sent_bytes", func() float64 { return float64(p.node.BytesSent()) })
+}
+
+func (p *process) take(address string, a watch.Answer) {
+	p.site.take(address, a)
+	p.budget.SetEntries(p.site.Entries())
+}
+
+// stopping returns whether the process was told to stop.
+func (p *process) stopping() bool {
+	return p.ending.Load() != nil
+}
+
+// refusing returns whether the process ends so soon that a new request would be cut off.
+func (p *process) refusing() bool {
+	e := p.ending.Load()
+	return e != nil && time.Until(*e) < lastRefuse
+}
+
+// ready returns whether the balancer may send new connections.
+func (p *process) ready() bool {
+	return !p.stopping() && p.site.current()
+}
+
+// Run implements Process.
+func (p *process) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p.follow(serving)
+	p.loops.Go(func() {
+		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.reseed(serving, h) }, p.config.Logger)
+	})
+	if err := p.serve(serving); err != nil {
+		return err
+	}
+	event.ProcessStarted.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "callers": p.config.Host.Listen, "zone": p.config.Host.Zone})
+	<-ctx.Done()
+	p.drain()
+	stop()
+	p.follower.Wait()
+	p.loops.Wait()
+	p.client.Close()
+	err := p.node.Close()
+	event.ProcessStopped.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "cut": p.running.Load()})
+	return err
+}
+
+// follow polls the seeds and then the members that they name.
+func (p *process) follow(ctx context.Context) {
+	p.site.follow = func(members []string) {
+		all := slices.Concat(members, p.unheard(*p.seeds.Load(), members))
+		p.follower.Follow(ctx, all)
+	}
+	p.follower.Follow(ctx, p.config.Host.Seeds)
+}
+
+// unheard returns the seeds to poll beside the members: all while no member has answered lately.
+func (p *process) unheard(seeds, members []string) []string {
+	const fresh = 5 * time.Second
+	for _, m := range members {
+		if ago, ok := p.follower.Heard(m); ok && ago < fresh {
+			return nil
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return slices.Contains(members, s) })
+}
+
+// reseed polls new seeds beside the members that are known.
+func (p *process) reseed(ctx context.Context, h host.Host) {
+	p.seeds.Store(&h.Seeds)
+	p.site.mu.Lock()
+	members := p.site.members
+	p.site.mu.Unlock()
+	all := slices.Concat(members, h.Seeds)
+	slices.Sort(all)
+	p.follower.Follow(ctx, slices.Compact(all))
+}
+
+// serve listens for callers, the balancer and the collector of metrics.
+func (p *process) serve(ctx context.Context) error {
+	callers := &http.Server{
+		Handler:           http.HandlerFunc(p.count),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         p.connection,
+	}
+	if err := p.listen(ctx, p.config.Host.Listen, callers); err != nil {
+		return err
+	}
+	if err := p.listen(ctx, p.config.Host.Ready, &http.Server{Handler: p.config.Ready(p.ready), ReadHeaderTimeout: headerTimeout}); err != nil {
+		return err
+	}
+	if p.config.Host.Metrics == "" {
+		return nil
+	}
+	return p.listen(ctx, p.config.Host.Metrics, &http.Server{Handler: platform.New(platform.Config{Ready: p.why, Metrics: p.metrics}), ReadHeaderTimeout: headerTimeout})
+}
+
+func (p *process) why() error {
+	if !p.ready() {
+		return errors.New("the entry has no document yet, or stops")
+	}
+	return nil
+}
+
+func (p *process) count(w http.ResponseWriter, q *http.Request) {
+	p.running.Add(1)
+	defer p.running.Add(-1)
+	p.handler.ServeHTTP(w, q)
+}
+
+func (p *process) connection(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		p.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		p.open.Add(-1)
+	}
+}
+
+func (p *process) listen(ctx context.Context, address string, s *http.Server) error {
+	l, err := tcp.Listen(ctx, address)
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
+	p.loops.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			event.NoticeRefused.Write(p.config.Logger, log.Fields{"notice": "listen " + address, "error": err.Error()})
+		}
+	})
+	p.loops.Go(func() {
+		<-ctx.Done()
+		// What still runs was given all the time that there was.
+		_ = s.Close()
+	})
+	return nil
+}
+
+// drain serves on until the balancer has turned away and the last request has ended, or the time is up.
+//
+// Requests keep coming for a while on new and kept connections; each answer
+// asks the caller to open its next connection, which then goes elsewhere.
+func (p *process) drain() {
+	began := time.Now()
+	last := began.Add(max(p.config.Host.Bounds.Grace-lastCut, lingerLeast))
+	p.ending.Store(&last)
+	event.ProcessStopping.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "running": p.running.Load(), "connections": p.open.Load()})
+	for time.Now().Before(last) {
+		if time.Since(began) >= lingerLeast && p.running.Load() == 0 {
+			return
+		}
+		time.Sleep(stopLook)
+	}
+}
--- /dev/null
+++ b/internal/process/siteentry/site.go
@@ -0,0 +1,212 @@
+package siteentry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/serve/choose"
+	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/directory"
+	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
+)
+
+// site is what the entry knows of the site; it only ever moves forward.
+type site struct {
+	logger    log.Interface
+	directory directory.Directory
+	table     atomic.Pointer[document.Table]
+	// documents guards the change of table.
+	documents sync.Mutex
+
+	mu       sync.Mutex
+	newest   map[string]int64
+	noticed  map[string]int64
+	members  []string
+	entries  map[string]int
+	caughtUp map[string]time.Time
+	follow   func(members []string)
+}
+
+func newSite(logger log.Interface) *site {
+	return &site{
+		logger:    logger,
+		directory: directory.New(),
+		newest:    map[string]int64{},
+		noticed:   map[string]int64{},
+		entries:   map[string]int{},
+		caughtUp:  map[string]time.Time{},
+	}
+}
+
+// take takes what the replica at address shows.
+func (s *site) take(address string, a watch.Answer) {
+	for _, r := range a.Rows {
+		if err := s.takeRow(r); err != nil {
+			event.NoticeRefused.Write(s.logger, log.Fields{"peer": address, "notice": "row", "topic": r.Topic, "key": r.Key, "error": err.Error()})
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries[address] = a.Entries
+	if a.CaughtUp {
+		s.caughtUp[address] = time.Now()
+	}
+}
+
+func (s *site) takeRow(r board.Row) error {
+	switch r.Topic {
+	case topic.Document:
+		return decoded(r, s.takeDocument)
+	case topic.Servers:
+		if len(r.Value) == 0 {
+			s.directory.Forget(r.Key)
+			return nil
+		}
+		return decoded(r, s.takeServer)
+	case topic.Members:
+		return decoded(r, s.takeMembers)
+	case topic.Versions:
+		return decoded(r, func(v int64) { s.takeVersion(r.Key, v) })
+	}
+	// A topic of a newer replica.
+	return nil
+}
+
+func decoded[T any](r board.Row, take func(T)) error {
+	v, err := codec.Unmarshal[T](r.Value)
+	if err != nil {
+		return err
+	}
+	take(v)
+	return nil
+}
+
+// takeDocument takes a document with a higher number; a replica that lags behind shows older ones.
+func (s *site) takeDocument(d document.Document) {
+	s.documents.Lock()
+	defer s.documents.Unlock()
+	before := int64(-1)
+	if t := s.table.Load(); t != nil {
+		before = (*t).Document().Number
+	}
+	if d.Number <= before {
+		return
+	}
+	t := document.NewTable(d)
+	s.table.Store(&t)
+	event.DocumentInForce.Write(s.logger, log.Fields{"number": d.Number, "before": before, "routes": len(d.Routes), "workspaces": len(d.Workspaces)})
+}
+
+func (s *site) takeServer(v directory.Server) {
+	if _, matters := s.directory.Merge(v); matters {
+		event.ServerAnnounced.Write(s.logger, log.Fields{
+			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "born": v.Born,
+			"sequence": v.Sequence, "state": v.State.String(), "silent": v.Silent, "home": v.Home,
+		})
+	}
+}
+
+// takeMembers adds the replicas to those that are followed.
+//
+// Seeds may be gone when this process needs them; once heard of, a replica is
+// followed until another list names the members without it.
+func (s *site) takeMembers(members []string) {
+	s.mu.Lock()
+	s.members = members
+	s.mu.Unlock()
+	s.follow(members)
+}
+
+func (s *site) takeVersion(model string, v int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newest[model] = max(s.newest[model], v)
+}
+
+// Table implements caller.Site.
+func (s *site) Table() document.Table {
+	if t := s.table.Load(); t != nil {
+		return *t
+	}
+	return nil
+}
+
+// Servers implements caller.Site.
+func (s *site) Servers(service string) []directory.Server {
+	return s.directory.View().Service(service)
+}
+
+// Version implements caller.Site.
+//
+// A server announces its weights about once a second and shows them in each
+// answer; they only move forward.
+func (s *site) Version(v directory.Server, model string) int64 {
+	told, _ := v.Version(model)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(told, s.noticed[noticeKey(v.ID, model)])
+}
+
+func noticeKey(server, model string) string {
+	return server + "\x00" + model
+}
+
+// Noticed implements caller.Site.
+func (s *site) Noticed(server, model string, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := noticeKey(server, model)
+	s.noticed[k] = max(s.noticed[k], version)
+}
+
+// Newest implements caller.Site.
+func (s *site) Newest(model string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest[model]
+}
+
+// Busy implements caller.Site.
+func (s *site) Busy(string) bool {
+	return false
+}
+
+// Copies implements caller.Site.
+func (s *site) Copies(string, string) []choose.Copy {
+	return nil
+}
+
+// SaveTo implements caller.Site.
+func (s *site) SaveTo(string, string, int) string {
+	return ""
+}
+
+// FetchUntil implements caller.Site.
+func (s *site) FetchUntil() int64 {
+	return 0
+}
+
+// Entries implements caller.Site.
+func (s *site) Entries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 1
+	for _, n := range s.entries {
+		most = max(most, n)
+	}
+	return most
+}
+
+// current returns whether the entry can serve: a replica that has caught up has told it all.
+func (s *site) current() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Load() != nil && len(s.caughtUp) > 0
+}
--- /dev/null
+++ b/internal/serve/backend/client.go
@@ -0,0 +1,219 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/node/tcp"
+)
+
+const (
+	// dialTimeout bounds a new connection. A handshake takes milliseconds; its
+	// lost packet is sent again after a second, when another server has answered already.
+	dialTimeout = 400 * time.Millisecond
+	// maxIdle bounds the idle connections to one server.
+	maxIdle = 64
+	// sweepInterval is the time between two looks for connections that have been idle too long.
+	sweepInterval = time.Second
+)
+
+// Config is what a Client needs.
+type Config struct {
+	// Belongs returns whether an answer belongs to the attempt; one that does not is passed over.
+	Belongs func(attempt string, h http.Header) bool
+	// Dialled is called for each new connection; nil for none.
+	Dialled func()
+}
+
+// Client sends requests to servers.
+type Client interface {
+	// Send writes the message once and returns the answer's head; a failure is an *Error.
+	//
+	// deadline bounds the whole exchange. When ctx ends the connection is closed,
+	// which makes most servers drop the request.
+	Send(ctx context.Context, t Target, attempt string, m Message, deadline time.Time) (*Exchange, error)
+	// Close closes the idle connections.
+	Close()
+}
+
+type client struct {
+	config Config
+	mu     sync.Mutex
+	pools  map[key]*pool
+	done   chan struct{}
+}
+
+// pool holds the connections to one incarnation of a server.
+type pool struct {
+	idle []*conn
+	open int
+}
+
+// New returns a Client.
+func New(c Config) Client {
+	l := &client{config: c, pools: map[key]*pool{}, done: make(chan struct{})}
+	go func() {
+		t := time.NewTicker(sweepInterval)
+		defer t.Stop()
+		for {
+			select {
+			case <-l.done:
+				return
+			case <-t.C:
+				l.sweep(time.Now())
+			}
+		}
+	}()
+	return l
+}
+
+// Close implements Client.
+func (l *client) Close() {
+	close(l.done)
+	l.sweep(time.Now().Add(time.Hour))
+}
+
+// sweep closes connections that may be closed by the server soon.
+func (l *client) sweep(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k, p := range l.pools {
+		kept := p.idle[:0]
+		for _, c := range p.idle {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+			p.open--
+		}
+		p.idle = kept
+		if p.open == 0 {
+			delete(l.pools, k)
+		}
+	}
+}
+
+// Send implements Client.
+func (l *client) Send(ctx context.Context, t Target, attempt string, m Message, deadline time.Time) (*Exchange, error) {
+	for {
+		c, err := l.take(ctx, t, deadline)
+		if err != nil {
+			return nil, err
+		}
+		x := &Exchange{client: l, target: t, conn: c, method: m.Method, attempt: attempt}
+		x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+		again, err := x.begin(m, deadline)
+		if err == nil {
+			return x, nil
+		}
+		x.Abort()
+		if ctx.Err() != nil {
+			return nil, &Error{Verdict: verdictOf(err), Reason: Cancelled, Cause: ctx.Err()}
+		}
+		if !again {
+			return nil, err
+		}
+	}
+}
+
+func verdictOf(err error) verdict.Verdict {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return verdict.MayHaveRun
+}
+
+// take returns an idle connection or a new one.
+func (l *client) take(ctx context.Context, t Target, deadline time.Time) (*conn, error) {
+	for {
+		c, err := l.reserve(t)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			return l.dial(ctx, t, deadline)
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		l.drop(t, c)
+	}
+}
+
+// reserve takes the connection that was used last, or a place for a new one, then nil.
+func (l *client) reserve(t Target) (*conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.pools[t.key()]
+	if !ok {
+		p = &pool{}
+		l.pools[t.key()] = p
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return c, nil
+	}
+	if t.MaxConnections > 0 && p.open >= t.MaxConnections {
+		return nil, &Error{Verdict: verdict.NotRun, Reason: Saturated, Cause: errors.New("all connections to the server are in use")}
+	}
+	p.open++
+	return nil, nil
+}
+
+func (l *client) dial(ctx context.Context, t Target, deadline time.Time) (*conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(dialTimeout)))
+	defer cancel()
+	if l.config.Dialled != nil {
+		l.config.Dialled()
+	}
+	c, err := tcp.Dial(ctx, t.Address)
+	if err != nil {
+		l.release(t)
+		return nil, &Error{Verdict: verdict.NotRun, Reason: Unreachable, Cause: err}
+	}
+	return newConn(c), nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// put returns a connection after a complete answer.
+func (l *client) put(t Target, c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.pools[t.key()]
+	if !ok || len(p.idle) >= maxIdle {
+		_ = c.Close()
+		if ok {
+			p.open--
+		}
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// drop closes a connection.
+func (l *client) drop(t Target, c net.Conn) {
+	_ = c.Close()
+	l.release(t)
+}
+
+func (l *client) release(t Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, ok := l.pools[t.key()]; ok {
+		p.open--
+	}
+}
--- /dev/null
+++ b/internal/serve/backend/message.go
@@ -0,0 +1,57 @@
+package backend
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+)
+
+// Message is a request as it goes out.
+type Message struct {
+	// Method, Target and Host go out byte for byte.
+	Method, Target, Host string
+	// Header holds all other headers.
+	Header http.Header
+	// Body is the whole body.
+	Body []byte
+}
+
+// firstBytes is how much of a message goes out in one write, before an answer is waited for.
+const firstBytes = 16 << 10
+
+// split returns the message in the piece that is written at once and the rest of the body.
+func (m Message) split() (first, rest []byte) {
+	first = m.head()
+	n := min(len(m.Body), max(0, firstBytes-len(first)))
+	return append(first, m.Body[:n]...), m.Body[n:]
+}
+
+// head returns the request line and the headers.
+//
+// The length is always this process's own: one that a caller gave, beside
+// chunks or twice, could hide a second request inside the first.
+func (m Message) head() []byte {
+	var b bytes.Buffer
+	b.Grow(512)
+	b.WriteString(m.Method)
+	b.WriteByte(' ')
+	b.WriteString(m.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(m.Host)
+	b.WriteString("\r\n")
+	for name, values := range m.Header {
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(v)
+			b.WriteString("\r\n")
+		}
+	}
+	if len(m.Body) > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(m.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/serve/caller/choose.go
@@ -0,0 +1,165 @@
+package caller
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/serve/choose"
+	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/site/document"
+)
+
+const (
+	// olderMillis is what an engine costs in milliseconds that doesn't have the
+	// newest weights: a quarter of the time that a first event may take.
+	olderMillis = 250.0
+	// shardSeparator stands between the parts of a salt.
+	saltSeparator = "/"
+)
+
+// random returns a source for one decision.
+func random() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// candidates returns the servers of the service that were not tried yet.
+func (j *job) candidates() []choose.Candidate {
+	servers := j.Site.Servers(j.service.Name)
+	all := make([]choose.Candidate, 0, len(servers))
+	for _, s := range servers {
+		if slices.Contains(j.tried, s.ID) {
+			continue
+		}
+		all = append(all, choose.Candidate{Server: s, Track: j.Tracker.Track(s.ID)})
+	}
+	return all
+}
+
+func (j *job) choosePlain() (choice, bool) {
+	now := time.Now()
+	all := j.candidates()
+	at, cost := choose.Plain{Now: now, Zone: j.Zone, Random: random()}.Pick(all)
+	if at < 0 {
+		return choice{}, false
+	}
+	c := all[at]
+	return choice{
+		server:   c.Server,
+		dispatch: j.dispatch(now),
+		fields: log.Fields{
+			"kind": "plain", "cost": cost, "candidates": len(all), "in-flight": c.Track.InFlight, "failures": c.Track.Failures,
+			"load-age-ms": age(c.Track, now),
+		},
+	}, true
+}
+
+func age(t observe.Track, now time.Time) int64 {
+	if t.Reported.IsZero() {
+		return -1
+	}
+	return now.Sub(t.Reported).Milliseconds()
+}
+
+// chooseEngine weighs the engines of each version by themselves: parts that
+// were read under one version are of no use under another.
+func (j *job) chooseEngine(e document.Engine) (choice, bool) {
+	now := time.Now()
+	prompt := j.request.Prompt
+	newest := j.Site.Newest(prompt.Model)
+	groups := map[int64][]choose.Candidate{}
+	for _, c := range j.candidates() {
+		if j.Site.Busy(c.Server.ID) {
+			continue
+		}
+		v := j.Site.Version(c.Server, prompt.Model)
+		groups[v] = append(groups[v], c)
+	}
+	var found choice
+	best := -1.0
+	for v, all := range groups {
+		p := j.engine(e, v, now).Pick(all)
+		if v < newest {
+			p.Millis += olderMillis
+		}
+		if p.At < 0 || best >= 0 && p.Millis >= best {
+			continue
+		}
+		best = p.Millis
+		found = j.engineChoice(e, v, all[p.At], p, now)
+		found.fields["candidates"], found.fields["newest"] = len(all), newest
+	}
+	return found, best >= 0
+}
+
+func (j *job) engine(e document.Engine, version int64, now time.Time) choose.Engine {
+	salt := j.salt(version)
+	return choose.Engine{
+		Now: now, Zone: j.Zone, Parts: j.parts(salt), Output: j.request.Prompt.Output, Capacity: e.Tokens, Random: random(),
+		Holds: func(server string, p choose.Part) bool { return j.Memory.Holds(server, p.Salt, p.ID) },
+	}
+}
+
+// salt keeps apart what must not be shared: other weights, and workspaces that are isolated.
+//
+// An engine finds a part only under the salt that it was read with, so that
+// crossing is impossible however the choice of an engine goes wrong.
+func (j *job) salt(version int64) string {
+	if version == 0 {
+		// Nobody knows under which weights the parts would be read.
+		return "alone" + saltSeparator + j.request.Attempt
+	}
+	s := j.request.Prompt.Model + saltSeparator + strconv.FormatInt(version, 10)
+	if j.workspace.Isolated {
+		s += saltSeparator + j.workspace.Name
+	}
+	return s
+}
+
+func (j *job) parts(salt string) []choose.Part {
+	prompt := j.request.Prompt
+	all := make([]choose.Part, len(prompt.Parts))
+	for i, p := range prompt.Parts {
+		all[i] = choose.Part{Salt: salt, ID: p.ID, Tokens: p.Tokens, Shared: i < len(prompt.Parts)-1}
+		if all[i].Shared {
+			all[i].Copies = j.Site.Copies(salt, p.ID)
+		}
+	}
+	return all
+}
+
+func (j *job) engineChoice(e document.Engine, version int64, c choose.Candidate, p choose.Plan, now time.Time) choice {
+	salt, prompt := j.salt(version), j.request.Prompt
+	d := j.dispatch(now)
+	d.Urgency, d.Version, d.Salt = j.urgency(), version, salt
+	d.Fetch, d.Save = p.Fetch, make([]string, len(prompt.Parts))
+	if version != 0 {
+		for i, part := range prompt.Parts[:max(0, len(prompt.Parts)-1)] {
+			if p.Fetch[i] == "" {
+				d.Save[i] = j.Site.SaveTo(salt, part.ID, part.Tokens)
+			}
+		}
+	}
+	d.Until = j.Site.FetchUntil()
+	if d.Until == 0 {
+		d.Fetch = nil
+	}
+	held := prompt.Tokens + prompt.Output
+	return choice{
+		server:   c.Server,
+		dispatch: d,
+		attempt:  observe.Attempt{Reading: p.Missing, Held: held},
+		noted: func() {
+			for _, part := range prompt.Parts[:max(0, len(prompt.Parts)-1)] {
+				j.Memory.Note(c.Server.ID, salt, part.ID, part.Tokens, e.Tokens)
+			}
+		},
+		fields: log.Fields{
+			"kind": "engine", "cost-ms": p.Millis, "missing": p.Missing, "tokens": prompt.Tokens, "version": version,
+			"in-flight": c.Track.InFlight, "reading": c.Track.Reading, "held": c.Track.Held, "load-age-ms": age(c.Track, now),
+		},
+	}
+}
--- /dev/null
+++ b/internal/serve/caller/config.go
@@ -0,0 +1,77 @@
+package caller
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/serve/backend"
+	"hornbeamwood/internal/serve/choose"
+	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/serve/request"
+	"hornbeamwood/internal/serve/retry"
+	"hornbeamwood/internal/site/directory"
+	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/parts"
+)
+
+// Codec translates between headers and types.
+type Codec interface {
+	// Decode returns the caller's request without its body; Header holds what may be passed on.
+	Decode(q *http.Request) (request.Request, error)
+	// Encode adds what the system tells a server.
+	Encode(h http.Header, d request.Dispatch)
+	// Answer returns what a server's headers say.
+	Answer(h http.Header) request.Answer
+}
+
+// Site is what the entry knows of the site.
+type Site interface {
+	// Table returns the document in force, nil while there is none.
+	Table() document.Table
+	// Servers returns the ready servers of a service.
+	Servers(service string) []directory.Server
+	// Version returns the version of the model that the server has, zero when it isn't known.
+	Version(s directory.Server, model string) int64
+	// Noticed tells the version that a server's answer showed.
+	Noticed(server, model string, version int64)
+	// Newest returns the version that was named for the model, zero for none.
+	Newest(model string) int64
+	// Busy returns whether the server carries out an order that keeps it from taking requests for the model.
+	Busy(server string) bool
+	// Copies returns the stores that have the part whole.
+	Copies(salt, part string) []choose.Copy
+	// SaveTo returns the store that shall have the part, empty for none.
+	SaveTo(salt, part string, tokens int) string
+	// FetchUntil returns the servers' clock time until which a fetch that begins now may last, zero when it can't be told.
+	FetchUntil() int64
+	// Entries returns how many entries share the servers.
+	Entries() int
+}
+
+// Config is what a Gateway needs.
+type Config struct {
+	// Zone is the entry's availability zone.
+	Zone string
+	// Codec translates headers.
+	Codec Codec
+	// Site is what the entry knows.
+	Site Site
+	// Client sends requests to servers.
+	Client backend.Client
+	// Tracker follows attempts.
+	Tracker observe.Tracker
+	// Memory guesses what engines hold.
+	Memory parts.Memory
+	// Budget grants repeats.
+	Budget retry.Budget
+	// Stopping returns whether the process is about to end, so that connections are to be closed after their answer.
+	Stopping func() bool
+	// Refusing returns whether the process is so near its end that a new request can't be served.
+	Refusing func() bool
+	// Metrics takes the counters.
+	Metrics *metrics.Set
+	// Logger takes the events.
+	Logger log.Interface
+}
--- /dev/null
+++ b/internal/serve/caller/job.go
@@ -0,0 +1,290 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/serve/backend"
+	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/serve/request"
+	"hornbeamwood/internal/site/directory"
+	"hornbeamwood/internal/site/document"
+)
+
+const (
+	// retrySoon is when a caller may come back after a refusal that passes in a moment, as a start or a full pool of connections.
+	retrySoon = 250 * time.Millisecond
+	// maxTries bounds the servers that a request is offered to, those that refused it included.
+	maxTries = 4
+	// leastLeft is how much time must be left for another try to make sense: a way there and back between availability zones.
+	leastLeft = 15 * time.Millisecond
+	// connectionShare is the part of a server's connections that all entries together use; the rest is for entries that are not counted yet.
+	connectionShare = 0.85
+	// leastConnections is what an entry may have to a server in any case.
+	leastConnections = 4
+)
+
+// job is one request on its way.
+type job struct {
+	*gateway
+	writer   http.ResponseWriter
+	arrived  time.Time
+	deadline time.Time
+
+	request   request.Request
+	route     document.Route
+	workspace document.Workspace
+	service   document.Service
+	number    int64
+
+	tried []string
+	// runs counts the servers that may have run the request, repeats the sends beyond the first.
+	runs, sends int
+	// verdict is what is known of the request as a whole.
+	verdict verdict.Verdict
+	// kept is a failure that a server answered, passed on if nothing better comes.
+	kept *answer
+	// events is the state of a stream that is passed on.
+	events relay
+
+	status int
+	reason string
+}
+
+func fraction() float64 {
+	return rand.Float64()
+}
+
+// serve tries servers until the caller has its final answer. ctx ends what may
+// be stopped when the caller leaves; gone ends when it has left.
+func (j *job) serve(ctx, gone context.Context) {
+	j.verdict = verdict.NotRun
+	j.Budget.Request(j.service.Name, j.arrived)
+	// A caller that stops reading would hold the handler and its memory for ever.
+	_ = http.NewResponseController(j.writer).SetWriteDeadline(j.deadline.Add(writeSlack))
+	for {
+		if gone.Err() != nil {
+			j.abandon()
+			return
+		}
+		c, ok := j.choose()
+		if !ok {
+			j.giveUp("no-server")
+			return
+		}
+		done, reason := j.try(ctx, c)
+		if done {
+			return
+		}
+		if ctx.Err() != nil {
+			j.abandon()
+			return
+		}
+		if !j.again() {
+			j.giveUp(reason)
+			return
+		}
+	}
+}
+
+// again returns whether another server may be tried.
+//
+// What may run once is sent on only after the word that it hasn't run, or when
+// no byte of it left. Each further send that reaches a server is paid from the
+// fleet's budget: repeats of many callers at once would otherwise finish off
+// the servers that are left.
+func (j *job) again() bool {
+	switch {
+	case time.Until(j.deadline) < leastLeft || len(j.tried) >= maxTries:
+		return false
+	case j.runs >= max(1, j.route.MaxAttempts):
+		return false
+	case j.verdict != verdict.NotRun && !j.route.Repeatable():
+		return false
+	case j.sends == 0:
+		return true
+	}
+	return j.Budget.Take(j.service.Name, time.Now())
+}
+
+// choice is a server with what is sent to it.
+type choice struct {
+	server   directory.Server
+	dispatch request.Dispatch
+	attempt  observe.Attempt
+	fields   log.Fields
+	// noted is called when the server has taken the request.
+	noted func()
+}
+
+func (j *job) choose() (choice, bool) {
+	if j.route.Prompts && j.request.Prompt != nil && j.service.Engine != nil {
+		return j.chooseEngine(*j.service.Engine)
+	}
+	return j.choosePlain()
+}
+
+// try sends the request to a server and passes its answer on; it returns false when another server may be tried.
+func (j *job) try(ctx context.Context, c choice) (bool, string) {
+	now := time.Now()
+	j.tried = append(j.tried, c.server.ID)
+	c.dispatch.Server = c.server.ID
+	c.fields["request"], c.fields["server"], c.fields["try"] = j.request.Attempt, c.server.ID, len(j.tried)
+	c.fields["document"] = j.number
+	event.AttemptRouted.Write(j.Logger, c.fields)
+	c.attempt.Server, c.attempt.Began = c.server.ID, now
+	a := j.Tracker.Begin(c.attempt)
+	x, err := j.Client.Send(ctx, j.target(c.server), j.request.Attempt, j.message(c.dispatch), j.patience(now))
+	if err != nil {
+		return false, j.failed(a, err)
+	}
+	j.sends++
+	return j.pass(ctx, c, a, x)
+}
+
+func (j *job) target(s directory.Server) backend.Target {
+	t := backend.Target{ID: s.ID, Born: s.Born, Address: s.Address}
+	if m := j.service.MaxConnections; m > 0 {
+		t.MaxConnections = max(leastConnections, int(connectionShare*float64(m))/max(1, j.Site.Entries()))
+	}
+	return t
+}
+
+func (j *job) message(d request.Dispatch) backend.Message {
+	h := j.request.Header.Clone()
+	j.Codec.Encode(h, d)
+	return backend.Message{Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: h, Body: j.request.Body}
+}
+
+// failed counts an attempt that brought no answer and returns the reason.
+func (j *job) failed(a *observe.Attempt, err error) string {
+	reason, v := "failed", verdict.MayHaveRun
+	var e *backend.Error
+	if errors.As(err, &e) {
+		reason, v = string(e.Reason), e.Verdict
+	}
+	o := observe.Lost
+	switch {
+	case e != nil && e.Reason == backend.Cancelled:
+		o = observe.Abandoned
+	case e != nil && e.Reason == backend.Saturated:
+		o = observe.Rejected
+	case v == verdict.NotRun:
+		o = observe.Unreachable
+	}
+	j.Tracker.End(a, o, time.Now())
+	if v != verdict.NotRun {
+		j.sends++
+		j.mayHaveRun()
+	}
+	j.note(a.Server, reason, v, err)
+	return reason
+}
+
+// mayHaveRun notes that a server may have run the request.
+func (j *job) mayHaveRun() {
+	j.runs++
+	j.verdict = verdict.MayHaveRun
+}
+
+func (j *job) note(server, reason string, v verdict.Verdict, err error) {
+	f := log.Fields{"request": j.request.Attempt, "server": server, "reason": reason, "verdict": v.String(), "ms": time.Since(j.arrived).Milliseconds()}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	event.AttemptFailed.Write(j.Logger, f)
+}
+
+// patience returns how long one attempt may take: all that is left, unless another server could still answer in time.
+func (j *job) patience(now time.Time) time.Time {
+	if !j.route.Repeatable() || j.runs+1 >= j.route.MaxAttempts {
+		return j.deadline
+	}
+	most := now.Add(firstPatience(j.route))
+	if half := now.Add(j.deadline.Sub(now) * 6 / 10); half.Before(most) {
+		return half
+	}
+	return most
+}
+
+// firstPatience is how long the first server may take when there may be a
+// second one: a few times what the route aims at, so that a slow answer isn't
+// thrown away for one that begins anew.
+func firstPatience(r document.Route) time.Duration {
+	const times, least = 3, 200 * time.Millisecond
+	return max(times*r.Target, least)
+}
+
+// reject ends a request that is not tried at all.
+func (j *job) reject(status int, reason string, retryAfter time.Duration) bool {
+	j.refuse(status, reason, retryAfter)
+	return false
+}
+
+// refuse gives the caller a final answer of the entry's own.
+func (j *job) refuse(status int, reason string, retryAfter time.Duration) {
+	j.reason = reason
+	if j.events.started {
+		// The stream can't be completed and must not look complete.
+		j.status = status
+		panic(http.ErrAbortHandler)
+	}
+	h := j.writer.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+	}
+	j.status = status
+	j.writer.WriteHeader(status)
+	// The caller may have left; there is nobody else to tell.
+	_, _ = j.writer.Write([]byte(reason + "\n"))
+}
+
+// giveUp answers when no server is tried any more.
+//
+// Only a request that no server has run, and none ever will, is refused with the
+// status that promises so; of all others nothing is said.
+func (j *job) giveUp(reason string) {
+	switch {
+	case j.kept != nil && !j.events.started:
+		j.reason = reason
+		j.deliver(j.kept)
+	case j.verdict == verdict.NotRun:
+		j.refuse(http.StatusServiceUnavailable, reason, j.comeBack())
+	case !time.Now().Before(j.deadline):
+		j.refuse(http.StatusGatewayTimeout, reason, 0)
+	default:
+		j.refuse(http.StatusBadGateway, reason, 0)
+	}
+}
+
+// comeBack returns when a refused caller should ask again: spread over a
+// moment, so that those who were refused together don't return together.
+func (j *job) comeBack() time.Duration {
+	return retrySoon + time.Duration(fraction()*float64(retrySoon))
+}
+
+// abandon ends a request whose caller has left.
+func (j *job) abandon() {
+	j.reason = "caller-left"
+	panic(http.ErrAbortHandler)
+}
+
+// end writes what became of the request.
+func (j *job) end() {
+	took := time.Since(j.arrived)
+	j.meters.ended(j.route.Kind, j.status, took)
+	event.RequestEnded.Write(j.Logger, log.Fields{
+		"request": j.request.Attempt, "route": j.route.Name, "status": j.status, "reason": j.reason, "verdict": j.verdict.String(),
+		"tries": len(j.tried), "runs": j.runs, "ms": took.Milliseconds(), "workspace": j.workspace.Name, "document": j.number,
+		"first-ms": j.events.firstMillis(j.arrived), "events": j.events.last,
+	})
+}
--- /dev/null
+++ b/internal/serve/choose/candidate.go
@@ -0,0 +1,72 @@
+package choose
+
+import (
+	"time"
+
+	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/site/directory"
+)
+
+// Candidate is a server with what is known of it.
+type Candidate struct {
+	// Server is what it announced.
+	Server directory.Server
+	// Track is what this entry saw.
+	Track observe.Track
+}
+
+const (
+	// reportFresh is how old a server's report may be to count whole; its weight falls to nothing at twice that.
+	reportFresh = 500 * time.Millisecond
+	// provenFor is how long an answer proves that a server lives whose announcements have stopped.
+	provenFor = 1500 * time.Millisecond
+)
+
+// standing ranks candidates before any cost: the lower, the better.
+type standing int
+
+const (
+	usable standing = iota
+	// doubtful servers have stopped announcing themselves and haven't answered lately.
+	doubtful
+	// aside servers gave no answer to several requests in a row.
+	aside
+)
+
+func (c Candidate) standing(now time.Time) standing {
+	switch {
+	case now.Before(c.Track.SetAside):
+		return aside
+	case c.Server.Silent && now.Sub(c.Track.Answered) > provenFor:
+		return doubtful
+	}
+	return usable
+}
+
+// load returns how many requests the server has, as far as this entry can tell.
+func (c Candidate) load(now time.Time) float64 {
+	own := float64(c.Track.InFlight)
+	if c.Track.Reported.IsZero() {
+		return own
+	}
+	age := now.Sub(c.Track.Reported)
+	weight := 1 - max(0, min(1, float64(age-reportFresh)/float64(reportFresh)))
+	told := float64(c.Track.Running+c.Track.Waiting+c.Track.Since) * weight
+	return max(own, told)
+}
+
+// best returns the index of the candidate with the lowest cost among those of the best standing, -1 without candidates.
+func best(all []Candidate, now time.Time, cost func(i int) float64) (int, float64) {
+	at, rank, lowest := -1, standing(0), 0.0
+	for i, c := range all {
+		s, x := c.standing(now), 0.0
+		if at >= 0 && s > rank {
+			continue
+		}
+		x = cost(i)
+		if at < 0 || s < rank || x < lowest {
+			at, rank, lowest = i, s, x
+		}
+	}
+	return at, lowest
+}
--- /dev/null
+++ b/internal/serve/choose/engine.go
@@ -0,0 +1,193 @@
+package choose
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// readRate is how many prompt tokens an engine reads in a millisecond, a
+	// little under what engines of today's sizes do, so that a queue isn't taken for shorter than it is.
+	readRate = 50.0
+	// waitingTokens stands for the prompt of a request that waits at an engine and was sent by another entry.
+	waitingTokens = 2500.0
+	// busyMillis is what a full engine costs in milliseconds: each step takes longer with each request in it.
+	busyMillis = 120.0
+	// againCost multiplies the time to read a shared part that was read elsewhere
+	// before: the work is done twice, and a move takes a fiftieth of it.
+	againCost = 3.0
+	// homeDiscount is the part of that cost which the part's home engine is
+	// spared: entries that know of no copy meet at one engine.
+	homeDiscount = 0.6
+	// otherZoneMillis is what an engine in another availability zone costs in milliseconds, for the bytes between zones and the way.
+	otherZoneMillis = 12.0
+	// memoryMillis is the cost of a request that doesn't fit beside this entry's others.
+	memoryMillis = 400.0
+	// millisJitter spreads equal choices of many entries.
+	millisJitter = 3.0
+)
+
+// Part is a piece of the prompt as the choice sees it.
+type Part struct {
+	// Salt and ID identify the part.
+	Salt, ID string
+	// Tokens is its size.
+	Tokens int
+	// Shared says that other prompts may have it too.
+	Shared bool
+	// Copies are the stores that have it whole.
+	Copies []Copy
+}
+
+// Copy is a part in a store.
+type Copy struct {
+	// Address is the store's IP and port.
+	Address string
+	// Zone is the store's availability zone.
+	Zone string
+	// PerToken is how long a token takes over the store's link, First what each transfer waits.
+	PerToken, First time.Duration
+}
+
+// Engine is a choice among the engines of a service.
+type Engine struct {
+	// Now is the time of the decision.
+	Now time.Time
+	// Zone is the entry's availability zone.
+	Zone string
+	// Parts are the prompt's parts in their order, and Output the most tokens of the answer.
+	Parts  []Part
+	Output int
+	// Capacity is an engine's memory in tokens.
+	Capacity int
+	// Holds returns whether a server probably has a part in memory.
+	Holds func(server string, p Part) bool
+	// Random draws the jitter.
+	Random *rand.Rand
+}
+
+// Plan is a choice of an engine with where each part comes from.
+type Plan struct {
+	// At is the index of the engine, -1 without candidates.
+	At int
+	// Millis is the estimated cost in milliseconds.
+	Millis float64
+	// Fetch names the store of each part; empty for none.
+	Fetch []string
+	// Missing is how many tokens the engine has to read.
+	Missing int
+}
+
+// Pick returns the plan with the lowest cost.
+func (e Engine) Pick(all []Candidate) Plan {
+	homes := e.homes(all)
+	plans := make([]Plan, len(all))
+	at, millis := best(all, e.Now, func(i int) float64 {
+		plans[i] = e.plan(all[i], homes)
+		return plans[i].Millis
+	})
+	if at < 0 {
+		return Plan{At: -1}
+	}
+	p := plans[at]
+	p.At, p.Millis = at, millis
+	return p
+}
+
+// plan weighs one engine. A part is of use only if all parts before it are there.
+func (e Engine) plan(c Candidate, homes []string) Plan {
+	p := Plan{Fetch: make([]string, len(e.Parts))}
+	total, whole := 0, true
+	for i, part := range e.Parts {
+		total += part.Tokens
+		switch {
+		case whole && e.Holds != nil && e.Holds(c.Server.ID, part):
+			// The engine moves nothing that it has; if it has lost the part, the copy spares reading it again.
+			if len(part.Copies) > 0 {
+				copied, _ := e.nearest(c, part)
+				p.Fetch[i] = copied.Address
+			}
+		case whole && len(part.Copies) > 0:
+			copied, millis := e.nearest(c, part)
+			p.Fetch[i] = copied.Address
+			p.Millis += millis
+		default:
+			whole = false
+			p.Missing += part.Tokens
+			p.Millis += e.reading(c, part, homes[i])
+		}
+	}
+	p.Millis += e.waiting(c) + e.crowding(c, total)
+	if c.Server.Zone != e.Zone {
+		p.Millis += otherZoneMillis
+	}
+	if e.Random != nil {
+		p.Millis += millisJitter * e.Random.Float64()
+	}
+	return p
+}
+
+func (e Engine) reading(c Candidate, part Part, home string) float64 {
+	millis := float64(part.Tokens) / readRate
+	if !part.Shared {
+		return millis
+	}
+	if c.Server.ID == home {
+		return millis * (1 + (againCost-1)*(1-homeDiscount))
+	}
+	return millis * againCost
+}
+
+// nearest returns the copy that arrives first and how long it takes in milliseconds.
+func (e Engine) nearest(c Candidate, part Part) (Copy, float64) {
+	found, lowest := Copy{}, 0.0
+	for _, k := range part.Copies {
+		millis := float64(part.Tokens) * k.PerToken.Seconds() * 1000
+		if k.Zone != c.Server.Zone {
+			millis *= 2
+		}
+		millis += k.First.Seconds() * 1000
+		if found.Address == "" || millis < lowest {
+			found, lowest = k, millis
+		}
+	}
+	return found, lowest
+}
+
+// waiting returns how long the prompts before this one take.
+func (e Engine) waiting(c Candidate) float64 {
+	own := float64(c.Track.Reading)
+	told := float64(c.Track.Waiting) * waitingTokens
+	if e.Now.Sub(c.Track.Reported) > reportFresh {
+		told = 0
+	}
+	return max(own, told) / readRate
+}
+
+// crowding returns what the engine's other requests cost this one.
+func (e Engine) crowding(c Candidate, tokens int) float64 {
+	millis := busyMillis * c.load(e.Now) / float64(max(1, c.Server.Slots))
+	if e.Capacity > 0 && c.Track.Held+tokens+e.Output > e.Capacity {
+		millis += memoryMillis
+	}
+	return millis
+}
+
+// homes returns, for each part, the engine at which entries meet that know of no copy.
+func (e Engine) homes(all []Candidate) []string {
+	homes := make([]string, len(e.Parts))
+	for i, p := range e.Parts {
+		if !p.Shared || len(p.Copies) > 0 {
+			continue
+		}
+		highest := uint64(0)
+		for _, c := range all {
+			if h := xxhash.Sum64String(c.Server.ID + "\x00" + p.Salt + "\x00" + p.ID); h >= highest {
+				homes[i], highest = c.Server.ID, h
+			}
+		}
+	}
+	return homes
+}
--- /dev/null
+++ b/internal/serve/observe/tracker.go
@@ -0,0 +1,201 @@
+package observe
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// shards is the number of locks; entries see tens of servers.
+	shards = 16
+	// failureWeight is the part of the newest attempt in the share of failures: about the last ten count.
+	failureWeight = 0.12
+	// latencyWeight is the part of the newest answer in the mean latency.
+	latencyWeight = 0.15
+	// asideStreak is how many attempts in a row without any answer set a server aside.
+	asideStreak = 2
+	// asideFirst and asideMost bound how long; it doubles with each further failure.
+	asideFirst = time.Second
+	asideMost  = 6 * time.Second
+	// forgetAfter is how long a server without requests is remembered.
+	forgetAfter = 2 * time.Minute
+)
+
+// Attempt is one request at a server.
+type Attempt struct {
+	// Server is the server's ID.
+	Server string
+	// Reading and Held are the prompt's tokens to be read and the most that the request holds.
+	Reading, Held int
+	// Began is when it was sent.
+	Began time.Time
+
+	started bool
+}
+
+// Tracker follows attempts.
+type Tracker interface {
+	// Begin notes a request that is sent.
+	Begin(a Attempt) *Attempt
+	// Started notes the first event of a stream.
+	Started(a *Attempt, now time.Time)
+	// End notes how the attempt ended.
+	End(a *Attempt, o Outcome, now time.Time)
+	// Report notes a server's own load.
+	Report(server string, running, waiting, slots int, now time.Time)
+	// Track returns what is known of the server.
+	Track(server string) Track
+}
+
+type state struct {
+	Track
+	touched time.Time
+	aside   time.Duration
+}
+
+type shard struct {
+	mu      sync.Mutex
+	servers map[string]*state
+	swept   time.Time
+}
+
+type tracker struct {
+	shards [shards]shard
+}
+
+// New returns a Tracker that knows nothing.
+func New() Tracker {
+	t := &tracker{}
+	for i := range t.shards {
+		t.shards[i].servers = map[string]*state{}
+	}
+	return t
+}
+
+func (t *tracker) shard(server string) *shard {
+	return &t.shards[xxhash.Sum64String(server)%shards]
+}
+
+// state returns the state of a server; the caller holds the lock.
+func (s *shard) state(server string, now time.Time) *state {
+	x, ok := s.servers[server]
+	if !ok {
+		s.sweep(now)
+		x = &state{}
+		s.servers[server] = x
+	}
+	x.touched = now
+	return x
+}
+
+func (s *shard) sweep(now time.Time) {
+	for id, x := range s.servers {
+		if x.InFlight == 0 && now.Sub(x.touched) > forgetAfter {
+			delete(s.servers, id)
+		}
+	}
+}
+
+// Begin implements Tracker.
+func (t *tracker) Begin(a Attempt) *Attempt {
+	s := t.shard(a.Server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.state(a.Server, a.Began)
+	x.InFlight++
+	x.Since++
+	x.Reading += a.Reading
+	x.Held += a.Held
+	return &a
+}
+
+// Started implements Tracker.
+func (t *tracker) Started(a *Attempt, now time.Time) {
+	s := t.shard(a.Server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state(a.Server, now).start(a, now)
+}
+
+func (x *state) start(a *Attempt, now time.Time) {
+	if a.started {
+		return
+	}
+	a.started = true
+	x.Reading -= a.Reading
+	x.answered(now.Sub(a.Began), now)
+}
+
+func (x *state) answered(took time.Duration, now time.Time) {
+	x.Answered = now
+	x.Streak, x.aside = 0, 0
+	x.SetAside = time.Time{}
+	if x.Latency == 0 {
+		x.Latency = took
+		return
+	}
+	x.Latency += time.Duration(latencyWeight * float64(took-x.Latency))
+}
+
+// End implements Tracker.
+func (t *tracker) End(a *Attempt, o Outcome, now time.Time) {
+	s := t.shard(a.Server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.state(a.Server, now)
+	x.InFlight--
+	x.Held -= a.Held
+	if o == Served {
+		x.start(a, now)
+	} else if !a.started {
+		x.Reading -= a.Reading
+	}
+	x.judge(o, now)
+}
+
+// judge counts an outcome.
+//
+// A server that crashed in silence, or that hangs while its health check is
+// good, shows only in answers that don't come. Two in a row set it aside for a
+// moment that doubles; one request then tries it again.
+func (x *state) judge(o Outcome, now time.Time) {
+	switch o {
+	case Abandoned, Rejected:
+		return
+	case Served:
+		x.Failures -= failureWeight * x.Failures
+		return
+	case Failed:
+		x.Answered = now
+		x.Streak = 0
+	case Lost, Unreachable:
+		x.Streak++
+		if x.Streak >= asideStreak || o == Unreachable {
+			x.aside = min(asideMost, max(asideFirst, 2*x.aside))
+			x.SetAside = now.Add(x.aside)
+		}
+	}
+	x.Failures += failureWeight * (1 - x.Failures)
+}
+
+// Report implements Tracker.
+func (t *tracker) Report(server string, running, waiting, slots int, now time.Time) {
+	s := t.shard(server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.state(server, now)
+	x.Running, x.Waiting, x.Slots, x.Reported, x.Since = running, waiting, slots, now, 0
+}
+
+// Track implements Tracker.
+func (t *tracker) Track(server string) Track {
+	s := t.shard(server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x, ok := s.servers[server]; ok {
+		return x.Track
+	}
+	return Track{}
+}
--- /dev/null
+++ b/internal/site/directory/directory.go
@@ -0,0 +1,81 @@
+package directory
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Directory merges announcements in whatever order they come.
+type Directory interface {
+	// Merge takes a row and returns whether it replaced what was known and whether that matters to routing.
+	Merge(s Server) (newer, matters bool)
+	// Get returns the newest incarnation of id.
+	Get(id string) (Server, bool)
+	// All returns every row.
+	All() []Server
+	// Forget drops a row.
+	Forget(id string)
+	// View returns the present picture.
+	View() *View
+}
+
+type directory struct {
+	mu   sync.Mutex
+	rows map[string]Server
+	view atomic.Pointer[View]
+}
+
+// New returns an empty Directory.
+func New() Directory {
+	d := &directory{rows: map[string]Server{}}
+	d.view.Store(newView(nil))
+	return d
+}
+
+// Merge implements Directory.
+func (d *directory) Merge(s Server) (newer, matters bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o, known := d.rows[s.ID]
+	if known && !s.Newer(o) {
+		return false, false
+	}
+	d.rows[s.ID] = s
+	if known && s.Same(o) {
+		return true, false
+	}
+	d.view.Store(newView(d.rows))
+	return true, true
+}
+
+// Get implements Directory.
+func (d *directory) Get(id string) (Server, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.rows[id]
+	return s, ok
+}
+
+// All implements Directory.
+func (d *directory) All() []Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]Server, 0, len(d.rows))
+	for _, s := range d.rows {
+		all = append(all, s)
+	}
+	return all
+}
+
+// Forget implements Directory.
+func (d *directory) Forget(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.rows, id)
+	d.view.Store(newView(d.rows))
+}
+
+// View implements Directory.
+func (d *directory) View() *View {
+	return d.view.Load()
+}
--- /dev/null
+++ b/internal/site/directory/directory_test.go
@@ -0,0 +1,56 @@
+package directory
+
+import (
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// A server says that it leaves, and an older announcement of it that was held
+// up by a cut comes afterwards. Requests that were sent to it then would be cut
+// off when it ends.
+func TestLateAnnouncementDoesNotBringBackALeavingServer(t *testing.T) {
+	d := New()
+	d.Merge(Server{ID: "a", Born: 1, Sequence: 4, State: Leaving, Service: "s"})
+	if newer, _ := d.Merge(Server{ID: "a", Born: 1, Sequence: 5, Service: "s"}); newer || len(d.View().Service("s")) != 0 {
+		t.Error("the server takes requests again")
+	}
+	if newer, _ := d.Merge(Server{ID: "a", Born: 2, Sequence: 1, Service: "s"}); !newer || len(d.View().Service("s")) != 1 {
+		t.Error("a new start under the same id is not used")
+	}
+}
+
+// A server crashed, another one has its address now. What the first one said
+// before it crashed arrives late; its requests would run at a server of another
+// service.
+func TestLatestStartOwnsTheAddress(t *testing.T) {
+	d := New()
+	d.Merge(Server{ID: "new", Born: 9, Sequence: 1, Service: "b", Address: "1:1"})
+	d.Merge(Server{ID: "old", Born: 3, Sequence: 70, Service: "a", Address: "1:1"})
+	if len(d.View().Service("a")) != 0 || len(d.View().Service("b")) != 1 {
+		t.Error("the old server still has the address")
+	}
+}
+
+// Announcements reach the replicas in different orders; all of them must end
+// with the same picture, or some entries go on sending to a server that left.
+func TestOrderDoesNotMatter(t *testing.T) {
+	p := gopter.NewProperties(nil)
+	p.Property("same picture", prop.ForAll(func(steps []uint16, seed int) bool {
+		forward, backward := New(), New()
+		rows := make([]Server, len(steps))
+		for i, s := range steps {
+			rows[i] = Server{ID: "a", Born: int64(s % 3), Sequence: int64(s / 3 % 5), State: State(s / 15 % 3), Silent: s/45%2 == 1}
+		}
+		for i := range rows {
+			forward.Merge(rows[i])
+			backward.Merge(rows[len(rows)-1-i])
+		}
+		a, _ := forward.Get("a")
+		b, _ := backward.Get("a")
+		return a.Same(b) && a.Sequence == b.Sequence
+	}, gen.SliceOf(gen.UInt16()), gen.Int()))
+	p.TestingRun(t)
+}
--- /dev/null
+++ b/internal/site/document/document_test.go
@@ -0,0 +1,66 @@
+package document
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+func valid() Document {
+	return Document{
+		Number:   3,
+		Services: []Service{{Name: "a"}, {Name: "b"}},
+		Routes: []Route{
+			{Name: "wide", Host: "h", Prefix: "/x/", Kind: Idempotent, Timeout: time.Second, Shares: []Share{{"a", 1}}},
+			{Name: "deep", Host: "h", Prefix: "/x/y/", Kind: Streaming, Timeout: time.Second, Shares: []Share{{"a", 90}, {"b", 10}}},
+		},
+		Workspaces: []Workspace{{Name: "w", Keys: []string{"k"}}},
+	}
+}
+
+// A document that names a service nobody has, or sends two routes to one
+// place, can't be obeyed; in force, it would turn every request of the route
+// away, or send it where only chance decides.
+func TestInvalidDocuments(t *testing.T) {
+	if err := valid().Check(); err != nil {
+		t.Fatal(err)
+	}
+	broken := map[string]func(*Document){
+		"unknown service": func(d *Document) { d.Routes[0].Shares[0].Service = "c" },
+		"same place":      func(d *Document) { d.Routes[1].Prefix = "/x/" },
+		"no weight":       func(d *Document) { d.Routes[1].Shares = []Share{{"a", 0}, {"b", 0}} },
+		"no shares":       func(d *Document) { d.Routes[1].Shares = nil },
+		"no timeout":      func(d *Document) { d.Routes[0].Timeout = 0 },
+		"shared key":      func(d *Document) { d.Workspaces = append(d.Workspaces, Workspace{Name: "v", Keys: []string{"k"}}) },
+		"unknown kind":    func(d *Document) { d.Routes[0].Kind = "other" },
+		"bare prefix":     func(d *Document) { d.Routes[0].Prefix = "/x" },
+	}
+	for name, breakIt := range broken {
+		d := valid()
+		breakIt(&d)
+		if err := d.Check(); !errors.Is(err, ErrInvalid) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	table := NewTable(valid())
+	cases := map[string]string{"/x/": "wide", "/x/z": "wide", "/x/y/": "deep", "/x/y/z/..//": "deep", "/x/y": "wide", "/x": "", "/": "", "": "", "/x%2fy/": ""}
+	for path, want := range cases {
+		r, _ := table.Route("H", path)
+		if r.Name != want {
+			t.Errorf("%q: got %q, want %q", path, r.Name, want)
+		}
+	}
+	if _, ok := table.Route("other", "/x/"); ok {
+		t.Error("a route of another host was found")
+	}
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	r := valid().Routes[1]
+	if r.ServiceAt(0.899) != "a" || r.ServiceAt(0.901) != "b" || r.ServiceAt(0.9999999) != "b" {
+		t.Error("the shares don't follow the weights")
+	}
+}
--- /dev/null
+++ b/internal/site/section/command.go
@@ -0,0 +1,40 @@
+package section
+
+import "hornbeamwood/internal/site/document"
+
+// Name is the section's name in the control log.
+const Name = "site"
+
+// Command is one change; exactly one field is set.
+type Command struct {
+	// Put brings a document into force.
+	Put *Put `cbor:"put,omitempty"`
+	// NameVersion names new weights.
+	NameVersion *NameVersion `cbor:"name-version,omitempty"`
+}
+
+// Put brings a document into force unless one with its number or a higher one is.
+type Put struct {
+	// Document is the decoded document, checked before it is proposed.
+	Document document.Document `cbor:"document"`
+	// Source is what the operator sent; reads return it unchanged.
+	Source []byte `cbor:"source"`
+}
+
+// NameVersion names the weights that the engines shall have.
+type NameVersion struct {
+	// Model is the model.
+	Model string `cbor:"model"`
+	// Version is the number of its weights; a lower one than the present changes nothing.
+	Version int64 `cbor:"version"`
+}
+
+// Result is what a Command returns.
+type Result struct {
+	// Taken says that the command was read; also one that changed nothing is.
+	Taken bool `cbor:"taken"`
+	// Changed says that the state is another one now.
+	Changed bool `cbor:"changed"`
+	// Number is the number of the document in force.
+	Number int64 `cbor:"number"`
+}
--- /dev/null
+++ b/internal/site/section/doc.go
@@ -0,0 +1,3 @@
+// Package section is the part of the control log that holds the operator's
+// document and the named versions of model weights.
+package section
--- /dev/null
+++ b/internal/site/watch/follower.go
@@ -0,0 +1,135 @@
+package watch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/node/rpc"
+)
+
+const (
+	// answerSlack is what an answer may take beyond the wait: a round trip under loss.
+	answerSlack = 700 * time.Millisecond
+	// firstPause and maxPause bound the pause after a failure; it doubles.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+)
+
+// FollowerConfig is what a Follower needs.
+type FollowerConfig struct {
+	// Node makes the calls.
+	Node rpc.Node
+	// Watcher names this process with its start.
+	Watcher string
+	// Entry says that this process takes callers' requests.
+	Entry bool
+	// Take gets each answer of the replica at address.
+	Take func(address string, a Answer)
+	// Logger takes the events.
+	Logger log.Interface
+}
+
+// Follower polls replicas, each by a goroutine of its own.
+type Follower interface {
+	// Follow sets the addresses that are polled.
+	Follow(ctx context.Context, addresses []string)
+	// Heard returns how long ago the replica at address answered, and false when it never did.
+	Heard(address string) (time.Duration, bool)
+	// Wait returns once all polls have ended, after their context has.
+	Wait()
+}
+
+type follower struct {
+	config FollowerConfig
+	mu     sync.Mutex
+	polls  map[string]context.CancelFunc
+	heard  map[string]time.Time
+	ended  sync.WaitGroup
+}
+
+// NewFollower returns a Follower of nobody.
+func NewFollower(c FollowerConfig) Follower {
+	return &follower{config: c, polls: map[string]context.CancelFunc{}, heard: map[string]time.Time{}}
+}
+
+// Follow implements Follower.
+func (f *follower) Follow(ctx context.Context, addresses []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wanted := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		wanted[a] = true
+		if _, ok := f.polls[a]; ok {
+			continue
+		}
+		polling, cancel := context.WithCancel(ctx)
+		f.polls[a] = cancel
+		f.ended.Go(func() { f.poll(polling, a) })
+	}
+	for a, cancel := range f.polls {
+		if !wanted[a] {
+			cancel()
+			delete(f.polls, a)
+		}
+	}
+}
+
+// Heard implements Follower.
+func (f *follower) Heard(address string) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.heard[address]
+	return time.Since(at), ok
+}
+
+// Wait implements Follower.
+func (f *follower) Wait() {
+	f.ended.Wait()
+}
+
+// poll asks the replica at address until ctx ends.
+func (f *follower) poll(ctx context.Context, address string) {
+	p := Poll{Watcher: f.config.Watcher, Entry: f.config.Entry, Wait: maxWait}
+	pause, lost := firstPause, true
+	for ctx.Err() == nil {
+		a, err := f.ask(ctx, address, p)
+		if err != nil {
+			if !lost {
+				lost = true
+				event.ReplicaLost.Write(f.config.Logger, log.Fields{"replica": address, "error": err.Error()})
+			}
+			sleep(ctx, pause)
+			pause = min(2*pause, maxPause)
+			continue
+		}
+		if lost {
+			lost = false
+			event.ReplicaRegained.Write(f.config.Logger, log.Fields{"replica": address, "epoch": a.Epoch, "rows": len(a.Rows)})
+		}
+		pause = firstPause
+		p.Epoch, p.Number = a.Epoch, a.Number
+		f.mu.Lock()
+		f.heard[address] = time.Now()
+		f.mu.Unlock()
+		f.config.Take(address, a)
+	}
+}
+
+func (f *follower) ask(ctx context.Context, address string, p Poll) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.Wait+answerSlack)
+	defer cancel()
+	return rpc.Call(ctx, f.config.Node, address, Watch, p)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/site/watch/protocol.go
@@ -0,0 +1,42 @@
+package watch
+
+import (
+	"time"
+
+	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/site/board"
+)
+
+// Poll asks for the rows that changed since the last answer.
+type Poll struct {
+	// Watcher names the process with its start.
+	Watcher string `cbor:"watcher"`
+	// Entry says that the watcher takes callers' requests.
+	Entry bool `cbor:"entry"`
+	// Epoch and Number are those of the last answer; zero at first.
+	Epoch  uint64 `cbor:"epoch"`
+	Number uint64 `cbor:"number"`
+	// Wait is how long the answer may wait for a change.
+	Wait time.Duration `cbor:"wait"`
+}
+
+// Answer is what a replica knows beyond the last answer.
+type Answer struct {
+	// Epoch differs after each start of the replica; all rows come then.
+	Epoch uint64 `cbor:"epoch"`
+	// Number is up to which change the rows go.
+	Number uint64 `cbor:"number"`
+	// Rows changed since the last answer.
+	Rows []board.Row `cbor:"rows"`
+	// CaughtUp says that the replica hears a leader and has applied what that one had committed.
+	CaughtUp bool `cbor:"caught-up"`
+	// Entries is how many entries polled the replica lately.
+	Entries int `cbor:"entries"`
+}
+
+// Watch is the call.
+var Watch = rpc.Method[Poll, Answer]{
+	Name:  "site-watch",
+	Roles: []keys.Role{keys.Entry, keys.Control},
+}
--- /dev/null
+++ b/internal/site/watch/server.go
@@ -0,0 +1,119 @@
+package watch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/site/board"
+)
+
+const (
+	// maxWait bounds a poll; a watcher that hears nothing for longer takes the replica for lost.
+	maxWait = time.Second
+	// batchPause lets changes that come together travel in one answer; it delays news by a thousandth of the time that a change has.
+	batchPause = 2 * time.Millisecond
+	// watcherTimeout is how long a watcher counts after its last poll: some lost polls.
+	watcherTimeout = 8 * time.Second
+)
+
+// Config is what a Server needs.
+type Config struct {
+	// Node takes the polls.
+	Node rpc.Node
+	// Board holds the rows.
+	Board board.Board
+	// CaughtUp says whether the replica is up to date.
+	CaughtUp func() bool
+}
+
+// Server answers polls.
+type Server interface {
+	// AwaitReplicas returns true once n other replicas have all rows up to number, false when ctx ends before.
+	AwaitReplicas(ctx context.Context, number uint64, n int) bool
+	// Entries returns how many entries polled lately.
+	Entries() int
+}
+
+type watcher struct {
+	entry  bool
+	number uint64
+	polled time.Time
+}
+
+type server struct {
+	Config
+	mu       sync.Mutex
+	watchers map[string]watcher
+	advanced chan struct{}
+}
+
+// NewServer registers the call and returns its Server; it is called before the node serves.
+func NewServer(c Config) Server {
+	s := &server{Config: c, watchers: map[string]watcher{}, advanced: make(chan struct{})}
+	rpc.Handle(c.Node, Watch, s.watch)
+	return s
+}
+
+func (s *server) watch(ctx context.Context, _ rpc.Peer, p Poll) (Answer, error) {
+	if p.Epoch != s.Board.Epoch() {
+		p.Number = 0
+	}
+	s.note(p)
+	ctx, cancel := context.WithTimeout(ctx, min(max(p.Wait, 0), maxWait))
+	defer cancel()
+	s.Board.Wait(ctx, p.Number)
+	if ctx.Err() == nil {
+		time.Sleep(batchPause)
+	}
+	rows, number := s.Board.Since(p.Number)
+	return Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, CaughtUp: s.CaughtUp(), Entries: s.Entries()}, nil
+}
+
+// note remembers how far the watcher is.
+func (s *server) note(p Poll) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchers[p.Watcher] = watcher{entry: p.Entry, number: p.Number, polled: time.Now()}
+	close(s.advanced)
+	s.advanced = make(chan struct{})
+}
+
+// AwaitReplicas implements Server.
+func (s *server) AwaitReplicas(ctx context.Context, number uint64, n int) bool {
+	for {
+		s.mu.Lock()
+		have, advanced := 0, s.advanced
+		for _, w := range s.watchers {
+			if !w.entry && w.number >= number {
+				have++
+			}
+		}
+		s.mu.Unlock()
+		if have >= n {
+			return true
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Entries implements Server.
+func (s *server) Entries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for name, w := range s.watchers {
+		switch {
+		case time.Since(w.polled) > watcherTimeout:
+			delete(s.watchers, name)
+		case w.entry:
+			n++
+		}
+	}
+	return n
+}
