--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -36,12 +35,15 @@
 	idleTimeout = 40 * time.Second
 	// maxHeaderBytes bounds the headers of a request before a document's limit is looked at.
 	maxHeaderBytes = 64 << 10
-	// lingerLeast is how long a process that is to stop still answers new
-	// connections: the balancer asks every second and turns away after two answers.
-	lingerLeast = 3500 * time.Millisecond
-	// lastRefuse is how long before its end a process refuses new requests, and lastCut how long before its end it leaves those that still run.
-	lastRefuse = 1200 * time.Millisecond
-	lastCut    = 300 * time.Millisecond
+	// closeIdleAfter is how long after the signal to stop the idle connections of
+	// callers are closed: the balancer asks every second and turns away after two
+	// answers, so that their next connections go to other entries.
+	closeIdleAfter = 2300 * time.Millisecond
+	// refuseAfter is how long after the signal new requests are refused. A stream
+	// lasts seconds; one that began later could be cut off by the end of the process.
+	refuseAfter = 2800 * time.Millisecond
+	// lastCut is how long before its end a process leaves the requests that still run.
+	lastCut = 300 * time.Millisecond
 	// stopLook is the time between two looks whether the last request has ended.
 	stopLook = 50 * time.Millisecond
 )
@@ -78,14 +80,14 @@
 	loops    sync.WaitGroup
 	seeds    atomic.Pointer[[]string]
 	running  atomic.Int64
-	open     atomic.Int64
-	// ending is when the process ends at the latest, zero until it is told to stop.
-	ending atomic.Pointer[time.Time]
+	conns    *conns
+	// stopped is when the process was told to stop, nil before.
+	stopped atomic.Pointer[time.Time]
 }
 
 // New opens the sockets of an entry process.
 func New(c Config) (Process, error) {
-	p := &process{config: c, site: newSite(c.Logger), metrics: metrics.NewSet()}
+	p := &process{config: c, site: newSite(c.Logger), conns: newConns(), metrics: metrics.NewSet()}
 	p.seeds.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Entry)
 	if err != nil {
@@ -117,7 +119,7 @@
 
 func (p *process) gauges() {
 	p.metrics.NewGauge("hornbeamwood_site_running", func() float64 { return float64(p.running.Load()) })
-	p.metrics.NewGauge("hornbeamwood_site_connections", func() float64 { return float64(p.open.Load()) })
+	p.metrics.NewGauge("hornbeamwood_site_connections", func() float64 { return float64(p.conns.count()) })
 	p.metrics.NewGauge("hornbeamwood_site_document", func() float64 {
 		if t := p.site.Table(); t != nil {
 			return float64(t.Document().Number)
@@ -134,13 +136,13 @@
 
 // stopping returns whether the process was told to stop.
 func (p *process) stopping() bool {
-	return p.ending.Load() != nil
+	return p.stopped.Load() != nil
 }
 
 // refusing returns whether the process ends so soon that a new request would be cut off.
 func (p *process) refusing() bool {
-	e := p.ending.Load()
-	return e != nil && time.Until(*e) < lastRefuse
+	at := p.stopped.Load()
+	return at != nil && time.Since(*at) > refuseAfter
 }
 
 // ready returns whether the balancer may send new connections.
@@ -209,7 +211,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         p.connection,
+		ConnState:         p.conns.changed,
 	}
 	if err := p.listen(ctx, p.config.Host.Listen, callers); err != nil {
 		return err
@@ -236,22 +238,13 @@
 	p.handler.ServeHTTP(w, q)
 }
 
-func (p *process) connection(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		p.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		p.open.Add(-1)
-	}
-}
-
 func (p *process) listen(ctx context.Context, address string, s *http.Server) error {
 	l, err := tcp.Listen(ctx, address)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
 	p.loops.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(listener{l, p.conns}); !errors.Is(err, http.ErrServerClosed) {
 			event.NoticeRefused.Write(p.config.Logger, log.Fields{"notice": "listen " + address, "error": err.Error()})
 		}
 	})
@@ -266,14 +259,21 @@
 // drain serves on until the balancer has turned away and the last request has ended, or the time is up.
 //
 // Requests keep coming for a while on new and kept connections; each answer
-// asks the caller to open its next connection, which then goes elsewhere.
+// asks the caller to open its next connection, which then goes elsewhere. A
+// connection that stays idle brings its next request at any time, perhaps too
+// late for a stream to end, so the idle ones are closed before.
 func (p *process) drain() {
 	began := time.Now()
-	last := began.Add(max(p.config.Host.Bounds.Grace-lastCut, lingerLeast))
-	p.ending.Store(&last)
-	event.ProcessStopping.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "running": p.running.Load(), "connections": p.open.Load()})
+	last := began.Add(p.config.Host.Bounds.Grace - lastCut)
+	p.stopped.Store(&began)
+	event.ProcessStopping.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "running": p.running.Load(), "connections": p.conns.count()})
+	closed := false
 	for time.Now().Before(last) {
-		if time.Since(began) >= lingerLeast && p.running.Load() == 0 {
+		if !closed && time.Since(began) >= closeIdleAfter {
+			p.conns.closeIdle()
+			closed = true
+		}
+		if p.refusing() && p.running.Load() == 0 {
 			return
 		}
 		time.Sleep(stopLook)
