--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -28,6 +28,18 @@
 	RequestEnded = define(911, log.InfoLevel, "request-ended", "A request has ended; the fields give status, attempts, verdict and time.")
 	// AttemptFailed is written when an attempt at a server brought no answer to pass on.
 	AttemptFailed = define(912, log.InfoLevel, "attempt-failed", "An attempt at a server failed; the fields give the verdict, the reason and what follows.")
+	// WeightsOrdered is written for each order to an engine.
+	WeightsOrdered = define(930, log.InfoLevel, "weights-ordered", "An engine was ordered to load weights; the fields give the fencing number, the expected sequence and the outcome.")
+	// EngineNotAsked is written when an engine can't be asked.
+	EngineNotAsked = define(931, log.WarnLevel, "engine-not-asked", "An engine could not be asked what weights it has; it is tried again.")
+	// LeaseHeld is written when this replica begins or ceases to give orders.
+	LeaseHeld = define(932, log.InfoLevel, "lease-held", "This replica holds the lease for orders, or no longer does; the fields give the fencing number and the reason.")
+	// StoreListed is written when a store's whole content was read.
+	StoreListed = define(940, log.InfoLevel, "store-listed", "The content of a store was read whole, because it was not known or changes were lost.")
+	// StoreLost is written when a store stops answering, or answers again.
+	StoreLost = define(941, log.WarnLevel, "store-lost", "A store does not answer, or answers again; nothing is fetched from one that does not.")
+	// PartsFreed is written when parts were dropped from a store.
+	PartsFreed = define(942, log.InfoLevel, "parts-freed", "Parts were dropped from a store: older weights, or to make room.")
 	// LinesDropped is written when log lines were dropped because output was slow or too much.
 	LinesDropped = define(920, log.WarnLevel, "lines-dropped", "Log lines were dropped because they came faster than they could be written; count says how many.")
 	// SettingsReloaded is written when the settings file has changed.
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -29,8 +29,10 @@
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/host"
 	"hornbeamwood/internal/site/section"
+	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
 	"hornbeamwood/internal/site/watch"
+	"hornbeamwood/internal/site/weights"
 )
 
 const (
@@ -50,6 +52,9 @@
 	Load host.Load
 	// Handler speaks the site's protocol towards operators and servers.
 	Handler func(s Service) http.Handler
+	// Engines speaks to engines, Stores to stores.
+	Engines weights.Client
+	Stores  stores.Client
 	// Logger takes the events.
 	Logger log.Interface
 }
@@ -75,11 +80,16 @@
 	metrics   *metrics.Set
 	loops     sync.WaitGroup
 	peers     atomic.Pointer[[]string]
+	holder    *holder
+	librarian *librarian
+	mu        sync.Mutex
+	// loaded is what engines were brought to, by their ID.
+	loaded map[string]topic.Loading
 }
 
 // New opens the data folder and the sockets of a control process.
 func New(c Config) (Process, error) {
-	p := &process{config: c, metrics: metrics.NewSet(), board: board.New(uint64(time.Now().UnixNano()))}
+	p := &process{config: c, metrics: metrics.NewSet(), board: board.New(uint64(time.Now().UnixNano())), loaded: map[string]topic.Loading{}}
 	p.host.Store(&c.Host)
 	p.peers.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Control)
@@ -100,6 +110,7 @@
 		return nil, errors.Join(err, p.node.Close())
 	}
 	p.leader = quic.Register(quic.Config{Node: p.node, Replica: p.replica, Machine: m, Leases: quic.NewLeases(lease.NewHolders(nil), noTerms{}, time.Now)})
+	p.orders()
 	p.watchers()
 	p.admission = admission.NewKeeper(admission.Config{Replica: p.replica, Peers: peers{p.node, p.transport}, Addresses: p.addresses, Logger: c.Logger})
 	p.gauges()
@@ -126,8 +137,25 @@
 	return c
 }
 
+// orders sets up what this replica does while it holds the lease.
+func (p *process) orders() {
+	d := p.config.Host.Bounds.Lease
+	if d <= 0 {
+		d = defaultLease
+	}
+	p.holder = &holder{
+		name: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), duration: d,
+		propose: p.leader.Propose, leads: p.leads, logger: p.config.Logger,
+	}
+	p.librarian = &librarian{process: p, client: p.config.Stores, clock: stores.NewClock(), shelves: map[string]*shelf{}}
+}
+
 func (p *process) watchers() {
-	server := watch.NewServer(watch.Config{Node: p.node, Board: p.board, CaughtUp: func() bool { return p.replica.Status().CaughtUp }})
+	server := watch.NewServer(watch.Config{
+		Node: p.node, Board: p.board,
+		CaughtUp: func() bool { return p.replica.Status().CaughtUp },
+		Holder:   func() (uint64, int64) { return p.holder.number(), p.librarian.clock.Now() },
+	})
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), Take: p.take, Logger: p.config.Logger,
 	})
@@ -244,6 +272,11 @@
 	p.loops.Go(func() { p.admission.Run(serving) })
 	p.loops.Go(func() { p.servers.run(serving) })
 	p.loops.Go(func() { p.followMembers(serving) })
+	p.loops.Go(func() { p.holder.run(serving) })
+	p.loops.Go(func() { p.librarian.run(serving) })
+	p.loops.Go(func() {
+		weights.New(weights.Config{Client: p.config.Engines, Site: engines{p}, Logger: p.config.Logger}).Run(serving)
+	})
 	p.loops.Go(func() {
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.host.Store(&h) }, p.config.Logger)
 	})
--- /dev/null
+++ b/internal/process/sitecontrol/lease.go
@@ -0,0 +1,161 @@
+package sitecontrol
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/base/event"
+	controllease "hornbeamwood/internal/control/lease"
+	"hornbeamwood/internal/control/raft"
+	"hornbeamwood/internal/node/boottime"
+)
+
+const (
+	// ordersLease names the lease for orders to servers and stores.
+	ordersLease = "orders"
+	// renewInterval is the time between two renewals, several within a lease.
+	renewInterval = 600 * time.Millisecond
+	// renewTimeout bounds one renewal.
+	renewTimeout = time.Second
+	// orderMargin is kept off the end of the lease for the way of an order to its server.
+	orderMargin = 700 * time.Millisecond
+	// defaultLease is used where the site doesn't say how long a giver of orders counts.
+	defaultLease = 3 * time.Second
+)
+
+// holder holds the lease for orders while this replica leads the log.
+type holder struct {
+	name     string
+	duration time.Duration
+	propose  func(ctx context.Context, section string, body []byte) ([]byte, error)
+	leads    func() bool
+	logger   log.Interface
+
+	mu sync.Mutex
+	// fencing is zero while the lease isn't held; until is its end by the boot
+	// clock, from its first order may be given.
+	fencing uint64
+	until   time.Duration
+	from    time.Duration
+	// refused is the highest number that a server has refused.
+	refused uint64
+}
+
+// held returns the fencing number while orders may be given.
+func (h *holder) held() (uint64, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := boottime.Now()
+	return h.fencing, h.fencing != 0 && h.fencing > h.refused && now >= h.from && now < h.until-orderMargin
+}
+
+// number returns the fencing number as long as the lease lasts, also before the first order may be given.
+func (h *holder) number() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if boottime.Now() >= h.until {
+		return 0
+	}
+	return h.fencing
+}
+
+// lost notes that a server has seen a higher number.
+//
+// Whoever has it was granted the lease after this process: whatever its clock
+// says, this one must not order any more.
+func (h *holder) lost(fencing uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refused = max(h.refused, fencing)
+	h.tell("a server has seen a higher number")
+}
+
+// run renews until ctx ends and then gives the lease back.
+func (h *holder) run(ctx context.Context) {
+	t := time.NewTicker(renewInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if h.leads() {
+				h.renew(ctx)
+			}
+		}
+	}
+}
+
+// renew acquires the lease, or makes it last longer when this process holds it.
+func (h *holder) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	asked := boottime.Now()
+	body, err := codec.Marshal(controllease.Command{Acquire: &controllease.Acquire{Name: ordersLease, Holder: h.holderName(), Duration: h.duration}})
+	if err != nil {
+		h.fail(err)
+		return
+	}
+	b, err := h.propose(ctx, controllease.Name, body)
+	if err != nil {
+		// The lease runs out by itself if this goes on.
+		return
+	}
+	r, err := codec.Unmarshal[controllease.Result](b)
+	if err != nil {
+		h.fail(err)
+		return
+	}
+	h.take(r, asked)
+}
+
+// holderName differs after a refusal: a lease that was superseded is asked for anew, under another number.
+func (h *holder) holderName() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return fmt.Sprintf("%s/%d", h.name, h.refused)
+}
+
+// take counts the lease from when it was asked for.
+//
+// The first order waits for as long as a lease lasts: whoever held the lease
+// before may have ordered right before it ran out, and servers that don't check
+// numbers would see two givers by turns.
+func (h *holder) take(r controllease.Result, asked time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !r.Granted {
+		if h.fencing != 0 {
+			h.fencing = 0
+			h.tell("another replica holds it")
+		}
+		return
+	}
+	if r.Fencing != h.fencing {
+		h.fencing = r.Fencing
+		h.from = boottime.Now()
+		if r.Fencing > 1 {
+			h.from += max(r.Wait, h.duration)
+		}
+		h.tell("granted")
+	}
+	h.until = asked + h.duration
+}
+
+func (h *holder) tell(why string) {
+	event.LeaseHeld.Write(h.logger, log.Fields{"fencing": h.fencing, "reason": why})
+}
+
+func (h *holder) fail(err error) {
+	event.LeaseHeld.Write(h.logger, log.Fields{"error": err.Error()})
+}
+
+// leads returns whether this replica leads the log.
+func (p *process) leads() bool {
+	return p.replica.Status().Role == raft.Leader.String()
+}
--- /dev/null
+++ b/internal/process/sitecontrol/librarian.go
@@ -0,0 +1,257 @@
+package sitecontrol
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/stores"
+	"hornbeamwood/internal/site/topic"
+)
+
+const (
+	// eventsWait is how long a store may hold a poll: long enough not to count as a probe.
+	eventsWait = 900 * time.Millisecond
+	// eventsTimeout bounds a poll.
+	eventsTimeout = 2 * time.Second
+	// storePause is the time between two tries at a store that doesn't answer.
+	storePause = 300 * time.Millisecond
+	// freeInterval is the time between two looks for parts to free.
+	freeInterval = 500 * time.Millisecond
+	// fullShare is the part of a store's room that is used; the rest takes what is being saved.
+	fullShare = 0.9
+	// listInterval is the time between two lists of a store: some of its events
+	// never come, and what isn't known to be there is never freed.
+	listInterval = 20 * time.Second
+	// freeBatch bounds the parts of one call.
+	freeBatch = 256
+)
+
+// librarian follows the stores while this replica holds the lease.
+type librarian struct {
+	*process
+	client stores.Client
+	clock  *stores.Clock
+
+	mu      sync.Mutex
+	shelves map[string]*shelf
+}
+
+// shelf is a store that is followed.
+type shelf struct {
+	mu     sync.Mutex
+	stock  *stores.Shelf
+	cancel context.CancelFunc
+	// listed is when the whole was last read; only watch uses it.
+	listed time.Time
+}
+
+// run follows the document's stores until ctx ends.
+func (l *librarian) run(ctx context.Context) {
+	t := time.NewTicker(freeInterval)
+	defer t.Stop()
+	var all sync.WaitGroup
+	defer all.Wait()
+	for {
+		l.follow(ctx, &all)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			l.free(ctx)
+		}
+	}
+}
+
+// follow begins with stores that are new and leaves those that are gone; without the lease it follows none.
+func (l *librarian) follow(ctx context.Context, all *sync.WaitGroup) {
+	wanted := map[string]document.Store{}
+	if h, ok := l.section.Held(); ok && l.holder.number() != 0 {
+		for _, s := range h.Document.Stores {
+			wanted[s.Address] = s
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for a, s := range wanted {
+		if _, ok := l.shelves[a]; ok {
+			continue
+		}
+		following, cancel := context.WithCancel(ctx)
+		x := &shelf{stock: stores.NewShelf(a, s.Tokens), cancel: cancel}
+		l.shelves[a] = x
+		all.Go(func() { l.watch(following, x) })
+	}
+	for a, x := range l.shelves {
+		if _, ok := wanted[a]; !ok {
+			x.cancel()
+			delete(l.shelves, a)
+		}
+	}
+}
+
+// watch polls one store until ctx ends.
+func (l *librarian) watch(ctx context.Context, x *shelf) {
+	up := false
+	for ctx.Err() == nil {
+		err := l.poll(ctx, x)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err == nil) != up {
+			up = err == nil
+			l.put(topic.StoresUp, x.stock.Address, up)
+			f := log.Fields{"store": x.stock.Address, "up": up}
+			if err != nil {
+				f["error"] = err.Error()
+			}
+			event.StoreLost.Write(l.config.Logger, f)
+		}
+		if err != nil {
+			sleep(ctx, storePause)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// poll takes one answer of the store.
+func (l *librarian) poll(ctx context.Context, x *shelf) error {
+	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
+	defer cancel()
+	x.mu.Lock()
+	next := x.stock.Next()
+	x.mu.Unlock()
+	f, err := l.client.Events(ctx, x.stock.Address, next, eventsWait)
+	if err != nil {
+		return err
+	}
+	l.clock.Heard(f.Clock)
+	x.mu.Lock()
+	changed, list := x.stock.Take(f, time.Now())
+	x.mu.Unlock()
+	if list || time.Since(x.listed) > listInterval {
+		return l.list(ctx, x)
+	}
+	l.show(x, changed)
+	return nil
+}
+
+func (l *librarian) list(ctx context.Context, x *shelf) error {
+	c, err := l.client.List(ctx, x.stock.Address)
+	if err != nil {
+		return err
+	}
+	l.clock.Heard(c.Clock)
+	x.listed = time.Now()
+	x.mu.Lock()
+	changed := x.stock.TakeList(c, time.Now())
+	x.mu.Unlock()
+	event.StoreListed.Write(l.config.Logger, log.Fields{"store": x.stock.Address, "epoch": c.Epoch, "parts": len(c.Held), "partial": len(c.Partial)})
+	l.show(x, changed)
+	return nil
+}
+
+// show puts the parts' present state on the board.
+func (l *librarian) show(x *shelf, parts []stores.Part) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range parts {
+		if tokens, ok := x.stock.Whole(p); ok {
+			l.put(topic.Parts, p.Key(x.stock.Address), tokens)
+		} else {
+			l.board.Put(topic.Parts, p.Key(x.stock.Address), nil)
+		}
+	}
+}
+
+// free withdraws what is of no use any more, and drops what was withdrawn long enough ago.
+func (l *librarian) free(ctx context.Context) {
+	if _, ok := l.holder.held(); !ok {
+		return
+	}
+	l.mu.Lock()
+	all := make([]*shelf, 0, len(l.shelves))
+	for _, x := range l.shelves {
+		all = append(all, x)
+	}
+	l.mu.Unlock()
+	outdated := l.outdated()
+	for _, x := range all {
+		now := time.Now()
+		x.mu.Lock()
+		marked := x.stock.Withdraw(outdated, fullShare, now)
+		due, epoch := x.stock.Due(now), x.stock.Epoch()
+		x.mu.Unlock()
+		l.show(x, marked)
+		l.drop(ctx, x, due, epoch)
+	}
+}
+
+func (l *librarian) drop(ctx context.Context, x *shelf, due []stores.Part, epoch int64) {
+	clock := l.clock.Now()
+	if len(due) == 0 || clock == 0 {
+		return
+	}
+	due = due[:min(len(due), freeBatch)]
+	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
+	defer cancel()
+	err := l.client.Free(ctx, x.stock.Address, epoch, due, clock+orderMargin.Milliseconds())
+	f := log.Fields{"store": x.stock.Address, "parts": len(due)}
+	if err != nil {
+		f["error"] = err.Error()
+	} else {
+		x.mu.Lock()
+		x.stock.Freed(due)
+		x.mu.Unlock()
+	}
+	event.PartsFreed.Write(l.config.Logger, f)
+}
+
+// outdated returns what tells parts of weights that most engines no longer have.
+func (l *librarian) outdated() func(stores.Part) bool {
+	current := map[string]int64{}
+	e := engines{l.process}
+	for model, named := range l.section.Versions() {
+		older, all := 0, 0
+		for _, s := range e.Engines() {
+			if _, ok := s.Version(model); !ok {
+				continue
+			}
+			all++
+			if e.Version(s, model) < named {
+				older++
+			}
+		}
+		if all > 0 && 2*older <= all {
+			current[model] = named
+		}
+	}
+	return func(p stores.Part) bool {
+		model, version, ok := saltVersion(p.Salt)
+		return ok && version < current[model]
+	}
+}
+
+// saltVersion returns the model and the version that a salt names.
+func saltVersion(salt string) (string, int64, bool) {
+	fields := strings.Split(salt, "/")
+	if len(fields) < 2 {
+		return "", 0, false
+	}
+	n, err := strconv.ParseInt(fields[1], 10, 64)
+	return fields[0], n, err == nil
+}
--- /dev/null
+++ b/internal/process/siteentry/lead.go
@@ -0,0 +1,248 @@
+package siteentry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamwood/internal/serve/choose"
+	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/stores"
+	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
+)
+
+const (
+	// saveAgainAfter is how long this entry waits for a part that it had saved
+	// to show up before it has it saved again; a save takes a fraction of a second.
+	saveAgainAfter = 2 * time.Second
+	// maxSaves bounds the saves that are remembered.
+	maxSaves = 8192
+	// smallPart is the size in tokens under which a part goes to a store that
+	// answers fast: moving it takes less than the wait of a slow one.
+	smallPart = 1024
+	// fastFirst is the wait up to which a store counts as fast.
+	fastFirst = 2 * time.Millisecond
+	// roomShare is how full a store may be for another part to be sent there.
+	roomShare = 0.93
+)
+
+// lead is what one replica shows of stores and orders; it counts while the
+// replica holds the lease for orders.
+type lead struct {
+	epoch   uint64
+	fencing uint64
+	heard   time.Time
+	// parts holds the sizes by store, used their sum.
+	parts map[stores.Part]map[string]int
+	used  map[string]int
+	up    map[string]bool
+	busy  map[string]bool
+}
+
+func newLead(epoch uint64) *lead {
+	return &lead{epoch: epoch, parts: map[stores.Part]map[string]int{}, used: map[string]int{}, up: map[string]bool{}, busy: map[string]bool{}}
+}
+
+// lead notes a replica's claim to the lease.
+func (s *site) lead(address string, a watch.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leads[address]
+	if !ok || l.epoch != a.Epoch {
+		l = newLead(a.Epoch)
+		s.leads[address] = l
+	}
+	l.fencing, l.heard = a.Fencing, time.Now()
+}
+
+// leading returns what the present holder of the lease shows, nil when none was heard lately.
+//
+// What an entry was told long ago may be freed by now; believing it would send
+// engines to fetch what isn't there, or is being written.
+func (s *site) leading() *lead {
+	var found *lead
+	for _, l := range s.leads {
+		if l.fencing != 0 && time.Since(l.heard) < stores.StaleAfter && (found == nil || l.fencing > found.fencing) {
+			found = l
+		}
+	}
+	return found
+}
+
+func (s *site) takeLeadRow(address string, r board.Row) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leads[address]
+	if !ok {
+		return nil
+	}
+	switch r.Topic {
+	case topic.Parts:
+		return l.takePart(r)
+	case topic.StoresUp:
+		return decoded(r, func(up bool) { l.up[r.Key] = up })
+	}
+	if len(r.Value) == 0 {
+		delete(l.busy, r.Key)
+		return nil
+	}
+	l.busy[r.Key] = true
+	return nil
+}
+
+func (l *lead) takePart(r board.Row) error {
+	fields := strings.Split(r.Key, "\x00")
+	if len(fields) != 3 {
+		return nil
+	}
+	store, p := fields[0], stores.Part{Salt: fields[1], ID: fields[2]}
+	l.used[store] -= l.parts[p][store]
+	delete(l.parts[p], store)
+	if len(r.Value) == 0 {
+		if len(l.parts[p]) == 0 {
+			delete(l.parts, p)
+		}
+		return nil
+	}
+	return decoded(r, func(tokens int) {
+		if l.parts[p] == nil {
+			l.parts[p] = map[string]int{}
+		}
+		l.parts[p][store] = tokens
+		l.used[store] += tokens
+	})
+}
+
+func (s *site) takeLoaded(server string, l topic.Loading) {
+	if known, ok := s.directory.Get(server); ok && known.Born == l.Born {
+		s.Noticed(server, l.Model, l.Version)
+	}
+}
+
+// Busy implements caller.Site.
+func (s *site) Busy(server string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leading()
+	return l != nil && l.busy[server]
+}
+
+// Copies implements caller.Site.
+func (s *site) Copies(salt, part string, tokens int) []choose.Copy {
+	t := s.Table()
+	if t == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leading()
+	if l == nil {
+		return nil
+	}
+	held := l.parts[stores.Part{Salt: salt, ID: part}]
+	if len(held) == 0 {
+		return nil
+	}
+	var all []choose.Copy
+	for _, x := range t.Document().Stores {
+		if size, ok := held[x.Address]; ok && size >= tokens && l.up[x.Address] {
+			all = append(all, copyAt(x, tokenBytes(t.Document())))
+		}
+	}
+	return all
+}
+
+func copyAt(s document.Store, tokenBytes float64) choose.Copy {
+	c := choose.Copy{Address: s.Address, Zone: s.Zone, First: s.First}
+	if s.LinkRate > 0 {
+		c.PerToken = time.Duration(tokenBytes / s.LinkRate * float64(time.Second))
+	}
+	return c
+}
+
+// tokenBytes returns the size of a token's KV cache.
+func tokenBytes(d document.Document) float64 {
+	for _, s := range d.Services {
+		if s.Engine != nil {
+			return s.Engine.TokenBytes
+		}
+	}
+	return 0
+}
+
+// SaveTo implements caller.Site.
+//
+// Each part has an order of stores that all entries work out alike, so that two
+// entries that read a part at the same time save it to one place.
+func (s *site) SaveTo(salt, part string, tokens int) string {
+	t := s.Table()
+	if t == nil {
+		return ""
+	}
+	now, p := time.Now(), stores.Part{Salt: salt, ID: part}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leading()
+	if l == nil || len(l.parts[p]) > 0 || now.Sub(s.saves[p]) < saveAgainAfter {
+		return ""
+	}
+	for _, x := range placement(t.Document().Stores, p, tokens) {
+		if l.up[x.Address] && float64(l.used[x.Address]+tokens) <= roomShare*float64(x.Tokens) {
+			s.saving(p, now)
+			return x.Address
+		}
+	}
+	return ""
+}
+
+func (s *site) saving(p stores.Part, now time.Time) {
+	if len(s.saves) >= maxSaves {
+		clear(s.saves)
+	}
+	s.saves[p] = now
+}
+
+// placement returns the stores in the order in which the part is offered to
+// them: those that suit its size first, then by a hash weighted by room.
+func placement(all []document.Store, p stores.Part, tokens int) []document.Store {
+	type scored struct {
+		store document.Store
+		suits bool
+		score float64
+	}
+	list := make([]scored, 0, len(all))
+	for _, x := range all {
+		h := xxhash.Sum64String(x.Address + "\x00" + p.Salt + "\x00" + p.ID)
+		u := (float64(h>>11) + 0.5) / (1 << 53)
+		list = append(list, scored{x, (tokens < smallPart) == (x.First <= fastFirst), rendezvous(u, float64(x.Tokens))})
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		switch {
+		case a.suits != b.suits && a.suits:
+			return -1
+		case a.suits != b.suits:
+			return 1
+		case a.score > b.score:
+			return -1
+		}
+		return 1
+	})
+	ordered := make([]document.Store, len(list))
+	for i, x := range list {
+		ordered[i] = x.store
+	}
+	return ordered
+}
+
+// FetchUntil implements caller.Site.
+func (s *site) FetchUntil() int64 {
+	now := s.clock.Now()
+	if now == 0 {
+		return 0
+	}
+	return now + stores.FetchWindow.Milliseconds()
+}
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -9,10 +9,10 @@
 
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/base/event"
-	"hornbeamwood/internal/serve/choose"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
 	"hornbeamwood/internal/site/watch"
 )
@@ -32,6 +32,10 @@
 	entries  map[string]int
 	caughtUp map[string]time.Time
 	follow   func(members []string)
+	// leads is what each replica shows of stores and orders.
+	leads map[string]*lead
+	clock *stores.Clock
+	saves map[stores.Part]time.Time
 }
 
 func newSite(logger log.Interface) *site {
@@ -42,25 +46,30 @@
 		noticed:   map[string]int64{},
 		entries:   map[string]int{},
 		caughtUp:  map[string]time.Time{},
+		leads:     map[string]*lead{},
+		clock:     stores.NewClock(),
+		saves:     map[stores.Part]time.Time{},
 	}
 }
 
 // take takes what the replica at address shows.
 func (s *site) take(address string, a watch.Answer) {
+	s.lead(address, a)
 	for _, r := range a.Rows {
-		if err := s.takeRow(r); err != nil {
+		if err := s.takeRow(address, r); err != nil {
 			event.NoticeRefused.Write(s.logger, log.Fields{"peer": address, "notice": "row", "topic": r.Topic, "key": r.Key, "error": err.Error()})
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries[address] = a.Entries
+	s.clock.Heard(a.Clock)
 	if a.CaughtUp {
 		s.caughtUp[address] = time.Now()
 	}
 }
 
-func (s *site) takeRow(r board.Row) error {
+func (s *site) takeRow(address string, r board.Row) error {
 	switch r.Topic {
 	case topic.Document:
 		return decoded(r, s.takeDocument)
@@ -72,6 +81,10 @@
 		return decoded(r, s.takeServer)
 	case topic.Members:
 		return decoded(r, s.takeMembers)
+	case topic.Loaded:
+		return decoded(r, func(l topic.Loading) { s.takeLoaded(r.Key, l) })
+	case topic.Parts, topic.StoresUp, topic.Busy:
+		return s.takeLeadRow(address, r)
 	case topic.Versions:
 		return decoded(r, func(v int64) { s.takeVersion(r.Key, v) })
 	}
@@ -173,26 +186,6 @@
 	return s.newest[model]
 }
 
-// Busy implements caller.Site.
-func (s *site) Busy(string) bool {
-	return false
-}
-
-// Copies implements caller.Site.
-func (s *site) Copies(string, string) []choose.Copy {
-	return nil
-}
-
-// SaveTo implements caller.Site.
-func (s *site) SaveTo(string, string, int) string {
-	return ""
-}
-
-// FetchUntil implements caller.Site.
-func (s *site) FetchUntil() int64 {
-	return 0
-}
-
 // Entries implements caller.Site.
 func (s *site) Entries() int {
 	s.mu.Lock()
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -125,7 +125,7 @@
 	for i, p := range prompt.Parts {
 		all[i] = choose.Part{Salt: salt, ID: p.ID, Tokens: p.Tokens, Shared: i < len(prompt.Parts)-1}
 		if all[i].Shared {
-			all[i].Copies = j.Site.Copies(salt, p.ID)
+			all[i].Copies = j.Site.Copies(salt, p.ID, p.Tokens)
 		}
 	}
 	return all
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -40,8 +40,8 @@
 	Newest(model string) int64
 	// Busy returns whether the server carries out an order that keeps it from taking requests for the model.
 	Busy(server string) bool
-	// Copies returns the stores that have the part whole.
-	Copies(salt, part string) []choose.Copy
+	// Copies returns the stores that have the part of that size whole.
+	Copies(salt, part string, tokens int) []choose.Copy
 	// SaveTo returns the store that shall have the part, empty for none.
 	SaveTo(salt, part string, tokens int) string
 	// FetchUntil returns the servers' clock time until which a fetch that begins now may last, zero when it can't be told.
--- /dev/null
+++ b/internal/site/stores/doc.go
@@ -0,0 +1,3 @@
+// Package stores keeps account of what lies in the stores beside the engines
+// and decides what is freed.
+package stores
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -12,4 +12,21 @@
 	Members board.Topic = 3
 	// Versions holds the named version of weights for each model as an int64.
 	Versions board.Topic = 4
+	// Parts holds the size of each part that may be fetched from a store, as an int under stores.Part's key; only the rows of the replica that holds the lease count.
+	Parts board.Topic = 5
+	// StoresUp holds true for the address of each store that answers; only the rows of the replica that holds the lease count.
+	StoresUp board.Topic = 6
+	// Loaded holds the weights that an engine was brought to, as a Loading under the engine's ID.
+	Loaded board.Topic = 7
+	// Busy holds true for the ID of each engine that takes no requests because of an order.
+	Busy board.Topic = 8
 )
+
+// Loading is the weights that an engine was brought to.
+type Loading struct {
+	// Born is the engine's start.
+	Born int64 `cbor:"born"`
+	// Model and Version name the weights.
+	Model   string `cbor:"model"`
+	Version int64  `cbor:"version"`
+}
--- a/internal/site/watch/protocol.go
+++ b/internal/site/watch/protocol.go
@@ -33,6 +33,10 @@
 	CaughtUp bool `cbor:"caught-up"`
 	// Entries is how many entries polled the replica lately.
 	Entries int `cbor:"entries"`
+	// Fencing is the number of the lease for orders that the replica holds, zero when it holds none.
+	Fencing uint64 `cbor:"fencing"`
+	// Clock is the servers' clock in Unix milliseconds as the answer left, zero when the replica can't tell it.
+	Clock int64 `cbor:"clock"`
 }
 
 // Watch is the call.
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -26,6 +26,8 @@
 	Board board.Board
 	// CaughtUp says whether the replica is up to date.
 	CaughtUp func() bool
+	// Holder returns the fencing number of the lease that this replica holds, zero for none, and the servers' clock.
+	Holder func() (fencing uint64, clock int64)
 }
 
 // Server answers polls.
@@ -68,7 +70,9 @@
 		time.Sleep(batchPause)
 	}
 	rows, number := s.Board.Since(p.Number)
-	return Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, CaughtUp: s.CaughtUp(), Entries: s.Entries()}, nil
+	a := Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, CaughtUp: s.CaughtUp(), Entries: s.Entries()}
+	a.Fencing, a.Clock = s.Holder()
+	return a, nil
 }
 
 // note remembers how far the watcher is.
--- /dev/null
+++ b/internal/site/weights/doc.go
@@ -0,0 +1,2 @@
+// Package weights brings engines to the named versions of their models' weights.
+package weights
--- /dev/null
+++ b/internal/site/weights/rollout.go
@@ -0,0 +1,234 @@
+package weights
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/site/directory"
+)
+
+const (
+	// atOnce is how many engines load weights at once; a third makes all of them slower.
+	atOnce = 2
+	// drainLeast is how long entries keep away from an engine before its order,
+	// so that the running requests end while others load.
+	drainLeast = 400 * time.Millisecond
+	// drainMost is how long an order waits for them at most; the engine waits for the rest itself.
+	drainMost = 1600 * time.Millisecond
+	// lookInterval is the time between two questions to an engine that is drained or loads.
+	lookInterval = 200 * time.Millisecond
+	// callTimeout bounds one call to an engine.
+	callTimeout = time.Second
+	// loadMost is how long an engine may take until the order is looked into anew.
+	loadMost = 12 * time.Second
+	// tick is the time between two looks for engines with older weights.
+	tick = 100 * time.Millisecond
+)
+
+// Site is what a Rollout knows and tells.
+type Site interface {
+	// Named returns the named version of each model.
+	Named() map[string]int64
+	// Engines returns the ready servers that have models.
+	Engines() []directory.Server
+	// Holder returns the name and the fencing number under which orders are given, and false while none may be.
+	Holder() (name string, fencing uint64, ok bool)
+	// Lost tells that a higher fencing number has been seen.
+	Lost(fencing uint64)
+	// SetBusy tells entries whether an engine takes no requests.
+	SetBusy(server string, busy bool)
+	// Loaded tells entries which weights an engine has now.
+	Loaded(s directory.Server, model string, version int64)
+	// Version returns the newest version of the model that the engine is known to have.
+	Version(s directory.Server, model string) int64
+}
+
+// Config is what a Rollout needs.
+type Config struct {
+	// Client speaks to engines.
+	Client Client
+	// Site is what is known.
+	Site Site
+	// Logger takes the events.
+	Logger log.Interface
+}
+
+// Rollout brings engines to the named versions while this process holds the lease.
+type Rollout interface {
+	// Run works until ctx ends.
+	Run(ctx context.Context)
+}
+
+type rollout struct {
+	Config
+	// draining and loading hold a place for each engine in that phase.
+	draining, loading chan struct{}
+	mu                sync.Mutex
+	underWay          map[string]bool
+	ended             sync.WaitGroup
+}
+
+// New returns a Rollout.
+func New(c Config) Rollout {
+	return &rollout{
+		Config: c, underWay: map[string]bool{},
+		draining: make(chan struct{}, atOnce), loading: make(chan struct{}, atOnce),
+	}
+}
+
+// Run implements Rollout.
+func (r *rollout) Run(ctx context.Context) {
+	defer r.ended.Wait()
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.look(ctx)
+		}
+	}
+}
+
+// look begins with engines that have older weights than named, as places are free.
+func (r *rollout) look(ctx context.Context) {
+	if _, _, ok := r.Site.Holder(); !ok {
+		return
+	}
+	named := r.Site.Named()
+	for _, s := range r.Site.Engines() {
+		model, version, ok := r.behind(s, named)
+		if !ok || r.working(s.ID) {
+			continue
+		}
+		select {
+		case r.draining <- struct{}{}:
+		default:
+			return
+		}
+		r.set(s.ID, true)
+		r.ended.Go(func() {
+			defer r.set(s.ID, false)
+			r.bring(ctx, s, model, version)
+		})
+	}
+}
+
+// behind returns the first model of which the engine has an older version than the named one.
+func (r *rollout) behind(s directory.Server, named map[string]int64) (model string, version int64, ok bool) {
+	for _, w := range s.Models {
+		if v := named[w.Model]; v > r.Site.Version(s, w.Model) {
+			return w.Model, v, true
+		}
+	}
+	return "", 0, false
+}
+
+func (r *rollout) working(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.underWay[id]
+}
+
+func (r *rollout) set(id string, working bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if working {
+		r.underWay[id] = true
+		return
+	}
+	delete(r.underWay, id)
+}
+
+// bring drains an engine and has it load; it holds a place in each phase.
+func (r *rollout) bring(ctx context.Context, s directory.Server, model string, version int64) {
+	r.Site.SetBusy(s.ID, true)
+	defer r.Site.SetBusy(s.ID, false)
+	r.drain(ctx, s)
+	select {
+	case r.loading <- struct{}{}:
+	case <-ctx.Done():
+		<-r.draining
+		return
+	}
+	<-r.draining
+	defer func() { <-r.loading }()
+	r.load(ctx, s, model, version)
+}
+
+// drain waits until the engine's requests have ended.
+func (r *rollout) drain(ctx context.Context, s directory.Server) {
+	began := time.Now()
+	pause(ctx, drainLeast)
+	for ctx.Err() == nil && time.Since(began) < drainMost {
+		p, err := r.report(ctx, s)
+		if err != nil || p.Running+p.Waiting == 0 {
+			return
+		}
+		pause(ctx, lookInterval)
+	}
+}
+
+func (r *rollout) report(ctx context.Context, s directory.Server) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Client.Report(ctx, s)
+}
+
+// load gives the order, again if need be, and returns once the engine has the weights or can't be brought to them now.
+//
+// The order names the sequence that was read right before. One that got no
+// answer is given again only after another look: if the engine has accepted it
+// meanwhile the sequence has moved, and the second one counts for nothing.
+func (r *rollout) load(ctx context.Context, s directory.Server, model string, version int64) {
+	began := time.Now()
+	for ctx.Err() == nil && time.Since(began) < loadMost {
+		p, err := r.report(ctx, s)
+		switch {
+		case err != nil:
+			event.EngineNotAsked.Write(r.Logger, log.Fields{"server": s.ID, "model": model, "version": version, "error": err.Error()})
+			return
+		case p.Versions[model] >= version && !p.Busy:
+			r.Site.Loaded(s, model, p.Versions[model])
+			return
+		case !p.Busy && !r.order(ctx, s, Order{Model: model, Version: version, Sequence: p.Sequence}):
+			return
+		}
+		pause(ctx, lookInterval)
+	}
+}
+
+// order gives one order and returns whether it makes sense to go on.
+func (r *rollout) order(ctx context.Context, s directory.Server, o Order) bool {
+	holder, fencing, ok := r.Site.Holder()
+	if !ok {
+		return false
+	}
+	o.Holder, o.Fencing = holder, fencing
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	got, err := r.Client.Order(ctx, s, o)
+	f := log.Fields{"server": s.ID, "model": o.Model, "version": o.Version, "fencing": fencing, "sequence": o.Sequence, "outcome": got.String()}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	event.WeightsOrdered.Write(r.Logger, f)
+	if got == Fenced {
+		r.Site.Lost(fencing)
+	}
+	return got == Accepted || got == Held || got == Conflict || got == Unanswered
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
