--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -24,8 +24,10 @@
 	storePause = 300 * time.Millisecond
 	// freeInterval is the time between two looks for parts to free.
 	freeInterval = 500 * time.Millisecond
-	// fullShare is the part of a store's room that is used; the rest takes what is being saved.
-	fullShare = 0.9
+	// fullShare is the part of a store's room that may be taken before its oldest
+	// parts go. It lies above the share up to which entries send parts to a store
+	// while another one has room, so that nothing goes while there is room anywhere.
+	fullShare = 0.96
 	// listInterval is the time between two lists of a store: some of its events
 	// never come, and what isn't known to be there is never freed.
 	listInterval = 20 * time.Second
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -26,8 +26,10 @@
 	smallPart = 1024
 	// fastFirst is the wait up to which a store counts as fast.
 	fastFirst = 2 * time.Millisecond
-	// roomShare is how full a store may be for another part to be sent there.
-	roomShare = 0.93
+	// roomShare is how full a store may be for another part to be sent there while
+	// another store has room, lastShare when none has: the part then pushes out the store's oldest.
+	roomShare = 0.94
+	lastShare = 0.985
 )
 
 // lead is what one replica shows of stores and orders; it counts while the
@@ -190,10 +192,13 @@
 	if l == nil || len(l.parts[p]) > 0 || now.Sub(s.saves[p]) < saveAgainAfter {
 		return ""
 	}
-	for _, x := range placement(t.Document().Stores, p, tokens) {
-		if l.up[x.Address] && float64(l.used[x.Address]+tokens) <= roomShare*float64(x.Tokens) {
-			s.saving(p, now)
-			return x.Address
+	order := placement(t.Document().Stores, p, tokens)
+	for _, share := range []float64{roomShare, lastShare} {
+		for _, x := range order {
+			if l.up[x.Address] && float64(l.used[x.Address]+tokens) <= share*float64(x.Tokens) {
+				s.saving(p, now)
+				return x.Address
+			}
 		}
 	}
 	return ""
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -158,7 +158,7 @@
 			}
 		},
 		fields: log.Fields{
-			"kind": "engine", "cost-ms": p.Millis, "missing": p.Missing, "tokens": prompt.Tokens, "version": version,
+			"kind": "engine", "cost-ms": p.Millis, "missing": p.Missing, "from": p.From, "tokens": prompt.Tokens, "version": version,
 			"in-flight": c.Track.InFlight, "reading": c.Track.Reading, "held": c.Track.Held, "load-age-ms": age(c.Track, now),
 		},
 	}
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -78,6 +78,8 @@
 	Fetch []string
 	// Missing is how many tokens the engine has to read.
 	Missing int
+	// From says, part by part, where it comes from: m for the engine's memory, s for a store, r for reading it.
+	From string
 }
 
 // Pick returns the plan with the lowest cost.
@@ -109,12 +111,15 @@
 				copied, _ := e.nearest(c, part)
 				p.Fetch[i] = copied.Address
 			}
+			p.From += "m"
 		case whole && len(part.Copies) > 0:
 			copied, millis := e.nearest(c, part)
 			p.Fetch[i] = copied.Address
 			p.Millis += millis
+			p.From += "s"
 		default:
 			whole = false
+			p.From += "r"
 			p.Missing += part.Tokens
 			p.Millis += e.reading(c, part, homes[i])
 		}
