Entries poll every replica that any replica names

Cause: the member list that came last decided whom an entry polls; a replica that joined was dropped for a slow one's list and its lease was never heard of, so that nothing was saved or fetched after a change of leader. Ruled out: full stores (their content stood still).

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -44,6 +44,10 @@
 	refuseAfter = 2800 * time.Millisecond
 	// lastCut is how long before its end a process leaves the requests that still run.
 	lastCut = 300 * time.Millisecond
+	// seedsAfter is how long no replica must have answered until the seeds are asked again.
+	seedsAfter = 4 * time.Second
+	// followInterval is the time between two looks whom to poll.
+	followInterval = time.Second
 	// stopLook is the time between two looks whether the last request has ended.
 	stopLook = 50 * time.Millisecond
 )
@@ -155,8 +159,9 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	p.follow(serving)
+	p.loops.Go(func() { p.refollow(serving) })
 	p.loops.Go(func() {
-		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.reseed(serving, h) }, p.config.Logger)
+		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.seeds.Store(&h.Seeds) }, p.config.Logger)
 	})
 	if err := p.serve(serving); err != nil {
 		return err
@@ -173,35 +178,39 @@
 	return err
 }
 
-// follow polls the seeds and then the members that they name.
+// follow polls the seeds and then the replicas that any of them names.
 func (p *process) follow(ctx context.Context) {
-	p.site.follow = func(members []string) {
-		all := slices.Concat(members, p.unheard(*p.seeds.Load(), members))
-		p.follower.Follow(ctx, all)
-	}
-	p.follower.Follow(ctx, p.config.Host.Seeds)
+	p.site.follow = func() { p.follower.Follow(ctx, p.addresses()) }
+	p.site.follow()
 }
 
-// unheard returns the seeds to poll beside the members: all while no member has answered lately.
-func (p *process) unheard(seeds, members []string) []string {
-	const fresh = 5 * time.Second
+// addresses returns whom to poll: the replicas that are named, and the seeds while none of these answers.
+func (p *process) addresses() []string {
+	p.site.mu.Lock()
+	members := p.site.members.union()
+	p.site.mu.Unlock()
 	for _, m := range members {
-		if ago, ok := p.follower.Heard(m); ok && ago < fresh {
-			return nil
+		if ago, ok := p.follower.Heard(m); ok && ago < seedsAfter {
+			return members
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return slices.Contains(members, s) })
+	all := slices.Concat(members, *p.seeds.Load())
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
-// reseed polls new seeds beside the members that are known.
-func (p *process) reseed(ctx context.Context, h host.Host) {
-	p.seeds.Store(&h.Seeds)
-	p.site.mu.Lock()
-	members := p.site.members
-	p.site.mu.Unlock()
-	all := slices.Concat(members, h.Seeds)
-	slices.Sort(all)
-	p.follower.Follow(ctx, slices.Compact(all))
+// refollow polls others when the seeds have changed or no replica answers any more.
+func (p *process) refollow(ctx context.Context) {
+	t := time.NewTicker(followInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			p.follower.Follow(ctx, p.addresses())
+		}
+	}
 }
 
 // serve listens for callers, the balancer and the collector of metrics.
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -28,10 +28,10 @@
 	mu       sync.Mutex
 	newest   map[string]int64
 	noticed  map[string]int64
-	members  []string
+	members  memberLists
 	entries  map[string]int
 	caughtUp map[string]time.Time
-	follow   func(members []string)
+	follow   func()
 	// leads is what each replica shows of stores and orders.
 	leads map[string]*lead
 	clock *stores.Clock
@@ -42,6 +42,7 @@
 	return &site{
 		logger:    logger,
 		directory: directory.New(),
+		members:   memberLists{},
 		newest:    map[string]int64{},
 		noticed:   map[string]int64{},
 		entries:   map[string]int{},
@@ -80,7 +81,7 @@
 		}
 		return decoded(r, s.takeServer)
 	case topic.Members:
-		return decoded(r, s.takeMembers)
+		return decoded(r, func(m []string) { s.takeMembers(address, m) })
 	case topic.Loaded:
 		return decoded(r, func(l topic.Loading) { s.takeLoaded(r.Key, l) })
 	case topic.Parts, topic.StoresUp, topic.Busy:
@@ -126,15 +127,12 @@
 	}
 }
 
-// takeMembers adds the replicas to those that are followed.
-//
-// Seeds may be gone when this process needs them; once heard of, a replica is
-// followed until another list names the members without it.
-func (s *site) takeMembers(members []string) {
+// takeMembers notes whom the replica at address names as replicas.
+func (s *site) takeMembers(address string, members []string) {
 	s.mu.Lock()
-	s.members = members
+	s.members[address] = members
 	s.mu.Unlock()
-	s.follow(members)
+	s.follow()
 }
 
 func (s *site) takeVersion(model string, v int64) {
