--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -156,6 +156,7 @@
 		CaughtUp: func() bool { return p.replica.Status().CaughtUp },
 		Holder:   func() (uint64, int64) { return p.holder.number(), p.librarian.clock.Now() },
 	})
+	rpc.Receive(p.node, watch.Readings, func(_ rpc.Peer, all []watch.Reading) { p.takeReadings(all) })
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), Take: p.take, Logger: p.config.Logger,
 	})
@@ -219,6 +220,13 @@
 	}
 }
 
+// takeReadings shows entries which engines read which parts.
+func (p *process) takeReadings(all []watch.Reading) {
+	for _, r := range all {
+		p.put(topic.Reads, stores.Part{Salt: r.Salt, ID: r.Part}.Key(""), r)
+	}
+}
+
 // addresses returns where replicas may be found: the members of the log, the seeds, and whom this process heard of before.
 func (p *process) addresses() []string {
 	all := slices.Clone(p.host.Load().Seeds)
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -91,7 +91,8 @@
 
 // New opens the sockets of an entry process.
 func New(c Config) (Process, error) {
-	p := &process{config: c, site: newSite(c.Logger), conns: newConns(), metrics: metrics.NewSet()}
+	memory := parts.NewMemory()
+	p := &process{config: c, site: newSite(c.Logger, memory), conns: newConns(), metrics: metrics.NewSet()}
 	p.seeds.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Entry)
 	if err != nil {
@@ -114,7 +115,7 @@
 	b := c.Host.Bounds
 	p.budget = retry.NewBudget(retry.Terms{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack})
 	p.handler = caller.New(caller.Config{
-		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: observe.New(), Memory: parts.NewMemory(),
+		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: observe.New(), Memory: memory,
 		Budget: p.budget, Stopping: p.stopping, Refusing: p.refusing, Metrics: p.metrics, Logger: c.Logger,
 	})
 	p.gauges()
@@ -160,6 +161,7 @@
 	defer stop()
 	p.follow(serving)
 	p.loops.Go(func() { p.refollow(serving) })
+	p.loops.Go(func() { p.tellReadings(serving) })
 	p.loops.Go(func() {
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.seeds.Store(&h.Seeds) }, p.config.Logger)
 	})
--- a/internal/process/siteentry/members_test.go
+++ b/internal/process/siteentry/members_test.go
@@ -3,13 +3,15 @@
 import (
 	"slices"
 	"testing"
+
+	"hornbeamwood/internal/site/parts"
 )
 
 // Three replicas found the log and a fourth joins; one of the three tells of it
 // late. The entry must go on polling the fourth, or it doesn't hear when that
 // one later leads: prompts are read anew for the rest of the day.
 func TestSlowReplicaDoesNotHideANewOne(t *testing.T) {
-	s := newSite(nil)
+	s := newSite(nil, parts.NewMemory())
 	var polled []string
 	s.follow = func() { polled = s.members.union() }
 	s.takeMembers("a", []string{"a", "b", "c", "d"})
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -12,6 +12,7 @@
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/parts"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
 	"hornbeamwood/internal/site/watch"
@@ -36,11 +37,15 @@
 	leads map[string]*lead
 	clock *stores.Clock
 	saves map[stores.Part]time.Time
+	// memory guesses what engines hold; readings waits to be told to the others.
+	memory   parts.Memory
+	readings []watch.Reading
 }
 
-func newSite(logger log.Interface) *site {
+func newSite(logger log.Interface, memory parts.Memory) *site {
 	return &site{
 		logger:    logger,
+		memory:    memory,
 		directory: directory.New(),
 		members:   memberLists{},
 		newest:    map[string]int64{},
@@ -82,6 +87,8 @@
 		return decoded(r, s.takeServer)
 	case topic.Members:
 		return decoded(r, func(m []string) { s.takeMembers(address, m) })
+	case topic.Reads:
+		return decoded(r, s.takeReading)
 	case topic.Loaded:
 		return decoded(r, func(l topic.Loading) { s.takeLoaded(r.Key, l) })
 	case topic.Parts, topic.StoresUp, topic.Busy:
@@ -154,6 +161,12 @@
 	return s.directory.View().Service(service)
 }
 
+// Server implements caller.Site.
+func (s *site) Server(id string) (directory.Server, bool) {
+	v, ok := s.directory.View().Server(id)
+	return v, ok && v.State == directory.Ready
+}
+
 // Version implements caller.Site.
 //
 // A server announces its weights about once a second and shows them in each
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -10,6 +10,8 @@
 
 	"hornbeamwood/internal/serve/choose"
 	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/serve/request"
+	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
 )
 
@@ -17,7 +19,10 @@
 	// olderMillis is what an engine costs in milliseconds that doesn't have the
 	// newest weights: a quarter of the time that a first event may take.
 	olderMillis = 250.0
-	// shardSeparator stands between the parts of a salt.
+	// readBy is how long after it was sent to an engine a part can be fetched
+	// from there: the time to read a long one.
+	readBy = 600 * time.Millisecond
+	// saltSeparator stands between the parts of a salt.
 	saltSeparator = "/"
 )
 
@@ -98,7 +103,7 @@
 func (j *job) engine(e document.Engine, version int64, now time.Time) choose.Engine {
 	salt := j.salt(version)
 	return choose.Engine{
-		Now: now, Zone: j.Zone, Parts: j.parts(salt), Output: j.request.Prompt.Output, Capacity: e.Tokens, Random: random(),
+		Now: now, Zone: j.Zone, Parts: j.parts(salt, e, now), Output: j.request.Prompt.Output, Capacity: e.Tokens, Random: random(),
 		Holds: func(server string, p choose.Part) bool { return j.Memory.Holds(server, p.Salt, p.ID) },
 	}
 }
@@ -119,18 +124,38 @@
 	return s
 }
 
-func (j *job) parts(salt string) []choose.Part {
+func (j *job) parts(salt string, e document.Engine, now time.Time) []choose.Part {
 	prompt := j.request.Prompt
 	all := make([]choose.Part, len(prompt.Parts))
 	for i, p := range prompt.Parts {
 		all[i] = choose.Part{Salt: salt, ID: p.ID, Tokens: p.Tokens, Shared: i < len(prompt.Parts)-1}
 		if all[i].Shared {
-			all[i].Copies = j.Site.Copies(salt, p.ID, p.Tokens)
+			all[i].Copies = j.copies(salt, p, e, now)
 		}
 	}
 	return all
 }
 
+// copies returns where a part lies: in stores, and where none has it in the
+// memory of engines that have probably read it by now.
+func (j *job) copies(salt string, p request.Part, e document.Engine, now time.Time) []choose.Copy {
+	all := j.Site.Copies(salt, p.ID, p.Tokens)
+	if len(all) > 0 || e.LinkRate <= 0 {
+		return all
+	}
+	for _, h := range j.Memory.Holders(salt, p.ID) {
+		s, ok := j.Site.Server(h.Server)
+		if !ok || s.Silent || now.Sub(h.Since) < readBy {
+			continue
+		}
+		all = append(all, choose.Copy{
+			Server: s.ID, Address: s.Address, Zone: s.Zone,
+			PerToken: time.Duration(e.TokenBytes / e.LinkRate * float64(time.Second)),
+		})
+	}
+	return all
+}
+
 func (j *job) engineChoice(e document.Engine, version int64, c choose.Candidate, p choose.Plan, now time.Time) choice {
 	salt, prompt := j.salt(version), j.request.Prompt
 	d := j.dispatch(now)
@@ -152,14 +177,22 @@
 		server:   c.Server,
 		dispatch: d,
 		attempt:  observe.Attempt{Reading: p.Missing, Held: held},
-		noted: func() {
-			for _, part := range prompt.Parts[:max(0, len(prompt.Parts)-1)] {
-				j.Memory.Note(c.Server.ID, salt, part.ID, part.Tokens, e.Tokens)
-			}
-		},
+		noted:    func() { j.noteParts(c.Server, salt, e, p.From, now) },
 		fields: log.Fields{
 			"kind": "engine", "cost-ms": p.Millis, "missing": p.Missing, "from": p.From, "tokens": prompt.Tokens, "version": version,
 			"in-flight": c.Track.InFlight, "reading": c.Track.Reading, "held": c.Track.Held, "load-age-ms": age(c.Track, now),
 		},
 	}
 }
+
+// noteParts remembers what the engine reads and tells the other entries of
+// shared parts that were nowhere else.
+func (j *job) noteParts(s directory.Server, salt string, e document.Engine, from string, now time.Time) {
+	parts := j.request.Prompt.Parts
+	for i, p := range parts[:max(0, len(parts)-1)] {
+		j.Memory.Note(s.ID, salt, p.ID, p.Tokens, e.Tokens, now)
+		if from[i] == 'r' {
+			j.Site.Reads(salt, p.ID, p.Tokens, s.ID)
+		}
+	}
+}
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -32,6 +32,10 @@
 	Table() document.Table
 	// Servers returns the ready servers of a service.
 	Servers(service string) []directory.Server
+	// Server returns the newest incarnation of id while it is ready.
+	Server(id string) (directory.Server, bool)
+	// Reads tells the other entries that the engine reads a part that was nowhere else.
+	Reads(salt, part string, tokens int, server string)
 	// Version returns the version of the model that the server has, zero when it isn't known.
 	Version(s directory.Server, model string) int64
 	// Noticed tells the version that a server's answer showed.
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -121,7 +121,7 @@
 	dispatch request.Dispatch
 	attempt  observe.Attempt
 	fields   log.Fields
-	// noted is called when the server has taken the request.
+	// noted, if any, is called when the request is sent.
 	noted func()
 }
 
@@ -142,6 +142,9 @@
 	event.AttemptRouted.Write(j.Logger, c.fields)
 	c.attempt.Server, c.attempt.Began = c.server.ID, now
 	a := j.Tracker.Begin(c.attempt)
+	if c.noted != nil {
+		c.noted()
+	}
 	x, err := j.Client.Send(ctx, j.target(c.server), j.request.Attempt, j.message(c.dispatch), j.patience(now))
 	if err != nil {
 		return false, j.failed(a, err)
--- a/internal/serve/caller/pass.go
+++ b/internal/serve/caller/pass.go
@@ -36,9 +36,6 @@
 		return false, j.rejected(a, x, told)
 	}
 	j.mayHaveRun()
-	if c.noted != nil {
-		c.noted()
-	}
 	if reason := unfit(x.Response, told); reason != "" {
 		return false, j.broken(a, x, reason, nil)
 	}
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -18,9 +18,9 @@
 	// againCost multiplies the time to read a shared part that was read elsewhere
 	// before: the work is done twice, and a move takes a fiftieth of it.
 	againCost = 3.0
-	// homeDiscount is the part of that cost which the part's home engine is
+	// homeDiscount is the part of that surcharge which the part's home engine is
 	// spared: entries that know of no copy meet at one engine.
-	homeDiscount = 0.6
+	homeDiscount = 0.75
 	// otherZoneMillis is what an engine in another availability zone costs in milliseconds, for the bytes between zones and the way.
 	otherZoneMillis = 12.0
 	// memoryMillis is the cost of a request that doesn't fit beside this entry's others.
@@ -41,11 +41,13 @@
 	Copies []Copy
 }
 
-// Copy is a part in a store.
+// Copy is a part in a store, or in the memory of an engine.
 type Copy struct {
-	// Address is the store's IP and port.
+	// Server is the engine's ID, empty for a store.
+	Server string
+	// Address is its IP and port.
 	Address string
-	// Zone is the store's availability zone.
+	// Zone is its availability zone.
 	Zone string
 	// PerToken is how long a token takes over the store's link, First what each transfer waits.
 	PerToken, First time.Duration
@@ -78,7 +80,7 @@
 	Fetch []string
 	// Missing is how many tokens the engine has to read.
 	Missing int
-	// From says, part by part, where it comes from: m for the engine's memory, s for a store, r for reading it.
+	// From says, part by part, where it comes from: m for the engine's memory, s for a store, e for another engine, r for reading it.
 	From string
 }
 
@@ -107,16 +109,14 @@
 		switch {
 		case whole && e.Holds != nil && e.Holds(c.Server.ID, part):
 			// The engine moves nothing that it has; if it has lost the part, the copy spares reading it again.
-			if len(part.Copies) > 0 {
-				copied, _ := e.nearest(c, part)
-				p.Fetch[i] = copied.Address
-			}
+			copied, _ := e.nearest(c, part)
+			p.Fetch[i] = copied.Address
 			p.From += "m"
-		case whole && len(part.Copies) > 0:
+		case whole && e.elsewhere(c, part):
 			copied, millis := e.nearest(c, part)
 			p.Fetch[i] = copied.Address
 			p.Millis += millis
-			p.From += "s"
+			p.From += from(copied)
 		default:
 			whole = false
 			p.From += "r"
@@ -134,6 +134,24 @@
 	return p
 }
 
+// elsewhere returns whether the part can be fetched.
+func (e Engine) elsewhere(c Candidate, part Part) bool {
+	for _, k := range part.Copies {
+		if k.Server != c.Server.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// from returns the letter for a part that is fetched.
+func from(k Copy) string {
+	if k.Server != "" {
+		return "e"
+	}
+	return "s"
+}
+
 func (e Engine) reading(c Candidate, part Part, home string) float64 {
 	millis := float64(part.Tokens) / readRate
 	if !part.Shared {
@@ -149,6 +167,9 @@
 func (e Engine) nearest(c Candidate, part Part) (Copy, float64) {
 	found, lowest := Copy{}, 0.0
 	for _, k := range part.Copies {
+		if k.Server == c.Server.ID {
+			continue
+		}
 		millis := float64(part.Tokens) * k.PerToken.Seconds() * 1000
 		if k.Zone != c.Server.Zone {
 			millis *= 2
@@ -189,6 +210,9 @@
 		}
 		highest := uint64(0)
 		for _, c := range all {
+			if c.standing(e.Now) != usable {
+				continue
+			}
 			if h := xxhash.Sum64String(c.Server.ID + "\x00" + p.Salt + "\x00" + p.ID); h >= highest {
 				homes[i], highest = c.Server.ID, h
 			}
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -20,6 +20,8 @@
 	Loaded board.Topic = 7
 	// Busy holds true for the ID of each engine that takes no requests because of an order.
 	Busy board.Topic = 8
+	// Reads holds the engine that last began to read a part, as a watch.Reading under its salt and ID.
+	Reads board.Topic = 9
 )
 
 // Loading is the weights that an engine was brought to.
--- a/internal/site/watch/protocol.go
+++ b/internal/site/watch/protocol.go
@@ -44,3 +44,19 @@
 	Name:  "site-watch",
 	Roles: []keys.Role{keys.Entry, keys.Control},
 }
+
+// Reading tells that an engine reads a part that was nowhere else.
+type Reading struct {
+	// Salt and Part name the part, Tokens is its size.
+	Salt   string `cbor:"salt"`
+	Part   string `cbor:"part"`
+	Tokens int    `cbor:"tokens"`
+	// Server is the engine's ID.
+	Server string `cbor:"server"`
+}
+
+// Readings is how an entry tells the replica that holds the lease, which shows it to all entries.
+var Readings = rpc.Notice[[]Reading]{
+	Name:  "site-readings",
+	Roles: []keys.Role{keys.Entry},
+}
