--- a/internal/site/stores/shelf.go
+++ b/internal/site/stores/shelf.go
@@ -9,9 +9,10 @@
 // block is the unit in which stores give room, in tokens.
 const block = 16
 
-// FetchWindow is how long a fetch may last: links carry the largest parts in
-// a few hundred milliseconds.
-const FetchWindow = 1500 * time.Millisecond
+// FetchWindow is how long a fetch may last from when its request was sent.
+// Links carry the largest parts in a few hundred milliseconds, but a fetch waits
+// behind others and with its request in the engine's queue.
+const FetchWindow = 4 * time.Second
 
 // HoldBeforeFree is how long a part stays in its store after entries were told
 // that it goes. An entry that hears nothing stops fetching after StaleAfter; a
