Entries go on with what the last holder of the lease told of stores

Parts are freed early only when every entry is known to have the news; only parts nobody asked for in 15 s make room; halves of crashed writers are freed.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -81,6 +81,7 @@
 	loops     sync.WaitGroup
 	peers     atomic.Pointer[[]string]
 	holder    *holder
+	watched   watch.Server
 	librarian *librarian
 	mu        sync.Mutex
 	// loaded is what engines were brought to, by their ID.
@@ -144,7 +145,7 @@
 		d = defaultLease
 	}
 	p.holder = &holder{
-		name: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), duration: d,
+		name: p.config.Host.Internal, duration: d,
 		propose: p.leader.Propose, leads: p.leads, logger: p.config.Logger,
 	}
 	p.librarian = &librarian{process: p, client: p.config.Stores, clock: stores.NewClock(), shelves: map[string]*shelf{}}
@@ -156,6 +157,8 @@
 		CaughtUp: func() bool { return p.replica.Status().CaughtUp },
 		Holder:   func() (uint64, int64) { return p.holder.number(), p.librarian.clock.Now() },
 	})
+	p.watched = server
+	rpc.Receive(p.node, watch.Uses, func(_ rpc.Peer, hashes []uint64) { p.librarian.use(hashes) })
 	rpc.Receive(p.node, watch.Readings, func(_ rpc.Peer, all []watch.Reading) { p.takeReadings(all) })
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), Take: p.take, Logger: p.config.Logger,
--- a/internal/process/sitecontrol/lease.go
+++ b/internal/process/sitecontrol/lease.go
@@ -42,6 +42,8 @@
 	fencing uint64
 	until   time.Duration
 	from    time.Duration
+	// granted is when this process got the lease.
+	granted time.Duration
 	// refused is the highest number that a server has refused.
 	refused uint64
 }
@@ -64,6 +66,14 @@
 	return h.fencing
 }
 
+// settled returns whether this process has held the lease for so long that
+// nobody goes by what an earlier holder said.
+func (h *holder) settled(after time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.fencing == 1 || boottime.Now()-h.granted >= after
+}
+
 // lost notes that a server has seen a higher number.
 //
 // Whoever has it was granted the lease after this process: whatever its clock
@@ -114,7 +124,9 @@
 	h.take(r, asked)
 }
 
-// holderName differs after a refusal: a lease that was superseded is asked for anew, under another number.
+// holderName is the same after a restart of the process, so that it need not wait
+// for its own lease to run out. After a refusal it differs: a lease that was
+// superseded is asked for anew, under another number.
 func (h *holder) holderName() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -139,6 +151,7 @@
 	if r.Fencing != h.fencing {
 		h.fencing = r.Fencing
 		h.from = boottime.Now()
+		h.granted = h.from
 		if r.Fencing > 1 {
 			h.from += max(r.Wait, h.duration)
 		}
--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -167,22 +167,38 @@
 	return nil
 }
 
-// show puts the parts' present state on the board.
-func (l *librarian) show(x *shelf, parts []stores.Part) {
+// show puts the parts' present state on the board and returns the number that includes it.
+func (l *librarian) show(x *shelf, parts []stores.Part) uint64 {
+	number := uint64(0)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, p := range parts {
 		if tokens, ok := x.stock.Whole(p); ok {
 			l.put(topic.Parts, p.Key(x.stock.Address), tokens)
 		} else {
-			l.board.Put(topic.Parts, p.Key(x.stock.Address), nil)
+			number = max(number, l.board.Put(topic.Parts, p.Key(x.stock.Address), nil))
 		}
 	}
+	return number
+}
+
+// use notes which parts were asked for.
+func (l *librarian) use(hashes []uint64) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, x := range l.shelves {
+		x.mu.Lock()
+		for _, h := range hashes {
+			x.stock.Use(h, now)
+		}
+		x.mu.Unlock()
+	}
 }
 
 // free withdraws what is of no use any more, and drops what was withdrawn long enough ago.
 func (l *librarian) free(ctx context.Context) {
-	if _, ok := l.holder.held(); !ok {
+	if _, ok := l.holder.held(); !ok || !l.holder.settled(stores.StaleAfter+stores.FetchWindow) {
 		return
 	}
 	l.mu.Lock()
@@ -196,9 +212,12 @@
 		now := time.Now()
 		x.mu.Lock()
 		marked := x.stock.Withdraw(outdated, fullShare, now)
-		due, epoch := x.stock.Due(now), x.stock.Epoch()
 		x.mu.Unlock()
-		l.show(x, marked)
+		number := l.show(x, marked)
+		x.mu.Lock()
+		x.stock.Told(marked, number)
+		due, epoch := x.stock.Due(l.watched.Known(stores.StaleAfter), now), x.stock.Epoch()
+		x.mu.Unlock()
 		l.drop(ctx, x, due, epoch)
 	}
 }
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -162,6 +162,7 @@
 	p.follow(serving)
 	p.loops.Go(func() { p.refollow(serving) })
 	p.loops.Go(func() { p.tellReadings(serving) })
+	p.loops.Go(func() { p.tellUses(serving) })
 	p.loops.Go(func() {
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.seeds.Store(&h.Seeds) }, p.config.Logger)
 	})
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -26,10 +26,9 @@
 	smallPart = 1024
 	// fastFirst is the wait up to which a store counts as fast.
 	fastFirst = 2 * time.Millisecond
-	// roomShare is how full a store may be for another part to be sent there while
-	// another store has room, lastShare when none has: the part then pushes out the store's oldest.
-	roomShare = 0.94
-	lastShare = 0.985
+	// roomShare is how full a store may be for another part to be sent there; the
+	// rest is taken by parts that are on their way.
+	roomShare = 0.97
 )
 
 // lead is what one replica shows of stores and orders; it counts while the
@@ -58,7 +57,9 @@
 		l = newLead(a.Epoch)
 		s.leads[address] = l
 	}
-	l.fencing, l.heard = a.Fencing, time.Now()
+	if a.Fencing != 0 {
+		l.fencing, l.heard = a.Fencing, time.Now()
+	}
 }
 
 // leading returns what the present holder of the lease shows, nil when none was heard lately.
@@ -68,7 +69,7 @@
 func (s *site) leading() *lead {
 	var found *lead
 	for _, l := range s.leads {
-		if l.fencing != 0 && time.Since(l.heard) < stores.StaleAfter && (found == nil || l.fencing > found.fencing) {
+		if l.fencing != 0 && len(l.up) > 0 && time.Since(l.heard) < stores.StaleAfter && (found == nil || l.fencing > found.fencing) {
 			found = l
 		}
 	}
@@ -139,13 +140,15 @@
 	if t == nil {
 		return nil
 	}
+	p := stores.Part{Salt: salt, ID: part}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.leading()
 	if l == nil {
 		return nil
 	}
-	held := l.parts[stores.Part{Salt: salt, ID: part}]
+	s.use(p)
+	held := l.parts[p]
 	if len(held) == 0 {
 		return nil
 	}
@@ -192,13 +195,10 @@
 	if l == nil || len(l.parts[p]) > 0 || now.Sub(s.saves[p]) < saveAgainAfter {
 		return ""
 	}
-	order := placement(t.Document().Stores, p, tokens)
-	for _, share := range []float64{roomShare, lastShare} {
-		for _, x := range order {
-			if l.up[x.Address] && float64(l.used[x.Address]+tokens) <= share*float64(x.Tokens) {
-				s.saving(p, now)
-				return x.Address
-			}
+	for _, x := range placement(t.Document().Stores, p, tokens) {
+		if l.up[x.Address] && float64(l.used[x.Address]+tokens) <= roomShare*float64(x.Tokens) {
+			s.saving(p, now)
+			return x.Address
 		}
 	}
 	return ""
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/watch"
 )
 
@@ -15,6 +18,10 @@
 	readingsInterval = 30 * time.Millisecond
 	// maxReadings bounds what waits to be told; what is dropped is read again at worst.
 	maxReadings = 512
+	// usesInterval is the time between two notices of the parts that were asked for, well within the time after which one counts as idle.
+	usesInterval = 2 * time.Second
+	// maxUses bounds what one notice tells.
+	maxUses = 4096
 	// noticeTimeout bounds one notice.
 	noticeTimeout = 500 * time.Millisecond
 )
@@ -44,25 +51,55 @@
 	}
 }
 
-// pending returns what is to be told, and the replica to tell it to.
-func (s *site) pending() ([]watch.Reading, string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	address := ""
+// use notes that a part was asked for; the caller holds the lock.
+func (s *site) use(p stores.Part) {
+	if len(s.uses) < maxUses {
+		s.uses[p.Hash()] = struct{}{}
+	}
+}
+
+// leader returns the address of the replica that holds the lease, empty for none; the caller holds the lock.
+func (s *site) leader() string {
 	l := s.leading()
 	for a, x := range s.leads {
 		if x == l {
-			address = a
+			return a
 		}
 	}
+	return ""
+}
+
+// pendingReadings returns what is to be told, and the replica to tell it to.
+func (s *site) pendingReadings() ([]watch.Reading, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	all := s.readings
 	s.readings = nil
-	return all, address
+	return all, s.leader()
 }
 
-// tellReadings tells until ctx ends.
+// pendingUses returns what is to be told, and the replica to tell it to.
+func (s *site) pendingUses() ([]uint64, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := slices.Collect(maps.Keys(s.uses))
+	clear(s.uses)
+	return all, s.leader()
+}
+
+// tellReadings tells what engines read until ctx ends.
 func (p *process) tellReadings(ctx context.Context) {
-	t := time.NewTicker(readingsInterval)
+	tell(ctx, p.node, readingsInterval, watch.Readings, p.site.pendingReadings)
+}
+
+// tellUses tells which parts were asked for until ctx ends.
+func (p *process) tellUses(ctx context.Context) {
+	tell(ctx, p.node, usesInterval, watch.Uses, p.site.pendingUses)
+}
+
+// tell sends what is pending at each interval.
+func tell[T any](ctx context.Context, node rpc.Node, interval time.Duration, n rpc.Notice[[]T], pending func() ([]T, string)) {
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
@@ -70,13 +107,13 @@
 			return
 		case <-t.C:
 		}
-		all, address := p.site.pending()
+		all, address := pending()
 		if len(all) == 0 || address == "" {
 			continue
 		}
 		telling, cancel := context.WithTimeout(ctx, noticeTimeout)
-		// A lost notice costs one more reading.
-		_ = rpc.Notify(telling, p.node, address, watch.Readings, all)
+		// A lost notice costs a part that is read once more.
+		_ = rpc.Notify(telling, node, address, n, all)
 		cancel()
 	}
 }
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -40,6 +40,8 @@
 	// memory guesses what engines hold; readings waits to be told to the others.
 	memory   parts.Memory
 	readings []watch.Reading
+	// uses are the hashes of the parts that were asked for.
+	uses map[uint64]struct{}
 }
 
 func newSite(logger log.Interface, memory parts.Memory) *site {
@@ -55,6 +57,7 @@
 		leads:     map[string]*lead{},
 		clock:     stores.NewClock(),
 		saves:     map[stores.Part]time.Time{},
+		uses:      map[uint64]struct{}{},
 	}
 }
 
--- a/internal/site/stores/part.go
+++ b/internal/site/stores/part.go
@@ -1,5 +1,7 @@
 package stores
 
+import "github.com/cespare/xxhash/v2"
+
 // Part names a piece of a prompt in a store.
 type Part struct {
 	// Salt is what the piece was read under.
@@ -15,3 +17,8 @@
 
 // separator can't stand in addresses, salts or IDs, which travel in headers.
 const separator = "\x00"
+
+// Hash returns a short name of the part, for notes of its use.
+func (p Part) Hash() uint64 {
+	return xxhash.Sum64String(p.Key(""))
+}
--- a/internal/site/stores/shelf.go
+++ b/internal/site/stores/shelf.go
@@ -14,20 +14,28 @@
 // behind others and with its request in the engine's queue.
 const FetchWindow = 4 * time.Second
 
-// HoldBeforeFree is how long a part stays in its store after entries were told
-// that it goes. An entry that hears nothing stops fetching after StaleAfter; a
-// fetch that it began just before may last FetchWindow.
-const HoldBeforeFree = StaleAfter + FetchWindow + 500*time.Millisecond
+// StaleAfter is how long an entry believes what the holder of the lease told it
+// of stores without hearing more: longer than it takes until another replica
+// holds the lease.
+const StaleAfter = 10 * time.Second
 
-// StaleAfter is how long an entry believes what it was told of stores without hearing more.
-const StaleAfter = 2 * time.Second
+// freeSlack is added to every wait before a part is freed.
+const freeSlack = 300 * time.Millisecond
+
+// idleBeforeFree is how long a part must not have been asked for until it makes
+// room for others. What returns sooner would be read again, which costs far more
+// than what is read for the first time and not kept.
+const idleBeforeFree = 15 * time.Second
 
 // placed is a part on a shelf.
 type placed struct {
 	tokens int
-	since  time.Time
+	// used is when it was last asked for, or came.
+	used time.Time
 	// withdrawn is when entries were told that it goes; zero while it stays.
 	withdrawn time.Time
+	// number is the board's number with which they were told.
+	number uint64
 }
 
 // Shelf is the account of one store.
@@ -39,11 +47,15 @@
 	epoch, next int64
 	listed      bool
 	parts       map[Part]*placed
+	// hashes finds parts by what entries tell of their use.
+	hashes map[uint64]Part
+	// partial are the parts that were not whole in the last listing.
+	partial map[Part]bool
 }
 
 // NewShelf returns the account of a store of which nothing is known yet.
 func NewShelf(address string, room int) *Shelf {
-	return &Shelf{Address: address, Room: room, parts: map[Part]*placed{}}
+	return &Shelf{Address: address, Room: room, parts: map[Part]*placed{}, hashes: map[uint64]Part{}, partial: map[Part]bool{}}
 }
 
 // Next returns where the next poll goes on.
@@ -75,15 +87,28 @@
 	old, known := s.parts[p]
 	switch {
 	case held && !known:
-		s.parts[p] = &placed{tokens: tokens, since: now}
+		s.parts[p] = &placed{tokens: tokens, used: now}
+		s.hashes[p.Hash()] = p
 		return true
 	case !held && known:
-		delete(s.parts, p)
+		s.remove(p)
 		return old.withdrawn.IsZero()
 	}
 	return false
 }
 
+func (s *Shelf) remove(p Part) {
+	delete(s.parts, p)
+	delete(s.hashes, p.Hash())
+}
+
+// Use notes that a part was asked for.
+func (s *Shelf) Use(hash uint64, now time.Time) {
+	if x, ok := s.parts[s.hashes[hash]]; ok {
+		x.used = now
+	}
+}
+
 // TakeList takes a listing and returns the parts whose row changes.
 func (s *Shelf) TakeList(l Listing, now time.Time) []Part {
 	var changed []Part
@@ -97,10 +122,26 @@
 			changed = append(changed, p)
 		}
 	}
+	s.takePartial(l, now)
 	s.epoch, s.next, s.listed = l.Epoch, l.Next, true
 	return changed
 }
 
+// takePartial marks the parts that are not whole in two listings one after the
+// other: their writers have broken off, and they would keep their room for ever.
+func (s *Shelf) takePartial(l Listing, now time.Time) {
+	again := s.partial
+	s.partial = map[Part]bool{}
+	for p, reserved := range l.Partial {
+		if again[p] {
+			s.parts[p] = &placed{tokens: reserved, used: now, withdrawn: now}
+			s.hashes[p.Hash()] = p
+			continue
+		}
+		s.partial[p] = true
+	}
+}
+
 // Whole returns the part's size and whether it may be fetched.
 func (s *Shelf) Whole(p Part) (int, bool) {
 	x, ok := s.parts[p]
@@ -119,9 +160,9 @@
 	return sum
 }
 
-// Withdraw marks the parts that unwanted returns true for, and the oldest ones
-// while more than share of the room is taken, and returns those newly marked.
-// Entries are told at once; the parts are freed later.
+// Withdraw marks the parts that unwanted returns true for, and while more than
+// share of the room is taken those that nobody has asked for in a long time, and
+// returns those newly marked. Entries are told at once; the parts are freed later.
 func (s *Shelf) Withdraw(unwanted func(Part) bool, share float64, now time.Time) []Part {
 	var marked []Part
 	kept, staying := make([]Part, 0, len(s.parts)), 0
@@ -137,16 +178,16 @@
 		}
 	}
 	slices.SortFunc(kept, func(a, b Part) int {
-		if d := s.parts[a].since.Compare(s.parts[b].since); d != 0 {
+		if d := s.parts[a].used.Compare(s.parts[b].used); d != 0 {
 			return d
 		}
 		return strings.Compare(a.ID, b.ID)
 	})
 	for _, p := range kept {
-		if float64(staying) <= share*float64(s.Room) {
+		x := s.parts[p]
+		if float64(staying) <= share*float64(s.Room) || now.Sub(x.used) < idleBeforeFree {
 			break
 		}
-		x := s.parts[p]
 		x.withdrawn = now
 		staying -= x.tokens
 		marked = append(marked, p)
@@ -154,21 +195,40 @@
 	return marked
 }
 
+// Told notes the board's number with which entries were told of withdrawn parts.
+func (s *Shelf) Told(parts []Part, number uint64) {
+	for _, p := range parts {
+		if x, ok := s.parts[p]; ok {
+			x.number = number
+		}
+	}
+}
+
 // Freed notes that the store has dropped the parts; its own word may be lost.
 func (s *Shelf) Freed(parts []Part) {
 	for _, p := range parts {
-		delete(s.parts, p)
+		s.remove(p)
 	}
 }
 
-// Due returns the parts that were withdrawn so long ago that nobody fetches them any more.
+// Due returns the parts that nobody fetches any more. known is the board's
+// number that all entries have which were heard within StaleAfter.
 //
 // A part freed while an engine still reads it would leave that engine with
-// memory of which nobody knows what is in it.
-func (s *Shelf) Due(now time.Time) []Part {
+// memory of which nobody knows what is in it. An entry that has the news begins
+// no more fetches; one that hasn't, and is cut off, stops after StaleAfter. The
+// last fetch that either began has ended after FetchWindow.
+func (s *Shelf) Due(known uint64, now time.Time) []Part {
 	var due []Part
 	for p, x := range s.parts {
-		if !x.withdrawn.IsZero() && now.Sub(x.withdrawn) >= HoldBeforeFree {
+		if x.withdrawn.IsZero() {
+			continue
+		}
+		wait := StaleAfter + FetchWindow + freeSlack
+		if x.number != 0 && known >= x.number {
+			wait = FetchWindow + freeSlack
+		}
+		if now.Sub(x.withdrawn) >= wait {
 			due = append(due, p)
 		}
 	}
--- a/internal/site/stores/shelf_test.go
+++ b/internal/site/stores/shelf_test.go
@@ -48,10 +48,17 @@
 	if _, ok := s.Whole(part("a")); ok {
 		t.Error("entries may still fetch it")
 	}
-	if due := s.Due(start.Add(StaleAfter + FetchWindow)); len(due) != 0 {
+	s.Told(marked, 7)
+	if due := s.Due(7, start.Add(FetchWindow)); len(due) != 0 {
 		t.Error("it is freed while a fetch may run")
 	}
-	if due := s.Due(start.Add(HoldBeforeFree)); len(due) != 1 {
+	if due := s.Due(7, start.Add(FetchWindow+freeSlack)); len(due) != 1 {
+		t.Errorf("due %v though every entry knows", due)
+	}
+	if due := s.Due(6, start.Add(StaleAfter+FetchWindow)); len(due) != 0 {
+		t.Error("it is freed though an entry may still believe it there")
+	}
+	if due := s.Due(6, start.Add(StaleAfter+FetchWindow+freeSlack)); len(due) != 1 {
 		t.Errorf("due %v", due)
 	}
 	if again := s.Withdraw(func(p Part) bool { return p == part("a") }, 1, start); len(again) != 0 {
@@ -59,11 +66,34 @@
 	}
 }
 
-func TestOldestMakeRoom(t *testing.T) {
-	s := filled("a")
-	s.Take(Feed{Epoch: 5, Next: 11, Changes: []Change{{Part: part("b"), Added: true, Tokens: 800}}}, start.Add(time.Second))
-	marked := s.Withdraw(func(Part) bool { return false }, 0.85, start.Add(2*time.Second))
-	if len(marked) != 1 || marked[0] != part("a") {
+// More parts return than the stores can hold. Were the oldest dropped for the
+// newest, each of them would be gone right before it is asked for again; only
+// what nobody has asked for in a long time makes room.
+func TestIdlePartsMakeRoom(t *testing.T) {
+	s := filled("a", "b")
+	s.Take(Feed{Epoch: 5, Next: 11, Changes: []Change{{Part: part("c"), Added: true, Tokens: 750}}}, start.Add(time.Second))
+	never := func(Part) bool { return false }
+	if marked := s.Withdraw(never, 0.85, start.Add(2*time.Second)); len(marked) != 0 {
 		t.Errorf("marked %v", marked)
 	}
+	s.Use(part("a").Hash(), start.Add(10*time.Second))
+	marked := s.Withdraw(never, 0.85, start.Add(idleBeforeFree))
+	if len(marked) != 1 || marked[0] != part("b") {
+		t.Errorf("marked %v", marked)
+	}
+}
+
+// A server crashes while it writes a part to a store. The half part keeps its
+// room until it is freed, and the store fills with halves.
+func TestHalfPartsAreFreed(t *testing.T) {
+	s := NewShelf("1:1", 1000)
+	l := Listing{Epoch: 5, Partial: map[Part]int{part("a"): 100}}
+	s.TakeList(l, start)
+	if due := s.Due(0, start.Add(time.Hour)); len(due) != 0 {
+		t.Error("a part that is being written is freed")
+	}
+	s.TakeList(l, start.Add(20*time.Second))
+	if due := s.Due(0, start.Add(time.Hour)); len(due) != 1 {
+		t.Errorf("due %v", due)
+	}
 }
--- a/internal/site/watch/protocol.go
+++ b/internal/site/watch/protocol.go
@@ -60,3 +60,9 @@
 	Name:  "site-readings",
 	Roles: []keys.Role{keys.Entry},
 }
+
+// Uses is how an entry tells the replica that holds the lease which parts were asked for, by their hashes.
+var Uses = rpc.Notice[[]uint64]{
+	Name:  "site-uses",
+	Roles: []keys.Role{keys.Entry},
+}
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -15,7 +15,7 @@
 	// batchPause lets changes that come together travel in one answer; it delays news by a thousandth of the time that a change has.
 	batchPause = 2 * time.Millisecond
 	// watcherTimeout is how long a watcher counts after its last poll: some lost polls.
-	watcherTimeout = 8 * time.Second
+	watcherTimeout = 12 * time.Second
 )
 
 // Config is what a Server needs.
@@ -36,6 +36,8 @@
 	AwaitReplicas(ctx context.Context, number uint64, n int) bool
 	// Entries returns how many entries polled lately.
 	Entries() int
+	// Known returns the number up to which all entries have the rows that polled within the given time.
+	Known(within time.Duration) uint64
 }
 
 type watcher struct {
@@ -121,3 +123,16 @@
 	}
 	return n
 }
+
+// Known implements Server.
+func (s *server) Known(within time.Duration) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := ^uint64(0)
+	for _, w := range s.watchers {
+		if w.entry && time.Since(w.polled) <= within {
+			known = min(known, w.number)
+		}
+	}
+	return known
+}
