--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -24,6 +24,7 @@
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/node/tcp"
 	"hornbeamwood/internal/process/platform"
+	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/settings/lease"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/directory"
@@ -81,6 +82,7 @@
 	loops     sync.WaitGroup
 	peers     atomic.Pointer[[]string]
 	holder    *holder
+	loads     share.Adder
 	watched   watch.Server
 	librarian *librarian
 	mu        sync.Mutex
@@ -90,7 +92,7 @@
 
 // New opens the data folder and the sockets of a control process.
 func New(c Config) (Process, error) {
-	p := &process{config: c, metrics: metrics.NewSet(), board: board.New(uint64(time.Now().UnixNano())), loaded: map[string]topic.Loading{}}
+	p := &process{config: c, metrics: metrics.NewSet(), board: board.New(uint64(time.Now().UnixNano())), loaded: map[string]topic.Loading{}, loads: share.NewAdder()}
 	p.host.Store(&c.Host)
 	p.peers.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Control)
@@ -159,6 +161,7 @@
 	})
 	p.watched = server
 	rpc.Receive(p.node, watch.Uses, func(_ rpc.Peer, hashes []uint64) { p.librarian.use(hashes) })
+	rpc.Receive(p.node, watch.Loads, func(_ rpc.Peer, l share.Post) { p.loads.Take(l, time.Now()) })
 	rpc.Receive(p.node, watch.Readings, func(_ rpc.Peer, all []watch.Reading) { p.takeReadings(all) })
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), Take: p.take, Logger: p.config.Logger,
@@ -285,6 +288,7 @@
 	p.loops.Go(func() { p.followMembers(serving) })
 	p.loops.Go(func() { p.holder.run(serving) })
 	p.loops.Go(func() { p.librarian.run(serving) })
+	p.loops.Go(func() { p.showLoads(serving) })
 	p.loops.Go(func() {
 		weights.New(weights.Config{Client: p.config.Engines, Site: engines{p}, Logger: p.config.Logger}).Run(serving)
 	})
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -20,8 +20,10 @@
 	"hornbeamwood/internal/process/platform"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/caller"
+	"hornbeamwood/internal/serve/line"
 	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/serve/retry"
+	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/host"
 	"hornbeamwood/internal/site/parts"
 	"hornbeamwood/internal/site/watch"
@@ -76,6 +78,7 @@
 	config   Config
 	node     rpc.Node
 	site     *site
+	tracker  observe.Tracker
 	follower watch.Follower
 	client   backend.Client
 	budget   retry.Budget
@@ -91,8 +94,10 @@
 
 // New opens the sockets of an entry process.
 func New(c Config) (Process, error) {
-	memory := parts.NewMemory()
-	p := &process{config: c, site: newSite(c.Logger, memory), conns: newConns(), metrics: metrics.NewSet()}
+	memory, waiting := parts.NewMemory(), line.New()
+	watcher := fmt.Sprintf("%s/%d", c.Host.Internal, time.Now().UnixNano())
+	others := share.NewOthers(watcher)
+	p := &process{config: c, site: newSite(c.Logger, memory, others, waiting.Changed), tracker: observe.New(), conns: newConns(), metrics: metrics.NewSet()}
 	p.seeds.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Entry)
 	if err != nil {
@@ -102,7 +107,7 @@
 		return nil, err
 	}
 	p.follower = watch.NewFollower(watch.FollowerConfig{
-		Node: p.node, Watcher: fmt.Sprintf("%s/%d", c.Host.Internal, time.Now().UnixNano()), Entry: true, Take: p.take, Logger: c.Logger,
+		Node: p.node, Watcher: watcher, Entry: true, Take: p.take, Logger: c.Logger,
 	})
 	dialled := p.metrics.NewCounter("hornbeamwood_site_dialled_total")
 	p.client = backend.New(backend.Config{
@@ -115,7 +120,7 @@
 	b := c.Host.Bounds
 	p.budget = retry.NewBudget(retry.Terms{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack})
 	p.handler = caller.New(caller.Config{
-		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: observe.New(), Memory: memory,
+		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: p.tracker, Memory: memory, Others: others, Line: waiting,
 		Budget: p.budget, Stopping: p.stopping, Refusing: p.refusing, Metrics: p.metrics, Logger: c.Logger,
 	})
 	p.gauges()
@@ -163,6 +168,7 @@
 	p.loops.Go(func() { p.refollow(serving) })
 	p.loops.Go(func() { p.tellReadings(serving) })
 	p.loops.Go(func() { p.tellUses(serving) })
+	p.loops.Go(func() { p.tellLoads(serving) })
 	p.loops.Go(func() {
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.seeds.Store(&h.Seeds) }, p.config.Logger)
 	})
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hornbeamwood/internal/serve/choose"
+	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/stores"
@@ -86,6 +87,12 @@
 	switch r.Topic {
 	case topic.Parts:
 		return l.takePart(r)
+	case topic.Loads:
+		if l != s.leading() {
+			return nil
+		}
+		defer s.changed()
+		return decoded(r, func(sum share.Sum) { s.others.Take(sum, time.Now()) })
 	case topic.StoresUp:
 		return decoded(r, func(up bool) { l.up[r.Key] = up })
 	}
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -22,6 +22,13 @@
 	usesInterval = 2 * time.Second
 	// maxUses bounds what one notice tells.
 	maxUses = 4096
+	// loadsInterval is the time between two posts of this entry's loads while there
+	// are few entries, a tenth of the time that a long prompt is read for.
+	loadsInterval = 25 * time.Millisecond
+	// entriesPerInterval is for how many entries the interval holds; it grows with more.
+	entriesPerInterval = 10
+	// loadsRefresh is how often loads are posted that have not changed.
+	loadsRefresh = 500 * time.Millisecond
 	// noticeTimeout bounds one notice.
 	noticeTimeout = 500 * time.Millisecond
 )
@@ -97,6 +104,38 @@
 	tell(ctx, p.node, usesInterval, watch.Uses, p.site.pendingUses)
 }
 
+// tellLoads tells what this entry has at each engine until ctx ends.
+func (p *process) tellLoads(ctx context.Context) {
+	quiet := 0
+	for ctx.Err() == nil {
+		interval := time.Duration(max(1, p.site.Entries()/entriesPerInterval)) * loadsInterval
+		pause(ctx, interval)
+		quiet++
+		force := time.Duration(quiet)*interval >= loadsRefresh
+		post, changed := p.site.others.Post(p.tracker.Loads(), force)
+		p.site.mu.Lock()
+		address := p.site.leader()
+		p.site.mu.Unlock()
+		if !changed || address == "" {
+			continue
+		}
+		quiet = 0
+		telling, cancel := context.WithTimeout(ctx, noticeTimeout)
+		// The next post says it all again.
+		_ = rpc.Notify(telling, p.node, address, watch.Loads, post)
+		cancel()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // tell sends what is pending at each interval.
 func tell[T any](ctx context.Context, node rpc.Node, interval time.Duration, n rpc.Notice[[]T], pending func() ([]T, string)) {
 	t := time.NewTicker(interval)
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -9,6 +9,7 @@
 
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
@@ -40,14 +41,19 @@
 	// memory guesses what engines hold; readings waits to be told to the others.
 	memory   parts.Memory
 	readings []watch.Reading
+	// others is what the other entries have at each engine; changed is called when it does.
+	others  share.Others
+	changed func()
 	// uses are the hashes of the parts that were asked for.
 	uses map[uint64]struct{}
 }
 
-func newSite(logger log.Interface, memory parts.Memory) *site {
+func newSite(logger log.Interface, memory parts.Memory, others share.Others, changed func()) *site {
 	return &site{
 		logger:    logger,
 		memory:    memory,
+		others:    others,
+		changed:   changed,
 		directory: directory.New(),
 		members:   memberLists{},
 		newest:    map[string]int64{},
@@ -94,7 +100,7 @@
 		return decoded(r, s.takeReading)
 	case topic.Loaded:
 		return decoded(r, func(l topic.Loading) { s.takeLoaded(r.Key, l) })
-	case topic.Parts, topic.StoresUp, topic.Busy:
+	case topic.Parts, topic.StoresUp, topic.Busy, topic.Loads:
 		return s.takeLeadRow(address, r)
 	case topic.Versions:
 		return decoded(r, func(v int64) { s.takeVersion(r.Key, v) })
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -9,6 +10,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/serve/choose"
+	"hornbeamwood/internal/serve/line"
 	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/serve/request"
 	"hornbeamwood/internal/site/directory"
@@ -22,6 +24,10 @@
 	// readBy is how long after it was sent to an engine a part can be fetched
 	// from there: the time to read a long one.
 	readBy = 600 * time.Millisecond
+	// expectedFirst is how long an engine takes to the first event of a prompt that has most of its parts.
+	expectedFirst = 250 * time.Millisecond
+	// lastStart is how long before its deadline a request stops waiting for room.
+	lastStart = 600 * time.Millisecond
 	// saltSeparator stands between the parts of a salt.
 	saltSeparator = "/"
 )
@@ -31,22 +37,28 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-// candidates returns the servers of the service that were not tried yet.
-func (j *job) candidates() []choose.Candidate {
+// candidates returns the servers of the service that were not tried yet, with
+// what all entries have there.
+func (j *job) candidates(now time.Time) []choose.Candidate {
 	servers := j.Site.Servers(j.service.Name)
 	all := make([]choose.Candidate, 0, len(servers))
 	for _, s := range servers {
 		if slices.Contains(j.tried, s.ID) {
 			continue
 		}
-		all = append(all, choose.Candidate{Server: s, Track: j.Tracker.Track(s.ID)})
+		t := j.Tracker.Track(s.ID)
+		o := j.Others.Load(s.ID, now)
+		t.InFlight += o.InFlight
+		t.Reading += o.Reading
+		t.Held += o.Held
+		all = append(all, choose.Candidate{Server: s, Track: t})
 	}
 	return all
 }
 
 func (j *job) choosePlain() (choice, bool) {
 	now := time.Now()
-	all := j.candidates()
+	all := j.candidates(now)
 	at, cost := choose.Plain{Now: now, Zone: j.Zone, Random: random()}.Pick(all)
 	if at < 0 {
 		return choice{}, false
@@ -69,6 +81,35 @@
 	return now.Sub(t.Reported).Milliseconds()
 }
 
+// awaitEngine waits in line until an engine has room for the request.
+//
+// A request that is sent to a full engine pushes out the parts that others are
+// about to use, and waits behind all that came before. Here it waits in an order
+// that can still be changed, and goes to whichever engine has room first.
+func (j *job) awaitEngine(ctx context.Context, e document.Engine) (choice, bool) {
+	c, ok := j.chooseEngine(e)
+	if !ok || c.fits {
+		return c, ok
+	}
+	rank := line.Rank{OnTime: j.arrived.Add(j.route.Target - expectedFirst), Urgency: j.urgency(), Arrived: j.arrived}
+	w := j.Line.Enter(rank)
+	defer j.Line.Leave(w)
+	waiting, cancel := context.WithDeadline(ctx, j.deadline.Add(-lastStart))
+	defer cancel()
+	for j.Line.Wait(waiting, w) {
+		c, ok := j.chooseEngine(e)
+		if !ok || c.fits {
+			c.fields["waited-ms"] = time.Since(j.arrived).Milliseconds()
+			return c, ok
+		}
+	}
+	if ctx.Err() != nil {
+		return choice{}, false
+	}
+	// It runs late or not at all; the engine may still have more room than told.
+	return j.chooseEngine(e)
+}
+
 // chooseEngine weighs the engines of each version by themselves: parts that
 // were read under one version are of no use under another.
 func (j *job) chooseEngine(e document.Engine) (choice, bool) {
@@ -76,7 +117,7 @@
 	prompt := j.request.Prompt
 	newest := j.Site.Newest(prompt.Model)
 	groups := map[int64][]choose.Candidate{}
-	for _, c := range j.candidates() {
+	for _, c := range j.candidates(now) {
 		if j.Site.Busy(c.Server.ID) {
 			continue
 		}
@@ -84,19 +125,20 @@
 		groups[v] = append(groups[v], c)
 	}
 	var found choice
-	best := -1.0
+	best, fits := -1.0, false
 	for v, all := range groups {
 		p := j.engine(e, v, now).Pick(all)
 		if v < newest {
 			p.Millis += olderMillis
 		}
-		if p.At < 0 || best >= 0 && p.Millis >= best {
+		if p.At < 0 || fits && !p.Fits || fits == p.Fits && best >= 0 && p.Millis >= best {
 			continue
 		}
-		best = p.Millis
+		best, fits = p.Millis, p.Fits
 		found = j.engineChoice(e, v, all[p.At], p, now)
 		found.fields["candidates"], found.fields["newest"] = len(all), newest
 	}
+	found.fits = fits
 	return found, best >= 0
 }
 
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -8,9 +8,11 @@
 
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/choose"
+	"hornbeamwood/internal/serve/line"
 	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/serve/request"
 	"hornbeamwood/internal/serve/retry"
+	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/parts"
@@ -68,6 +70,10 @@
 	Tracker observe.Tracker
 	// Memory guesses what engines hold.
 	Memory parts.Memory
+	// Others is what the other entries have at each engine.
+	Others share.Others
+	// Line holds the requests that wait for room.
+	Line line.Line
 	// Budget grants repeats.
 	Budget retry.Budget
 	// Stopping returns whether the process is about to end, so that connections are to be closed after their answer.
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -75,7 +75,11 @@
 			j.abandon()
 			return
 		}
-		c, ok := j.choose()
+		c, ok := j.choose(ctx)
+		if !ok && gone.Err() != nil {
+			j.abandon()
+			return
+		}
 		if !ok {
 			j.giveUp("no-server")
 			return
@@ -121,13 +125,15 @@
 	dispatch request.Dispatch
 	attempt  observe.Attempt
 	fields   log.Fields
+	// fits says that the server has room for the request.
+	fits bool
 	// noted, if any, is called when the request is sent.
 	noted func()
 }
 
-func (j *job) choose() (choice, bool) {
+func (j *job) choose(ctx context.Context) (choice, bool) {
 	if j.route.Prompts && j.request.Prompt != nil && j.service.Engine != nil {
-		return j.chooseEngine(*j.service.Engine)
+		return j.awaitEngine(ctx, *j.service.Engine)
 	}
 	return j.choosePlain()
 }
@@ -283,6 +289,7 @@
 
 // end writes what became of the request.
 func (j *job) end() {
+	j.Line.Changed()
 	took := time.Since(j.arrived)
 	j.meters.ended(j.route.Kind, j.status, took)
 	event.RequestEnded.Write(j.Logger, log.Fields{
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -11,8 +11,6 @@
 	// readRate is how many prompt tokens an engine reads in a millisecond, a
 	// little under what engines of today's sizes do, so that a queue isn't taken for shorter than it is.
 	readRate = 50.0
-	// waitingTokens stands for the prompt of a request that waits at an engine and was sent by another entry.
-	waitingTokens = 2500.0
 	// busyMillis is what a full engine costs in milliseconds: each step takes longer with each request in it.
 	busyMillis = 120.0
 	// againCost multiplies the time to read a shared part that was read elsewhere
@@ -23,8 +21,14 @@
 	homeDiscount = 0.75
 	// otherZoneMillis is what an engine in another availability zone costs in milliseconds, for the bytes between zones and the way.
 	otherZoneMillis = 12.0
-	// memoryMillis is the cost of a request that doesn't fit beside this entry's others.
+	// memoryMillis is the cost of a request that doesn't fit beside the others.
 	memoryMillis = 400.0
+	// roomShare is the part of an engine's memory that requests may hold. Beyond
+	// it parts that others are about to use make room, and are read again.
+	roomShare = 0.85
+	// mostReading is how many prompt tokens may wait to be read at an engine: half
+	// a second's work. What waits longer waits at the entry, where it can still go elsewhere.
+	mostReading = 24000
 	// millisJitter spreads equal choices of many entries.
 	millisJitter = 3.0
 )
@@ -80,6 +84,8 @@
 	Fetch []string
 	// Missing is how many tokens the engine has to read.
 	Missing int
+	// Fits says that the engine has room for the request now.
+	Fits bool
 	// From says, part by part, where it comes from: m for the engine's memory, s for a store, e for another engine, r for reading it.
 	From string
 }
@@ -125,6 +131,7 @@
 		}
 	}
 	p.Millis += e.waiting(c) + e.crowding(c, total)
+	p.Fits = e.fits(c, total, p.Missing)
 	if c.Server.Zone != e.Zone {
 		p.Millis += otherZoneMillis
 	}
@@ -184,12 +191,7 @@
 
 // waiting returns how long the prompts before this one take.
 func (e Engine) waiting(c Candidate) float64 {
-	own := float64(c.Track.Reading)
-	told := float64(c.Track.Waiting) * waitingTokens
-	if e.Now.Sub(c.Track.Reported) > reportFresh {
-		told = 0
-	}
-	return max(own, told) / readRate
+	return float64(c.Track.Reading) / readRate
 }
 
 // crowding returns what the engine's other requests cost this one.
@@ -201,6 +203,17 @@
 	return millis
 }
 
+// fits returns whether the engine has room: slots, memory, and time to read.
+// An engine without any request takes each one that can run at all.
+func (e Engine) fits(c Candidate, tokens, missing int) bool {
+	if c.Track.InFlight == 0 {
+		return true
+	}
+	return c.Track.InFlight < c.Server.Slots &&
+		c.Track.Held+tokens+e.Output <= int(roomShare*float64(e.Capacity)) &&
+		(c.Track.Reading == 0 || c.Track.Reading+missing <= mostReading)
+}
+
 // homes returns, for each part, the engine at which entries meet that know of no copy.
 func (e Engine) homes(all []Candidate) []string {
 	homes := make([]string, len(e.Parts))
--- a/internal/serve/observe/tracker.go
+++ b/internal/serve/observe/tracker.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hornbeamwood/internal/serve/share"
 )
 
 const (
@@ -47,6 +49,8 @@
 	Report(server string, running, waiting, slots int, now time.Time)
 	// Track returns what is known of the server.
 	Track(server string) Track
+	// Loads returns what this entry has at each server with prompts.
+	Loads() share.Loads
 }
 
 type state struct {
@@ -199,3 +203,19 @@
 	}
 	return Track{}
 }
+
+// Loads implements Tracker.
+func (t *tracker) Loads() share.Loads {
+	all := share.Loads{}
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for id, x := range s.servers {
+			if x.Held > 0 {
+				all[id] = share.Load{InFlight: x.InFlight, Reading: x.Reading, Held: x.Held}
+			}
+		}
+		s.mu.Unlock()
+	}
+	return all
+}
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -22,6 +22,8 @@
 	Busy board.Topic = 8
 	// Reads holds the engine that last began to read a part, as a watch.Reading under its salt and ID.
 	Reads board.Topic = 9
+	// Loads holds what all entries have at each engine as a share.Sum in one row; only that of the replica that holds the lease counts.
+	Loads board.Topic = 10
 )
 
 // Loading is the weights that an engine was brought to.
--- a/internal/site/watch/protocol.go
+++ b/internal/site/watch/protocol.go
@@ -5,6 +5,7 @@
 
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/board"
 )
 
@@ -66,3 +67,9 @@
 	Name:  "site-uses",
 	Roles: []keys.Role{keys.Entry},
 }
+
+// Loads is how an entry tells the replica that holds the lease what it has at each engine.
+var Loads = rpc.Notice[share.Post]{
+	Name:  "site-loads",
+	Roles: []keys.Role{keys.Entry},
+}
