Saves are settled when a request goes out; long prompts don't wait for an idle engine

Cause: each look of a waiting request marked its parts as being saved, so that in the end nobody saved them; and the bound on what waits to be read counted the request's own tokens, so that prompts of over 24,000 tokens waited until an engine had nothing to read.

--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -202,23 +202,13 @@
 	salt, prompt := j.salt(version), j.request.Prompt
 	d := j.dispatch(now)
 	d.Urgency, d.Version, d.Salt = j.urgency(), version, salt
-	d.Fetch, d.Save = p.Fetch, make([]string, len(prompt.Parts))
-	if version != 0 {
-		for i, part := range prompt.Parts[:max(0, len(prompt.Parts)-1)] {
-			if p.Fetch[i] == "" {
-				d.Save[i] = j.Site.SaveTo(salt, part.ID, part.Tokens)
-			}
-		}
-	}
-	d.Until = j.Site.FetchUntil()
-	if d.Until == 0 {
-		d.Fetch = nil
-	}
+	d.Fetch = p.Fetch
 	held := prompt.Tokens + prompt.Output
 	return choice{
 		server:   c.Server,
 		dispatch: d,
 		attempt:  observe.Attempt{Reading: p.Missing, Held: held},
+		prepare:  func(d *request.Dispatch) { j.prepare(d, version) },
 		noted:    func() { j.noteParts(c.Server, salt, e, p.From, now) },
 		fields: log.Fields{
 			"kind": "engine", "cost-ms": p.Millis, "missing": p.Missing, "from": p.From, "tokens": prompt.Tokens, "version": version,
@@ -227,6 +217,24 @@
 	}
 }
 
+// prepare adds what is settled only when the request goes out: the stores that
+// get its parts, and until when it may fetch.
+func (j *job) prepare(d *request.Dispatch, version int64) {
+	if d.Until = j.Site.FetchUntil(); d.Until == 0 {
+		d.Fetch = nil
+	}
+	parts := j.request.Prompt.Parts
+	if version == 0 {
+		return
+	}
+	d.Save = make([]string, len(parts))
+	for i, p := range parts[:max(0, len(parts)-1)] {
+		if d.Fetch == nil || d.Fetch[i] == "" {
+			d.Save[i] = j.Site.SaveTo(d.Salt, p.ID, p.Tokens)
+		}
+	}
+}
+
 // noteParts remembers what the engine reads and tells the other entries of
 // shared parts that were nowhere else.
 func (j *job) noteParts(s directory.Server, salt string, e document.Engine, from string, now time.Time) {
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -127,6 +127,8 @@
 	fields   log.Fields
 	// fits says that the server has room for the request.
 	fits bool
+	// prepare, if any, completes the dispatch right before it is sent.
+	prepare func(*request.Dispatch)
 	// noted, if any, is called when the request is sent.
 	noted func()
 }
@@ -143,11 +145,15 @@
 	now := time.Now()
 	j.tried = append(j.tried, c.server.ID)
 	c.dispatch.Server = c.server.ID
+	c.dispatch.Left = j.deadline.Sub(now)
 	c.fields["request"], c.fields["server"], c.fields["try"] = j.request.Attempt, c.server.ID, len(j.tried)
 	c.fields["document"] = j.number
 	event.AttemptRouted.Write(j.Logger, c.fields)
 	c.attempt.Server, c.attempt.Began = c.server.ID, now
 	a := j.Tracker.Begin(c.attempt)
+	if c.prepare != nil {
+		c.prepare(&c.dispatch)
+	}
 	if c.noted != nil {
 		c.noted()
 	}
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -26,9 +26,11 @@
 	// roomShare is the part of an engine's memory that requests may hold. Beyond
 	// it parts that others are about to use make room, and are read again.
 	roomShare = 0.85
-	// mostReading is how many prompt tokens may wait to be read at an engine: half
-	// a second's work. What waits longer waits at the entry, where it can still go elsewhere.
-	mostReading = 24000
+	// mostReading is how many prompt tokens may wait to be read at an engine before
+	// a request goes there: a quarter of a second's work. What waits longer waits
+	// at the entry, where it can still go elsewhere. The request's own tokens don't
+	// count, or the longest prompts would wait until an engine has nothing to read.
+	mostReading = 12000
 	// millisJitter spreads equal choices of many entries.
 	millisJitter = 3.0
 )
@@ -131,7 +133,7 @@
 		}
 	}
 	p.Millis += e.waiting(c) + e.crowding(c, total)
-	p.Fits = e.fits(c, total, p.Missing)
+	p.Fits = e.fits(c, total)
 	if c.Server.Zone != e.Zone {
 		p.Millis += otherZoneMillis
 	}
@@ -205,13 +207,13 @@
 
 // fits returns whether the engine has room: slots, memory, and time to read.
 // An engine without any request takes each one that can run at all.
-func (e Engine) fits(c Candidate, tokens, missing int) bool {
+func (e Engine) fits(c Candidate, tokens int) bool {
 	if c.Track.InFlight == 0 {
 		return true
 	}
 	return c.Track.InFlight < c.Server.Slots &&
 		c.Track.Held+tokens+e.Output <= int(roomShare*float64(e.Capacity)) &&
-		(c.Track.Reading == 0 || c.Track.Reading+missing <= mostReading)
+		c.Track.Reading <= mostReading
 }
 
 // homes returns, for each part, the engine at which entries meet that know of no copy.
