A busy engine is not given up where there is no other

Cause: the wait for the first token was bounded by a few times the estimate also when nobody else could answer. Ruled out: the retry policy, which never got to decide.

--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -141,8 +141,16 @@
 	}
 }
 
-// patience returns how long the first token is waited for.
+// patience returns how long the first token is waited for: while another server
+// could answer, a few times what was expected, otherwise until the deadline.
+//
+// An engine that computes a long prompt of another request says nothing for
+// seconds. Where there is no other, giving it up turns an answer that would have
+// been in time into a failure that leaves open whether the request has run.
 func (r *router) patience(j *job, a *attempt) time.Duration {
+	if len(a.view.servers) < 2 {
+		return max(j.remaining(r.Now()), silenceFloor)
+	}
 	p := max(silenceFactor*a.decision.TTFT, silenceFloor)
 	return min(p, max(j.remaining(r.Now()), silenceFloor))
 }
