--- /dev/null
+++ b/internal/serve/caller/fake_test.go
@@ -0,0 +1,211 @@
+package caller
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hornbeamwood/internal/serve/backend"
+	"hornbeamwood/internal/serve/choose"
+	"hornbeamwood/internal/serve/line"
+	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/serve/request"
+	"hornbeamwood/internal/serve/retry"
+	"hornbeamwood/internal/serve/share"
+	"hornbeamwood/internal/site/directory"
+	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/parts"
+)
+
+// fakeCodec has header names of its own.
+type fakeCodec struct{}
+
+func (fakeCodec) Decode(q *http.Request) (request.Request, error) {
+	r := request.Request{
+		Attempt: q.Header.Get("A-Id"), Method: q.Method, Host: q.Host, Target: q.RequestURI,
+		Key: q.Header.Get("A-Key"), Header: q.Header.Clone(),
+	}
+	if n, err := strconv.Atoi(q.Header.Get("A-Patience")); err == nil {
+		r.Patience = time.Duration(n) * time.Millisecond
+	}
+	return r, nil
+}
+
+func (fakeCodec) Encode(h http.Header, d request.Dispatch) {
+	h.Set("A-Server", d.Server)
+	h.Set("A-Last", strconv.FormatInt(d.LastEvent, 10))
+}
+
+func (fakeCodec) Answer(h http.Header) request.Answer {
+	return request.Answer{Attempt: h.Get("A-Id"), Stamped: h.Get("A-Stamp") != "", NotRun: h.Get("A-Not-Run") != ""}
+}
+
+// fakeSite is a site with one route of each kind.
+type fakeSite struct {
+	table   document.Table
+	servers []directory.Server
+}
+
+func (s *fakeSite) Table() document.Table                    { return s.table }
+func (s *fakeSite) Servers(string) []directory.Server        { return s.servers }
+func (s *fakeSite) Server(string) (directory.Server, bool)   { return directory.Server{}, false }
+func (s *fakeSite) Reads(string, string, int, string)        {}
+func (s *fakeSite) Version(directory.Server, string) int64   { return 1 }
+func (s *fakeSite) Noticed(string, string, int64)            {}
+func (s *fakeSite) Newest(string) int64                      { return 1 }
+func (s *fakeSite) Busy(string) bool                         { return false }
+func (s *fakeSite) Copies(string, string, int) []choose.Copy { return nil }
+func (s *fakeSite) SaveTo(string, string, int) string        { return "" }
+func (s *fakeSite) FetchUntil() int64                        { return 0 }
+func (s *fakeSite) Entries() int                             { return 1 }
+
+// script answers one request on a connection and returns whether the connection goes on.
+type script func(t *standin, c net.Conn, q *http.Request) bool
+
+// standin is a scripted server that counts what reaches it.
+type standin struct {
+	mu       sync.Mutex
+	arrived  []string
+	last     []string
+	script   script
+	listener net.Listener
+}
+
+func (s *standin) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.arrived)
+}
+
+func (s *standin) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.arrived = append(s.arrived, q.Header.Get("A-Id"))
+		s.last = append(s.last, q.Header.Get("A-Last"))
+		s.mu.Unlock()
+		if !s.script(s, c, q) {
+			return
+		}
+	}
+}
+
+// bench is a gateway before scripted servers, with a caller's end.
+type bench struct {
+	servers []*standin
+	front   *httptest.Server
+	site    *fakeSite
+}
+
+func newBench(t *testing.T, scripts ...script) *bench {
+	t.Helper()
+	b := &bench{site: &fakeSite{}}
+	for i, s := range scripts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := &standin{script: s, listener: l}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go x.serve(c)
+			}
+		}()
+		b.servers = append(b.servers, x)
+		// The first server is the nearest, so that it is asked first.
+		zone := "z" + strconv.Itoa(i)
+		b.site.servers = append(b.site.servers, directory.Server{ID: fmt.Sprint("s", i), Born: 1, Address: l.Addr().String(), Zone: zone, Slots: 100 / (i + 1)})
+	}
+	shares := []document.Share{{Service: "s", Weight: 1}}
+	b.site.table = document.NewTable(document.Document{
+		Number:   1,
+		Services: []document.Service{{Name: "s"}},
+		Routes: []document.Route{
+			{Name: "read", Host: "h", Prefix: "/read/", Kind: document.Idempotent, Timeout: 2 * time.Second, Target: 100 * time.Millisecond, MaxAttempts: 2, Shares: shares},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: document.NonIdempotent, Timeout: 2 * time.Second, Target: 100 * time.Millisecond, MaxAttempts: 1, Shares: shares},
+			{Name: "resume", Host: "h", Prefix: "/resume/", Kind: document.Streaming, Resumable: true, Timeout: 5 * time.Second, Target: time.Second, MaxAttempts: 2, Shares: shares},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: document.Streaming, Timeout: 5 * time.Second, Target: time.Second, MaxAttempts: 1, Shares: shares},
+		},
+		Limits: document.Limits{BodyBytes: 1 << 20},
+	})
+	client := backend.New(backend.Config{Belongs: func(attempt string, h http.Header) bool {
+		return h.Get("A-Id") == "" || h.Get("A-Id") == attempt
+	}})
+	t.Cleanup(client.Close)
+	never := func() bool { return false }
+	g := New(Config{
+		Zone: "z0", Codec: fakeCodec{}, Site: b.site, Client: client, Tracker: observe.New(), Memory: parts.NewMemory(),
+		Others: share.NewOthers("e"), Line: line.New(),
+		Budget:   retry.NewBudget(retry.Terms{Ratio: 1, Window: time.Second, Slack: 100}),
+		Stopping: never, Refusing: never, Metrics: metrics.NewSet(),
+	})
+	b.front = httptest.NewServer(g)
+	t.Cleanup(b.front.Close)
+	return b
+}
+
+type got struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends a request and returns the whole answer.
+func (b *bench) ask(t *testing.T, id, method, path string) got {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), method, b.front.URL+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h"
+	q.Header.Set("A-Id", id)
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return got{err: err}
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	return got{status: r.StatusCode, header: r.Header, body: string(body), err: err}
+}
+
+// answerOK answers with a stamped text.
+func answerOK(text string) script {
+	return func(_ *standin, c net.Conn, q *http.Request) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nA-Id: %s\r\nA-Stamp: x\r\nContent-Length: %d\r\n\r\n%s", q.Header.Get("A-Id"), len(text), text)
+		return err == nil
+	}
+}
+
+// answerStatus answers with a status and further header lines.
+func answerStatus(status int, lines string) script {
+	return func(_ *standin, c net.Conn, q *http.Request) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nA-Id: %s\r\n%sContent-Length: 2\r\n\r\nno", status, q.Header.Get("A-Id"), lines)
+		return err == nil
+	}
+}
+
+// hangUp reads the request and closes the connection.
+func hangUp(*standin, net.Conn, *http.Request) bool { return false }
