A woken replica silences nobody; engines with the oldest weights load first

The woken replica had heard of no other for 4 s and called all servers silent that announce themselves elsewhere; their own replicas never contradicted, and the holder gave silent engines no orders. Engines were also taken by name, so that those two versions behind came last. Ruled out: lost orders (none was sent).

--- a/internal/process/sitecontrol/announcements.go
+++ b/internal/process/sitecontrol/announcements.go
@@ -50,11 +50,16 @@
 	// direct is when each server last announced itself here, changed when its row last changed.
 	direct, changed map[string]time.Time
 	swept           time.Time
+	// stood is when this process last found that it had stood still.
+	stood time.Time
 }
 
 // take merges a row, wherever it comes from, and returns the board's number that includes it.
 func (a *announcements) take(s directory.Server) uint64 {
 	newer, matters := a.directory.Merge(s)
+	if !newer && s.Silent {
+		a.contradict(s)
+	}
 	if !newer || !matters {
 		return 0
 	}
@@ -68,6 +73,19 @@
 	return a.show(s)
 }
 
+// contradict shows what this replica knows when another one calls a server
+// silent that announces itself here.
+//
+// A replica that stood still or was cut off may judge so wrongly. What it says
+// counts for everybody who has no later announcement, and this replica shows
+// announcements that change nothing only when asked, here.
+func (a *announcements) contradict(s directory.Server) {
+	known, ok := a.directory.Get(s.ID)
+	if ok && known.Home == a.home && !known.Silent && known.Sequence > s.Sequence {
+		a.show(known)
+	}
+}
+
 func (a *announcements) show(s directory.Server) uint64 {
 	b, err := codec.Marshal(s)
 	if err != nil {
@@ -143,7 +161,8 @@
 	late := now.Sub(a.swept) > 3*sweepInterval
 	a.swept = now
 	if late {
-		// This process stood still: what the servers sent meanwhile isn't read yet.
+		// This process stood still: what servers and replicas sent meanwhile isn't read yet.
+		a.stood = now
 		for id := range a.direct {
 			a.direct[id] = now
 		}
@@ -171,6 +190,9 @@
 		return now.Sub(a.direct[s.ID]) > bound
 	}
 	ago, ok := a.heard(s.Home)
+	if now.Sub(a.stood) < orphanTimeout {
+		return false
+	}
 	return (!ok || ago > orphanTimeout) && a.age(s.ID, now) > orphanTimeout+bound
 }
 
--- a/internal/site/weights/rollout.go
+++ b/internal/site/weights/rollout.go
@@ -1,7 +1,9 @@
 package weights
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -95,38 +97,60 @@
 	}
 }
 
+// due is an engine that is to load.
+type due struct {
+	server  directory.Server
+	model   string
+	version int64
+	// has is the version that it has.
+	has int64
+}
+
 // look begins with engines that have older weights than named, as places are free.
 func (r *rollout) look(ctx context.Context) {
 	if _, _, ok := r.Site.Holder(); !ok {
 		return
 	}
-	named := r.Site.Named()
-	for _, s := range r.Site.Engines() {
-		model, version, ok := r.behind(s, named)
-		if !ok || r.working(s.ID) {
-			continue
-		}
+	for _, d := range r.order() {
 		select {
 		case r.draining <- struct{}{}:
 		default:
 			return
 		}
-		r.set(s.ID, true)
+		r.set(d.server.ID, true)
 		r.ended.Go(func() {
-			defer r.set(s.ID, false)
-			r.bring(ctx, s, model, version)
+			defer r.set(d.server.ID, false)
+			r.bring(ctx, d.server, d.model, d.version)
 		})
 	}
 }
 
+// order returns the engines that are to load, those with the oldest weights first.
+//
+// A version may be named before the one before it is everywhere. An engine that
+// has that one already can wait; the requests of one that is two versions behind
+// have been answered from old weights for longest.
+func (r *rollout) order() []due {
+	named := r.Site.Named()
+	var all []due
+	for _, s := range r.Site.Engines() {
+		if d, ok := r.behind(s, named); ok && !r.working(s.ID) {
+			all = append(all, d)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b due) int { return cmp.Compare(b.version-b.has, a.version-a.has) })
+	return all
+}
+
 // behind returns the first model of which the engine has an older version than the named one.
-func (r *rollout) behind(s directory.Server, named map[string]int64) (model string, version int64, ok bool) {
+func (r *rollout) behind(s directory.Server, named map[string]int64) (due, bool) {
 	for _, w := range s.Models {
-		if v := named[w.Model]; v > r.Site.Version(s, w.Model) {
-			return w.Model, v, true
+		has := r.Site.Version(s, w.Model)
+		if v := named[w.Model]; v > has {
+			return due{server: s, model: w.Model, version: v, has: has}, true
 		}
 	}
-	return "", 0, false
+	return due{}, false
 }
 
 func (r *rollout) working(id string) bool {
@@ -196,15 +220,15 @@
 		case p.Versions[model] >= version && !p.Busy:
 			r.Site.Loaded(s, model, p.Versions[model])
 			return
-		case !p.Busy && !r.order(ctx, s, Order{Model: model, Version: version, Sequence: p.Sequence}):
+		case !p.Busy && !r.give(ctx, s, Order{Model: model, Version: version, Sequence: p.Sequence}):
 			return
 		}
 		pause(ctx, lookInterval)
 	}
 }
 
-// order gives one order and returns whether it makes sense to go on.
-func (r *rollout) order(ctx context.Context, s directory.Server, o Order) bool {
+// give gives one order and returns whether it makes sense to go on.
+func (r *rollout) give(ctx context.Context, s directory.Server, o Order) bool {
 	holder, fencing, ok := r.Site.Holder()
 	if !ok {
 		return false
