Engines: pauses that reading puts into streams, and draws among many entries

Cause: on the grown site 31% of the long prompts and 10% of the notes were late. An event of six tokens waits for six chunks while an engine reads, over the 500 ms that a pause may last; and 86 entries that hear of each other 0.3 s later all chose the same engine. Reading a shared part again costs alike wherever it is done, so it no longer decides between engines that lack it.

--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -146,6 +146,7 @@
 	salt := j.salt(version)
 	return choose.Engine{
 		Now: now, Zone: j.Zone, Parts: j.parts(salt, e, now), Output: j.request.Prompt.Output, Capacity: e.Tokens, Random: random(),
+		Stride: e.Stride, Gap: j.route.Gap, Entries: j.Site.Entries(),
 		Holds: func(server string, p choose.Part) bool { return j.Memory.Holds(server, p.Salt, p.ID) },
 	}
 }
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -1,7 +1,10 @@
 package choose
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,11 +19,16 @@
 	// againCost multiplies the time to read a shared part that was read elsewhere
 	// before: the work is done twice, and a move takes a fiftieth of it.
 	againCost = 3.0
-	// homeDiscount is the part of that surcharge which the part's home engine is
-	// spared: entries that know of no copy meet at one engine.
-	homeDiscount = 0.75
+	// homeMillis is what it costs to read a long part elsewhere than at its home
+	// engine, at which entries meet that know of no copy: one prompt in fifteen
+	// comes while another one reads the same part, and would have it read twice.
+	homeMillis = 40.0
+	// longPart is the size in tokens for which homeMillis holds.
+	longPart = 12000.0
 	// otherZoneMillis is what an engine in another availability zone costs in milliseconds, for the bytes between zones and the way.
 	otherZoneMillis = 12.0
+	// fullMillis is added to the cost of an engine that has no room, so that one with room is taken first.
+	fullMillis = 1000.0
 	// memoryMillis is the cost of a request that doesn't fit beside the others.
 	memoryMillis = 400.0
 	// roomShare is the part of an engine's memory that requests may hold. Beyond
@@ -31,6 +39,21 @@
 	// at the entry, where it can still go elsewhere. The request's own tokens don't
 	// count, or the longest prompts would wait until an engine has nothing to read.
 	mostReading = 12000
+	// chunkTokens is how much of a prompt engines read between two steps of the
+	// streams that run, and stepMillis what a step takes without it.
+	chunkTokens = 4096
+	stepMillis  = 7.0
+	// pauseMargin is the part of the longest timely pause that reading may fill.
+	pauseMargin = 0.9
+	// latePauseMillis is what it costs in milliseconds to make one running stream
+	// late by a pause: most of the worth of a short answer.
+	latePauseMillis = 60.0
+	// fewEntries is up to how many entries each one weighs all engines. With more,
+	// what they know of each other is older, and all would choose the same best one.
+	fewEntries = 12
+	// sampled is how many engines are drawn to choose from beyond that, besides
+	// those that have a part of the prompt.
+	sampled = 8
 	// millisJitter spreads equal choices of many entries.
 	millisJitter = 3.0
 )
@@ -70,6 +93,11 @@
 	Output int
 	// Capacity is an engine's memory in tokens.
 	Capacity int
+	// Stride is how many tokens one event holds, and Gap the longest timely pause between events; zero for none.
+	Stride int
+	Gap    time.Duration
+	// Entries is how many entries choose among the same engines.
+	Entries int
 	// Holds returns whether a server probably has a part in memory.
 	Holds func(server string, p Part) bool
 	// Random draws the jitter.
@@ -95,19 +123,87 @@
 // Pick returns the plan with the lowest cost.
 func (e Engine) Pick(all []Candidate) Plan {
 	homes := e.homes(all)
-	plans := make([]Plan, len(all))
-	at, millis := best(all, e.Now, func(i int) float64 {
-		plans[i] = e.plan(all[i], homes)
+	drawn := e.draw(all, homes)
+	plans := make([]Plan, len(drawn))
+	some := make([]Candidate, len(drawn))
+	for i, at := range drawn {
+		some[i] = all[at]
+	}
+	at, millis := best(some, e.Now, func(i int) float64 {
+		plans[i] = e.plan(some[i], homes)
+		if !plans[i].Fits {
+			return plans[i].Millis + fullMillis
+		}
 		return plans[i].Millis
 	})
 	if at < 0 {
 		return Plan{At: -1}
 	}
 	p := plans[at]
-	p.At, p.Millis = at, millis
+	p.At, p.Millis = drawn[at], millis
 	return p
 }
 
+// draw returns the engines to weigh: all, or where many entries choose at the
+// same time a few at random with those that have a part of the prompt.
+//
+// Entries hear of each other's choices some time later. If all went to the
+// engine that looks best, it would be the worst one by then.
+func (e Engine) draw(all []Candidate, homes []string) []int {
+	drawn := make([]int, 0, len(all))
+	if e.Entries <= fewEntries || len(all) <= sampled || e.Random == nil {
+		for i := range all {
+			drawn = append(drawn, i)
+		}
+		return drawn
+	}
+	// An engine of the own zone is as good as one elsewhere and nearer.
+	weight := func(i int) float64 {
+		switch {
+		case e.special(all[i], homes):
+			return math.Inf(1)
+		case all[i].standing(e.Now) != usable:
+			return 0
+		case all[i].Server.Zone != e.Zone:
+			return 0.25
+		}
+		return 1
+	}
+	type draw struct {
+		at  int
+		key float64
+	}
+	keys := make([]draw, len(all))
+	for i := range all {
+		w := weight(i)
+		keys[i] = draw{i, math.Inf(-1)}
+		if w > 0 {
+			keys[i].key = math.Log(e.Random.Float64()) / w
+		}
+	}
+	slices.SortFunc(keys, func(a, b draw) int { return cmp.Compare(b.key, a.key) })
+	for i, k := range keys {
+		if i >= sampled && k.key < 0 {
+			break
+		}
+		drawn = append(drawn, k.at)
+	}
+	return drawn
+}
+
+// special returns whether the engine has a large part of the prompt, or is where entries meet for one.
+func (e Engine) special(c Candidate, homes []string) bool {
+	for i, p := range e.Parts {
+		if !p.Shared || p.Tokens < chunkTokens/2 {
+			continue
+		}
+		if homes[i] == c.Server.ID || e.Holds != nil && e.Holds(c.Server.ID, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // plan weighs one engine. A part is of use only if all parts before it are there.
 func (e Engine) plan(c Candidate, homes []string) Plan {
 	p := Plan{Fetch: make([]string, len(e.Parts))}
@@ -132,7 +228,7 @@
 			p.Millis += e.reading(c, part, homes[i])
 		}
 	}
-	p.Millis += e.waiting(c) + e.crowding(c, total)
+	p.Millis += e.waiting(c) + e.crowding(c, total) + e.disturbing(c, p.Missing)
 	p.Fits = e.fits(c, total)
 	if c.Server.Zone != e.Zone {
 		p.Millis += otherZoneMillis
@@ -166,10 +262,11 @@
 	if !part.Shared {
 		return millis
 	}
-	if c.Server.ID == home {
-		return millis * (1 + (againCost-1)*(1-homeDiscount))
+	millis *= againCost
+	if c.Server.ID != home {
+		millis += homeMillis * min(1, float64(part.Tokens)/longPart)
 	}
-	return millis * againCost
+	return millis
 }
 
 // nearest returns the copy that arrives first and how long it takes in milliseconds.
@@ -205,6 +302,33 @@
 	return millis
 }
 
+// disturbing returns what the pauses cost that reading puts into the streams at
+// the engine, this one's own among them.
+//
+// An engine reads a chunk of a prompt between two steps. While it reads a long
+// prompt, each event waits for as many chunks as it has tokens, and when that is
+// longer than a timely pause every stream there is late.
+func (e Engine) disturbing(c Candidate, missing int) float64 {
+	if e.Gap <= 0 || e.Stride <= 0 {
+		return 0
+	}
+	limit := pauseMargin * float64(e.Gap.Milliseconds())
+	before, after := e.pause(c.Track.Reading), e.pause(c.Track.Reading+missing)
+	switch {
+	case before > limit:
+		return latePauseMillis
+	case after > limit:
+		return latePauseMillis * float64(c.Track.InFlight)
+	}
+	return 0
+}
+
+// pause returns how long an event takes while so many tokens are read, in milliseconds.
+func (e Engine) pause(reading int) float64 {
+	read := float64(min(reading, e.Stride*chunkTokens)) / readRate
+	return read + float64(e.Stride)*stepMillis
+}
+
 // fits returns whether the engine has room: slots, memory, and time to read.
 // An engine without any request takes each one that can run at all.
 func (e Engine) fits(c Candidate, tokens int) bool {
--- /dev/null
+++ b/internal/serve/choose/engine_test.go
@@ -0,0 +1,104 @@
+package choose
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/site/directory"
+)
+
+func engines(n int) []Candidate {
+	all := make([]Candidate, n)
+	for i := range all {
+		all[i] = Candidate{Server: directory.Server{ID: fmt.Sprint("e", i), Zone: fmt.Sprint("z", i%4), Slots: 12}}
+	}
+	return all
+}
+
+func long(missing int) Engine {
+	return Engine{
+		Now: now, Zone: "z0", Capacity: 80000, Stride: 6, Gap: 500 * time.Millisecond, Output: 100,
+		Parts: []Part{{Salt: "m/1", ID: "p", Tokens: missing, Shared: true}, {Salt: "m/1", ID: "own", Tokens: 100}},
+	}
+}
+
+// A long certificate with a dossier that no engine has is to be read while
+// short notes are written everywhere. Read beside them, each of their events
+// would wait for half a second of reading and all of them would be late; the
+// idle engine further away costs a few milliseconds.
+func TestLongReadingKeepsAwayFromRunningStreams(t *testing.T) {
+	all := engines(2)
+	all[0].Track = observe.Track{InFlight: 6, Held: 3000}
+	if p := long(30000).Pick(all); p.At != 1 {
+		t.Errorf("read beside six streams: %+v", p)
+	}
+	if p := long(3000).Pick(all); p.At != 0 && p.At != 1 || !p.Fits {
+		t.Errorf("got %+v", p)
+	}
+	all[1].Track = observe.Track{Reading: 30000, InFlight: 1, Held: 30000}
+	if p := long(100).Pick(all); p.At != 0 {
+		t.Errorf("a note is sent to the engine that reads: %+v", p)
+	}
+}
+
+// An engine's memory is full. What is sent there pushes out the parts that
+// others are about to use; the request has to wait or go elsewhere.
+func TestFullEngineDoesNotFit(t *testing.T) {
+	all := engines(1)
+	all[0].Track = observe.Track{InFlight: 3, Held: 60000}
+	if p := long(20000).Pick(all); p.Fits {
+		t.Error("a request fits into a full memory")
+	}
+	all[0].Track = observe.Track{InFlight: 12, Held: 5000}
+	if p := long(100).Pick(all); p.Fits {
+		t.Error("a request fits though all slots are taken")
+	}
+	all[0].Track = observe.Track{}
+	if p := long(79000).Pick(all); !p.Fits {
+		t.Error("the largest request never runs")
+	}
+}
+
+// A part lies in a store. Fetched, it costs a fiftieth of reading it again.
+func TestPartIsFetchedFromItsStore(t *testing.T) {
+	e := long(13000)
+	e.Parts[0].Copies = []Copy{
+		{Address: "far", Zone: "z9", PerToken: 2 * time.Microsecond},
+		{Address: "near", Zone: "z0", PerToken: 2 * time.Microsecond},
+	}
+	p := e.Pick(engines(1))
+	if p.From != "sr" || p.Fetch[0] != "near" || p.Missing != 100 {
+		t.Errorf("got %+v", p)
+	}
+	e.Holds = func(string, Part) bool { return true }
+	if p := e.Pick(engines(1)); p.From != "mm" {
+		t.Errorf("got %+v", p)
+	}
+}
+
+// Eighty entries choose among ninety engines and hear of each other a third of
+// a second later. If they all took the engine that looks best, it would get all
+// prompts of that time.
+func TestManyEntriesSpread(t *testing.T) {
+	all := engines(90)
+	all[7].Track.Held = 0
+	for i := range all {
+		if i != 7 {
+			all[i].Track.InFlight = 2
+		}
+	}
+	taken := map[int]int{}
+	for i := range 80 {
+		e := long(15000)
+		e.Parts[0].ID = fmt.Sprint("p", i)
+		e.Entries = 80
+		e.Random = rand.New(rand.NewPCG(uint64(i), 1))
+		taken[e.Pick(all).At]++
+	}
+	if taken[7] > 20 {
+		t.Errorf("%d of 80 went to one engine", taken[7])
+	}
+}
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -12,8 +12,12 @@
 const (
 	// maxWait bounds a poll; a watcher that hears nothing for longer takes the replica for lost.
 	maxWait = time.Second
-	// batchPause lets changes that come together travel in one answer; it delays news by a thousandth of the time that a change has.
-	batchPause = 2 * time.Millisecond
+	// batchPause lets changes that come together travel in one answer; it is as
+	// long for each ten watchers, so that what a change costs doesn't grow with
+	// the square of the site. With a hundred entries it is a fiftieth of the time
+	// that a change has.
+	batchPause = 3 * time.Millisecond
+	batchEvery = 10
 	// watcherTimeout is how long a watcher counts after its last poll: some lost polls.
 	watcherTimeout = 12 * time.Second
 )
@@ -69,7 +73,7 @@
 	defer cancel()
 	s.Board.Wait(ctx, p.Number)
 	if ctx.Err() == nil {
-		time.Sleep(batchPause)
+		time.Sleep(time.Duration(1+s.count()/batchEvery) * batchPause)
 	}
 	rows, number := s.Board.Since(p.Number)
 	a := Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, CaughtUp: s.CaughtUp(), Entries: s.Entries()}
@@ -77,6 +81,13 @@
 	return a, nil
 }
 
+// count returns how many watch.
+func (s *server) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.watchers)
+}
+
 // note remembers how far the watcher is.
 func (s *server) note(p Poll) {
 	s.mu.Lock()
