--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -104,6 +104,19 @@
 	return nil
 }
 
+// complete returns whether the replica has told of every store: one after the other is listed.
+func (l *lead) complete(t document.Table) bool {
+	if t == nil {
+		return false
+	}
+	for _, x := range t.Document().Stores {
+		if _, ok := l.up[x.Address]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *lead) takePart(r board.Row) error {
 	fields := strings.Split(r.Key, "\x00")
 	if len(fields) != 3 {
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -1,6 +1,8 @@
 package siteentry
 
 import (
+	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,8 +26,12 @@
 	logger    log.Interface
 	directory directory.Directory
 	table     atomic.Pointer[document.Table]
-	// documents guards the change of table.
+	// documents guards the change of table; first is closed with the first one.
 	documents sync.Mutex
+	first     chan struct{}
+	// informed is closed when a holder of the lease has told of the stores, at uninformed after the start at the latest.
+	informed chan struct{}
+	inform   sync.Once
 
 	mu       sync.Mutex
 	newest   map[string]int64
@@ -49,12 +55,14 @@
 }
 
 func newSite(logger log.Interface, memory parts.Memory, others share.Others, changed func()) *site {
-	return &site{
+	s := &site{
 		logger:    logger,
 		memory:    memory,
 		others:    others,
 		changed:   changed,
 		directory: directory.New(),
+		first:     make(chan struct{}),
+		informed:  make(chan struct{}),
 		members:   memberLists{},
 		newest:    map[string]int64{},
 		noticed:   map[string]int64{},
@@ -65,6 +73,8 @@
 		saves:     map[stores.Part]time.Time{},
 		uses:      map[uint64]struct{}{},
 	}
+	time.AfterFunc(uninformed, func() { s.inform.Do(func() { close(s.informed) }) })
+	return s
 }
 
 // take takes what the replica at address shows.
@@ -78,6 +88,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries[address] = a.Entries
+	if l := s.leading(); l != nil && l.complete(s.Table()) {
+		s.inform.Do(func() { close(s.informed) })
+	}
 	s.clock.Heard(a.Clock)
 	if a.CaughtUp {
 		s.caughtUp[address] = time.Now()
@@ -118,11 +131,14 @@
 	return nil
 }
 
+// none stands for the number of no document.
+const none = int64(math.MinInt64)
+
 // takeDocument takes a document with a higher number; a replica that lags behind shows older ones.
 func (s *site) takeDocument(d document.Document) {
 	s.documents.Lock()
 	defer s.documents.Unlock()
-	before := int64(-1)
+	before := none
 	if t := s.table.Load(); t != nil {
 		before = (*t).Document().Number
 	}
@@ -131,6 +147,9 @@
 	}
 	t := document.NewTable(d)
 	s.table.Store(&t)
+	if before == none {
+		close(s.first)
+	}
 	event.DocumentInForce.Write(s.logger, log.Fields{"number": d.Number, "before": before, "routes": len(d.Routes), "workspaces": len(d.Workspaces)})
 }
 
@@ -165,6 +184,25 @@
 	return nil
 }
 
+// Await implements caller.Site.
+func (s *site) Await(ctx context.Context) {
+	select {
+	case <-s.first:
+	case <-ctx.Done():
+	}
+}
+
+// uninformed is how long after its start a process waits to be told of the stores.
+const uninformed = 4 * time.Second
+
+// AwaitStores implements caller.Site.
+func (s *site) AwaitStores(ctx context.Context) {
+	select {
+	case <-s.informed:
+	case <-ctx.Done():
+	}
+}
+
 // Servers implements caller.Site.
 func (s *site) Servers(service string) []directory.Server {
 	return s.directory.View().Service(service)
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -26,6 +26,10 @@
 	readBy = 600 * time.Millisecond
 	// expectedFirst is how long an engine takes to the first event of a prompt that has most of its parts.
 	expectedFirst = 250 * time.Millisecond
+	// longPart is the size in tokens from which on a shared part is worth a wait.
+	longPart = 1024
+	// storesWait is how long: an election, a lease and the stores' lists.
+	storesWait = 1500 * time.Millisecond
 	// lastStart is how long before its deadline a request stops waiting for room.
 	lastStart = 600 * time.Millisecond
 	// saltSeparator stands between the parts of a salt.
@@ -87,6 +91,9 @@
 // about to use, and waits behind all that came before. Here it waits in an order
 // that can still be changed, and goes to whichever engine has room first.
 func (j *job) awaitEngine(ctx context.Context, e document.Engine) (choice, bool) {
+	if j.longest() >= longPart {
+		j.awaitStores(ctx)
+	}
 	c, ok := j.chooseEngine(e)
 	if !ok || c.fits {
 		return c, ok
@@ -110,6 +117,29 @@
 	return j.chooseEngine(e)
 }
 
+// longest returns the size of the longest shared part.
+func (j *job) longest() int {
+	most := 0
+	for i, p := range j.request.Prompt.Parts {
+		if i < len(j.request.Prompt.Parts)-1 {
+			most = max(most, p.Tokens)
+		}
+	}
+	return most
+}
+
+// awaitStores lets a long prompt wait for what lies in the stores, in a process
+// that has just started.
+//
+// After a loss of power all entries come back knowing nothing. Each prompt of
+// the first half second would have its engine read again what lies in a store;
+// the engines are behind for seconds then.
+func (j *job) awaitStores(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, min(storesWait, time.Until(j.deadline)/4))
+	defer cancel()
+	j.Site.AwaitStores(ctx)
+}
+
 // chooseEngine weighs the engines of each version by themselves: parts that
 // were read under one version are of no use under another.
 func (j *job) chooseEngine(e document.Engine) (choice, bool) {
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,6 +33,10 @@
 type Site interface {
 	// Table returns the document in force, nil while there is none.
 	Table() document.Table
+	// Await returns once there is a document, or ctx ends.
+	Await(ctx context.Context)
+	// AwaitStores returns once it is known what lies in the stores, or ctx ends; at once when the process has run for a while.
+	AwaitStores(ctx context.Context)
 	// Servers returns the ready servers of a service.
 	Servers(service string) []directory.Server
 	// Server returns the newest incarnation of id while it is ready.
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -56,6 +57,8 @@
 }
 
 func (s *fakeSite) Table() document.Table                    { return s.table }
+func (s *fakeSite) Await(context.Context)                    {}
+func (s *fakeSite) AwaitStores(context.Context)              {}
 func (s *fakeSite) Servers(string) []directory.Server        { return s.servers }
 func (s *fakeSite) Server(string) (directory.Server, bool)   { return directory.Server{}, false }
 func (s *fakeSite) Reads(string, string, int, string)        {}
--- a/internal/serve/caller/gateway.go
+++ b/internal/serve/caller/gateway.go
@@ -15,6 +15,9 @@
 // defaultPatience bounds a request whose caller doesn't say how long it waits.
 const defaultPatience = 60 * time.Second
 
+// documentWait is how long a request waits for the first document: an election and a poll.
+const documentWait = 1200 * time.Millisecond
+
 // writeSlack is how long after its deadline the rest of an answer may take to leave.
 const writeSlack = 3 * time.Second
 
@@ -57,7 +60,7 @@
 	if j.Refusing() {
 		return j.reject(http.StatusServiceUnavailable, "stopping", retrySoon)
 	}
-	table := j.Site.Table()
+	table := j.table(q.Context())
 	if table == nil {
 		return j.reject(http.StatusServiceUnavailable, "no-document", retrySoon)
 	}
@@ -80,6 +83,25 @@
 	return j.readBody(q, table.Document().Limits)
 }
 
+// table returns the document in force; a process that has just started waits for it a moment.
+//
+// After a loss of power entries are back before the control log has a leader,
+// some tenths of a second. Callers that are refused then come back later than
+// they need, and many only once.
+func (j *job) table(ctx context.Context) document.Table {
+	if t := j.Site.Table(); t != nil {
+		return t
+	}
+	wait := documentWait
+	if p := j.request.Patience; p > 0 {
+		wait = min(wait, p/4)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	j.Site.Await(ctx)
+	return j.Site.Table()
+}
+
 // allow finds the workspace that holds the caller's key.
 func (j *job) allow(table document.Table) bool {
 	if len(table.Document().Workspaces) == 0 {
--- a/internal/site/weights/rollout.go
+++ b/internal/site/weights/rollout.go
@@ -14,13 +14,23 @@
 )
 
 const (
-	// atOnce is how many engines load weights at once; a third makes all of them slower.
-	atOnce = 2
+	// atOnce is how many engines load weights at once at least, and atOnceShare
+	// the part of a site's engines that do so where it has more. Beyond a fifth of
+	// the engines the weight store makes all loads slower.
+	atOnce      = 2
+	atOnceShare = 0.19
+	// mostAtOnce bounds the places for engines that are drained.
+	mostAtOnce = 256
 	// drainLeast is how long entries keep away from an engine before its order,
 	// so that the running requests end while others load.
 	drainLeast = 400 * time.Millisecond
 	// drainMost is how long an order waits for them at most; the engine waits for the rest itself.
 	drainMost = 1600 * time.Millisecond
+	// drainLead is how long others must have loaded before the next ones are
+	// drained: a load takes about two seconds, draining one.
+	drainLead = 900 * time.Millisecond
+	// placePause is the time between two looks for a place to load.
+	placePause = 20 * time.Millisecond
 	// lookInterval is the time between two questions to an engine that is drained or loads.
 	lookInterval = 200 * time.Millisecond
 	// callTimeout bounds one call to an engine.
@@ -67,18 +77,20 @@
 
 type rollout struct {
 	Config
-	// draining and loading hold a place for each engine in that phase.
-	draining, loading chan struct{}
-	mu                sync.Mutex
-	underWay          map[string]bool
-	ended             sync.WaitGroup
+	// draining holds a place for each engine that is drained.
+	draining chan struct{}
+	mu       sync.Mutex
+	underWay map[string]bool
+	// began is when each engine that loads began to.
+	began map[string]time.Time
+	ended sync.WaitGroup
 }
 
 // New returns a Rollout.
 func New(c Config) Rollout {
 	return &rollout{
-		Config: c, underWay: map[string]bool{},
-		draining: make(chan struct{}, atOnce), loading: make(chan struct{}, atOnce),
+		Config: c, underWay: map[string]bool{}, began: map[string]time.Time{},
+		draining: make(chan struct{}, mostAtOnce),
 	}
 }
 
@@ -111,20 +123,35 @@
 	if _, _, ok := r.Site.Holder(); !ok {
 		return
 	}
+	most := max(atOnce, int(atOnceShare*float64(len(r.Site.Engines()))))
 	for _, d := range r.order() {
-		select {
-		case r.draining <- struct{}{}:
-		default:
+		if len(r.draining) >= most || r.early(most) {
 			return
 		}
+		r.draining <- struct{}{}
 		r.set(d.server.ID, true)
 		r.ended.Go(func() {
 			defer r.set(d.server.ID, false)
-			r.bring(ctx, d.server, d.model, d.version)
+			r.bring(ctx, d.server, d.model, d.version, most)
 		})
 	}
 }
 
+// early returns whether those that load have begun so lately that the next ones
+// would be drained long before a place is free: an engine that waits drained
+// serves nobody.
+func (r *rollout) early(most int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lately := 0
+	for _, at := range r.began {
+		if time.Since(at) < drainLead {
+			lately++
+		}
+	}
+	return lately+len(r.draining) >= most
+}
+
 // order returns the engines that are to load, those with the oldest weights first.
 //
 // A version may be named before the one before it is everywhere. An engine that
@@ -170,21 +197,39 @@
 }
 
 // bring drains an engine and has it load; it holds a place in each phase.
-func (r *rollout) bring(ctx context.Context, s directory.Server, model string, version int64) {
+func (r *rollout) bring(ctx context.Context, s directory.Server, model string, version int64, most int) {
 	r.Site.SetBusy(s.ID, true)
 	defer r.Site.SetBusy(s.ID, false)
 	r.drain(ctx, s)
-	select {
-	case r.loading <- struct{}{}:
-	case <-ctx.Done():
-		<-r.draining
-		return
+	for !r.takePlace(s.ID, most) {
+		if ctx.Err() != nil {
+			<-r.draining
+			return
+		}
+		pause(ctx, placePause)
 	}
 	<-r.draining
-	defer func() { <-r.loading }()
+	defer r.leavePlace(s.ID)
 	r.load(ctx, s, model, version)
 }
 
+// takePlace returns whether the engine may load now.
+func (r *rollout) takePlace(id string, most int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.began) >= most {
+		return false
+	}
+	r.began[id] = time.Now()
+	return true
+}
+
+func (r *rollout) leavePlace(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.began, id)
+}
+
 // drain waits until the engine's requests have ended.
 func (r *rollout) drain(ctx context.Context, s directory.Server) {
 	began := time.Now()
