--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -31,6 +31,10 @@
 	// listInterval is the time between two lists of a store: some of its events
 	// never come, and what isn't known to be there is never freed.
 	listInterval = 20 * time.Second
+	// freeAhead is the part of the old weights' parts that goes ahead of the engines.
+	freeAhead = 0.25
+	// hashSteps is how finely parts are told apart by their hash.
+	hashSteps = 1000
 	// freeBatch bounds the parts of one call.
 	freeBatch = 256
 )
@@ -242,9 +246,14 @@
 	event.PartsFreed.Write(l.config.Logger, f)
 }
 
-// outdated returns what tells parts of weights that most engines no longer have.
+// outdated returns what tells the parts of older weights that make room for those of newer ones.
+//
+// While engines load one after the other, old and new parts are wanted side by
+// side and the stores hold but one set. So as many of the old parts go as
+// engines have left the old weights, and a little ahead of them, since a part
+// stays for some seconds after entries were told that it goes.
 func (l *librarian) outdated() func(stores.Part) bool {
-	current := map[string]int64{}
+	current, share := map[string]int64{}, map[string]float64{}
 	e := engines{l.process}
 	for model, named := range l.section.Versions() {
 		older, all := 0, 0
@@ -257,13 +266,14 @@
 				older++
 			}
 		}
-		if all > 0 && 2*older <= all {
+		if all > 0 && older < all {
 			current[model] = named
+			share[model] = min(1, float64(all-older)/float64(all)+freeAhead)
 		}
 	}
 	return func(p stores.Part) bool {
 		model, version, ok := saltVersion(p.Salt)
-		return ok && version < current[model]
+		return ok && version < current[model] && float64(p.Hash()%hashSteps) < share[model]*hashSteps
 	}
 }
 
--- a/internal/site/weights/rollout.go
+++ b/internal/site/weights/rollout.go
@@ -28,7 +28,7 @@
 	drainMost = 1600 * time.Millisecond
 	// drainLead is how long others must have loaded before the next ones are
 	// drained: a load takes about two seconds, draining one.
-	drainLead = 900 * time.Millisecond
+	drainLead = 600 * time.Millisecond
 	// placePause is the time between two looks for a place to load.
 	placePause = 20 * time.Millisecond
 	// lookInterval is the time between two questions to an engine that is drained or loads.
