--- /dev/null
+++ b/internal/cli/explain/story_test.go
@@ -0,0 +1,56 @@
+package explain
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// The logs that docs/OPERATIONS.md works from. Each of its three requests must
+// lead to its cause with the command that the page names.
+func TestStories(t *testing.T) {
+	for _, request := range []string{"5f1c7a20e4", "8b03d94c17", "c26e51f8a9"} {
+		var logs [2]*os.File
+		for i, name := range []string{"entry-1.log", "entry-2.log"} {
+			f, err := os.Open(filepath.Join("testdata", name))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer f.Close()
+			logs[i] = f
+		}
+		s, err := Read(request, logs[0], logs[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got bytes.Buffer
+		if err := s.Write(&got); err != nil {
+			t.Fatal(err)
+		}
+		golden := filepath.Join("testdata", request+".golden")
+		if *update {
+			if err := os.WriteFile(golden, got.Bytes(), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want, err := os.ReadFile(golden)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.String() != string(want) {
+			t.Errorf("%s:\n%s", request, got.String())
+		}
+	}
+}
+
+func TestUnknownRequest(t *testing.T) {
+	if _, err := Read("nobody", strings.NewReader("not a log line\n{}\n")); !errors.Is(err, ErrUnknown) {
+		t.Errorf("got %v", err)
+	}
+}
