--- /dev/null
+++ b/deploy/soak/main.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitUsage  = 2
+)
+
+func main() {
+	first, seeds, parallel, seconds := uint64(1), 1, 1, 20
+	program, folder := "", ""
+	flaggy.SetName("soak")
+	flaggy.SetDescription("runs a site under faults and checks its promises")
+	flaggy.SetVersion("")
+	flaggy.UInt64(&first, "f", "first", "first seed; 0 draws one")
+	flaggy.Int(&seeds, "n", "seeds", "number of seeds")
+	flaggy.Int(&parallel, "p", "parallel", "seeds at once")
+	flaggy.Int(&seconds, "s", "seconds", "length of each run under faults")
+	flaggy.String(&program, "", "program", "hornbeamwood-platform; built when not given")
+	flaggy.String(&folder, "", "folder", "where logs and reports stay; a temporary one when not given")
+	flaggy.Parse()
+	if seeds < 1 || parallel < 1 || seconds < 1 {
+		fmt.Fprintln(os.Stderr, "soak: --seeds, --parallel and --seconds must be at least 1")
+		os.Exit(exitUsage)
+	}
+	if first == 0 {
+		first = uint64(time.Now().UnixNano() % 1e9)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	os.Exit(soak(ctx, first, seeds, parallel, time.Duration(seconds)*time.Second, program, folder))
+}
+
+func soak(ctx context.Context, first uint64, seeds, parallel int, length time.Duration, program, folder string) int {
+	folder, program, err := prepare(ctx, folder, program)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return exitUsage
+	}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	broken := 0
+	places := make(chan struct{}, parallel)
+	for i := range seeds {
+		places <- struct{}{}
+		all.Go(func() {
+			defer func() { <-places }()
+			r := run(ctx, runConfig{seed: first + uint64(i), length: length, program: program, folder: folder})
+			mu.Lock()
+			defer mu.Unlock()
+			fmt.Println(r)
+			if len(r.broken) > 0 {
+				broken++
+			}
+		})
+	}
+	all.Wait()
+	fmt.Printf("%d seeds from %d on, %d broken; logs in %s\n", seeds, first, broken, folder)
+	if broken > 0 {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// prepare returns the folder for logs and the program, built if need be.
+func prepare(ctx context.Context, folder, program string) (string, string, error) {
+	if folder == "" {
+		f, err := os.MkdirTemp("", "soak-")
+		if err != nil {
+			return "", "", err
+		}
+		folder = f
+	}
+	if program != "" {
+		return folder, program, nil
+	}
+	program = filepath.Join(folder, "hornbeamwood-platform")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "hornbeamwood/platform/hornbeamwood-platform").CombinedOutput()
+	if err != nil {
+		return "", "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return folder, program, nil
+}
--- /dev/null
+++ b/deploy/soak/server.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// streamEvents is how many events a stream has.
+const streamEvents = 12
+
+// ledger is what the servers saw of each attempt.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// tenants is the workspace that each attempt came with.
+	tenants map[string]string
+	// late counts requests that came too long after a server's leave was acknowledged.
+	late int
+}
+
+func (l *ledger) ran(id, tenant string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id]++
+	l.tenants[id] = tenant
+}
+
+func (l *ledger) count(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+// server is a stand-in backend server behind a proxy.
+type server struct {
+	id      string
+	service string
+	ledger  *ledger
+	http    *httptest.Server
+	proxy   *proxy
+	stop    context.CancelFunc
+
+	mu       sync.Mutex
+	sequence int
+	state    string
+	// left is when its leave was acknowledged.
+	left time.Time
+	dead bool
+	born int64
+}
+
+// drainBound is how long after the acknowledgement a leaving server may still get requests.
+const drainBound = 2 * time.Second
+
+func newServer(l *ledger, id, service string, controls []string) (*server, error) {
+	s := &server{id: id, service: service, ledger: l, state: "ready", born: time.Now().UnixMilli()}
+	s.http = httptest.NewServer(s)
+	p, err := newProxy(strings.TrimPrefix(s.http.URL, "http://"))
+	if err != nil {
+		return nil, err
+	}
+	s.proxy = p
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go s.announce(ctx, controls)
+	return s, nil
+}
+
+// ServeHTTP plays the server: whole answers with its mark, streams event by event.
+func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("Attempt-Id")
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	if want := q.Header.Get("Expect-Instance"); want != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.mu.Lock()
+	if !s.left.IsZero() && time.Since(s.left) > drainBound {
+		s.ledger.mu.Lock()
+		s.ledger.late++
+		s.ledger.mu.Unlock()
+	}
+	s.mu.Unlock()
+	s.ledger.ran(id, q.Header.Get("Tenant"))
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Response-Stamp", "mark")
+	if strings.HasPrefix(q.RequestURI, "/stream/") {
+		s.stream(w, q, id)
+		return
+	}
+	time.Sleep(5 * time.Millisecond)
+	_, _ = fmt.Fprintf(w, "%s %s %s", id, q.RequestURI, body)
+}
+
+func (s *server) stream(w http.ResponseWriter, q *http.Request, id string) {
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := last + 1; n <= streamEvents; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, id); err != nil {
+			return
+		}
+		if f, ok := w.(http.Flusher); ok {
+			f.Flush()
+		}
+		time.Sleep(15 * time.Millisecond)
+	}
+}
+
+// announce sends heartbeats to whichever control replica takes them.
+func (s *server) announce(ctx context.Context, controls []string) {
+	for at := 0; ctx.Err() == nil; {
+		s.mu.Lock()
+		s.sequence++
+		state := s.state
+		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":8,"state":%q,"sequence":%d,"born":%d}`,
+			s.service, s.proxy.address(), state, s.sequence, s.born)
+		s.mu.Unlock()
+		if status := post(ctx, "http://"+controls[at%len(controls)]+":8000/v1/Instances.Heartbeat/"+s.id, body, time.Second); status != http.StatusOK {
+			at++
+			continue
+		}
+		s.mu.Lock()
+		if state == "draining" && s.left.IsZero() {
+			s.left = time.Now()
+		}
+		s.mu.Unlock()
+		pause(ctx, 400*time.Millisecond)
+	}
+}
+
+// leave makes the server say that it leaves; it goes on serving for a while.
+func (s *server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = "draining"
+}
+
+// crash ends the server without a word.
+func (s *server) crash() {
+	s.mu.Lock()
+	s.dead = true
+	s.mu.Unlock()
+	s.stop()
+	s.proxy.close()
+	s.http.CloseClientConnections()
+	s.http.Close()
+}
+
+func post(ctx context.Context, url, body string, most time.Duration) int {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body))
+	if err != nil {
+		return 0
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	// The status says it all.
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r.StatusCode
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/deploy/soak/site.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Sizes of the site of a run.
+const (
+	replicas       = 3
+	entries        = 2
+	servers        = 3
+	clientsPerSite = 6
+)
+
+// site is the processes, servers and callers of one run.
+type site struct {
+	folder   string
+	record   *record
+	ledger   *ledger
+	replicas []*process
+	entries  []*process
+	fronts   []*proxy
+	operator *operator
+	seeds    []string
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	servers []*server
+	born    int
+}
+
+// newSite starts a site on loopback addresses of its own, drawn from the seed.
+func newSite(c runConfig, folder string, r *record) (*site, error) {
+	s := &site{
+		folder: folder, record: r, random: rand.New(rand.NewPCG(c.seed, 1)),
+		ledger: &ledger{runs: map[string]int{}, tenants: map[string]string{}},
+	}
+	network := fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, c.seed%250)
+	for i := range replicas {
+		s.seeds = append(s.seeds, fmt.Sprint(network, 10+i))
+	}
+	s.operator = &operator{controls: s.seeds, record: r}
+	for i, ip := range s.seeds {
+		s.replicas = append(s.replicas, s.newProcess(c, fmt.Sprint("control-", i), "control", ip))
+	}
+	for i := range entries {
+		p := s.newProcess(c, fmt.Sprint("entry-", i), "entry", fmt.Sprint(network, 50+i))
+		s.entries = append(s.entries, p)
+		front, err := newProxy(p.ip + ":8005")
+		if err != nil {
+			return s, err
+		}
+		s.fronts = append(s.fronts, front)
+	}
+	for _, p := range append(append([]*process{}, s.replicas...), s.entries...) {
+		if err := p.writeSettings(folder, s.seeds, true); err != nil {
+			return s, err
+		}
+		if err := p.start(); err != nil {
+			return s, err
+		}
+	}
+	for range servers {
+		if err := s.addServer(); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func (s *site) newProcess(c runConfig, name, role, ip string) *process {
+	return &process{
+		name: name, role: role, ip: ip, program: c.program,
+		settings: filepath.Join(s.folder, name+".toml"),
+		log:      filepath.Join(s.folder, name+".log"),
+		dataDir:  filepath.Join(s.folder, name+"-data"),
+	}
+}
+
+// restart starts a process again, no longer with the flag of the first start.
+func (s *site) restart(p *process) error {
+	if err := p.writeSettings(s.folder, s.seeds, false); err != nil {
+		return err
+	}
+	return p.start()
+}
+
+func (s *site) addServer() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.born++
+	x, err := newServer(s.ledger, fmt.Sprint("i-", s.born), "desk", s.seeds)
+	if err != nil {
+		return err
+	}
+	s.servers = append(s.servers, x)
+	return nil
+}
+
+// replaceServer starts a new server and ends an old one, at once or after it has said that it leaves.
+func (s *site) replaceServer(crash bool) {
+	if err := s.addServer(); err != nil {
+		s.record.broke("start a server: %v", err)
+		return
+	}
+	s.mu.Lock()
+	old := s.servers[0]
+	s.servers = s.servers[1:]
+	s.mu.Unlock()
+	if crash {
+		old.crash()
+		return
+	}
+	old.leave()
+	time.AfterFunc(6*time.Second, old.crash)
+}
+
+// draws returns a source of its own for one use.
+func (s *site) draws() *rand.Rand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.New(rand.NewPCG(s.random.Uint64(), 3))
+}
+
+func (s *site) upTo(d time.Duration) time.Duration {
+	return time.Duration(s.draws().Int64N(int64(d)))
+}
+
+func (s *site) replica() *process { return s.replicas[s.draws().IntN(len(s.replicas))] }
+
+func (s *site) entry() *process { return s.entries[s.draws().IntN(len(s.entries))] }
+
+func (s *site) front() *proxy { return s.fronts[s.draws().IntN(len(s.fronts))] }
+
+func (s *site) server() *server {
+	at := s.draws()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[at.IntN(len(s.servers))]
+}
+
+// close ends everything that the run has started.
+func (s *site) close() {
+	for _, p := range append(append([]*process{}, s.entries...), s.replicas...) {
+		p.signal(syscall.SIGCONT)
+		p.stop(syscall.SIGKILL, time.Second)
+	}
+	for _, p := range s.fronts {
+		p.close()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.servers {
+		x.crash()
+	}
+}
