--- a/internal/serve/observe/tracker.go
+++ b/internal/serve/observe/tracker.go
@@ -62,7 +62,6 @@
 type shard struct {
 	mu      sync.Mutex
 	servers map[string]*state
-	swept   time.Time
 }
 
 type tracker struct {
