--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -212,7 +212,7 @@
 }
 
 // take takes what another replica shows: servers only, the log is this replica's own.
-func (p *process) take(_ string, a watch.Answer) {
+func (p *process) take(_ string, a watch.Answer, _ time.Time) {
 	for _, r := range a.Rows {
 		if r.Topic != topic.Servers || len(r.Value) == 0 {
 			continue
--- a/internal/process/sitecontrol/loads.go
+++ b/internal/process/sitecontrol/loads.go
@@ -14,13 +14,13 @@
 	loadsInterval = 25 * time.Millisecond
 	// entriesPerInterval is for how many entries the interval holds; it grows with
 	// more, so that the cost of the sums stays what it is.
-	entriesPerInterval = 10
+	entriesPerInterval = 8
 )
 
 // showLoads puts the sum of the entries' loads on the board until ctx ends.
 func (p *process) showLoads(ctx context.Context) {
 	for ctx.Err() == nil {
-		n := max(1, p.watched.Entries()/entriesPerInterval)
+		n := 1 + p.watched.Entries()/entriesPerInterval
 		sleep(ctx, time.Duration(n)*loadsInterval)
 		if p.holder.number() != 0 {
 			p.put(topic.Loads, "", p.loads.Sum(time.Now()))
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -139,8 +139,9 @@
 	p.metrics.NewGauge("hornbeamwood_quic_sent_bytes", func() float64 { return float64(p.node.BytesSent()) })
 }
 
-func (p *process) take(address string, a watch.Answer) {
+func (p *process) take(address string, a watch.Answer, sent time.Time) {
 	p.site.take(address, a)
+	p.site.thaw.heard(sent)
 	p.budget.SetEntries(p.site.Entries())
 }
 
@@ -166,6 +167,7 @@
 	defer stop()
 	p.follow(serving)
 	p.loops.Go(func() { p.refollow(serving) })
+	p.loops.Go(func() { p.site.thaw.run(serving) })
 	p.loops.Go(func() { p.tellReadings(serving) })
 	p.loops.Go(func() { p.tellUses(serving) })
 	p.loops.Go(func() { p.tellLoads(serving) })
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// readingsInterval is the time between two notices of what engines read: the
-	// next request for a part comes seconds later as a rule, within the reading of
-	// a long one at worst.
+	// readingsInterval is the time between two notices of what engines read while
+	// there are few entries: the next request for a part comes seconds later as a
+	// rule, within the reading of a long one at worst.
 	readingsInterval = 30 * time.Millisecond
 	// maxReadings bounds what waits to be told; what is dropped is read again at worst.
 	maxReadings = 512
@@ -26,7 +26,7 @@
 	// are few entries, a tenth of the time that a long prompt is read for.
 	loadsInterval = 25 * time.Millisecond
 	// entriesPerInterval is for how many entries the interval holds; it grows with more.
-	entriesPerInterval = 10
+	entriesPerInterval = 8
 	// loadsRefresh is how often loads are posted that have not changed.
 	loadsRefresh = 500 * time.Millisecond
 	// noticeTimeout bounds one notice.
@@ -96,19 +96,25 @@
 
 // tellReadings tells what engines read until ctx ends.
 func (p *process) tellReadings(ctx context.Context) {
-	tell(ctx, p.node, readingsInterval, watch.Readings, p.site.pendingReadings)
+	tell(ctx, p.node, func() time.Duration { return p.scaled(readingsInterval) }, watch.Readings, p.site.pendingReadings)
 }
 
 // tellUses tells which parts were asked for until ctx ends.
 func (p *process) tellUses(ctx context.Context) {
-	tell(ctx, p.node, usesInterval, watch.Uses, p.site.pendingUses)
+	tell(ctx, p.node, func() time.Duration { return usesInterval }, watch.Uses, p.site.pendingUses)
+}
+
+// scaled returns an interval for the present number of entries, so that what
+// they tell together doesn't grow with them.
+func (p *process) scaled(d time.Duration) time.Duration {
+	return time.Duration(1+p.site.Entries()/entriesPerInterval) * d
 }
 
 // tellLoads tells what this entry has at each engine until ctx ends.
 func (p *process) tellLoads(ctx context.Context) {
 	quiet := 0
 	for ctx.Err() == nil {
-		interval := time.Duration(max(1, p.site.Entries()/entriesPerInterval)) * loadsInterval
+		interval := p.scaled(loadsInterval)
 		pause(ctx, interval)
 		quiet++
 		force := time.Duration(quiet)*interval >= loadsRefresh
@@ -137,15 +143,9 @@
 }
 
 // tell sends what is pending at each interval.
-func tell[T any](ctx context.Context, node rpc.Node, interval time.Duration, n rpc.Notice[[]T], pending func() ([]T, string)) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+func tell[T any](ctx context.Context, node rpc.Node, interval func() time.Duration, n rpc.Notice[[]T], pending func() ([]T, string)) {
+	for ctx.Err() == nil {
+		pause(ctx, interval())
 		all, address := pending()
 		if len(all) == 0 || address == "" {
 			continue
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -33,6 +33,8 @@
 	informed chan struct{}
 	inform   sync.Once
 
+	thaw *thaw
+
 	mu       sync.Mutex
 	newest   map[string]int64
 	noticed  map[string]int64
@@ -63,6 +65,7 @@
 		directory: directory.New(),
 		first:     make(chan struct{}),
 		informed:  make(chan struct{}),
+		thaw:      newThaw(),
 		members:   memberLists{},
 		newest:    map[string]int64{},
 		noticed:   map[string]int64{},
@@ -192,6 +195,11 @@
 	}
 }
 
+// Settle implements caller.Site.
+func (s *site) Settle(ctx context.Context) {
+	s.thaw.settle(ctx)
+}
+
 // uninformed is how long after its start a process waits to be told of the stores.
 const uninformed = 4 * time.Second
 
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -213,6 +213,9 @@
 // memory of engines that have probably read it by now.
 func (j *job) copies(salt string, p request.Part, e document.Engine, now time.Time) []choose.Copy {
 	all := j.Site.Copies(salt, p.ID, p.Tokens)
+	for i := range all {
+		all[i].Queued = j.Tracker.Fetching(all[i].Address) + j.Others.Load(all[i].Address, now).Reading
+	}
 	if len(all) > 0 || e.LinkRate <= 0 {
 		return all
 	}
@@ -238,7 +241,7 @@
 	return choice{
 		server:   c.Server,
 		dispatch: d,
-		attempt:  observe.Attempt{Reading: p.Missing, Held: held},
+		attempt:  observe.Attempt{Reading: p.Missing, Held: held, Fetching: fetching(p, prompt.Parts)},
 		prepare:  func(d *request.Dispatch) { j.prepare(d, version) },
 		noted:    func() { j.noteParts(c.Server, salt, e, p.From, now) },
 		fields: log.Fields{
@@ -248,6 +251,17 @@
 	}
 }
 
+// fetching returns how many tokens come from each store.
+func fetching(p choose.Plan, parts []request.Part) map[string]int {
+	all := map[string]int{}
+	for i, part := range parts {
+		if p.Fetch[i] != "" && p.From[i] != 'm' {
+			all[p.Fetch[i]] += part.Tokens
+		}
+	}
+	return all
+}
+
 // prepare adds what is settled only when the request goes out: the stores that
 // get its parts, and until when it may fetch.
 func (j *job) prepare(d *request.Dispatch, version int64) {
@@ -266,13 +280,14 @@
 	}
 }
 
-// noteParts remembers what the engine reads and tells the other entries of
-// shared parts that were nowhere else.
+// noteParts remembers what the engine reads and tells the other entries of long
+// shared parts that were nowhere else; a short one costs less to read again than
+// to tell.
 func (j *job) noteParts(s directory.Server, salt string, e document.Engine, from string, now time.Time) {
 	parts := j.request.Prompt.Parts
 	for i, p := range parts[:max(0, len(parts)-1)] {
 		j.Memory.Note(s.ID, salt, p.ID, p.Tokens, e.Tokens, now)
-		if from[i] == 'r' {
+		if from[i] == 'r' && p.Tokens >= longPart {
 			j.Site.Reads(salt, p.ID, p.Tokens, s.ID)
 		}
 	}
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -58,6 +58,7 @@
 
 func (s *fakeSite) Table() document.Table                    { return s.table }
 func (s *fakeSite) Await(context.Context)                    {}
+func (s *fakeSite) Settle(context.Context)                   {}
 func (s *fakeSite) AwaitStores(context.Context)              {}
 func (s *fakeSite) Servers(string) []directory.Server        { return s.servers }
 func (s *fakeSite) Server(string) (directory.Server, bool)   { return directory.Server{}, false }
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -75,6 +75,7 @@
 			j.abandon()
 			return
 		}
+		j.Site.Settle(ctx)
 		c, ok := j.choose(ctx)
 		if !ok && gone.Err() != nil {
 			j.abandon()
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -19,6 +19,14 @@
 	// againCost multiplies the time to read a shared part that was read elsewhere
 	// before: the work is done twice, and a move takes a fiftieth of it.
 	againCost = 3.0
+	// moveCost multiplies the time of a move over a store's link: those behind it
+	// wait as long, and at the peak the links are more than half in use.
+	moveCost = 2.0
+	// farWeight and nearWeight say how often an engine is drawn that is neither
+	// where the longest part lies nor in the entry's zone, or in the latter only. A
+	// move between zones takes its link twice as long.
+	farWeight  = 0.15
+	nearWeight = 0.5
 	// homeMillis is what it costs to read a long part elsewhere than at its home
 	// engine, at which entries meet that know of no copy: one prompt in fifteen
 	// comes while another one reads the same part, and would have it read twice.
@@ -80,6 +88,8 @@
 	Zone string
 	// PerToken is how long a token takes over the store's link, First what each transfer waits.
 	PerToken, First time.Duration
+	// Queued is how many tokens all entries are having fetched from there.
+	Queued int
 }
 
 // Engine is a choice among the engines of a service.
@@ -157,17 +167,19 @@
 		}
 		return drawn
 	}
-	// An engine of the own zone is as good as one elsewhere and nearer.
+	wanted := e.wantedZone()
 	weight := func(i int) float64 {
 		switch {
 		case e.special(all[i], homes):
 			return math.Inf(1)
 		case all[i].standing(e.Now) != usable:
 			return 0
-		case all[i].Server.Zone != e.Zone:
-			return 0.25
+		case all[i].Server.Zone == wanted:
+			return 1
+		case all[i].Server.Zone == e.Zone:
+			return nearWeight
 		}
-		return 1
+		return farWeight
 	}
 	type draw struct {
 		at  int
@@ -191,6 +203,18 @@
 	return drawn
 }
 
+// wantedZone returns the availability zone of the store that has the longest
+// shared part, the entry's own where none has it.
+func (e Engine) wantedZone() string {
+	zone, longest := e.Zone, chunkTokens/2
+	for _, p := range e.Parts {
+		if len(p.Copies) > 0 && p.Copies[0].Server == "" && p.Tokens > longest {
+			zone, longest = p.Copies[0].Zone, p.Tokens
+		}
+	}
+	return zone
+}
+
 // special returns whether the engine has a large part of the prompt, or is where entries meet for one.
 func (e Engine) special(c Candidate, homes []string) bool {
 	for i, p := range e.Parts {
@@ -276,11 +300,11 @@
 		if k.Server == c.Server.ID {
 			continue
 		}
-		millis := float64(part.Tokens) * k.PerToken.Seconds() * 1000
+		millis := moveCost * float64(part.Tokens) * k.PerToken.Seconds() * 1000
 		if k.Zone != c.Server.Zone {
 			millis *= 2
 		}
-		millis += k.First.Seconds() * 1000
+		millis += k.First.Seconds()*1000 + float64(k.Queued)*k.PerToken.Seconds()*1000
 		if found.Address == "" || millis < lowest {
 			found, lowest = k, millis
 		}
--- a/internal/serve/observe/tracker.go
+++ b/internal/serve/observe/tracker.go
@@ -31,10 +31,12 @@
 	Server string
 	// Reading and Held are the prompt's tokens to be read and the most that the request holds.
 	Reading, Held int
+	// Fetching is how many tokens it fetches from each store, by the store's address.
+	Fetching map[string]int
 	// Began is when it was sent.
 	Began time.Time
 
-	started bool
+	started, fetched bool
 }
 
 // Tracker follows attempts.
@@ -49,7 +51,9 @@
 	Report(server string, running, waiting, slots int, now time.Time)
 	// Track returns what is known of the server.
 	Track(server string) Track
-	// Loads returns what this entry has at each server with prompts.
+	// Fetching returns how many tokens are on their way from a store.
+	Fetching(store string) int
+	// Loads returns what this entry has at each server with prompts, and what it has fetched from each store as reading.
 	Loads() share.Loads
 }
 
@@ -66,11 +70,14 @@
 
 type tracker struct {
 	shards [shards]shard
+	// mu guards fetching, the tokens on their way from each store.
+	mu       sync.Mutex
+	fetching map[string]int
 }
 
 // New returns a Tracker that knows nothing.
 func New() Tracker {
-	t := &tracker{}
+	t := &tracker{fetching: map[string]int{}}
 	for i := range t.shards {
 		t.shards[i].servers = map[string]*state{}
 	}
@@ -111,15 +118,40 @@
 	x.Since++
 	x.Reading += a.Reading
 	x.Held += a.Held
+	t.fetch(&a, 1)
 	return &a
 }
 
+// fetch counts what an attempt fetches, until its first event or its end.
+func (t *tracker) fetch(a *Attempt, sign int) {
+	if sign < 0 && a.fetched {
+		return
+	}
+	a.fetched = sign < 0
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for store, tokens := range a.Fetching {
+		t.fetching[store] += sign * tokens
+		if t.fetching[store] <= 0 {
+			delete(t.fetching, store)
+		}
+	}
+}
+
+// Fetching implements Tracker.
+func (t *tracker) Fetching(store string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fetching[store]
+}
+
 // Started implements Tracker.
 func (t *tracker) Started(a *Attempt, now time.Time) {
 	s := t.shard(a.Server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state(a.Server, now).start(a, now)
+	t.fetch(a, -1)
 }
 
 func (x *state) start(a *Attempt, now time.Time) {
@@ -156,6 +188,7 @@
 		x.Reading -= a.Reading
 	}
 	x.judge(o, now)
+	t.fetch(a, -1)
 }
 
 // judge counts an outcome.
@@ -216,5 +249,10 @@
 		}
 		s.mu.Unlock()
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for store, tokens := range t.fetching {
+		all[store] = share.Load{Reading: tokens}
+	}
 	return all
 }
--- a/internal/site/watch/follower.go
+++ b/internal/site/watch/follower.go
@@ -27,8 +27,8 @@
 	Watcher string
 	// Entry says that this process takes callers' requests.
 	Entry bool
-	// Take gets each answer of the replica at address.
-	Take func(address string, a Answer)
+	// Take gets each answer of the replica at address to a poll that was sent at that time.
+	Take func(address string, a Answer, sent time.Time)
 	// Logger takes the events.
 	Logger log.Interface
 }
@@ -96,6 +96,7 @@
 	p := Poll{Watcher: f.config.Watcher, Entry: f.config.Entry, Wait: maxWait}
 	pause, lost := firstPause, true
 	for ctx.Err() == nil {
+		sent := time.Now()
 		a, err := f.ask(ctx, address, p)
 		if err != nil {
 			if !lost {
@@ -104,6 +105,8 @@
 			}
 			sleep(ctx, pause)
 			pause = min(2*pause, maxPause)
+			// What was missed is wanted now, and whether anything was.
+			p.Wait = 0
 			continue
 		}
 		if lost {
@@ -111,11 +114,12 @@
 			event.ReplicaRegained.Write(f.config.Logger, log.Fields{"replica": address, "epoch": a.Epoch, "rows": len(a.Rows)})
 		}
 		pause = firstPause
+		p.Wait = maxWait
 		p.Epoch, p.Number = a.Epoch, a.Number
 		f.mu.Lock()
 		f.heard[address] = time.Now()
 		f.mu.Unlock()
-		f.config.Take(address, a)
+		f.config.Take(address, a, sent)
 	}
 }
 
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -12,12 +12,14 @@
 const (
 	// maxWait bounds a poll; a watcher that hears nothing for longer takes the replica for lost.
 	maxWait = time.Second
-	// batchPause lets changes that come together travel in one answer; it is as
-	// long for each ten watchers, so that what a change costs doesn't grow with
-	// the square of the site. With a hundred entries it is a fiftieth of the time
-	// that a change has.
-	batchPause = 3 * time.Millisecond
-	batchEvery = 10
+	// batchPause lets changes that come together travel in one answer while few
+	// watch. It grows with the square of the watchers, since with their number the
+	// changes become more as well as the answers to each: a poll costs about 0.2 ms
+	// of a core, and ninety entries that poll at each change take a quarter of a
+	// core whole. mostPause is a sixth of the time that a change may take.
+	batchPause  = 3 * time.Millisecond
+	fewWatchers = 10
+	mostPause   = 400 * time.Millisecond
 	// watcherTimeout is how long a watcher counts after its last poll: some lost polls.
 	watcherTimeout = 12 * time.Second
 )
@@ -73,7 +75,7 @@
 	defer cancel()
 	s.Board.Wait(ctx, p.Number)
 	if ctx.Err() == nil {
-		time.Sleep(time.Duration(1+s.count()/batchEvery) * batchPause)
+		time.Sleep(pauseFor(s.count()))
 	}
 	rows, number := s.Board.Since(p.Number)
 	a := Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, CaughtUp: s.CaughtUp(), Entries: s.Entries()}
@@ -81,6 +83,15 @@
 	return a, nil
 }
 
+// pauseFor returns how long changes are gathered for so many watchers.
+func pauseFor(watchers int) time.Duration {
+	if watchers <= fewWatchers {
+		return batchPause
+	}
+	x := float64(watchers) / fewWatchers
+	return min(mostPause, time.Duration(x*x*float64(batchPause)))
+}
+
 // count returns how many watch.
 func (s *server) count() int {
 	s.mu.Lock()
