The last moments of a request belong to one server

TestLastMomentsBelongToOneServer failed before. The last line of a request now names its longest pause, which the logs lacked.

--- a/internal/serve/caller/gateway_test.go
+++ b/internal/serve/caller/gateway_test.go
@@ -236,3 +236,29 @@
 		t.Error("nothing reached the server")
 	}
 }
+
+// A read comes back shortly before its caller's time is up. Its server needs
+// most of what is left; given up half-way, the answer would be made anew by a
+// server that can't finish it any more.
+func TestLastMomentsBelongToOneServer(t *testing.T) {
+	slow := func(s *standin, c net.Conn, q *http.Request) bool {
+		time.Sleep(250 * time.Millisecond)
+		return answerOK("slow")(s, c, q)
+	}
+	b := newBench(t, slow, slow)
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, b.front.URL+"/read/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h"
+	q.Header.Set("A-Id", "r1")
+	q.Header.Set("A-Patience", "400")
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK || b.servers[0].count()+b.servers[1].count() != 1 {
+		t.Errorf("status %d after %d and %d arrivals", r.StatusCode, b.servers[0].count(), b.servers[1].count())
+	}
+}
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -219,16 +219,20 @@
 	event.AttemptFailed.Write(j.Logger, f)
 }
 
-// patience returns how long one attempt may take: all that is left, unless another server could still answer in time.
+// patience returns how long one attempt may take: all that is left, unless
+// another server could still answer in time after it.
+//
+// Cut off too early, an answer that was about to come is thrown away and made
+// anew by a server that has even less time for it.
 func (j *job) patience(now time.Time) time.Time {
 	if !j.route.Repeatable() || j.runs+1 >= j.route.MaxAttempts {
 		return j.deadline
 	}
-	most := now.Add(firstPatience(j.route))
-	if half := now.Add(j.deadline.Sub(now) * 6 / 10); half.Before(most) {
-		return half
+	first := firstPatience(j.route)
+	if j.deadline.Sub(now) < 2*first {
+		return j.deadline
 	}
-	return most
+	return now.Add(first)
 }
 
 // firstPatience is how long the first server may take when there may be a
@@ -302,6 +306,6 @@
 	event.RequestEnded.Write(j.Logger, log.Fields{
 		"request": j.request.Attempt, "route": j.route.Name, "status": j.status, "reason": j.reason, "verdict": j.verdict.String(),
 		"tries": len(j.tried), "runs": j.runs, "ms": took.Milliseconds(), "workspace": j.workspace.Name, "document": j.number,
-		"first-ms": j.events.firstMillis(j.arrived), "events": j.events.last,
+		"first-ms": j.events.firstMillis(j.arrived), "events": j.events.last, "longest-pause-ms": j.events.pause.Milliseconds(),
 	})
 }
--- a/internal/serve/caller/stream.go
+++ b/internal/serve/caller/stream.go
@@ -26,6 +26,19 @@
 	started bool
 	first   time.Time
 	last    int64
+	// latest is when the latest event came, pause the longest time between two.
+	latest time.Time
+	pause  time.Duration
+}
+
+// came notes that an event came.
+func (r *relay) came(now time.Time) {
+	if r.first.IsZero() {
+		r.first = now
+	} else {
+		r.pause = max(r.pause, now.Sub(r.latest))
+	}
+	r.latest = now
 }
 
 func (r relay) firstMillis(since time.Time) int64 {
@@ -81,9 +94,7 @@
 		j.begin(x.Response)
 	}
 	now := time.Now()
-	if j.events.first.IsZero() {
-		j.events.first = now
-	}
+	j.events.came(now)
 	j.Tracker.Started(a, now)
 	if e.Numbered {
 		j.events.last = e.ID
