Entries hear of a store's restart without the holder of the lease

Since entries go on for 10 s with what the last holder told, a store that restarts in that time can be writing parts anew that they still believe whole. Every replica now shows which start of each store answers.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -150,7 +150,7 @@
 		name: p.config.Host.Internal, duration: d,
 		propose: p.leader.Propose, leads: p.leads, logger: p.config.Logger,
 	}
-	p.librarian = &librarian{process: p, client: p.config.Stores, clock: stores.NewClock(), shelves: map[string]*shelf{}}
+	p.librarian = &librarian{process: p, client: p.config.Stores, clock: stores.NewClock(), shelves: map[string]*shelf{}, epochs: map[string]context.CancelFunc{}}
 }
 
 func (p *process) watchers() {
--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -22,6 +22,9 @@
 	eventsTimeout = 2 * time.Second
 	// storePause is the time between two tries at a store that doesn't answer.
 	storePause = 300 * time.Millisecond
+	// epochPause is the time between two looks whether a store has restarted: a
+	// restart takes seconds.
+	epochPause = 400 * time.Millisecond
 	// freeInterval is the time between two looks for parts to free.
 	freeInterval = 500 * time.Millisecond
 	// fullShare is the part of a store's room that may be taken before its oldest
@@ -47,6 +50,8 @@
 
 	mu      sync.Mutex
 	shelves map[string]*shelf
+	// epochs ends the looks at each store whether it has restarted.
+	epochs map[string]context.CancelFunc
 }
 
 // shelf is a store that is followed.
@@ -75,16 +80,21 @@
 	}
 }
 
-// follow begins with stores that are new and leaves those that are gone; without the lease it follows none.
+// follow begins with stores that are new and leaves those that are gone; without
+// the lease it only looks whether they have restarted.
 func (l *librarian) follow(ctx context.Context, all *sync.WaitGroup) {
 	wanted := map[string]document.Store{}
-	if h, ok := l.section.Held(); ok && l.holder.number() != 0 {
+	if h, ok := l.section.Held(); ok {
 		for _, s := range h.Document.Stores {
 			wanted[s.Address] = s
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.followEpochs(ctx, all, wanted)
+	if l.holder.number() == 0 {
+		wanted = nil
+	}
 	for a, s := range wanted {
 		if _, ok := l.shelves[a]; ok {
 			continue
@@ -102,6 +112,48 @@
 	}
 }
 
+// followEpochs looks at each store whether it has restarted; the caller holds the lock.
+func (l *librarian) followEpochs(ctx context.Context, all *sync.WaitGroup, wanted map[string]document.Store) {
+	for a := range wanted {
+		if _, ok := l.epochs[a]; ok {
+			continue
+		}
+		following, cancel := context.WithCancel(ctx)
+		l.epochs[a] = cancel
+		all.Go(func() { l.watchEpoch(following, a) })
+	}
+	for a, cancel := range l.epochs {
+		if _, ok := wanted[a]; !ok {
+			cancel()
+			delete(l.epochs, a)
+		}
+	}
+}
+
+// watchEpoch shows which start of a store answers, until ctx ends.
+//
+// An entry goes on with what the last holder of the lease told of the stores
+// until another replica holds it. A store that restarts meanwhile is empty, and
+// what is written there anew isn't whole; the entry must hear of the restart from
+// a replica that doesn't hold the lease.
+func (l *librarian) watchEpoch(ctx context.Context, address string) {
+	next := int64(0)
+	for ctx.Err() == nil {
+		asking, cancel := context.WithTimeout(ctx, eventsTimeout)
+		f, err := l.client.Events(asking, address, next, eventsWait)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.Epoch = 0
+		}
+		next = f.Next
+		l.put(topic.Epochs, address, f.Epoch)
+		sleep(ctx, epochPause)
+	}
+}
+
 // watch polls one store until ctx ends.
 func (l *librarian) watch(ctx context.Context, x *shelf) {
 	up := false
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -17,6 +17,9 @@
 )
 
 const (
+	// tellsFor is how long what a replica told of a store's start counts without
+	// hearing more from it: it answers every second at least.
+	tellsFor = 2 * time.Second
 	// saveAgainAfter is how long this entry waits for a part that it had saved
 	// to show up before it has it saved again; a save takes a fraction of a second.
 	saveAgainAfter = 2 * time.Second
@@ -43,10 +46,13 @@
 	used  map[string]int
 	up    map[string]bool
 	busy  map[string]bool
+	// epochs is the start of each store that the replica saw, polled when it last answered at all.
+	epochs map[string]int64
+	polled time.Time
 }
 
 func newLead(epoch uint64) *lead {
-	return &lead{epoch: epoch, parts: map[stores.Part]map[string]int{}, used: map[string]int{}, up: map[string]bool{}, busy: map[string]bool{}}
+	return &lead{epoch: epoch, parts: map[stores.Part]map[string]int{}, used: map[string]int{}, up: map[string]bool{}, busy: map[string]bool{}, epochs: map[string]int64{}}
 }
 
 // lead notes a replica's claim to the lease.
@@ -58,8 +64,9 @@
 		l = newLead(a.Epoch)
 		s.leads[address] = l
 	}
+	l.polled = time.Now()
 	if a.Fencing != 0 {
-		l.fencing, l.heard = a.Fencing, time.Now()
+		l.fencing, l.heard = a.Fencing, l.polled
 	}
 }
 
@@ -93,6 +100,8 @@
 		}
 		defer s.changed()
 		return decoded(r, func(sum share.Sum) { s.others.Take(sum, time.Now()) })
+	case topic.Epochs:
+		return decoded(r, func(epoch int64) { l.epochs[r.Key] = epoch })
 	case topic.StoresUp:
 		return decoded(r, func(up bool) { l.up[r.Key] = up })
 	}
@@ -174,13 +183,33 @@
 	}
 	var all []choose.Copy
 	for _, x := range t.Document().Stores {
-		if size, ok := held[x.Address]; ok && size >= tokens && l.up[x.Address] {
+		if size, ok := held[x.Address]; ok && size >= tokens && l.up[x.Address] && s.sameStart(l, x.Address) {
 			all = append(all, copyAt(x, tokenBytes(t.Document())))
 		}
 	}
 	return all
 }
 
+// sameStart returns whether the store still runs that the replica told of: at
+// once while that one is heard, later by the word of another.
+func (s *site) sameStart(l *lead, store string) bool {
+	if time.Since(l.heard) < tellsFor {
+		return true
+	}
+	confirmed := false
+	for _, o := range s.leads {
+		epoch, ok := o.epochs[store]
+		if o == l || !ok || time.Since(o.polled) > tellsFor {
+			continue
+		}
+		if epoch != l.epochs[store] {
+			return false
+		}
+		confirmed = true
+	}
+	return confirmed
+}
+
 func copyAt(s document.Store, tokenBytes float64) choose.Copy {
 	c := choose.Copy{Address: s.Address, Zone: s.Zone, First: s.First}
 	if s.LinkRate > 0 {
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -116,7 +116,7 @@
 		return decoded(r, s.takeReading)
 	case topic.Loaded:
 		return decoded(r, func(l topic.Loading) { s.takeLoaded(r.Key, l) })
-	case topic.Parts, topic.StoresUp, topic.Busy, topic.Loads:
+	case topic.Parts, topic.StoresUp, topic.Busy, topic.Loads, topic.Epochs:
 		return s.takeLeadRow(address, r)
 	case topic.Versions:
 		return decoded(r, func(v int64) { s.takeVersion(r.Key, v) })
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -24,6 +24,8 @@
 	Reads board.Topic = 9
 	// Loads holds what all entries have at each engine as a share.Sum in one row; only that of the replica that holds the lease counts.
 	Loads board.Topic = 10
+	// Epochs holds, for the address of each store, the start that the replica last saw as an int64, zero while the store doesn't answer.
+	Epochs board.Topic = 11
 )
 
 // Loading is the weights that an engine was brought to.
