--- a/internal/site/board/board.go
+++ b/internal/site/board/board.go
@@ -6,8 +6,14 @@
 	"sync"
 )
 
-// maxAnswerBytes bounds the values of one answer; the rest follows at once.
-const maxAnswerBytes = 2 << 20
+// maxAnswerBytes bounds the rows of one answer; the rest follows at once. An
+// answer has to be through before its poll times out, also when a replica that has
+// just started owes all rows to a hundred watchers: one that isn't begins anew, and
+// the watchers would never learn anything.
+const maxAnswerBytes = 64 << 10
+
+// rowBytes is what a row takes besides its key and value.
+const rowBytes = 8
 
 // Board is a set of rows with the numbers of their changes.
 type Board interface {
@@ -17,6 +23,8 @@
 	Put(topic Topic, key string, value []byte) uint64
 	// Since returns the rows that changed after the given number, the oldest first, and the number up to which they go.
 	Since(number uint64) ([]Row, uint64)
+	// Behind returns whether there are changes after number.
+	Behind(number uint64) bool
 	// Wait returns once there is a change after number, or ctx ends.
 	Wait(ctx context.Context, number uint64)
 }
@@ -106,10 +114,11 @@
 		if e.changed != p.changed {
 			continue
 		}
-		if size > 0 && size+len(e.row.Value) > maxAnswerBytes {
+		bytes := len(e.row.Key) + len(e.row.Value) + rowBytes
+		if size > 0 && size+bytes > maxAnswerBytes {
 			return rows, p.changed - 1
 		}
-		size += len(e.row.Value)
+		size += bytes
 		rows = append(rows, e.row)
 	}
 	return rows, b.last
@@ -129,6 +138,13 @@
 	return low
 }
 
+// Behind implements Board.
+func (b *board) Behind(number uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.last > number
+}
+
 // Wait implements Board.
 func (b *board) Wait(ctx context.Context, number uint64) {
 	for {
--- a/internal/site/watch/follower.go
+++ b/internal/site/watch/follower.go
@@ -115,7 +115,7 @@
 		}
 		pause = firstPause
 		p.Wait = maxWait
-		p.Epoch, p.Number = a.Epoch, a.Number
+		p.Epoch, p.Number, p.Catching = a.Epoch, a.Number, a.More
 		f.mu.Lock()
 		f.heard[address] = time.Now()
 		f.mu.Unlock()
--- a/internal/site/watch/protocol.go
+++ b/internal/site/watch/protocol.go
@@ -18,6 +18,8 @@
 	// Epoch and Number are those of the last answer; zero at first.
 	Epoch  uint64 `cbor:"epoch"`
 	Number uint64 `cbor:"number"`
+	// Catching says that the last answer left rows out, so that no further changes are waited for.
+	Catching bool `cbor:"catching"`
 	// Wait is how long the answer may wait for a change.
 	Wait time.Duration `cbor:"wait"`
 }
@@ -30,6 +32,8 @@
 	Number uint64 `cbor:"number"`
 	// Rows changed since the last answer.
 	Rows []board.Row `cbor:"rows"`
+	// More says that there are more rows than fit into one answer.
+	More bool `cbor:"more"`
 	// CaughtUp says that the replica hears a leader and has applied what that one had committed.
 	CaughtUp bool `cbor:"caught-up"`
 	// Entries is how many entries polled the replica lately.
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -73,12 +73,14 @@
 	s.note(p)
 	ctx, cancel := context.WithTimeout(ctx, min(max(p.Wait, 0), maxWait))
 	defer cancel()
+	// Who has much to catch up with gets the next piece at once.
+	catching := p.Catching && s.Board.Behind(p.Number)
 	s.Board.Wait(ctx, p.Number)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !catching {
 		time.Sleep(pauseFor(s.count()))
 	}
 	rows, number := s.Board.Since(p.Number)
-	a := Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, CaughtUp: s.CaughtUp(), Entries: s.Entries()}
+	a := Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, More: s.Board.Behind(number), CaughtUp: s.CaughtUp(), Entries: s.Entries()}
 	a.Fencing, a.Clock = s.Holder()
 	return a, nil
 }
--- /dev/null
+++ b/internal/site/watch/watch_test.go
@@ -0,0 +1,110 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/site/board"
+)
+
+func node(t *testing.T, role keys.Role) rpc.Node {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := c.LocalAddr().String()
+	_ = c.Close()
+	ring, err := keys.NewOpenRing(address, role)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := rpc.New(rpc.Config{Listen: address, Ring: ring})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Close() })
+	return n
+}
+
+func serving(t *testing.T, b board.Board) (rpc.Node, Server) {
+	t.Helper()
+	n := node(t, keys.Control)
+	s := NewServer(Config{Node: n, Board: b, CaughtUp: func() bool { return true }, Holder: func() (uint64, int64) { return 0, 0 }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = n.Serve(ctx) }()
+	return n, s
+}
+
+// A replica has just started and owes thousands of rows to every entry. Sent as
+// one answer they would not be through before the poll times out, the poll would
+// begin anew, and no entry would learn where any part lies.
+func TestThousandsOfRowsComeInPieces(t *testing.T) {
+	const rows = 8000
+	b := board.New(1)
+	for i := range rows {
+		b.Put(5, fmt.Sprintf("172.20.0.1:8000/m/1/%012d", i), []byte{1, 2, 3})
+	}
+	server, _ := serving(t, b)
+	var mu sync.Mutex
+	got, most := map[string]bool{}, 0
+	done := make(chan struct{})
+	f := NewFollower(FollowerConfig{Node: node(t, keys.Entry), Watcher: "e", Entry: true, Take: func(_ string, a Answer, _ time.Time) {
+		mu.Lock()
+		defer mu.Unlock()
+		bytes := 0
+		for _, r := range a.Rows {
+			got[r.Key] = true
+			bytes += len(r.Key) + len(r.Value)
+		}
+		most = max(most, bytes)
+		if len(got) == rows {
+			select {
+			case <-done:
+			default:
+				close(done)
+			}
+		}
+	}})
+	ctx, cancel := context.WithCancel(t.Context())
+	f.Follow(ctx, []string{server.Address()})
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Errorf("%d of %d rows came", len(got), rows)
+	}
+	cancel()
+	f.Wait()
+	if most > 64<<10 {
+		t.Errorf("one answer had %d bytes", most)
+	}
+}
+
+// A server that leaves is acknowledged only once another replica has the news.
+func TestAwaitReplicas(t *testing.T) {
+	b := board.New(1)
+	server, s := serving(t, b)
+	number := b.Put(2, "s", []byte("leaving"))
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if s.AwaitReplicas(short, number, 1) {
+		t.Fatal("nobody can have the news yet")
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	f := NewFollower(FollowerConfig{Node: node(t, keys.Control), Watcher: "r", Take: func(string, Answer, time.Time) {}})
+	f.Follow(ctx, []string{server.Address()})
+	long, cancelLong := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancelLong()
+	if !s.AwaitReplicas(long, number, 1) {
+		t.Error("the other replica never had the news")
+	}
+	stop()
+	f.Wait()
+}
