--- a/internal/entry/completion/again.go
+++ b/internal/entry/completion/again.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/policy/retry"
 )
 
@@ -42,7 +42,7 @@
 	if !d.Retry {
 		return nil, cause
 	}
-	if !pause(ctx, d.Wait) {
+	if !wait.For(ctx, d.Wait) {
 		return nil, cause
 	}
 	r.meters.retried.Inc()
@@ -72,14 +72,3 @@
 	}
 	return e.WithVerdict(verdict.MayHaveRun)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/entry/control/client.go
+++ b/internal/entry/control/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/control/protocol"
 	"hornbeamwood/internal/control/replica"
 	"hornbeamwood/internal/control/state"
@@ -159,7 +160,7 @@
 		if tried%n != 0 {
 			continue
 		}
-		if !pause(ctx, roundPause) {
+		if !wait.For(ctx, roundPause) {
 			return zero, err
 		}
 	}
@@ -170,14 +171,3 @@
 	defer cancel()
 	return call(ctx, address)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
@@ -150,7 +151,7 @@
 		}
 		next = f.Next
 		l.put(topic.Epochs, address, f.Epoch)
-		sleep(ctx, epochPause)
+		wait.For(ctx, epochPause)
 	}
 }
 
@@ -172,20 +173,11 @@
 			event.StoreLost.Write(l.config.Logger, f)
 		}
 		if err != nil {
-			sleep(ctx, storePause)
+			wait.For(ctx, storePause)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // poll takes one answer of the store.
 func (l *librarian) poll(ctx context.Context, x *shelf) error {
 	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
--- a/internal/process/sitecontrol/loads.go
+++ b/internal/process/sitecontrol/loads.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/site/topic"
 )
 
@@ -21,7 +22,7 @@
 func (p *process) showLoads(ctx context.Context) {
 	for ctx.Err() == nil {
 		n := 1 + p.watched.Entries()/entriesPerInterval
-		sleep(ctx, time.Duration(n)*loadsInterval)
+		wait.For(ctx, time.Duration(n)*loadsInterval)
 		if p.holder.number() != 0 {
 			p.put(topic.Loads, "", p.loads.Sum(time.Now()))
 		}
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/watch"
@@ -115,7 +116,7 @@
 	quiet := 0
 	for ctx.Err() == nil {
 		interval := p.scaled(loadsInterval)
-		pause(ctx, interval)
+		wait.For(ctx, interval)
 		quiet++
 		force := time.Duration(quiet)*interval >= loadsRefresh
 		post, changed := p.site.others.Post(p.tracker.Loads(), force)
@@ -133,19 +134,10 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // tell sends what is pending at each interval.
 func tell[T any](ctx context.Context, node rpc.Node, interval func() time.Duration, n rpc.Notice[[]T], pending func() ([]T, string)) {
 	for ctx.Err() == nil {
-		pause(ctx, interval())
+		wait.For(ctx, interval())
 		all, address := pending()
 		if len(all) == 0 || address == "" {
 			continue
--- a/internal/process/siteentry/thaw.go
+++ b/internal/process/siteentry/thaw.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/node/boottime"
 )
 
@@ -49,7 +50,7 @@
 	for ctx.Err() == nil {
 		t.look()
 		t.ran.Store(int64(boottime.Now()))
-		pause(ctx, thawTick)
+		wait.For(ctx, thawTick)
 	}
 }
 
--- a/internal/serve/backend/client.go
+++ b/internal/serve/backend/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/node/tcp"
 )
 
@@ -169,7 +170,7 @@
 }
 
 func (l *client) dial(ctx context.Context, t Target, deadline time.Time) (*conn, error) {
-	ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(dialTimeout)))
+	ctx, cancel := context.WithDeadline(ctx, wait.Earlier(deadline, time.Now().Add(dialTimeout)))
 	defer cancel()
 	if l.config.Dialled != nil {
 		l.config.Dialled()
@@ -182,13 +183,6 @@
 	return newConn(c), nil
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // put returns a connection after a complete answer.
 func (l *client) put(t Target, c *conn) {
 	l.mu.Lock()
--- a/internal/serve/caller/stream.go
+++ b/internal/serve/caller/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/events"
 	"hornbeamwood/internal/serve/observe"
@@ -103,20 +104,13 @@
 		return errCaller
 	}
 	if j.mayResume() {
-		x.SetDeadline(earlier(j.deadline, now.Add(max(pauseTimes*j.route.Gap, leastPause))))
+		x.SetDeadline(wait.Earlier(j.deadline, now.Add(max(pauseTimes*j.route.Gap, leastPause))))
 	} else {
 		x.SetDeadline(j.deadline)
 	}
 	return nil
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // begin passes the head of the stream on, once.
 func (j *job) begin(r *http.Response) {
 	j.events.started = true
--- a/internal/site/watch/follower.go
+++ b/internal/site/watch/follower.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/node/rpc"
 )
 
@@ -103,7 +104,7 @@
 				lost = true
 				event.ReplicaLost.Write(f.config.Logger, log.Fields{"replica": address, "error": err.Error()})
 			}
-			sleep(ctx, pause)
+			wait.For(ctx, pause)
 			pause = min(2*pause, maxPause)
 			// What was missed is wanted now, and whether anything was.
 			p.Wait = 0
@@ -128,12 +129,3 @@
 	defer cancel()
 	return rpc.Call(ctx, f.config.Node, address, Watch, p)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/site/weights/rollout.go
+++ b/internal/site/weights/rollout.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/site/directory"
 )
 
@@ -206,7 +207,7 @@
 			<-r.draining
 			return
 		}
-		pause(ctx, placePause)
+		wait.For(ctx, placePause)
 	}
 	<-r.draining
 	defer r.leavePlace(s.ID)
@@ -233,13 +234,13 @@
 // drain waits until the engine's requests have ended.
 func (r *rollout) drain(ctx context.Context, s directory.Server) {
 	began := time.Now()
-	pause(ctx, drainLeast)
+	wait.For(ctx, drainLeast)
 	for ctx.Err() == nil && time.Since(began) < drainMost {
 		p, err := r.report(ctx, s)
 		if err != nil || p.Running+p.Waiting == 0 {
 			return
 		}
-		pause(ctx, lookInterval)
+		wait.For(ctx, lookInterval)
 	}
 }
 
@@ -268,7 +269,7 @@
 		case !p.Busy && !r.give(ctx, s, Order{Model: model, Version: version, Sequence: p.Sequence}):
 			return
 		}
-		pause(ctx, lookInterval)
+		wait.For(ctx, lookInterval)
 	}
 }
 
@@ -292,12 +293,3 @@
 	}
 	return got == Accepted || got == Held || got == Conflict || got == Unanswered
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
