Split the choice of engines and the control process; settings that no code reads are gone

Functions are moved unchanged. The provider's max_fds, drain_ms, thaw_slack_ms, version_ms and fencing_enforced were decoded and read by nobody: orders are given as if fencing numbers were not checked, which holds either way.

--- a/deploy/soak/proxy.go
+++ b/deploy/soak/proxy.go
@@ -11,7 +11,7 @@
 type mood int
 
 const (
-	// clear passes bytes on.
+	// clearly passes bytes on.
 	clearly mood = iota
 	// slowly delays each piece.
 	slowly
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,8 +21,6 @@
 	"hornbeamwood/internal/control/state"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
-	"hornbeamwood/internal/node/tcp"
-	"hornbeamwood/internal/process/platform"
 	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/settings/lease"
 	"hornbeamwood/internal/site/board"
@@ -37,12 +34,8 @@
 )
 
 const (
-	// headerTimeout bounds how long a request's headers may take.
-	headerTimeout = 3 * time.Second
 	// stopTimeout bounds the hand-over of leadership; a stop without a quorum must end too.
 	stopTimeout = 3 * time.Second
-	// membersInterval is the time between two looks at the members of the log.
-	membersInterval = 250 * time.Millisecond
 )
 
 // Config is what a Process needs.
@@ -233,47 +226,6 @@
 	}
 }
 
-// addresses returns where replicas may be found: the members of the log, the seeds, and whom this process heard of before.
-func (p *process) addresses() []string {
-	all := slices.Clone(p.host.Load().Seeds)
-	for _, m := range p.replica.Status().Members {
-		all = append(all, m.Address)
-	}
-	slices.Sort(all)
-	all = slices.Compact(all)
-	return slices.DeleteFunc(all, func(a string) bool { return a == p.config.Host.Internal })
-}
-
-// followMembers keeps the polls and the board's row of members up to date.
-func (p *process) followMembers(ctx context.Context) {
-	t := time.NewTicker(membersInterval)
-	defer t.Stop()
-	for {
-		all := p.addresses()
-		p.peers.Store(&all)
-		p.follower.Follow(ctx, all)
-		p.showMembers()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-func (p *process) showMembers() {
-	members := p.replica.Status().Members
-	if len(members) == 0 {
-		return
-	}
-	addresses := make([]string, 0, len(members))
-	for _, m := range members {
-		addresses = append(addresses, m.Address)
-	}
-	slices.Sort(addresses)
-	p.put(topic.Members, "", slices.Compact(addresses))
-}
-
 // Run implements Process.
 func (p *process) Run(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -322,40 +274,3 @@
 	p.transport.Close()
 	return errors.Join(err, p.node.Close())
 }
-
-// serve answers operators, servers and the collector of metrics.
-func (p *process) serve(ctx context.Context) error {
-	if err := p.listen(ctx, p.config.Host.Listen, p.config.Handler(p)); err != nil {
-		return err
-	}
-	if p.config.Host.Metrics == "" {
-		return nil
-	}
-	return p.listen(ctx, p.config.Host.Metrics, platform.New(platform.Config{Ready: p.ready, Metrics: p.metrics}))
-}
-
-func (p *process) listen(ctx context.Context, address string, h http.Handler) error {
-	l, err := tcp.Listen(ctx, address)
-	if err != nil {
-		return fmt.Errorf("control: %w", err)
-	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	p.loops.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			event.ReplicaFailed.Write(p.config.Logger, log.Fields{"replica": address, "error": err.Error()})
-		}
-	})
-	p.loops.Go(func() {
-		<-ctx.Done()
-		// The connections that are left wait for answers that this process can't give any more.
-		_ = s.Close()
-	})
-	return nil
-}
-
-func (p *process) ready() error {
-	if s := p.replica.Status(); !s.CaughtUp {
-		return fmt.Errorf("the replica is %s and has not caught up", s.Role)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/process/sitecontrol/serve.go
@@ -0,0 +1,55 @@
+package sitecontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/node/tcp"
+	"hornbeamwood/internal/process/platform"
+)
+
+// headerTimeout bounds how long a request's headers may take.
+const headerTimeout = 3 * time.Second
+
+// serve answers operators, servers and the collector of metrics.
+func (p *process) serve(ctx context.Context) error {
+	if err := p.listen(ctx, p.config.Host.Listen, p.config.Handler(p)); err != nil {
+		return err
+	}
+	if p.config.Host.Metrics == "" {
+		return nil
+	}
+	return p.listen(ctx, p.config.Host.Metrics, platform.New(platform.Config{Ready: p.ready, Metrics: p.metrics}))
+}
+
+func (p *process) listen(ctx context.Context, address string, h http.Handler) error {
+	l, err := tcp.Listen(ctx, address)
+	if err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	p.loops.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			event.ReplicaFailed.Write(p.config.Logger, log.Fields{"replica": address, "error": err.Error()})
+		}
+	})
+	p.loops.Go(func() {
+		<-ctx.Done()
+		// The connections that are left wait for answers that this process can't give any more.
+		_ = s.Close()
+	})
+	return nil
+}
+
+func (p *process) ready() error {
+	if s := p.replica.Status(); !s.CaughtUp {
+		return fmt.Errorf("the replica is %s and has not caught up", s.Role)
+	}
+	return nil
+}
--- a/internal/serve/caller/pass.go
+++ b/internal/serve/caller/pass.go
@@ -99,7 +99,7 @@
 // whole reads an answer to its end before the caller gets a byte of it.
 func (j *job) whole(a *observe.Attempt, x *backend.Exchange) (bool, string) {
 	if x.Response.ContentLength > wholeBytes {
-		return j.large(a, x)
+		return j.largeRest(a, x, nil)
 	}
 	var body bytes.Buffer
 	n, err := body.ReadFrom(io.LimitReader(x, wholeBytes+1))
@@ -133,11 +133,8 @@
 	_, _ = j.writer.Write(got.body)
 }
 
-// large passes a long answer on while it comes; once it has begun, no other server can go on with it.
-func (j *job) large(a *observe.Attempt, x *backend.Exchange) (bool, string) {
-	return j.largeRest(a, x, nil)
-}
-
+// largeRest passes a long answer on while it comes, after what has been read of
+// it; once it has begun, no other server can go on with it.
 func (j *job) largeRest(a *observe.Attempt, x *backend.Exchange, begun []byte) (bool, string) {
 	copyHeader(j.writer.Header(), x.Response.Header)
 	if x.Response.ContentLength >= 0 {
--- /dev/null
+++ b/internal/serve/choose/cost.go
@@ -0,0 +1,137 @@
+package choose
+
+// plan weighs one engine. A part is of use only if all parts before it are there.
+func (e Engine) plan(c Candidate, homes []string) Plan {
+	p := Plan{Fetch: make([]string, len(e.Parts))}
+	total, whole := 0, true
+	for i, part := range e.Parts {
+		total += part.Tokens
+		switch {
+		case whole && e.Holds != nil && e.Holds(c.Server.ID, part):
+			// The engine moves nothing that it has; if it has lost the part, the copy spares reading it again.
+			copied, _ := e.nearest(c, part)
+			p.Fetch[i] = copied.Address
+			p.From += "m"
+		case whole && e.elsewhere(c, part):
+			copied, millis := e.nearest(c, part)
+			p.Fetch[i] = copied.Address
+			p.Millis += millis
+			p.From += from(copied)
+		default:
+			whole = false
+			p.From += "r"
+			p.Missing += part.Tokens
+			p.Millis += e.reading(c, part, homes[i])
+		}
+	}
+	p.Millis += e.waiting(c) + e.crowding(c, total) + e.disturbing(c, p.Missing)
+	p.Fits = e.fits(c, total)
+	if c.Server.Zone != e.Zone {
+		p.Millis += otherZoneMillis
+	}
+	if e.Random != nil {
+		p.Millis += millisJitter * e.Random.Float64()
+	}
+	return p
+}
+
+// elsewhere returns whether the part can be fetched.
+func (e Engine) elsewhere(c Candidate, part Part) bool {
+	for _, k := range part.Copies {
+		if k.Server != c.Server.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// from returns the letter for a part that is fetched.
+func from(k Copy) string {
+	if k.Server != "" {
+		return "e"
+	}
+	return "s"
+}
+
+func (e Engine) reading(c Candidate, part Part, home string) float64 {
+	millis := float64(part.Tokens) / readRate
+	if !part.Shared {
+		return millis
+	}
+	millis *= againCost
+	if c.Server.ID != home {
+		millis += homeMillis * min(1, float64(part.Tokens)/longPart)
+	}
+	return millis
+}
+
+// nearest returns the copy that arrives first and how long it takes in milliseconds.
+func (e Engine) nearest(c Candidate, part Part) (Copy, float64) {
+	found, lowest := Copy{}, 0.0
+	for _, k := range part.Copies {
+		if k.Server == c.Server.ID {
+			continue
+		}
+		millis := moveCost * float64(part.Tokens) * k.PerToken.Seconds() * 1000
+		if k.Zone != c.Server.Zone {
+			millis *= 2
+		}
+		millis += k.First.Seconds()*1000 + float64(k.Queued)*k.PerToken.Seconds()*1000
+		if found.Address == "" || millis < lowest {
+			found, lowest = k, millis
+		}
+	}
+	return found, lowest
+}
+
+// waiting returns how long the prompts before this one take.
+func (e Engine) waiting(c Candidate) float64 {
+	return float64(c.Track.Reading) / readRate
+}
+
+// crowding returns what the engine's other requests cost this one.
+func (e Engine) crowding(c Candidate, tokens int) float64 {
+	millis := busyMillis * c.load(e.Now) / float64(max(1, c.Server.Slots))
+	if e.Capacity > 0 && c.Track.Held+tokens+e.Output > e.Capacity {
+		millis += memoryMillis
+	}
+	return millis
+}
+
+// disturbing returns what the pauses cost that reading puts into the streams at
+// the engine, this one's own among them.
+//
+// An engine reads a chunk of a prompt between two steps. While it reads a long
+// prompt, each event waits for as many chunks as it has tokens, and when that is
+// longer than a timely pause every stream there is late.
+func (e Engine) disturbing(c Candidate, missing int) float64 {
+	if e.Gap <= 0 || e.Stride <= 0 {
+		return 0
+	}
+	limit := pauseMargin * float64(e.Gap.Milliseconds())
+	before, after := e.pause(c.Track.Reading), e.pause(c.Track.Reading+missing)
+	switch {
+	case before > limit:
+		return latePauseMillis
+	case after > limit:
+		return latePauseMillis * float64(c.Track.InFlight)
+	}
+	return 0
+}
+
+// pause returns how long an event takes while so many tokens are read, in milliseconds.
+func (e Engine) pause(reading int) float64 {
+	read := float64(min(reading, e.Stride*chunkTokens)) / readRate
+	return read + float64(e.Stride)*stepMillis
+}
+
+// fits returns whether the engine has room: slots, memory, and time to read.
+// An engine without any request takes each one that can run at all.
+func (e Engine) fits(c Candidate, tokens int) bool {
+	if c.Track.InFlight == 0 {
+		return true
+	}
+	return c.Track.InFlight < c.Server.Slots &&
+		c.Track.Held+tokens+e.Output <= int(roomShare*float64(e.Capacity)) &&
+		c.Track.Reading <= mostReading
+}
--- a/internal/site/host/host.go
+++ b/internal/site/host/host.go
@@ -24,8 +24,6 @@
 	DataFolder string
 	// MemoryBytes is the most memory that the process may use.
 	MemoryBytes int64
-	// MaxFiles is how many sockets and files it may have open.
-	MaxFiles int
 	// Bounds are the site's promises.
 	Bounds Bounds
 }
@@ -36,20 +34,12 @@
 	Heartbeat time.Duration
 	// Grace is how long a process may run on after the signal to stop.
 	Grace time.Duration
-	// Drain is how soon a leaving server must get no more requests.
-	Drain time.Duration
 	// Lease is how long the giver of orders counts after its last sign of life.
 	Lease time.Duration
-	// Thaw is how long orders are excused that were sent before a freeze.
-	Thaw time.Duration
 	// RetryRatio is the part of a service's requests that may be repeated within RetryWindow.
 	RetryRatio float64
 	// RetryWindow is the span that repeats are counted in.
 	RetryWindow time.Duration
 	// RetrySlack is how many more repeats the whole fleet may make in RetryWindow.
 	RetrySlack float64
-	// Version is how soon requests must run on newly named weights.
-	Version time.Duration
-	// FencingEnforced says that servers refuse orders with a lower fencing number than one they have seen.
-	FencingEnforced bool
 }
