--- a/internal/entry/engine/stream.go
+++ b/internal/entry/engine/stream.go
@@ -105,6 +105,10 @@
 func (s *stream) Next() ([]byte, error) {
 	for s.ended == nil {
 		data, err := s.take()
+		if err == nil && s.context.Err() != nil {
+			// It had arrived before the caller left, or at the same moment.
+			err = s.context.Err()
+		}
 		if err == nil && data != nil {
 			return data, nil
 		}
