The document bounds callers' headers and idle connections; checks of the balancer are forgotten

Cause: an audit of settings that no code reads. The limits on header bytes and on the time for headers and idle connections were decoded and ignored; fixed bounds of 64 KiB, 5 s and 40 s held. A document that allows a minute of idleness would have callers' requests cross the closing at 40 s. Found beside it: connections of the balancer's checks were entered among those of callers and never left.

Ruled out: setting the timeouts of the standard server, which are fixed at its start while the limits come with each document.

Change: a connection is resting, heading or serving since a time, and those whose time is up are closed, by the document in force. Headers beyond their limit are answered 431. Only connections that tell their states are followed.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -30,13 +30,10 @@
 )
 
 const (
-	// headerTimeout bounds how long a caller's headers may take when no document says otherwise.
+	// headerTimeout bounds how long the headers of a check by the balancer or the collector of metrics may take.
 	headerTimeout = 5 * time.Second
-	// idleTimeout is how long an idle connection of a caller is kept: longer
-	// than documents promise, so that a request never crosses the closing.
-	idleTimeout = 40 * time.Second
-	// maxHeaderBytes bounds the headers of a request before a document's limit is looked at.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the headers that are read before the document's limit is looked at.
+	maxHeaderBytes = 1 << 20
 	// closeIdleAfter is how long after the signal to stop the idle connections of
 	// callers are closed: the balancer asks every second and turns away after two
 	// answers, so that their next connections go to other entries.
@@ -171,6 +168,7 @@
 	p.loops.Go(func() { p.tellReadings(serving) })
 	p.loops.Go(func() { p.tellUses(serving) })
 	p.loops.Go(func() { p.tellLoads(serving) })
+	p.loops.Go(func() { p.expireAll(serving) })
 	p.loops.Go(func() {
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.seeds.Store(&h.Seeds) }, p.config.Logger)
 	})
@@ -226,12 +224,11 @@
 
 // serve listens for callers, the balancer and the collector of metrics.
 func (p *process) serve(ctx context.Context) error {
+	// Timeouts of callers come with the document: expireAll applies them.
 	callers := &http.Server{
-		Handler:           http.HandlerFunc(p.count),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         p.conns.changed,
+		Handler:        http.HandlerFunc(p.count),
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnState:      p.conns.changed,
 	}
 	if err := p.listen(ctx, p.config.Host.Listen, callers); err != nil {
 		return err
@@ -245,26 +242,20 @@
 	return p.listen(ctx, p.config.Host.Metrics, &http.Server{Handler: platform.New(platform.Config{Ready: p.why, Metrics: p.metrics}), ReadHeaderTimeout: headerTimeout})
 }
 
-func (p *process) why() error {
-	if !p.ready() {
-		return errors.New("the entry has no document yet, or stops")
-	}
-	return nil
-}
-
-func (p *process) count(w http.ResponseWriter, q *http.Request) {
-	p.running.Add(1)
-	defer p.running.Add(-1)
-	p.handler.ServeHTTP(w, q)
-}
-
+// listen serves on an address until ctx ends.
+//
+// Only connections of a server that tells their states are followed: of others
+// the entry would never hear that they have closed.
 func (p *process) listen(ctx context.Context, address string, s *http.Server) error {
 	l, err := tcp.Listen(ctx, address)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
+	if s.ConnState != nil {
+		l = listener{l, p.conns}
+	}
 	p.loops.Go(func() {
-		if err := s.Serve(listener{l, p.conns}); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			event.NoticeRefused.Write(p.config.Logger, log.Fields{"notice": "listen " + address, "error": err.Error()})
 		}
 	})
@@ -276,6 +267,19 @@
 	return nil
 }
 
+func (p *process) why() error {
+	if !p.ready() {
+		return errors.New("the entry has no document yet, or stops")
+	}
+	return nil
+}
+
+func (p *process) count(w http.ResponseWriter, q *http.Request) {
+	p.running.Add(1)
+	defer p.running.Add(-1)
+	p.handler.ServeHTTP(w, q)
+}
+
 // drain serves on until the balancer has turned away and the last request has ended, or the time is up.
 //
 // Requests keep coming for a while on new and kept connections; each answer
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -187,6 +187,14 @@
 	return nil
 }
 
+// limits returns what the document in force allows callers; none without a document.
+func (s *site) limits() document.Limits {
+	if t := s.Table(); t != nil {
+		return t.Document().Limits
+	}
+	return document.Limits{}
+}
+
 // Await implements caller.Site.
 func (s *site) Await(ctx context.Context) {
 	select {
--- a/internal/serve/caller/gateway.go
+++ b/internal/serve/caller/gateway.go
@@ -65,6 +65,9 @@
 		return j.reject(http.StatusServiceUnavailable, "no-document", retrySoon)
 	}
 	j.number = table.Document().Number
+	if most := table.Document().Limits.HeaderBytes; most > 0 && headerBytes(q) > most {
+		return j.reject(http.StatusRequestHeaderFieldsTooLarge, "headers-too-large", 0)
+	}
 	host, _, _ := strings.Cut(r.Host, ":")
 	route, ok := table.Route(host, r.Path())
 	if !ok {
@@ -83,6 +86,19 @@
 	return j.readBody(q, table.Document().Limits)
 }
 
+// headerBytes returns how long the request's head was on the wire.
+func headerBytes(q *http.Request) int {
+	const lineEnd, separator = len("\r\n"), len(": ")
+	n := len(q.Method) + len(" ") + len(q.RequestURI) + len(" HTTP/1.1") + lineEnd
+	n += len("Host: ") + len(q.Host) + lineEnd
+	for name, values := range q.Header {
+		for _, v := range values {
+			n += len(name) + separator + len(v) + lineEnd
+		}
+	}
+	return n + lineEnd
+}
+
 // table returns the document in force; a process that has just started waits for it a moment.
 //
 // After a loss of power entries are back before the control log has a leader,
--- a/internal/serve/caller/gateway_test.go
+++ b/internal/serve/caller/gateway_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -8,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"hornbeamwood/internal/site/document"
 )
 
 // A server takes a stamp request and its connection breaks before the answer.
@@ -262,3 +265,48 @@
 		t.Errorf("status %d after %d and %d arrivals", r.StatusCode, b.servers[0].count(), b.servers[1].count())
 	}
 }
+
+// An operator bounds the headers of requests, so that no caller fills the
+// memory of a small entry with them. One byte more than that is refused, and the
+// request within the bound is served.
+func TestDocumentBoundsHeaders(t *testing.T) {
+	b := newBench(t, answerOK("x"))
+	d := b.site.table.Document()
+	const most = 600
+	d.Limits.HeaderBytes = most
+	b.site.table = document.NewTable(d)
+	head := "GET /read/a HTTP/1.1\r\nHost: h\r\nA-Id: r\r\nPadding: %s\r\n\r\n"
+	for _, x := range []struct {
+		bytes, status int
+	}{{most, http.StatusOK}, {most + 1, http.StatusRequestHeaderFieldsTooLarge}} {
+		text := fmt.Sprintf(head, strings.Repeat("x", x.bytes-len(head)+len("%s")))
+		if len(text) != x.bytes {
+			t.Fatalf("the head has %d bytes", len(text))
+		}
+		if got := b.send(t, text); got != x.status {
+			t.Errorf("%d bytes: %d", x.bytes, got)
+		}
+	}
+	if n := b.servers[0].count(); n != 1 {
+		t.Errorf("%d requests reached the server", n)
+	}
+}
+
+// send sends a request as it stands and returns the status of its answer.
+func (b *bench) send(t *testing.T, text string) int {
+	t.Helper()
+	c, err := net.Dial("tcp", b.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = r.Body.Close()
+	return r.StatusCode
+}
