The lease for orders lasts 1.5 s; it is given back at a planned stop

Cause: when the holder of the lease stands still, entries learn nothing of stores, nor of what all have at engines, until another replica holds it. The comment that a stopping holder gives the lease back was not true either.

Ruled out: showing parts without the lease. Who frees must be who shows, or an entry could have a part fetched that is being freed.

Change: the lease lasts 1.5 s and is renewed every 400 ms; the first order still waits for the site's time between two givers. A holder that only was late to renew goes on without a new wait. The next holder looks every 100 ms.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -135,12 +135,12 @@
 
 // orders sets up what this replica does while it holds the lease.
 func (p *process) orders() {
-	d := p.config.Host.Bounds.Lease
-	if d <= 0 {
-		d = defaultLease
+	turn := p.config.Host.Bounds.Lease
+	if turn <= 0 {
+		turn = defaultTurn
 	}
 	p.holder = &holder{
-		name: p.config.Host.Internal, duration: d,
+		name: p.config.Host.Internal, turn: turn,
 		propose: p.leader.Propose, leads: p.leads, logger: p.config.Logger,
 	}
 	p.librarian = &librarian{process: p, client: p.config.Stores, clock: stores.NewClock(), shelves: map[string]*shelf{}, epochs: map[string]context.CancelFunc{}}
@@ -256,6 +256,7 @@
 	case <-p.replica.Done():
 	}
 	event.ProcessStopping.Write(p.config.Logger, log.Fields{"role": "control", "name": p.config.Host.Name})
+	p.holder.release(serving)
 	err := p.close()
 	stop()
 	p.loops.Wait()
--- a/internal/process/sitecontrol/lease.go
+++ b/internal/process/sitecontrol/lease.go
@@ -18,23 +18,29 @@
 const (
 	// ordersLease names the lease for orders to servers and stores.
 	ordersLease = "orders"
-	// renewInterval is the time between two renewals, several within a lease.
-	renewInterval = 600 * time.Millisecond
+	// leaseDuration is how long the lease lasts at most. Until it has run out no
+	// other replica tells entries what lies in stores and what all of them have at
+	// engines, and engines read again what lies there.
+	leaseDuration = 1500 * time.Millisecond
+	// renewInterval is the time between two renewals: with orderMargin one may be
+	// late by as much again until orders stop.
+	renewInterval = 400 * time.Millisecond
 	// renewTimeout bounds one renewal.
 	renewTimeout = time.Second
 	// orderMargin is kept off the end of the lease for the way of an order to its server.
 	orderMargin = 700 * time.Millisecond
-	// defaultLease is used where the site doesn't say how long a giver of orders counts.
-	defaultLease = 3 * time.Second
+	// defaultTurn is used where the site doesn't say how long apart two givers of orders must be.
+	defaultTurn = 3 * time.Second
 )
 
 // holder holds the lease for orders while this replica leads the log.
 type holder struct {
-	name     string
-	duration time.Duration
-	propose  func(ctx context.Context, section string, body []byte) ([]byte, error)
-	leads    func() bool
-	logger   log.Interface
+	name string
+	// turn is how long after its grant a holder gives its first order.
+	turn    time.Duration
+	propose func(ctx context.Context, section string, body []byte) ([]byte, error)
+	leads   func() bool
+	logger  log.Interface
 
 	mu sync.Mutex
 	// fencing is zero while the lease isn't held; until is its end by the boot
@@ -46,6 +52,8 @@
 	granted time.Duration
 	// refused is the highest number that a server has refused.
 	refused uint64
+	// released says that the process stops and asks for the lease no more.
+	released bool
 }
 
 // held returns the fencing number while orders may be given.
@@ -85,7 +93,7 @@
 	h.tell("a server has seen a higher number")
 }
 
-// run renews until ctx ends and then gives the lease back.
+// run renews until ctx ends.
 func (h *holder) run(ctx context.Context) {
 	t := time.NewTicker(renewInterval)
 	defer t.Stop()
@@ -94,19 +102,48 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			if h.leads() {
+			if h.leads() && !h.stopping() {
 				h.renew(ctx)
 			}
 		}
 	}
 }
 
+func (h *holder) stopping() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.released
+}
+
+// release gives the lease back before a planned stop, so that the next leader
+// need not wait until it has run out.
+func (h *holder) release(ctx context.Context) {
+	h.mu.Lock()
+	fencing := h.fencing
+	h.fencing, h.released = 0, true
+	h.mu.Unlock()
+	if fencing == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	body, err := codec.Marshal(controllease.Command{Release: &controllease.Release{Name: ordersLease, Holder: h.holderName(), Fencing: fencing}})
+	if err == nil {
+		_, err = h.propose(ctx, controllease.Name, body)
+	}
+	if err != nil {
+		h.fail(err)
+		return
+	}
+	h.tell("released")
+}
+
 // renew acquires the lease, or makes it last longer when this process holds it.
 func (h *holder) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	asked := boottime.Now()
-	body, err := codec.Marshal(controllease.Command{Acquire: &controllease.Acquire{Name: ordersLease, Holder: h.holderName(), Duration: h.duration}})
+	body, err := codec.Marshal(controllease.Command{Acquire: &controllease.Acquire{Name: ordersLease, Holder: h.holderName(), Duration: leaseDuration}})
 	if err != nil {
 		h.fail(err)
 		return
@@ -135,29 +172,34 @@
 
 // take counts the lease from when it was asked for.
 //
-// The first order waits for as long as a lease lasts: whoever held the lease
-// before may have ordered right before it ran out, and servers that don't check
-// numbers would see two givers by turns.
+// The first order waits for the site's time between two givers: whoever held the
+// lease before may have ordered right before it ran out, and servers that don't
+// check numbers would see two givers by turns.
 func (h *holder) take(r controllease.Result, asked time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !r.Granted {
+	if !r.Granted || h.released {
 		if h.fencing != 0 {
 			h.fencing = 0
 			h.tell("another replica holds it")
 		}
 		return
 	}
+	if h.fencing != 0 && r.Fencing == h.fencing+1 && h.refused < h.fencing {
+		// It ran out, as behind a slow disk, and nobody else had it since.
+		h.fencing = r.Fencing
+		h.tell("granted again")
+	}
 	if r.Fencing != h.fencing {
 		h.fencing = r.Fencing
 		h.from = boottime.Now()
 		h.granted = h.from
 		if r.Fencing > 1 {
-			h.from += max(r.Wait, h.duration)
+			h.from += max(r.Wait, h.turn)
 		}
 		h.tell("granted")
 	}
-	h.until = asked + h.duration
+	h.until = asked + leaseDuration
 }
 
 func (h *holder) tell(why string) {
--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -26,6 +26,9 @@
 	// epochPause is the time between two looks whether a store has restarted: a
 	// restart takes seconds.
 	epochPause = 400 * time.Millisecond
+	// followInterval is the time between two looks whether this replica has got the
+	// lease, or stores have come: entries know of no store until its holder lists them.
+	followInterval = 100 * time.Millisecond
 	// freeInterval is the time between two looks for parts to free.
 	freeInterval = 500 * time.Millisecond
 	// fullShare is the part of a store's room that may be taken before its oldest
@@ -66,8 +69,9 @@
 
 // run follows the document's stores until ctx ends.
 func (l *librarian) run(ctx context.Context) {
-	t := time.NewTicker(freeInterval)
-	defer t.Stop()
+	follow, free := time.NewTicker(followInterval), time.NewTicker(freeInterval)
+	defer follow.Stop()
+	defer free.Stop()
 	var all sync.WaitGroup
 	defer all.Wait()
 	for {
@@ -75,7 +79,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-follow.C:
+		case <-free.C:
 			l.free(ctx)
 		}
 	}
