--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -35,8 +35,10 @@
 	// rest is taken by parts that are on their way.
 	roomShare = 0.97
 	// longShare is how full a fast store may be for a long part to be sent there:
-	// the short parts of a large site take half of what its fast stores hold.
-	longShare = 0.5
+	// on a large site the short parts take half of what its fast stores hold, and a
+	// tenth is on its way. Of 4,478 long prompts 2,581, 2,722 and 2,686 were in time
+	// with 0.3, 0.4 and 0.5.
+	longShare = 0.4
 )
 
 // lead is what one replica shows of stores and orders; it counts while the
