Entries tell each other of servers that refuse connections

After a 421 an entry sent the next request to the same server.

Ruled out: waiting for missed heartbeats, which takes 3 s. Sharing timeouts: an entry may be cut off in a way of its own.

Change: a refused connection is told with the loads for a second; a server that two others were refused by is set aside unless this entry had an answer just now. A server that says it isn't the one that was meant is set aside for a second.

--- a/internal/serve/backend/client.go
+++ b/internal/serve/backend/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
@@ -178,7 +179,11 @@
 	c, err := tcp.Dial(ctx, t.Address)
 	if err != nil {
 		l.release(t)
-		return nil, &Error{Verdict: verdict.NotRun, Reason: Unreachable, Cause: err}
+		reason := Unreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			reason = Refused
+		}
+		return nil, &Error{Verdict: verdict.NotRun, Reason: reason, Cause: err}
 	}
 	return newConn(c), nil
 }
--- a/internal/serve/backend/error.go
+++ b/internal/serve/backend/error.go
@@ -13,6 +13,8 @@
 const (
 	// Unreachable means that no connection came about.
 	Unreachable Reason = "unreachable"
+	// Refused means that nobody listens at the server's address.
+	Refused Reason = "refused"
 	// Saturated means that this process has all the connections that it may have.
 	Saturated Reason = "saturated"
 	// Broken means that the connection ended.
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -55,6 +55,7 @@
 		t.InFlight += o.InFlight
 		t.Reading += o.Reading
 		t.Held += o.Held
+		t.RefusedBy = o.Refused
 		all = append(all, choose.Candidate{Server: s, Track: t})
 	}
 	return all
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -193,6 +193,8 @@
 		o = observe.Abandoned
 	case e != nil && e.Reason == backend.Saturated:
 		o = observe.Rejected
+	case e != nil && e.Reason == backend.Refused:
+		o = observe.Refused
 	case v == verdict.NotRun:
 		o = observe.Unreachable
 	}
--- a/internal/serve/caller/pass.go
+++ b/internal/serve/caller/pass.go
@@ -72,7 +72,11 @@
 // rejected counts the server's word that it hasn't run the request.
 func (j *job) rejected(a *observe.Attempt, x *backend.Exchange, told request.Answer) string {
 	discard(x)
-	j.Tracker.End(a, observe.Rejected, time.Now())
+	o := observe.Rejected
+	if x.Response.StatusCode == http.StatusMisdirectedRequest {
+		o = observe.Misdirected
+	}
+	j.Tracker.End(a, o, time.Now())
 	reason := "rejected-" + strconv.Itoa(x.Response.StatusCode)
 	j.note(a.Server, reason, verdict.NotRun, nil)
 	return reason
--- a/internal/serve/choose/candidate.go
+++ b/internal/serve/choose/candidate.go
@@ -18,6 +18,10 @@
 const (
 	// reportFresh is how old a server's report may be to count whole; its weight falls to nothing at twice that.
 	reportFresh = 500 * time.Millisecond
+	// refusals is how many other entries must have been refused for a server to be set aside here.
+	refusals = 2
+	// answeredLately is how long an answer to this entry counts for more than others' refusals.
+	answeredLately = 300 * time.Millisecond
 	// provenFor is how long an answer proves that a server lives whose announcements have stopped.
 	provenFor = 1500 * time.Millisecond
 )
@@ -29,13 +33,13 @@
 	usable standing = iota
 	// doubtful servers have stopped announcing themselves and haven't answered lately.
 	doubtful
-	// aside servers gave no answer to several requests in a row.
+	// aside servers gave no answer to several requests in a row, or refuse connections of several entries.
 	aside
 )
 
 func (c Candidate) standing(now time.Time) standing {
 	switch {
-	case now.Before(c.Track.SetAside):
+	case now.Before(c.Track.SetAside), c.refuses(now):
 		return aside
 	case c.Server.Silent && now.Sub(c.Track.Answered) > provenFor:
 		return doubtful
@@ -43,6 +47,17 @@
 	return usable
 }
 
+// refuses returns whether other entries were refused by the server and this one
+// has no later answer.
+//
+// A server that has crashed looks idle: nothing waits there. Each of many entries
+// would send it a request before it knows by itself, while announcements are
+// missed only seconds later. One entry may be cut off in a way of its own, two
+// that are refused are not.
+func (c Candidate) refuses(now time.Time) bool {
+	return c.Track.RefusedBy >= refusals && now.Sub(c.Track.Answered) > answeredLately
+}
+
 // load returns how many requests the server has, as far as this entry can tell.
 func (c Candidate) load(now time.Time) float64 {
 	own := float64(c.Track.InFlight)
--- a/internal/serve/choose/engine_test.go
+++ b/internal/serve/choose/engine_test.go
@@ -133,3 +133,25 @@
 		}
 	}
 }
+
+// A third of ninety engines crash at the same moment and are back a second later.
+// They look idle, so that all prompts of that second go to them: each of 86 entries
+// finds out by itself, callers are refused, and the retries that the fleet may make
+// are used up. Two entries that were refused are enough for the others.
+func TestEnginesThatRefuseOthersAreSetAside(t *testing.T) {
+	all := engines(2)
+	all[1].Track = observe.Track{InFlight: 6, Held: 30000}
+	for _, x := range []struct {
+		refused  int
+		answered time.Duration
+		at       int
+	}{{0, time.Minute, 0}, {1, time.Minute, 0}, {2, time.Minute, 1}, {9, 100 * time.Millisecond, 0}} {
+		all[0].Track = observe.Track{RefusedBy: x.refused, Answered: now.Add(-x.answered)}
+		if p := long(100).Pick(all); p.At != x.at {
+			t.Errorf("%d entries refused, own answer %s ago: engine %d", x.refused, x.answered, p.At)
+		}
+	}
+	if p := long(100).Pick(all[:1]); p.At != 0 {
+		t.Error("the last engine isn't tried")
+	}
+}
--- a/internal/serve/observe/outcome.go
+++ b/internal/serve/observe/outcome.go
@@ -14,6 +14,11 @@
 	Lost
 	// Unreachable means that no connection came about.
 	Unreachable
+	// Refused means that nobody listens at the server's address.
+	Refused
+	// Misdirected means that another server than the one that was meant, or one with
+	// other weights, said that it is not the right one.
+	Misdirected
 	// Abandoned means that the caller left; it says nothing of the server.
 	Abandoned
 )
--- a/internal/serve/observe/track.go
+++ b/internal/serve/observe/track.go
@@ -18,6 +18,10 @@
 	Latency time.Duration
 	// SetAside is until when the server gets nothing while others are there.
 	SetAside time.Time
+	// Refused is when a connection was last refused, RefusedBy how many other entries
+	// were refused lately.
+	Refused   time.Time
+	RefusedBy int
 	// Answered is when it last answered.
 	Answered time.Time
 	// Running, Waiting and Slots are its own report, at Reported.
--- a/internal/serve/observe/tracker.go
+++ b/internal/serve/observe/tracker.go
@@ -21,6 +21,9 @@
 	// asideFirst and asideMost bound how long; it doubles with each further failure.
 	asideFirst = time.Second
 	asideMost  = 6 * time.Second
+	// refusedFor is how long others are told of a refused connection: a server that
+	// crashed is back after a second at the earliest.
+	refusedFor = time.Second
 	// forgetAfter is how long a server without requests is remembered.
 	forgetAfter = 2 * time.Minute
 )
@@ -200,15 +203,22 @@
 	switch o {
 	case Abandoned, Rejected:
 		return
+	case Misdirected:
+		// The next announcement tells more; until it comes each try would be in vain.
+		x.SetAside = now.Add(asideFirst)
+		return
 	case Served:
 		x.Failures -= failureWeight * x.Failures
 		return
 	case Failed:
 		x.Answered = now
 		x.Streak = 0
-	case Lost, Unreachable:
+	case Lost, Unreachable, Refused:
+		if o == Refused {
+			x.Refused = now
+		}
 		x.Streak++
-		if x.Streak >= asideStreak || o == Unreachable {
+		if x.Streak >= asideStreak || o != Lost {
 			x.aside = min(asideMost, max(asideFirst, 2*x.aside))
 			x.SetAside = now.Add(x.aside)
 		}
@@ -238,13 +248,17 @@
 
 // Loads implements Tracker.
 func (t *tracker) Loads() share.Loads {
-	all := share.Loads{}
+	all, now := share.Loads{}, time.Now()
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for id, x := range s.servers {
-			if x.Held > 0 {
-				all[id] = share.Load{InFlight: x.InFlight, Reading: x.Reading, Held: x.Held}
+			refused := 0
+			if now.Sub(x.Refused) < refusedFor {
+				refused = 1
+			}
+			if x.Held > 0 || refused > 0 {
+				all[id] = share.Load{InFlight: x.InFlight, Reading: x.Reading, Held: x.Held, Refused: refused}
 			}
 		}
 		s.mu.Unlock()
--- a/internal/serve/share/load.go
+++ b/internal/serve/share/load.go
@@ -12,16 +12,18 @@
 	Reading int
 	// Held is how many tokens the requests hold at most.
 	Held int
+	// Refused is how many entries had a connection refused there lately.
+	Refused int
 }
 
 // Plus returns the sum.
 func (l Load) Plus(o Load) Load {
-	return Load{InFlight: l.InFlight + o.InFlight, Reading: l.Reading + o.Reading, Held: l.Held + o.Held}
+	return Load{InFlight: l.InFlight + o.InFlight, Reading: l.Reading + o.Reading, Held: l.Held + o.Held, Refused: l.Refused + o.Refused}
 }
 
 // Minus returns the difference, nothing less than zero.
 func (l Load) Minus(o Load) Load {
-	return Load{InFlight: max(0, l.InFlight-o.InFlight), Reading: max(0, l.Reading-o.Reading), Held: max(0, l.Held-o.Held)}
+	return Load{InFlight: max(0, l.InFlight-o.InFlight), Reading: max(0, l.Reading-o.Reading), Held: max(0, l.Held-o.Held), Refused: max(0, l.Refused-o.Refused)}
 }
 
 // Loads is an entry's load by the engine's ID; engines without any are left out.
@@ -39,7 +41,7 @@
 
 // Sum is the load of all entries.
 //
-// Names travel as short hashes: with 90 engines and 86 entries a sum has 2.2 KB
+// Names travel as short hashes: with 90 engines and 86 entries a sum has 2.3 KB
 // in place of 3.8 KB. Two names with one hash, one chance in some millions, count
 // as one engine that is a little busier.
 type Sum struct {
