--- a/internal/control/admission/next.go
+++ b/internal/control/admission/next.go
@@ -25,7 +25,7 @@
 // rules in the order of their priority: a vote for a replica that has caught
 // up comes before the loss of one, so that a quorum never shrinks to those that
 // hold what was accepted only by luck.
-var rules = []rule{promoteLearner, dropReplaced, dropSilentLearner, dropSilentVoter}
+var rules = []rule{promoteLearner, dropReplaced, dropSuperfluousVoter, dropSilentLearner, dropSilentVoter}
 
 // Next returns the change of the members to make now and false when there is none.
 func Next(v View) (protocol.Change, bool) {
@@ -53,6 +53,22 @@
 	})
 }
 
+// dropSuperfluousVoter drops a silent voter from an even number of voters at once.
+//
+// When a machine is gone for good and its successor at another address has got
+// its vote, three voters have become four with one dead: the next loss leaves two
+// of four and the control log stops, until the dead one counts as lost seconds
+// later. An even number of voters bears no more losses than one voter less, so
+// that nothing is given up by dropping one that may come back; it joins again.
+func dropSuperfluousVoter(v View) (protocol.Change, bool) {
+	if v.voters()%2 != 0 {
+		return protocol.Change{}, false
+	}
+	return first(v, protocol.Remove, func(m raft.Member) bool {
+		return m.Voter && v.Silent[m.Identity] >= SilentAfter && v.safeWithout(m)
+	})
+}
+
 func dropSilentLearner(v View) (protocol.Change, bool) {
 	return first(v, protocol.Remove, func(m raft.Member) bool {
 		return !m.Voter && v.Silent[m.Identity] >= DropAfter
--- a/internal/control/admission/next_test.go
+++ b/internal/control/admission/next_test.go
@@ -58,6 +58,27 @@
 	none(t, v)
 }
 
+// One of three machines is gone for good, another one at a new address has taken
+// its place and votes. Right after that repair a second machine is lost. With the
+// dead voter still counted two of four are left, and no change of the operator is
+// accepted or read back any more.
+func TestDeadVoterGoesAsSoonAsItsSuccessorVotes(t *testing.T) {
+	v := view(voter("a"), voter("b"), voter("c"), learner("d"))
+	v.Silent["b"] = SilentAfter
+	want(t, v, protocol.Promote, "d")
+	v.Members[3].Voter = true
+	want(t, v, protocol.Remove, "b")
+	v.Silent["b"] = SilentAfter - time.Millisecond
+	none(t, v)
+	six := view(voter("a"), voter("b"), voter("c"), voter("d"), voter("e"), voter("f"))
+	six.Silent["f"] = SilentAfter
+	want(t, six, protocol.Remove, "f")
+	for _, id := range []raft.Identity{"c", "d", "e", "f"} {
+		six.Silent[id] = SilentAfter
+	}
+	none(t, six)
+}
+
 func want(t *testing.T, v View, kind protocol.ChangeKind, id raft.Identity) {
 	t.Helper()
 	c, ok := Next(v)
--- a/internal/control/admission/view.go
+++ b/internal/control/admission/view.go
@@ -27,6 +27,17 @@
 	return m.Identity == v.Self || !v.Replaced[m.Identity] && v.Silent[m.Identity] < SilentAfter
 }
 
+// voters returns how many members have a vote.
+func (v View) voters() int {
+	n := 0
+	for _, m := range v.Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
 // caughtUp returns whether the member's disk holds nearly all that is committed.
 func (v View) caughtUp(m raft.Member) bool {
 	return v.Matches[m.Identity]+maxLag >= v.Commit && v.Matches[m.Identity] > 0
--- a/internal/control/replica/former.go
+++ b/internal/control/replica/former.go
@@ -21,6 +21,9 @@
 	// probeTicks is the time between two rounds of probes, probeTimeout how long one may take.
 	probeTicks   = 4
 	probeTimeout = time.Second
+	// formedGrace is how long the other answers are waited for once a replica of a
+	// group has answered: some round trips. A machine that is gone never answers.
+	formedGrace = 150 * time.Millisecond
 )
 
 var errSeeds = errors.New("replica: the seeds disagree")
@@ -100,6 +103,9 @@
 			mu.Lock()
 			defer mu.Unlock()
 			answers[s.Name] = a
+			if a.Formed {
+				time.AfterFunc(formedGrace, cancel)
+			}
 		})
 	}
 	wait.Wait()
--- a/internal/control/replica/former_test.go
+++ b/internal/control/replica/former_test.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"hornbeamwood/internal/control/disk"
 	"hornbeamwood/internal/control/raft"
@@ -99,3 +101,33 @@
 		t.Error(err)
 	}
 }
+
+// goneTransport reaches one replica of a group; all others never answer.
+type goneTransport struct{ alive Formation }
+
+func (goneTransport) Send(string, raft.Message) {}
+
+func (x goneTransport) Probe(ctx context.Context, address string) (Formation, error) {
+	if address == x.alive.Address {
+		return x.alive, nil
+	}
+	<-ctx.Done()
+	return Formation{}, ctx.Err()
+}
+
+// A machine is gone for good and its successor still has its address among the
+// seeds. If each question waited for the one that never answers, the successor
+// would be without a vote for seconds longer, and the next loss in that time would
+// stop the control log.
+func TestGoneSeedDoesNotHoldUpJoining(t *testing.T) {
+	alive := Formation{Name: "control-1", Address: "10.0.0.1:7000", Formed: true, Founding: disk.Founding{ID: "f"}}
+	f := &former{replica: &replica{config: Config{Name: "control-4", Address: "10.0.0.4:7000", Seeds: founders, Transport: goneTransport{alive}}}}
+	began := time.Now()
+	answers := f.probe()
+	if took := time.Since(began); took > probeTimeout/2 {
+		t.Errorf("the answer of the group was looked at after %s", took)
+	}
+	if len(answers) != 1 || !answers["control-1"].Formed {
+		t.Errorf("got %+v", answers)
+	}
+}
