A prompt in line survives the last engine's leave; defects are answered and logged

A prompt that waits for room chooses again when something changes. When no engine could be chosen then, because the engines loaded new weights or were gone, the handler wrote a field into the map of an empty choice and panicked: the standard server closed the connections of all that waited. No line of the structured log told of it.

Ruled out: the change of the document beside it.

Change: no choice is no longer taken for one. While an engine carries out an order prompts wait in line for it; when none is left they are refused at once as not run. A panic in the handler becomes an event with request and stack, and 502 where no answer has begun. What libraries print by the standard logger becomes an event.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -28,6 +28,8 @@
 	RequestEnded = define(911, log.InfoLevel, "request-ended", "A request has ended; the fields give status, attempts, verdict and time.")
 	// AttemptFailed is written when an attempt at a server brought no answer to pass on.
 	AttemptFailed = define(912, log.InfoLevel, "attempt-failed", "An attempt at a server failed; the fields give the verdict, the reason and what follows.")
+	// HandlerPanicked is written when a defect ended the handling of a request.
+	HandlerPanicked = define(913, log.ErrorLevel, "handler-panicked", "A defect ended the handling of a request; the fields give the request, the cause and the stack.")
 	// WeightsOrdered is written for each order to an engine.
 	WeightsOrdered = define(930, log.InfoLevel, "weights-ordered", "An engine was ordered to load weights; the fields give the fencing number, the expected sequence and the outcome.")
 	// EngineNotAsked is written when an engine can't be asked.
@@ -42,6 +44,8 @@
 	PartsFreed = define(942, log.InfoLevel, "parts-freed", "Parts were dropped from a store: older weights, or to make room.")
 	// LinesDropped is written when log lines were dropped because output was slow or too much.
 	LinesDropped = define(920, log.WarnLevel, "lines-dropped", "Log lines were dropped because they came faster than they could be written; count says how many.")
+	// LibraryWrote is written when a library prints a line of its own.
+	LibraryWrote = define(922, log.WarnLevel, "library-wrote", "A library printed a line; the field text holds it.")
 	// SettingsReloaded is written when the settings file has changed.
 	SettingsReloaded = define(921, log.InfoLevel, "settings-reloaded", "The settings file was read anew; error says why the earlier settings stay.")
 )
--- /dev/null
+++ b/internal/base/logline/standard_test.go
@@ -0,0 +1,29 @@
+package logline
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// A library prints a warning of its own. An engineer who searches the log by its
+// fields must find it, as one line whatever the library wrote.
+func TestLinesOfLibrariesAreEvents(t *testing.T) {
+	var out bytes.Buffer
+	h := New(Config{Writer: &out})
+	w := newStandard(&log.Logger{Level: log.InfoLevel, Handler: h})
+	if _, err := w.Write([]byte("buffer too small\nsee elsewhere\n")); err != nil {
+		t.Fatal(err)
+	}
+	h.Close(time.Second)
+	var l line
+	if err := json.Unmarshal(out.Bytes(), &l); err != nil {
+		t.Fatalf("%q: %v", out.String(), err)
+	}
+	if l.Message != "library-wrote" || l.Fields["text"] != "buffer too small\nsee elsewhere" {
+		t.Errorf("got %+v", l)
+	}
+}
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -96,7 +96,7 @@
 		j.awaitStores(ctx)
 	}
 	c, ok := j.chooseEngine(e)
-	if !ok || c.fits {
+	if ok && c.fits || !ok && !j.engineIsBusy() {
 		return c, ok
 	}
 	rank := line.Rank{OnTime: j.arrived.Add(j.route.Target - expectedFirst), Urgency: j.urgency(), Arrived: j.arrived}
@@ -106,9 +106,12 @@
 	defer cancel()
 	for j.Line.Wait(waiting, w) {
 		c, ok := j.chooseEngine(e)
-		if !ok || c.fits {
+		if ok && c.fits {
 			c.fields["waited-ms"] = time.Since(j.arrived).Milliseconds()
-			return c, ok
+			return c, true
+		}
+		if !ok && !j.engineIsBusy() {
+			return c, false
 		}
 	}
 	if ctx.Err() != nil {
@@ -118,6 +121,14 @@
 	return j.chooseEngine(e)
 }
 
+// engineIsBusy returns whether an engine that was not tried yet carries out an
+// order: it takes requests again in a moment, a load takes seconds.
+func (j *job) engineIsBusy() bool {
+	return slices.ContainsFunc(j.Site.Servers(j.service.Name), func(s directory.Server) bool {
+		return !slices.Contains(j.tried, s.ID) && j.Site.Busy(s.ID)
+	})
+}
+
 // longest returns the size of the longest shared part.
 func (j *job) longest() int {
 	most := 0
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -38,6 +38,9 @@
 	if n, err := strconv.Atoi(q.Header.Get("A-Patience")); err == nil {
 		r.Patience = time.Duration(n) * time.Millisecond
 	}
+	if q.Header.Get("A-Prompt") != "" {
+		r.Prompt = &request.Prompt{Model: "m", Tokens: 100, Output: 10, Parts: []request.Part{{ID: "own", Tokens: 100}}}
+	}
 	return r, nil
 }
 
@@ -54,19 +57,41 @@
 type fakeSite struct {
 	table   document.Table
 	servers []directory.Server
+	// mu guards what changes while requests run: engines that carry out orders, servers that are gone.
+	mu         sync.Mutex
+	busy, gone bool
+}
+
+func (s *fakeSite) set(busy, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy, s.gone = busy, gone
+}
+
+func (s *fakeSite) Servers(string) []directory.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return nil
+	}
+	return s.servers
+}
+
+func (s *fakeSite) Busy(string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
 }
 
 func (s *fakeSite) Table() document.Table                    { return s.table }
 func (s *fakeSite) Await(context.Context)                    {}
 func (s *fakeSite) Settle(context.Context)                   {}
 func (s *fakeSite) AwaitStores(context.Context)              {}
-func (s *fakeSite) Servers(string) []directory.Server        { return s.servers }
 func (s *fakeSite) Server(string) (directory.Server, bool)   { return directory.Server{}, false }
 func (s *fakeSite) Reads(string, string, int, string)        {}
 func (s *fakeSite) Version(directory.Server, string) int64   { return 1 }
 func (s *fakeSite) Noticed(string, string, int64)            {}
 func (s *fakeSite) Newest(string) int64                      { return 1 }
-func (s *fakeSite) Busy(string) bool                         { return false }
 func (s *fakeSite) Copies(string, string, int) []choose.Copy { return nil }
 func (s *fakeSite) SaveTo(string, string, int) string        { return "" }
 func (s *fakeSite) FetchUntil() int64                        { return 0 }
@@ -116,11 +141,13 @@
 	servers []*standin
 	front   *httptest.Server
 	site    *fakeSite
+	line    line.Line
+	config  Config
 }
 
 func newBench(t *testing.T, scripts ...script) *bench {
 	t.Helper()
-	b := &bench{site: &fakeSite{}}
+	b := &bench{site: &fakeSite{}, line: line.New()}
 	for i, s := range scripts {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -145,12 +172,13 @@
 	shares := []document.Share{{Service: "s", Weight: 1}}
 	b.site.table = document.NewTable(document.Document{
 		Number:   1,
-		Services: []document.Service{{Name: "s"}},
+		Services: []document.Service{{Name: "s"}, {Name: "e", Engine: &document.Engine{Slots: 4, Tokens: 1000}}},
 		Routes: []document.Route{
 			{Name: "read", Host: "h", Prefix: "/read/", Kind: document.Idempotent, Timeout: 2 * time.Second, Target: 100 * time.Millisecond, MaxAttempts: 2, Shares: shares},
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: document.NonIdempotent, Timeout: 2 * time.Second, Target: 100 * time.Millisecond, MaxAttempts: 1, Shares: shares},
 			{Name: "resume", Host: "h", Prefix: "/resume/", Kind: document.Streaming, Resumable: true, Timeout: 5 * time.Second, Target: time.Second, MaxAttempts: 2, Shares: shares},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: document.Streaming, Timeout: 5 * time.Second, Target: time.Second, MaxAttempts: 1, Shares: shares},
+			{Name: "prompt", Host: "h", Prefix: "/prompt/", Kind: document.Streaming, Prompts: true, Timeout: 3 * time.Second, Target: time.Second, MaxAttempts: 1, Shares: []document.Share{{Service: "e", Weight: 1}}},
 		},
 		Limits: document.Limits{BodyBytes: 1 << 20},
 	})
@@ -159,13 +187,13 @@
 	}})
 	t.Cleanup(client.Close)
 	never := func() bool { return false }
-	g := New(Config{
+	b.config = Config{
 		Zone: "z0", Codec: fakeCodec{}, Site: b.site, Client: client, Tracker: observe.New(), Memory: parts.NewMemory(),
-		Others: share.NewOthers("e"), Line: line.New(),
+		Others: share.NewOthers("e"), Line: b.line,
 		Budget:   retry.NewBudget(retry.Terms{Ratio: 1, Window: time.Second, Slack: 100}),
 		Stopping: never, Refusing: never, Metrics: metrics.NewSet(),
-	})
-	b.front = httptest.NewServer(g)
+	}
+	b.front = httptest.NewServer(New(b.config))
 	t.Cleanup(b.front.Close)
 	return b
 }
--- a/internal/serve/caller/gateway_test.go
+++ b/internal/serve/caller/gateway_test.go
@@ -310,3 +310,84 @@
 	_ = r.Body.Close()
 	return r.StatusCode
 }
+
+// prompt asks with a prompt and tells the status, and 0 for a connection that is closed without an answer.
+func (b *bench) prompt(t *testing.T) <-chan int {
+	t.Helper()
+	status := make(chan int, 1)
+	go func() {
+		q, err := http.NewRequest(http.MethodPost, b.front.URL+"/prompt/a", nil)
+		if err != nil {
+			status <- -1
+			return
+		}
+		q.Host = "h"
+		q.Header.Set("A-Id", "r")
+		q.Header.Set("A-Prompt", "yes")
+		r, err := http.DefaultClient.Do(q)
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = r.Body.Close()
+		status <- r.StatusCode
+	}()
+	return status
+}
+
+// waitInLine waits until a request stands in line.
+func (b *bench) waitInLine(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); b.line.Len() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no request waits")
+		}
+	}
+}
+
+// All engines of a small site load new weights at the same moment. Prompts wait
+// for the first that is done; refused, their callers would come back to the same.
+func TestPromptWaitsForAnEngineThatLoads(t *testing.T) {
+	b := newBench(t, streamOf("a", 2, true))
+	b.site.set(true, false)
+	status := b.prompt(t)
+	b.waitInLine(t)
+	b.site.set(false, false)
+	b.line.Changed()
+	if got := <-status; got != http.StatusOK {
+		t.Errorf("got %d", got)
+	}
+}
+
+// Prompts wait for room and the last engine leaves. Each caller must hear at once
+// that its prompt has not run; here the handler had panicked, and all of those
+// callers found their connections closed without a word.
+func TestPromptIsRefusedWhenTheLastEngineLeaves(t *testing.T) {
+	b := newBench(t, answerOK("x"))
+	b.site.set(true, false)
+	status := b.prompt(t)
+	b.waitInLine(t)
+	b.site.set(true, true)
+	b.line.Changed()
+	if got := <-status; got != http.StatusServiceUnavailable {
+		t.Errorf("got %d", got)
+	}
+}
+
+// panicking is a site with a defect.
+type panicking struct{ *fakeSite }
+
+func (panicking) Settle(context.Context) { panic("a defect") }
+
+// A defect ends the handling of a request. The caller must not be left with a
+// closed connection and no word; what it gets promises nothing, since nobody
+// knows how far the request has come.
+func TestDefectIsAnswered(t *testing.T) {
+	b := newBench(t, answerOK("x"))
+	c := b.config
+	c.Site = panicking{b.site}
+	b.front.Config.Handler = New(c)
+	if got := b.ask(t, "r", http.MethodGet, "/read/a"); got.err != nil || got.status != http.StatusBadGateway {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -270,6 +272,27 @@
 	_, _ = j.writer.Write([]byte(reason + "\n"))
 }
 
+// intended returns whether a panic ends the connection on purpose, as of a stream that can't be completed.
+func intended(cause any) bool {
+	err, ok := cause.(error)
+	return ok && errors.Is(err, http.ErrAbortHandler)
+}
+
+// defect answers a request whose handling panicked, and returns false when its
+// answer has begun already.
+//
+// The standard server would close the connection and print a line without the
+// request's name. The caller gets an answer that promises nothing instead, and
+// the log says where the defect lies.
+func (j *job) defect(cause any) bool {
+	event.HandlerPanicked.Write(j.Logger, log.Fields{"request": j.request.Attempt, "error": fmt.Sprint(cause), "stack": string(debug.Stack())})
+	if j.status != 0 {
+		return false
+	}
+	j.refuse(http.StatusBadGateway, "defect", 0)
+	return true
+}
+
 // giveUp answers when no server is tried any more.
 //
 // Only a request that no server has run, and none ever will, is refused with the
@@ -302,6 +325,8 @@
 
 // end writes what became of the request.
 func (j *job) end() {
+	cause := recover()
+	cut := cause != nil && (intended(cause) || !j.defect(cause))
 	j.Line.Changed()
 	took := time.Since(j.arrived)
 	j.meters.ended(j.route.Kind, j.status, took)
@@ -310,4 +335,7 @@
 		"tries": len(j.tried), "runs": j.runs, "ms": took.Milliseconds(), "workspace": j.workspace.Name, "document": j.number,
 		"first-ms": j.events.firstMillis(j.arrived), "events": j.events.last, "longest-pause-ms": j.events.pause.Milliseconds(),
 	})
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
 }
