--- /dev/null
+++ b/internal/control/admission/random_test.go
@@ -0,0 +1,88 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"hornbeamwood/internal/control/protocol"
+	"hornbeamwood/internal/control/raft"
+)
+
+// randomView draws a group of 1 to 12 members, some of them learners, silent or replaced.
+func randomView(r *rand.Rand) View {
+	v := View{Self: "m0", Commit: uint64(r.IntN(200)), Matches: map[raft.Identity]uint64{}, Silent: map[raft.Identity]time.Duration{}, Replaced: map[raft.Identity]bool{}}
+	for i := range 1 + r.IntN(12) {
+		m := raft.Member{Identity: raft.Identity(fmt.Sprint("m", i)), Voter: i == 0 || r.IntN(4) > 0}
+		v.Members = append(v.Members, m)
+		v.Matches[m.Identity] = uint64(r.IntN(200))
+		if i == 0 {
+			continue
+		}
+		if r.IntN(3) == 0 {
+			v.Silent[m.Identity] = time.Duration(r.IntN(15000)) * time.Millisecond
+		}
+		v.Replaced[m.Identity] = r.IntN(6) == 0
+	}
+	return v
+}
+
+// apply returns the view after the change.
+func (v View) apply(c protocol.Change) View {
+	var members []raft.Member
+	for _, m := range v.Members {
+		switch {
+		case m.Identity != c.Member.Identity:
+			members = append(members, m)
+		case c.Kind == protocol.Promote:
+			m.Voter = true
+			members = append(members, m)
+		}
+	}
+	v.Members = members
+	return v
+}
+
+// margin returns how many more of the living voters may be lost; negative without a quorum.
+func (v View) margin() int {
+	alive := 0
+	for _, m := range v.Members {
+		if m.Voter && v.alive(m) {
+			alive++
+		}
+	}
+	return alive - (v.voters()/2 + 1)
+}
+
+// Whatever sizes a site has and whoever is silent there, no change of the members
+// may take the leader out, leave too few voters, or leave fewer losses to bear
+// than before: the next one would stop the operator's changes. The changes must
+// come to an end.
+func TestMembersOfRandomGroups(t *testing.T) {
+	p := gopter.NewProperties(nil)
+	p.Property("each change helps", prop.ForAll(func(seed uint64) bool {
+		v := randomView(rand.New(rand.NewPCG(seed, 5)))
+		for range 2 * len(v.Members) {
+			c, ok := Next(v)
+			if !ok {
+				return true
+			}
+			after := v.apply(c)
+			if c.Member.Identity == v.Self || after.margin() < v.margin() {
+				return false
+			}
+			if c.Member.Voter && after.voters() < minVoters {
+				return false
+			}
+			v = after
+		}
+		_, more := Next(v)
+		return !more
+	}, gen.UInt64()))
+	p.TestingRun(t)
+}
--- /dev/null
+++ b/internal/serve/choose/random_test.go
@@ -0,0 +1,134 @@
+package choose
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/site/directory"
+)
+
+// deployments is how many random sites are drawn: 1 to 4 zones, 1 to 90 servers,
+// 1 to 86 entries, with and without stores.
+const deployments = 400
+
+// randomSite draws servers with all that entries may know of them.
+func randomSite(r *rand.Rand) []Candidate {
+	zones := 1 + r.IntN(4)
+	all := make([]Candidate, 1+r.IntN(90))
+	for i := range all {
+		c := Candidate{Server: directory.Server{
+			ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", r.IntN(zones)), Address: fmt.Sprint("a", i),
+			Slots: r.IntN(128), Silent: r.IntN(5) == 0, Cold: time.Duration(r.IntN(2)) * time.Second,
+		}}
+		c.Track = observe.Track{
+			InFlight: r.IntN(20), Reading: r.IntN(30000), Held: r.IntN(90000), Failures: r.Float64(), RefusedBy: r.IntN(4),
+			Latency: time.Duration(r.IntN(500)) * time.Millisecond, Running: r.IntN(9), Waiting: r.IntN(9),
+		}
+		if r.IntN(4) == 0 {
+			c.Track.SetAside = now.Add(time.Second)
+		}
+		if r.IntN(2) == 0 {
+			c.Track.Reported = now.Add(-time.Duration(r.IntN(2000)) * time.Millisecond)
+		}
+		all[i] = c
+	}
+	return all
+}
+
+// randomPrompt draws a prompt with parts in stores, in engines and nowhere.
+func randomPrompt(r *rand.Rand, all []Candidate) Engine {
+	e := Engine{
+		Now: now, Zone: fmt.Sprint("z", r.IntN(4)), Output: r.IntN(2000), Capacity: r.IntN(100000), Stride: r.IntN(7),
+		Gap: time.Duration(r.IntN(2)) * 500 * time.Millisecond, Entries: 1 + r.IntN(86), Random: r,
+	}
+	if r.IntN(2) == 0 {
+		e.Holds = func(server string, p Part) bool { return (len(server)+len(p.ID))%3 == 0 }
+	}
+	for i := range 1 + r.IntN(4) {
+		p := Part{Salt: "m/1", ID: fmt.Sprint("p", i), Tokens: r.IntN(34000), Shared: true}
+		for range r.IntN(3) {
+			k := Copy{Address: fmt.Sprint("store", r.IntN(5)), Zone: fmt.Sprint("z", r.IntN(4)), PerToken: time.Duration(r.IntN(4000)), Queued: r.IntN(200000)}
+			if r.IntN(2) == 0 {
+				c := all[r.IntN(len(all))]
+				k.Server, k.Address = c.Server.ID, c.Server.Address
+			}
+			p.Copies = append(p.Copies, k)
+		}
+		e.Parts = append(e.Parts, p)
+	}
+	e.Parts[len(e.Parts)-1].Shared = false
+	e.Parts[len(e.Parts)-1].Copies = nil
+	return e
+}
+
+// bestStanding returns the best standing of any candidate.
+func bestStanding(all []Candidate) standing {
+	s := aside
+	for _, c := range all {
+		s = min(s, c.standing(now))
+	}
+	return s
+}
+
+func check(t *testing.T, name string, holds func(r *rand.Rand) bool) {
+	t.Helper()
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = deployments
+	p := gopter.NewProperties(parameters)
+	p.Property(name, prop.ForAll(func(seed uint64) bool {
+		return holds(rand.New(rand.NewPCG(seed, 5)))
+	}, gen.UInt64()))
+	p.TestingRun(t)
+}
+
+// On a site that nobody has seen a prompt must still get an engine if there is
+// one, never one that is known to be down while another is up, and its parts only
+// from where they are; a plan that claims otherwise makes an engine wait for what
+// it can't get.
+func TestEngineOnRandomSites(t *testing.T) {
+	check(t, "a plan is sound", func(r *rand.Rand) bool {
+		all := randomSite(r)
+		e := randomPrompt(r, all)
+		p := e.Pick(all)
+		return p.At >= 0 && p.At < len(all) && all[p.At].standing(now) == bestStanding(all) && sound(e, all[p.At], p)
+	})
+}
+
+// sound returns whether each part comes from one of its copies, from the engine's memory or is read.
+func sound(e Engine, c Candidate, p Plan) bool {
+	missing := 0
+	for i, part := range e.Parts {
+		known := p.Fetch[i] == ""
+		for _, k := range part.Copies {
+			known = known || k.Address == p.Fetch[i] && k.Server != c.Server.ID
+		}
+		if !known || p.From[i] == 's' && p.Fetch[i] == "" {
+			return false
+		}
+		if p.From[i] == 'r' {
+			missing += part.Tokens
+		}
+	}
+	own := len(e.Parts) - 1
+	return missing == p.Missing && len(p.From) == len(e.Parts) && (p.From[own] == 'r' || e.Holds != nil)
+}
+
+// A plain request gets a server as long as there is one, and none that is known
+// to be down while another is up.
+func TestPlainOnRandomSites(t *testing.T) {
+	check(t, "a choice is sound", func(r *rand.Rand) bool {
+		all := randomSite(r)
+		at, _ := Plain{Now: now, Zone: fmt.Sprint("z", r.IntN(5)), Random: r}.Pick(all)
+		return at >= 0 && all[at].standing(now) == bestStanding(all)
+	})
+	if at, _ := (Plain{Now: now}).Pick(nil); at != -1 {
+		t.Errorf("without servers: %d", at)
+	}
+}
