Soak: engines with weights, fences and salts

Change: three stand-in engines that load named weights and crash, leave and lose connections like the other servers. Checked: one holder for each fencing number, two loads at once at most, no parts of one version under another, prompts' streams whole, and the newest weights everywhere within 12 s after the last fault.

--- a/deploy/soak/client.go
+++ b/deploy/soak/client.go
@@ -33,7 +33,7 @@
 	}
 }
 
-var kinds = []string{"read", "once", "once", "stream"}
+var kinds = []string{"read", "once", "once", "stream", "prompt"}
 
 // run sends requests until ctx ends.
 func (c *client) run(ctx context.Context) {
@@ -62,6 +62,11 @@
 	q.Header.Set("X-Api-Key", fmt.Sprint("k", tenant))
 	q.Header.Set("Deadline-Ms", "4000")
 	q.Header.Set("Tenant", "forged")
+	if kind == "prompt" {
+		q.Header.Set("Model", model)
+		q.Header.Set("Token-Counts", "120,12")
+		q.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:80,%x:40", c.random.IntN(20), n+1000))
+	}
 	r, err := c.http.Do(q)
 	if err != nil {
 		c.record.saw(kind, 0)
@@ -82,7 +87,7 @@
 	switch status {
 	case http.StatusOK:
 		want := fmt.Sprintf("%s /%s/%s %s", id, kind, id, body)
-		if kind == "stream" {
+		if kind == "stream" || kind == "prompt" {
 			want = wholeStream(id)
 		}
 		if got != want {
--- a/deploy/soak/operator.go
+++ b/deploy/soak/operator.go
@@ -15,6 +15,7 @@
 type operator struct {
 	controls []string
 	record   *record
+	orders   *orders
 	mu       sync.Mutex
 	sent     int
 	acked    int
@@ -26,8 +27,9 @@
 {"name":"read","host":"soak","path_prefix":"/read/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,"service":"desk","max_attempts":2},
 {"name":"once","host":"soak","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":100,"service":"desk","max_attempts":1},
 {"name":"stream","host":"soak","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,"service":"desk","max_attempts":2,"resumable":true,"gap_target_ms":300},
+{"name":"prompt","host":"soak","path_prefix":"/prompt/","kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,"service":"writer","max_attempts":2,"resumable":true,"sticky":true,"gap_target_ms":500},
 {"name":"n","host":"soak","path_prefix":"/n%d/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,"service":"desk","max_attempts":1}],
-"services":[{"name":"desk","max_connections":200}],"limits":{},"tenants":[{"name":"t1","api_keys":["k1"]},{"name":"t2","api_keys":["k2"]}]}`, number, number)
+"services":[{"name":"desk","max_connections":200},{"name":"writer","max_connections":200,"engine":{"slots":8,"kv_capacity_tokens":90000,"kv_token_bytes":35136,"link_mbps":100000,"managed":true,"stride":1,"max_concurrent":12,"models":[{"name":"m"}]}}],"limits":{},"tenants":[{"name":"t1","api_keys":["k1"]},{"name":"t2","api_keys":["k2"]}]}`, number, number)
 }
 
 // change sends the next document until some replica acknowledges it, or ctx ends.
@@ -53,6 +55,22 @@
 	return false
 }
 
+// name names new weights until some replica acknowledges it, or ctx ends.
+func (o *operator) name(ctx context.Context, r *rand.Rand) {
+	version := o.orders.newest() + 1
+	for ctx.Err() == nil {
+		at := o.controls[r.IntN(len(o.controls))]
+		body := fmt.Sprintf(`{"model":%q,"version":%d}`, model, version)
+		if post(ctx, "http://"+at+":8000/v1/version-put", body, 1500*time.Millisecond) == http.StatusOK {
+			o.orders.mu.Lock()
+			o.orders.named = max(o.orders.named, version)
+			o.orders.mu.Unlock()
+			return
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+}
+
 // read reads from one replica; an answer must not be older than what was acknowledged before.
 func (o *operator) read(ctx context.Context, at string) (int, bool) {
 	o.mu.Lock()
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -94,6 +95,7 @@
 	end := time.Now().Add(length)
 	core := make(chan struct{}, 1)
 	var all sync.WaitGroup
+	all.Go(func() { nameWeights(ctx, end, s) })
 	n := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults[s.draws().IntN(len(faults))]
@@ -119,6 +121,23 @@
 	return n
 }
 
+// betweenVersions is the longest time between two versions of weights.
+const betweenVersions = 6 * time.Second
+
+// nameWeights names new weights now and then until end. It draws from a source of
+// its own, so that a seed's faults stay those that they were without it.
+func nameWeights(ctx context.Context, end time.Time, s *site) {
+	r := rand.New(rand.NewPCG(s.seed, 11))
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(r.Int64N(int64(betweenVersions))))
+		if !time.Now().Before(end) {
+			return
+		}
+		s.record.note("name new weights")
+		s.operator.name(ctx, r)
+	}
+}
+
 // checkRecovery waits until callers are served and every replica shows the newest document.
 func (s *site) checkRecovery(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recoverBound)
@@ -130,6 +149,7 @@
 	if ctx.Err() != nil {
 		s.record.broke("callers are not served again: %d since the last fault", s.record.served()-before)
 	}
+	s.checkWeights(ctx)
 	for _, at := range s.seeds {
 		for {
 			if _, ok := s.operator.read(ctx, at); ok {
@@ -144,6 +164,36 @@
 	}
 }
 
+// checkWeights waits until every engine has the newest weights.
+func (s *site) checkWeights(ctx context.Context) {
+	for ctx.Err() == nil {
+		older := s.olderEngines()
+		if older == 0 {
+			return
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+	s.record.broke("%d engines don't have version %d", s.olderEngines(), s.orders.newest())
+}
+
+// olderEngines counts the engines without the newest weights.
+func (s *site) olderEngines() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, x := range s.servers {
+		if x.engine == nil {
+			continue
+		}
+		x.engine.mu.Lock()
+		if x.engine.version != s.orders.newest() {
+			n++
+		}
+		x.engine.mu.Unlock()
+	}
+	return n
+}
+
 // checkPromises looks at what the servers saw of the requests that were said not to have run.
 func (s *site) checkPromises() {
 	s.record.mu.Lock()
--- a/deploy/soak/server.go
+++ b/deploy/soak/server.go
@@ -47,6 +47,8 @@
 	http    *httptest.Server
 	proxy   *proxy
 	stop    context.CancelFunc
+	// engine is nil at servers of the plain service.
+	engine *engine
 
 	mu       sync.Mutex
 	sequence int
@@ -60,8 +62,8 @@
 // drainBound is how long after the acknowledgement a leaving server may still get requests.
 const drainBound = 2 * time.Second
 
-func newServer(l *ledger, id, service string, controls []string) (*server, error) {
-	s := &server{id: id, service: service, ledger: l, state: "ready", born: time.Now().UnixMilli()}
+func newServer(l *ledger, id, service string, controls []string, e *engine) (*server, error) {
+	s := &server{id: id, service: service, ledger: l, state: "ready", born: time.Now().UnixMilli(), engine: e}
 	s.http = httptest.NewServer(s)
 	p, err := newProxy(strings.TrimPrefix(s.http.URL, "http://"))
 	if err != nil {
@@ -77,6 +79,9 @@
 // ServeHTTP plays the server: whole answers with its mark, streams event by event.
 func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("Attempt-Id")
+	if s.engine != nil && s.control(w, q) {
+		return
+	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
@@ -92,10 +97,13 @@
 		s.ledger.mu.Unlock()
 	}
 	s.mu.Unlock()
+	if s.engine != nil && !s.engine.admits(w, q) {
+		return
+	}
 	s.ledger.ran(id, q.Header.Get("Tenant"))
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Response-Stamp", "mark")
-	if strings.HasPrefix(q.RequestURI, "/stream/") {
+	if strings.HasPrefix(q.RequestURI, "/stream/") || strings.HasPrefix(q.RequestURI, "/prompt/") {
 		s.stream(w, q, id)
 		return
 	}
@@ -103,6 +111,27 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, q.RequestURI, body)
 }
 
+// control answers what control replicas ask of an engine.
+func (s *server) control(w http.ResponseWriter, q *http.Request) bool {
+	switch q.URL.Path {
+	case "/v1/report":
+		s.engine.report(w)
+	case "/v1/order":
+		s.engine.order(w, q)
+	default:
+		return false
+	}
+	return true
+}
+
+// models is what the server announces of its weights.
+func (s *server) models() string {
+	if s.engine == nil {
+		return "[]"
+	}
+	return s.engine.models()
+}
+
 func (s *server) stream(w http.ResponseWriter, q *http.Request, id string) {
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -123,8 +152,8 @@
 		s.mu.Lock()
 		s.sequence++
 		state := s.state
-		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":8,"state":%q,"sequence":%d,"born":%d}`,
-			s.service, s.proxy.address(), state, s.sequence, s.born)
+		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":8,"state":%q,"sequence":%d,"born":%d,"models":%s}`,
+			s.service, s.proxy.address(), state, s.sequence, s.born, s.models())
 		s.mu.Unlock()
 		if status := post(ctx, "http://"+controls[at%len(controls)]+":8000/v1/Instances.Heartbeat/"+s.id, body, time.Second); status != http.StatusOK {
 			at++
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -15,6 +15,7 @@
 	replicas       = 3
 	entries        = 2
 	servers        = 3
+	engines        = 3
 	clientsPerSite = 6
 )
 
@@ -27,8 +28,10 @@
 	entries  []*process
 	fronts   []*proxy
 	operator *operator
+	orders   *orders
 	seeds    []string
 
+	seed    uint64
 	mu      sync.Mutex
 	random  *rand.Rand
 	servers []*server
@@ -38,14 +41,15 @@
 // newSite starts a site on loopback addresses of its own, drawn from the seed.
 func newSite(c runConfig, folder string, r *record) (*site, error) {
 	s := &site{
-		folder: folder, record: r, random: rand.New(rand.NewPCG(c.seed, 1)),
+		folder: folder, record: r, seed: c.seed, random: rand.New(rand.NewPCG(c.seed, 1)),
 		ledger: &ledger{runs: map[string]int{}, tenants: map[string]string{}},
 	}
 	network := fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, c.seed%250)
 	for i := range replicas {
 		s.seeds = append(s.seeds, fmt.Sprint(network, 10+i))
 	}
-	s.operator = &operator{controls: s.seeds, record: r}
+	s.orders = newOrders(r)
+	s.operator = &operator{controls: s.seeds, record: r, orders: s.orders}
 	for i, ip := range s.seeds {
 		s.replicas = append(s.replicas, s.newProcess(c, fmt.Sprint("control-", i), "control", ip))
 	}
@@ -67,7 +71,12 @@
 		}
 	}
 	for range servers {
-		if err := s.addServer(); err != nil {
+		if err := s.addServer(desk); err != nil {
+			return s, err
+		}
+	}
+	for range engines {
+		if err := s.addServer(writer); err != nil {
 			return s, err
 		}
 	}
@@ -91,11 +100,21 @@
 	return p.start()
 }
 
-func (s *site) addServer() error {
+// Services of the site: a plain one and one of model engines.
+const (
+	desk   = "desk"
+	writer = "writer"
+)
+
+func (s *site) addServer(service string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.born++
-	x, err := newServer(s.ledger, fmt.Sprint("i-", s.born), "desk", s.seeds)
+	var e *engine
+	if service == writer {
+		e = &engine{orders: s.orders, version: s.orders.newest()}
+	}
+	x, err := newServer(s.ledger, fmt.Sprint("i-", s.born), service, s.seeds, e)
 	if err != nil {
 		return err
 	}
@@ -105,14 +124,14 @@
 
 // replaceServer starts a new server and ends an old one, at once or after it has said that it leaves.
 func (s *site) replaceServer(crash bool) {
-	if err := s.addServer(); err != nil {
-		s.record.broke("start a server: %v", err)
-		return
-	}
 	s.mu.Lock()
 	old := s.servers[0]
 	s.servers = s.servers[1:]
 	s.mu.Unlock()
+	if err := s.addServer(old.service); err != nil {
+		s.record.broke("start a server: %v", err)
+		return
+	}
 	if crash {
 		old.crash()
 		return
