Replicas follow what engines keep in memory, and prompts fetch from engines too

Cause: entries guessed from what they sent where an engine has a part. A part that the engine has dropped is read again: late first events, and the price of shared parts.

Change: each engine's events are followed by the replica that it announces itself to; its long parts travel as one row. Entries go by that, by guesses where nothing is known. Engines that say so themselves count as places to fetch from.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -240,6 +240,9 @@
 	p.loops.Go(func() { p.followMembers(serving) })
 	p.loops.Go(func() { p.holder.run(serving) })
 	p.loops.Go(func() { p.librarian.run(serving) })
+	p.loops.Go(func() {
+		(&caches{process: p, client: p.config.Stores, following: map[string]context.CancelFunc{}}).run(serving)
+	})
 	p.loops.Go(func() { p.showLoads(serving) })
 	p.loops.Go(func() {
 		weights.New(weights.Config{Client: p.config.Engines, Site: engines{p}, Logger: p.config.Logger}).Run(serving)
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -218,6 +218,7 @@
 			return
 		case <-t.C:
 			p.follower.Follow(ctx, p.addresses())
+			p.site.expireCaches()
 		}
 	}
 }
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -68,6 +68,7 @@
 	l, ok := s.leads[address]
 	if !ok || l.epoch != a.Epoch {
 		l = newLead(a.Epoch)
+		s.forgetCaches(func(_, from string) bool { return from == address })
 		s.leads[address] = l
 	}
 	l.polled = time.Now()
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -11,6 +11,7 @@
 
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/directory"
@@ -33,7 +34,8 @@
 	informed chan struct{}
 	inform   sync.Once
 
-	thaw *thaw
+	thaw  *thaw
+	began time.Time
 
 	mu       sync.Mutex
 	newest   map[string]int64
@@ -49,6 +51,8 @@
 	// memory guesses what engines hold; readings waits to be told to the others.
 	memory   parts.Memory
 	readings []watch.Reading
+	// cachesFrom is the replica that tells what lies in each engine's memory.
+	cachesFrom map[string]string
 	// others is what the other entries have at each engine; changed is called when it does.
 	others  share.Others
 	changed func()
@@ -66,6 +70,7 @@
 		first:     make(chan struct{}),
 		informed:  make(chan struct{}),
 		thaw:      newThaw(),
+		began:     time.Now(),
 		members:   memberLists{},
 		newest:    map[string]int64{},
 		noticed:   map[string]int64{},
@@ -74,7 +79,9 @@
 		leads:     map[string]*lead{},
 		clock:     stores.NewClock(),
 		saves:     map[stores.Part]time.Time{},
-		uses:      map[uint64]struct{}{},
+
+		cachesFrom: map[string]string{},
+		uses:       map[uint64]struct{}{},
 	}
 	time.AfterFunc(uninformed, func() { s.inform.Do(func() { close(s.informed) }) })
 	return s
@@ -118,6 +125,8 @@
 		return decoded(r, func(l topic.Loading) { s.takeLoaded(r.Key, l) })
 	case topic.Parts, topic.StoresUp, topic.Busy, topic.Loads, topic.Epochs:
 		return s.takeLeadRow(address, r)
+	case topic.Caches:
+		return s.takeCache(address, r)
 	case topic.Versions:
 		return decoded(r, func(v int64) { s.takeVersion(r.Key, v) })
 	}
@@ -211,6 +220,18 @@
 // uninformed is how long after its start a process waits to be told of the stores.
 const uninformed = 4 * time.Second
 
+// serversLook is the time between two looks whether a server has announced itself.
+const serversLook = 10 * time.Millisecond
+
+// AwaitServers implements caller.Site.
+func (s *site) AwaitServers(ctx context.Context, service string) {
+	for time.Since(s.began) < uninformed && len(s.Servers(service)) == 0 {
+		if !wait.For(ctx, serversLook) {
+			return
+		}
+	}
+}
+
 // AwaitStores implements caller.Site.
 func (s *site) AwaitStores(ctx context.Context) {
 	select {
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -189,7 +189,7 @@
 	return choose.Engine{
 		Now: now, Zone: j.Zone, Parts: j.parts(salt, e, now), Output: j.request.Prompt.Output, Capacity: e.Tokens, Random: random(),
 		Stride: e.Stride, Gap: j.route.Gap, Entries: j.Site.Entries(),
-		Holds: func(server string, p choose.Part) bool { return j.Memory.Holds(server, p.Salt, p.ID) },
+		Holds: func(server string, p choose.Part) bool { return j.Memory.Holds(server, p.Salt, p.ID, p.Tokens, now) },
 	}
 }
 
@@ -221,24 +221,27 @@
 	return all
 }
 
-// copies returns where a part lies: in stores, and where none has it in the
-// memory of engines that have probably read it by now.
+// copies returns where a part lies: in stores and in the memory of engines, of
+// those that say so themselves before those that have probably read it by now.
 func (j *job) copies(salt string, p request.Part, e document.Engine, now time.Time) []choose.Copy {
 	all := j.Site.Copies(salt, p.ID, p.Tokens)
 	for i := range all {
 		all[i].Queued = j.Tracker.Fetching(all[i].Address) + j.Others.Load(all[i].Address, now).Reading
 	}
-	if len(all) > 0 || e.LinkRate <= 0 {
+	if e.LinkRate <= 0 {
 		return all
 	}
-	for _, h := range j.Memory.Holders(salt, p.ID) {
+	stored := len(all) > 0
+	for _, h := range j.Memory.Holders(salt, p.ID, p.Tokens, now) {
 		s, ok := j.Site.Server(h.Server)
-		if !ok || s.Silent || now.Sub(h.Since) < readBy {
+		guessed := !h.Since.IsZero()
+		if !ok || s.Silent || guessed && (stored || now.Sub(h.Since) < readBy) {
 			continue
 		}
 		all = append(all, choose.Copy{
 			Server: s.ID, Address: s.Address, Zone: s.Zone,
 			PerToken: time.Duration(e.TokenBytes / e.LinkRate * float64(time.Second)),
+			Queued:   j.Tracker.Fetching(s.Address) + j.Others.Load(s.Address, now).Reading,
 		})
 	}
 	return all
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -26,8 +26,20 @@
 	Loads board.Topic = 10
 	// Epochs holds, for the address of each store, the start that the replica last saw as an int64, zero while the store doesn't answer.
 	Epochs board.Topic = 11
+	// Caches holds what lies in the memory of each engine that announces itself to the replica, as a Cache under the engine's ID.
+	Caches board.Topic = 12
 )
 
+// Cache is the long parts in an engine's memory.
+type Cache struct {
+	// Born is the engine's start.
+	Born int64 `cbor:"born"`
+	// Least is the size in tokens from which on parts are told.
+	Least int `cbor:"least"`
+	// Parts are the tokens that are kept of each part, by stores.Part's hash.
+	Parts map[uint64]int `cbor:"parts"`
+}
+
 // Loading is the weights that an engine was brought to.
 type Loading struct {
 	// Born is the engine's start.
