After a loss of all processes a leader, the lease and the stores are there sooner

Change: a voter that knows of no leader since its start asks after 0.15 to 0.5 s; a new leader asks for the lease at once; short parts wait as long as their rows take; a new process lets requests wait for the first server of their service.

TestLearnerThatIsNeededCampaigns failed with short timeouts for learners; they keep the long ones.

--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -89,6 +89,8 @@
 	// sinceWatch counts ticks since the leader last looked for lost appends.
 	sinceWatch int
 	timeout    int
+	// met says that a leader was known since the start.
+	met bool
 	// asked says that a candidate took this replica for a voter and that its log was too short.
 	asked     bool
 	votes     map[Identity]bool
@@ -184,7 +186,18 @@
 	return m
 }
 
+// resetTimeout draws the next election timeout.
+//
+// Until a voter that has just started knows of a leader its timeouts are short:
+// after a loss of all replicas nobody serves until one of them leads. A leader
+// that works is heard within a heartbeat interval, before the shortest of them,
+// and who heard it grants no vote.
 func (r *core) resetTimeout() {
 	r.elapsed = 0
+	if !r.met && r.log.configuration().Voter(r.self()) {
+		least := r.config.ElectionTicks/4 + 1
+		r.timeout = least + r.config.Random.IntN(max(1, r.config.ElectionTicks-least))
+		return
+	}
 	r.timeout = r.config.ElectionTicks + r.config.Random.IntN(r.config.ElectionTicks)
 }
--- a/internal/control/raft/election.go
+++ b/internal/control/raft/election.go
@@ -6,6 +6,7 @@
 		r.term, r.vote = term, None
 	}
 	r.role = Follower
+	r.met = r.met || leader != None
 	if leader == None || leader != r.leader {
 		r.known = false
 	}
--- a/internal/control/raft/election_test.go
+++ b/internal/control/raft/election_test.go
@@ -173,3 +173,32 @@
 		t.Errorf("the entries are not committed, or the learner leads on: %+v", s)
 	}
 }
+
+// All replicas were killed at the same moment and are back at once. Nothing is
+// served until one of them leads, and callers are refused meanwhile, so that the
+// first to ask must not wait for a whole election timeout. One that has known a
+// leader keeps to the whole: a leader that is merely slow must not be deposed.
+func TestVoterThatHasJustStartedAsksSoon(t *testing.T) {
+	const ticks = 10
+	until := func(c raft.Core) int {
+		n := 0
+		for ; c.Status().Role == raft.Follower; n++ {
+			c.Tick()
+		}
+		return n
+	}
+	for seed := range uint64(50) {
+		c := raft.New(raft.Config{
+			Founding: "f", Self: raft.Member{Identity: "a", Address: "10.0.0.1:1"}, Initial: trio(),
+			HardState: raft.HardState{Term: 1}, ElectionTicks: ticks, HeartbeatTicks: 2, Random: rand.New(rand.NewPCG(seed, 1)),
+		})
+		if n := until(c); n <= 2 || n >= ticks {
+			t.Errorf("seed %d: a started voter asks after %d ticks", seed, n)
+		}
+		c.Step(from("b", raft.Message{Kind: raft.MessageAppend, Term: 2}))
+		flush(c)
+		if n := until(c); n < ticks {
+			t.Errorf("seed %d: a voter that heard a leader asks after %d ticks", seed, n)
+		}
+	}
+}
--- a/internal/control/raft/leader.go
+++ b/internal/control/raft/leader.go
@@ -4,6 +4,7 @@
 
 // lead makes the candidate the leader of its term.
 func (r *core) lead() {
+	r.met = true
 	r.role = Leader
 	r.leader, r.leaderAddress = r.self(), r.config.Self.Address
 	r.elapsed, r.beat, r.sinceWatch = 0, 0, 0
--- a/internal/process/sitecontrol/lease.go
+++ b/internal/process/sitecontrol/lease.go
@@ -10,6 +10,7 @@
 
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/wait"
 	controllease "hornbeamwood/internal/control/lease"
 	"hornbeamwood/internal/control/raft"
 	"hornbeamwood/internal/node/boottime"
@@ -25,6 +26,8 @@
 	// renewInterval is the time between two renewals: with orderMargin one may be
 	// late by as much again until orders stop.
 	renewInterval = 400 * time.Millisecond
+	// leadInterval is the time between two looks whether this replica leads and could ask for the lease.
+	leadInterval = 40 * time.Millisecond
 	// renewTimeout bounds one renewal.
 	renewTimeout = time.Second
 	// orderMargin is kept off the end of the lease for the way of an order to its server.
@@ -94,17 +97,18 @@
 }
 
 // run renews until ctx ends.
+//
+// A replica that has just come to lead asks at once: until it holds the lease,
+// entries learn nothing of the stores.
 func (h *holder) run(ctx context.Context) {
-	t := time.NewTicker(renewInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			if h.leads() && !h.stopping() {
-				h.renew(ctx)
-			}
+	asked := time.Time{}
+	for wait.For(ctx, leadInterval) {
+		switch {
+		case !h.leads():
+			asked = time.Time{}
+		case time.Since(asked) >= renewInterval && !h.stopping():
+			asked = time.Now()
+			h.renew(ctx)
 		}
 	}
 }
--- a/internal/process/sitecontrol/lease_test.go
+++ b/internal/process/sitecontrol/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,3 +130,30 @@
 		t.Errorf("after another holder it orders within %s", wait)
 	}
 }
+
+// A replica comes to lead after a loss of all. Until it holds the lease nobody
+// tells entries of the stores, and engines read again what lies there: it must
+// ask at once, not at the time of its next renewal.
+func TestNewLeaderAsksAtOnce(t *testing.T) {
+	l := newLeaseLog()
+	h := l.holder("a")
+	var leads atomic.Bool
+	h.leads = leads.Load
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.run(ctx)
+	}()
+	time.Sleep(renewInterval + leadInterval)
+	began := time.Now()
+	leads.Store(true)
+	for h.number() == 0 && time.Since(began) < renewInterval {
+		time.Sleep(time.Millisecond)
+	}
+	if h.number() == 0 {
+		t.Errorf("no lease %s after it came to lead", time.Since(began))
+	}
+	cancel()
+	<-ended
+}
--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -28,7 +28,7 @@
 	epochPause = 400 * time.Millisecond
 	// followInterval is the time between two looks whether this replica has got the
 	// lease, or stores have come: entries know of no store until its holder lists them.
-	followInterval = 100 * time.Millisecond
+	followInterval = 40 * time.Millisecond
 	// freeInterval is the time between two looks for parts to free.
 	freeInterval = 500 * time.Millisecond
 	// fullShare is the part of a store's room that may be taken before its oldest
@@ -39,11 +39,12 @@
 	// never come, and what isn't known to be there is never freed.
 	listInterval = 20 * time.Second
 	// longPart is the size in tokens from which on a part is shown at once, and
-	// shortPause how long the shorter ones wait behind it after the first listing. A
-	// replica that has just got the lease owes all rows to every entry: the short
-	// ones are nine in ten rows and an eighth of the tokens.
+	// shortPause how long the shorter ones wait behind it at most after the first
+	// listing. A replica that has just got the lease owes all rows to every entry,
+	// and most rows are those of short parts; rowTime is what one row to one entry takes.
 	longPart   = 1024
 	shortPause = 700 * time.Millisecond
+	rowTime    = 20 * time.Microsecond
 	// freeAhead is the part of the old weights' parts that goes ahead of the engines.
 	freeAhead = 0.25
 	// hashSteps is how finely parts are told apart by their hash.
@@ -229,10 +230,15 @@
 	}
 	long, short := bySize(changed, c.Held)
 	l.show(x, long)
-	time.AfterFunc(shortPause, func() { l.show(x, short) })
+	time.AfterFunc(pauseOfShort(len(short), l.watched.Entries()), func() { l.show(x, short) })
 	return nil
 }
 
+// pauseOfShort returns how long so many rows of short parts wait for the long ones to get to all entries.
+func pauseOfShort(rows, entries int) time.Duration {
+	return min(shortPause, time.Duration(rows*entries)*rowTime)
+}
+
 // bySize divides the parts into those that are worth a row at once and the others.
 func bySize(all []stores.Part, sizes map[stores.Part]int) (long, short []stores.Part) {
 	for _, p := range all {
--- a/internal/process/sitecontrol/librarian_test.go
+++ b/internal/process/sitecontrol/librarian_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"hornbeamwood/internal/site/stores"
 )
@@ -31,3 +32,15 @@
 		}
 	}
 }
+
+// After a loss of all processes the short parts wait for the long ones. On a small
+// site all rows are through in a moment, and a wait of a large site's length would
+// have engines read the short parts again meanwhile.
+func TestShortPartsWaitByTheirNumber(t *testing.T) {
+	if p := pauseOfShort(300, 7); p > 50*time.Millisecond {
+		t.Errorf("on a small site short parts wait %s", p)
+	}
+	if p := pauseOfShort(3000, 90); p != shortPause {
+		t.Errorf("on a large site short parts wait %s", p)
+	}
+}
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -37,6 +37,8 @@
 	Await(ctx context.Context)
 	// Settle returns at once, but in a process that has just stood still once it has heard news, or a moment later.
 	Settle(ctx context.Context)
+	// AwaitServers returns once a server of the service is known, or ctx ends; at once when the process has run for a while.
+	AwaitServers(ctx context.Context, service string)
 	// AwaitStores returns once it is known what lies in the stores, or ctx ends; at once when the process has run for a while.
 	AwaitStores(ctx context.Context)
 	// Servers returns the ready servers of a service.
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -137,12 +137,25 @@
 }
 
 func (j *job) choose(ctx context.Context) (choice, bool) {
+	j.awaitServers(ctx)
 	if j.route.Prompts && j.request.Prompt != nil && j.service.Engine != nil {
 		return j.awaitEngine(ctx, *j.service.Engine)
 	}
 	return j.choosePlain()
 }
 
+// awaitServers lets a request wait for the first server of its service, in a
+// process that has just started: servers announce themselves about once a second,
+// and whoever is refused meanwhile comes back later than that.
+func (j *job) awaitServers(ctx context.Context) {
+	if len(j.Site.Servers(j.service.Name)) > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Until(j.deadline)/2)
+	defer cancel()
+	j.Site.AwaitServers(ctx, j.service.Name)
+}
+
 // try sends the request to a server and passes its answer on; it returns false when another server may be tried.
 func (j *job) try(ctx context.Context, c choice) (bool, string) {
 	now := time.Now()
