New weights are in place within their time, and nothing begins on old ones after it

Change: an engine that doesn't answer gives its place back at once and is left alone for a second; the time to drain follows what is left of the promised time; the next engines are drained by the time that loads take, which is learned. Entries send nothing to older weights from 1.2 s before the promised time on; when a version was named travels with it, for entries that start later.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -193,6 +193,9 @@
 	for model, version := range p.section.Versions() {
 		p.put(topic.Versions, model, version)
 	}
+	for model, at := range p.section.NamedAt() {
+		p.put(topic.NamedAt, model, at)
+	}
 }
 
 func (p *process) put(t board.Topic, key string, value any) {
@@ -245,7 +248,7 @@
 	})
 	p.loops.Go(func() { p.showLoads(serving) })
 	p.loops.Go(func() {
-		weights.New(weights.Config{Client: p.config.Engines, Site: engines{p}, Logger: p.config.Logger}).Run(serving)
+		weights.New(weights.Config{Client: p.config.Engines, Site: engines{p}, Within: p.config.Host.Bounds.Weights, Logger: p.config.Logger}).Run(serving)
 	})
 	p.loops.Go(func() {
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.host.Store(&h) }, p.config.Logger)
--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -161,6 +161,7 @@
 		if err != nil {
 			f.Epoch = 0
 		}
+		l.clock.Heard(f.Clock)
 		next = f.Next
 		l.put(topic.Epochs, address, f.Epoch)
 		wait.For(ctx, epochPause)
--- a/internal/process/sitecontrol/operator.go
+++ b/internal/process/sitecontrol/operator.go
@@ -53,7 +53,7 @@
 
 // NameVersion implements Service.
 func (p *process) NameVersion(ctx context.Context, model string, version int64) error {
-	r, err := p.change(ctx, section.Command{NameVersion: &section.NameVersion{Model: model, Version: version}})
+	r, err := p.change(ctx, section.Command{NameVersion: &section.NameVersion{Model: model, Version: version, At: p.librarian.clock.Now()}})
 	f := log.Fields{"model": model, "version": version, "changed": r.Changed}
 	if err != nil {
 		f["error"] = err.Error()
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -95,6 +95,7 @@
 	watcher := fmt.Sprintf("%s/%d", c.Host.Internal, time.Now().UnixNano())
 	others := share.NewOthers(watcher)
 	p := &process{config: c, site: newSite(c.Logger, memory, others, waiting.Changed), tracker: observe.New(), conns: newConns(), metrics: metrics.NewSet()}
+	p.site.weights = c.Host.Bounds.Weights
 	p.seeds.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Entry)
 	if err != nil {
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -37,8 +37,11 @@
 	thaw  *thaw
 	began time.Time
 
-	mu       sync.Mutex
-	newest   map[string]int64
+	mu     sync.Mutex
+	newest map[string]int64
+	// named is when each model's newest version was named, weights how long after that requests may begin on older ones.
+	named    map[string]time.Time
+	weights  time.Duration
 	noticed  map[string]int64
 	members  memberLists
 	entries  map[string]int
@@ -73,6 +76,7 @@
 		began:     time.Now(),
 		members:   memberLists{},
 		newest:    map[string]int64{},
+		named:     map[string]time.Time{},
 		noticed:   map[string]int64{},
 		entries:   map[string]int{},
 		caughtUp:  map[string]time.Time{},
@@ -129,6 +133,8 @@
 		return s.takeCache(address, r)
 	case topic.Versions:
 		return decoded(r, func(v int64) { s.takeVersion(r.Key, v) })
+	case topic.NamedAt:
+		return decoded(r, func(at int64) { s.takeNamedAt(r.Key, at) })
 	}
 	// A topic of a newer replica.
 	return nil
@@ -185,7 +191,34 @@
 func (s *site) takeVersion(model string, v int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.newest[model] = max(s.newest[model], v)
+	if v > s.newest[model] {
+		s.newest[model], s.named[model] = v, time.Now()
+	}
+}
+
+// takeNamedAt takes when the newest version was named by the servers' clock: a
+// process that has just started hears of it late.
+func (s *site) takeNamedAt(model string, at int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if now == 0 || at <= 0 || at > now {
+		return
+	}
+	if t := time.Now().Add(-time.Duration(now-at) * time.Millisecond); t.Before(s.named[model]) {
+		s.named[model] = t
+	}
+}
+
+// beginSlack is how long before the promised time requests are sent to older
+// weights for the last time: they begin after those that wait at the engine.
+const beginSlack = 1200 * time.Millisecond
+
+// Outdated implements caller.Site.
+func (s *site) Outdated(model string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.weights > 0 && time.Since(s.named[model]) >= s.weights-beginSlack
 }
 
 // Table implements caller.Site.
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -96,7 +96,7 @@
 		j.awaitStores(ctx)
 	}
 	c, ok := j.chooseEngine(e)
-	if ok && c.fits || !ok && !j.engineIsBusy() {
+	if ok && c.fits || !ok && !j.engineComes() {
 		return c, ok
 	}
 	rank := line.Rank{OnTime: j.arrived.Add(j.route.Target - expectedFirst), Urgency: j.urgency(), Arrived: j.arrived}
@@ -110,7 +110,7 @@
 			c.fields["waited-ms"] = time.Since(j.arrived).Milliseconds()
 			return c, true
 		}
-		if !ok && !j.engineIsBusy() {
+		if !ok && !j.engineComes() {
 			return c, false
 		}
 	}
@@ -121,14 +121,22 @@
 	return j.chooseEngine(e)
 }
 
-// engineIsBusy returns whether an engine that was not tried yet carries out an
-// order: it takes requests again in a moment, a load takes seconds.
-func (j *job) engineIsBusy() bool {
+// engineComes returns whether an engine that was not tried yet takes requests
+// again in a moment: it carries out an order, or is about to get one.
+func (j *job) engineComes() bool {
 	return slices.ContainsFunc(j.Site.Servers(j.service.Name), func(s directory.Server) bool {
-		return !slices.Contains(j.tried, s.ID) && j.Site.Busy(s.ID)
+		return !slices.Contains(j.tried, s.ID) && (j.Site.Busy(s.ID) || j.outdated(j.Site.Version(s, j.request.Prompt.Model)))
 	})
 }
 
+// outdated returns whether no request may begin on weights of that version any
+// more. Operators are promised a time from which on all answers are made on the
+// weights that they named; an engine that gets them late must not break it.
+func (j *job) outdated(version int64) bool {
+	model := j.request.Prompt.Model
+	return version < j.Site.Newest(model) && j.Site.Outdated(model)
+}
+
 // longest returns the size of the longest shared part.
 func (j *job) longest() int {
 	most := 0
@@ -164,6 +172,9 @@
 			continue
 		}
 		v := j.Site.Version(c.Server, prompt.Model)
+		if j.outdated(v) {
+			continue
+		}
 		groups[v] = append(groups[v], c)
 	}
 	var found choice
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -53,6 +53,8 @@
 	Noticed(server, model string, version int64)
 	// Newest returns the version that was named for the model, zero for none.
 	Newest(model string) int64
+	// Outdated returns whether new weights of the model were named so long ago that no request may be sent to older ones.
+	Outdated(model string) bool
 	// Busy returns whether the server carries out an order that keeps it from taking requests for the model.
 	Busy(server string) bool
 	// Copies returns the stores that have the part of that size whole.
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -60,6 +60,9 @@
 	// mu guards what changes while requests run: engines that carry out orders, servers that are gone.
 	mu         sync.Mutex
 	busy, gone bool
+	// version is what the engines have, newest what was named; outdated says that nothing may begin on older weights.
+	version, newest int64
+	outdated        bool
 }
 
 func (s *fakeSite) set(busy, gone bool) {
@@ -83,6 +86,24 @@
 	return s.busy
 }
 
+func (s *fakeSite) Version(directory.Server, string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(1, s.version)
+}
+
+func (s *fakeSite) Newest(string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(1, s.newest)
+}
+
+func (s *fakeSite) Outdated(string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outdated
+}
+
 func (s *fakeSite) Table() document.Table                    { return s.table }
 func (s *fakeSite) Await(context.Context)                    {}
 func (s *fakeSite) Settle(context.Context)                   {}
@@ -90,9 +111,7 @@
 func (s *fakeSite) AwaitServers(context.Context, string)     {}
 func (s *fakeSite) Server(string) (directory.Server, bool)   { return directory.Server{}, false }
 func (s *fakeSite) Reads(string, string, int, string)        {}
-func (s *fakeSite) Version(directory.Server, string) int64   { return 1 }
 func (s *fakeSite) Noticed(string, string, int64)            {}
-func (s *fakeSite) Newest(string) int64                      { return 1 }
 func (s *fakeSite) Copies(string, string, int) []choose.Copy { return nil }
 func (s *fakeSite) SaveTo(string, string, int) string        { return "" }
 func (s *fakeSite) FetchUntil() int64                        { return 0 }
--- a/internal/serve/caller/gateway_test.go
+++ b/internal/serve/caller/gateway_test.go
@@ -391,3 +391,30 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// New weights were named and the last engine gets them late. A prompt that began
+// on its old weights after the promised time would be an answer that the operator
+// had forbidden; it must wait for an engine with the new ones.
+func TestPromptWaitsForNamedWeights(t *testing.T) {
+	b := newBench(t, streamOf("a", 2, true))
+	set := func(version int64, outdated bool) {
+		b.site.mu.Lock()
+		defer b.site.mu.Unlock()
+		b.site.version, b.site.newest, b.site.outdated = version, 2, outdated
+	}
+	set(1, true)
+	status := b.prompt(t)
+	b.waitInLine(t)
+	if n := b.servers[0].count(); n != 0 {
+		t.Fatalf("%d requests went to old weights", n)
+	}
+	set(2, true)
+	b.line.Changed()
+	if got := <-status; got != http.StatusOK {
+		t.Errorf("got %d", got)
+	}
+	set(1, false)
+	if got := <-b.prompt(t); got != http.StatusOK {
+		t.Errorf("before that time got %d", got)
+	}
+}
--- a/internal/site/section/command.go
+++ b/internal/site/section/command.go
@@ -27,6 +27,8 @@
 	Model string `cbor:"model"`
 	// Version is the number of its weights; a lower one than the present changes nothing.
 	Version int64 `cbor:"version"`
+	// At is when it was named by the servers' clock in Unix milliseconds, zero where that isn't known.
+	At int64 `cbor:"at,omitempty"`
 }
 
 // Result is what a Command returns.
--- a/internal/site/section/section.go
+++ b/internal/site/section/section.go
@@ -19,6 +19,8 @@
 	Held() (Held, bool)
 	// Versions returns the named version of each model.
 	Versions() map[string]int64
+	// NamedAt returns when each model's version was named by the servers' clock in Unix milliseconds, where that is known.
+	NamedAt() map[string]int64
 }
 
 // Config is what a Section is made from.
@@ -37,11 +39,12 @@
 type image struct {
 	Held     *Held            `cbor:"held,omitempty"`
 	Versions map[string]int64 `cbor:"versions"`
+	NamedAt  map[string]int64 `cbor:"named-at,omitempty"`
 }
 
 // New returns the empty section.
 func New(c Config) Section {
-	return &section{config: c, image: image{Versions: map[string]int64{}}}
+	return &section{config: c, image: image{Versions: map[string]int64{}, NamedAt: map[string]int64{}}}
 }
 
 // Name implements state.Section.
@@ -99,6 +102,10 @@
 		return Result{Taken: n.Model != ""}
 	}
 	s.image.Versions[n.Model] = n.Version
+	delete(s.image.NamedAt, n.Model)
+	if n.At > 0 {
+		s.image.NamedAt[n.Model] = n.At
+	}
 	return Result{Taken: true, Changed: true}
 }
 
@@ -125,6 +132,13 @@
 	return maps.Clone(s.image.Versions)
 }
 
+// NamedAt implements Section.
+func (s *section) NamedAt() map[string]int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return maps.Clone(s.image.NamedAt)
+}
+
 // Query implements state.Section.
 func (s *section) Query([]byte) ([]byte, error) {
 	return nil, errNoQueries
@@ -146,6 +160,9 @@
 	if i.Versions == nil {
 		i.Versions = map[string]int64{}
 	}
+	if i.NamedAt == nil {
+		i.NamedAt = map[string]int64{}
+	}
 	s.mu.Lock()
 	s.image = i
 	s.mu.Unlock()
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -28,6 +28,8 @@
 	Epochs board.Topic = 11
 	// Caches holds what lies in the memory of each engine that announces itself to the replica, as a Cache under the engine's ID.
 	Caches board.Topic = 12
+	// NamedAt holds when each model's version was named by the servers' clock in Unix milliseconds as an int64, where that is known.
+	NamedAt board.Topic = 13
 )
 
 // Cache is the long parts in an engine's memory.
--- a/internal/site/weights/rollout.go
+++ b/internal/site/weights/rollout.go
@@ -27,9 +27,12 @@
 	drainLeast = 400 * time.Millisecond
 	// drainMost is how long an order waits for them at most; the engine waits for the rest itself.
 	drainMost = 1600 * time.Millisecond
-	// drainLead is how long others must have loaded before the next ones are
-	// drained: a load takes about two seconds, draining one.
-	drainLead = 600 * time.Millisecond
+	// finishedBy is the part of the time within which engines must have named
+	// weights that a roll-out takes when draining is cut short for it; the rest is
+	// for engines that fail and for the next giver of orders.
+	finishedBy = 0.6
+	// askAgainAfter is how long an engine is left alone that couldn't be asked.
+	askAgainAfter = time.Second
 	// placePause is the time between two looks for a place to load.
 	placePause = 20 * time.Millisecond
 	// lookInterval is the time between two questions to an engine that is drained or loads.
@@ -66,6 +69,8 @@
 	Client Client
 	// Site is what is known.
 	Site Site
+	// Within is how long after they were named all engines must have weights; zero for no bound.
+	Within time.Duration
 	// Logger takes the events.
 	Logger log.Interface
 }
@@ -84,13 +89,25 @@
 	underWay map[string]bool
 	// began is when each engine that loads began to.
 	began map[string]time.Time
-	ended sync.WaitGroup
+	// failed is when each engine last couldn't be asked.
+	failed map[string]time.Time
+	// noticed is when this process saw the present version of each model.
+	noticed map[string]notice
+	pace    pace
+	ended   sync.WaitGroup
+}
+
+// notice is a named version with when this process saw it.
+type notice struct {
+	version int64
+	at      time.Time
 }
 
 // New returns a Rollout.
 func New(c Config) Rollout {
 	return &rollout{
 		Config: c, underWay: map[string]bool{}, began: map[string]time.Time{},
+		failed: map[string]time.Time{}, noticed: map[string]notice{}, pace: newPace(),
 		draining: make(chan struct{}, mostAtOnce),
 	}
 }
@@ -121,32 +138,58 @@
 
 // look begins with engines that have older weights than named, as places are free.
 func (r *rollout) look(ctx context.Context) {
+	r.notice()
 	if _, _, ok := r.Site.Holder(); !ok {
 		return
 	}
 	most := max(atOnce, int(atOnceShare*float64(len(r.Site.Engines()))))
-	for _, d := range r.order() {
-		if len(r.draining) >= most || r.early(most) {
+	all := r.order()
+	for _, d := range all {
+		drain := r.drainTime(d.model, len(all), most)
+		if len(r.draining) >= most || r.early(most, drain) {
 			return
 		}
 		r.draining <- struct{}{}
 		r.set(d.server.ID, true)
 		r.ended.Go(func() {
 			defer r.set(d.server.ID, false)
-			r.bring(ctx, d.server, d.model, d.version, most)
+			r.bring(ctx, d, drain, most)
 		})
 	}
 }
 
+// notice notes which versions are named and since when, also while another process gives the orders.
+func (r *rollout) notice() {
+	for model, version := range r.Site.Named() {
+		if r.noticed[model].version != version {
+			r.noticed[model] = notice{version, time.Now()}
+		}
+	}
+}
+
+// drainTime returns how long an engine may be drained while so many are still to load.
+//
+// Where engines load quickly and new weights must be everywhere soon, draining
+// takes most of the time; the last engines would begin requests on old weights
+// after that.
+func (r *rollout) drainTime(model string, engines, most int) time.Duration {
+	if r.Within <= 0 {
+		return drainMost
+	}
+	left := time.Duration(finishedBy*float64(r.Within)) - time.Since(r.noticed[model].at)
+	rounds := (engines + most - 1) / most
+	return max(drainLeast, min(drainMost, left/time.Duration(rounds)))
+}
+
 // early returns whether those that load have begun so lately that the next ones
 // would be drained long before a place is free: an engine that waits drained
 // serves nobody.
-func (r *rollout) early(most int) bool {
+func (r *rollout) early(most int, drain time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lately := 0
+	lead, lately := r.pace.load-drain, 0
 	for _, at := range r.began {
-		if time.Since(at) < drainLead {
+		if time.Since(at) < lead {
 			lately++
 		}
 	}
@@ -162,7 +205,7 @@
 	named := r.Site.Named()
 	var all []due
 	for _, s := range r.Site.Engines() {
-		if d, ok := r.behind(s, named); ok && !r.working(s.ID) {
+		if d, ok := r.behind(s, named); ok && r.free(s.ID) {
 			all = append(all, d)
 		}
 	}
@@ -181,10 +224,19 @@
 	return due{}, false
 }
 
-func (r *rollout) working(id string) bool {
+// free returns whether the engine can be brought to other weights now. One that
+// has crashed would keep a place from those that work again and again.
+func (r *rollout) free(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.underWay[id]
+	return !r.underWay[id] && time.Since(r.failed[id]) >= askAgainAfter
+}
+
+// fail notes that the engine couldn't be asked.
+func (r *rollout) fail(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed[id] = time.Now()
 }
 
 func (r *rollout) set(id string, working bool) {
@@ -198,10 +250,14 @@
 }
 
 // bring drains an engine and has it load; it holds a place in each phase.
-func (r *rollout) bring(ctx context.Context, s directory.Server, model string, version int64, most int) {
+func (r *rollout) bring(ctx context.Context, d due, drain time.Duration, most int) {
+	s := d.server
 	r.Site.SetBusy(s.ID, true)
 	defer r.Site.SetBusy(s.ID, false)
-	r.drain(ctx, s)
+	if !r.drain(ctx, s, drain) {
+		<-r.draining
+		return
+	}
 	for !r.takePlace(s.ID, most) {
 		if ctx.Err() != nil {
 			<-r.draining
@@ -211,7 +267,7 @@
 	}
 	<-r.draining
 	defer r.leavePlace(s.ID)
-	r.load(ctx, s, model, version)
+	r.load(ctx, s, d.model, d.version)
 }
 
 // takePlace returns whether the engine may load now.
@@ -231,17 +287,28 @@
 	delete(r.began, id)
 }
 
-// drain waits until the engine's requests have ended.
-func (r *rollout) drain(ctx context.Context, s directory.Server) {
+// drain waits until the engine's requests have ended, or for as long as it may
+// take; it returns false when the engine doesn't answer.
+func (r *rollout) drain(ctx context.Context, s directory.Server, most time.Duration) bool {
 	began := time.Now()
-	wait.For(ctx, drainLeast)
-	for ctx.Err() == nil && time.Since(began) < drainMost {
+	for ctx.Err() == nil {
 		p, err := r.report(ctx, s)
-		if err != nil || p.Running+p.Waiting == 0 {
-			return
+		if err != nil {
+			r.notAsked(s, err)
+			return false
 		}
-		wait.For(ctx, lookInterval)
+		took := time.Since(began)
+		if took >= drainLeast && (p.Running+p.Waiting == 0 || took >= most) {
+			return true
+		}
+		wait.For(ctx, max(lookInterval, drainLeast-took))
 	}
+	return false
+}
+
+func (r *rollout) notAsked(s directory.Server, err error) {
+	r.fail(s.ID)
+	event.EngineNotAsked.Write(r.Logger, log.Fields{"server": s.ID, "error": err.Error()})
 }
 
 func (r *rollout) report(ctx context.Context, s directory.Server) (Report, error) {
@@ -261,9 +328,10 @@
 		p, err := r.report(ctx, s)
 		switch {
 		case err != nil:
-			event.EngineNotAsked.Write(r.Logger, log.Fields{"server": s.ID, "model": model, "version": version, "error": err.Error()})
+			r.notAsked(s, err)
 			return
 		case p.Versions[model] >= version && !p.Busy:
+			r.learn(time.Since(began))
 			r.Site.Loaded(s, model, p.Versions[model])
 			return
 		case !p.Busy && !r.give(ctx, s, Order{Model: model, Version: version, Sequence: p.Sequence}):
--- a/internal/site/weights/rollout_test.go
+++ b/internal/site/weights/rollout_test.go
@@ -80,6 +80,11 @@
 	silent int
 	// fenced makes every order be refused.
 	fenced bool
+	// load is how long a load takes, two seconds where it is zero.
+	load time.Duration
+	// down are engines that answer nothing; runs lets every other one seem to run requests for ever.
+	down map[string]bool
+	runs bool
 }
 
 func newFakeEngines(s *fakeSite) *fakeEngines {
@@ -93,12 +98,19 @@
 func (e *fakeEngines) Report(_ context.Context, s directory.Server) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down[s.ID] {
+		return Report{}, errors.New("connection refused")
+	}
+	running := 0
+	if e.runs {
+		running = 1
+	}
 	busy := time.Now().Before(e.until[s.ID])
 	version := e.versions[s.ID]
 	if busy {
 		version--
 	}
-	return Report{Sequence: e.sequence[s.ID], Busy: busy, Versions: map[string]int64{"m": version}}, nil
+	return Report{Sequence: e.sequence[s.ID], Busy: busy, Running: running, Versions: map[string]int64{"m": version}}, nil
 }
 
 func (e *fakeEngines) Order(_ context.Context, s directory.Server, o Order) (Outcome, error) {
@@ -113,7 +125,11 @@
 		return Conflict, nil
 	}
 	e.sequence[s.ID]++
-	e.versions[s.ID], e.until[s.ID] = o.Version, now.Add(2*time.Second)
+	load := 2 * time.Second
+	if e.load > 0 {
+		load = e.load
+	}
+	e.versions[s.ID], e.until[s.ID] = o.Version, now.Add(load)
 	e.loads[s.ID]++
 	loading := 0
 	for _, t := range e.until {
@@ -136,6 +152,14 @@
 	New(Config{Client: e, Site: s}).Run(ctx)
 }
 
+// rollOutWithin is rollOut where all engines must have the weights after so long.
+func rollOutWithin(t *testing.T, s *fakeSite, e *fakeEngines, within, d time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	New(Config{Client: e, Site: s, Within: within}).Run(ctx)
+}
+
 // New weights are named for nine engines. Each must load them once, never more
 // than two at a time, and all within what operators are promised, or requests
 // are answered from old weights.
@@ -199,3 +223,40 @@
 		}
 	})
 }
+
+// Engines load in less than a second and must have new weights within ten. With
+// requests that never end at each of them, draining takes longer than the loads;
+// the last engines must have the weights in time all the same, or requests begin
+// on old ones after that.
+func TestDrainingKeepsToTheTimeThatThereIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const within = 10 * time.Second
+		s := newFakeSite(1, 1, 1, 1, 1, 1, 1, 1, 1)
+		e := newFakeEngines(s)
+		e.load, e.runs = 760*time.Millisecond, true
+		rollOutWithin(t, s, e, within, within*8/10)
+		if len(s.loaded) != len(s.engines) {
+			t.Errorf("%d of %d engines have the weights after %s", len(s.loaded), len(s.engines), within*8/10)
+		}
+		if e.most > atOnce {
+			t.Errorf("%d loaded at once", e.most)
+		}
+	})
+}
+
+// A third of the engines crash while new weights are brought. Those that refuse
+// connections must not keep the places of those that work: the roll-out stood
+// still for three seconds, and the last engine got its weights too late.
+func TestCrashedEnginesDontHoldUpTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const within = 10 * time.Second
+		s := newFakeSite(1, 1, 1, 1, 1, 1, 1, 1, 1)
+		e := newFakeEngines(s)
+		e.load, e.runs = 760*time.Millisecond, true
+		e.down = map[string]bool{"a": true, "b": true, "c": true}
+		rollOutWithin(t, s, e, within, within*7/10)
+		if len(s.loaded) != len(s.engines)-len(e.down) {
+			t.Errorf("%d engines have the weights", len(s.loaded))
+		}
+	})
+}
