Entries take turns at room that all of them hear of

Change: entries tell how many wait in their lines; one goes in proportion, the others look again 40 ms later.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -33,7 +33,7 @@
 	// WeightsOrdered is written for each order to an engine.
 	WeightsOrdered = define(930, log.InfoLevel, "weights-ordered", "An engine was ordered to load weights; the fields give the fencing number, the expected sequence and the outcome.")
 	// EngineNotAsked is written when an engine can't be asked.
-	EngineNotAsked = define(931, log.WarnLevel, "engine-not-asked", "An engine could not be asked what weights it has; it is tried again.")
+	EngineNotAsked = define(931, log.WarnLevel, "engine-not-asked", "An engine could not be asked what weights it has; it is tried again a second later, after the others.")
 	// LeaseHeld is written when this replica begins or ceases to give orders.
 	LeaseHeld = define(932, log.InfoLevel, "lease-held", "This replica holds the lease for orders, or no longer does; the fields give the fencing number and the reason.")
 	// StoreListed is written when a store's whole content was read.
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -85,6 +85,7 @@
 	seeds    atomic.Pointer[[]string]
 	running  atomic.Int64
 	conns    *conns
+	line     line.Line
 	// stopped is when the process was told to stop, nil before.
 	stopped atomic.Pointer[time.Time]
 }
@@ -94,7 +95,7 @@
 	memory, waiting := parts.NewMemory(), line.New()
 	watcher := fmt.Sprintf("%s/%d", c.Host.Internal, time.Now().UnixNano())
 	others := share.NewOthers(watcher)
-	p := &process{config: c, site: newSite(c.Logger, memory, others, waiting.Changed), tracker: observe.New(), conns: newConns(), metrics: metrics.NewSet()}
+	p := &process{config: c, site: newSite(c.Logger, memory, others, func() { waiting.ChangedElsewhere(others.Load(lineName, time.Now()).InFlight) }), tracker: observe.New(), conns: newConns(), line: waiting, metrics: metrics.NewSet()}
 	p.site.weights = c.Host.Bounds.Weights
 	p.seeds.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Entry)
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -8,6 +8,7 @@
 
 	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/watch"
 )
@@ -119,7 +120,7 @@
 		wait.For(ctx, interval)
 		quiet++
 		force := time.Duration(quiet)*interval >= loadsRefresh
-		post, changed := p.site.others.Post(p.tracker.Loads(), force)
+		post, changed := p.site.others.Post(p.loads(), force)
 		p.site.mu.Lock()
 		address := p.site.leader()
 		p.site.mu.Unlock()
@@ -134,6 +135,18 @@
 	}
 }
 
+// lineName is the name under which entries tell how many requests wait in their lines.
+const lineName = "line"
+
+// loads returns what this entry has at each engine, and in its line.
+func (p *process) loads() share.Loads {
+	all := p.tracker.Loads()
+	if n := p.line.Len(); n > 0 {
+		all[lineName] = share.Load{InFlight: n}
+	}
+	return all
+}
+
 // tell sends what is pending at each interval.
 func tell[T any](ctx context.Context, node rpc.Node, interval func() time.Duration, n rpc.Notice[[]T], pending func() ([]T, string)) {
 	for ctx.Err() == nil {
--- a/internal/serve/line/line.go
+++ b/internal/serve/line/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,9 @@
 // small requests pass one that needs much room.
 const mostWoken = 12
 
+// turnPause is how long an entry waits that left room to others: until it hears what they took.
+const turnPause = 40 * time.Millisecond
+
 // Rank says who goes first.
 type Rank struct {
 	// OnTime is until when the answer has its full worth.
@@ -43,8 +47,11 @@
 	// Enter adds a waiter and Leave takes it out.
 	Enter(r Rank) *Waiter
 	Leave(w *Waiter)
-	// Changed lets those in front try again: there may be room.
+	// Changed lets those in front try again: this entry has made room.
 	Changed()
+	// ChangedElsewhere does so when all entries hear of room at the same moment: at
+	// once in its turn, else a moment later. others is how many wait at other entries.
+	ChangedElsewhere(others int)
 	// Len returns how many wait.
 	Len() int
 }
@@ -58,6 +65,8 @@
 type line struct {
 	mu      sync.Mutex
 	waiters []*Waiter
+	// postponed says that a turn is due in a moment.
+	postponed bool
 }
 
 // New returns an empty Line.
@@ -118,6 +127,34 @@
 	}
 }
 
+// ChangedElsewhere implements Line.
+//
+// All entries hear of the same room at the same moment. If each sent a request
+// there, most would wait at that engine behind the others; so each goes in
+// proportion to how many wait there, and the others look again once they know
+// what was taken.
+func (l *line) ChangedElsewhere(others int) {
+	l.mu.Lock()
+	own := len(l.waiters)
+	if own == 0 || l.postponed {
+		l.mu.Unlock()
+		return
+	}
+	if rand.IntN(own+max(0, others)) < own {
+		l.mu.Unlock()
+		l.Changed()
+		return
+	}
+	l.postponed = true
+	l.mu.Unlock()
+	time.AfterFunc(turnPause, func() {
+		l.mu.Lock()
+		l.postponed = false
+		l.mu.Unlock()
+		l.ChangedElsewhere(others)
+	})
+}
+
 // Len implements Line.
 func (l *line) Len() int {
 	l.mu.Lock()
