Requests may hold nineteen twentieths of an engine's memory

What binds under load is memory times the time of a run, and parts that are dropped can be fetched now from where they are known to be.

--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -39,7 +39,7 @@
 	memoryMillis = 400.0
 	// roomShare is the part of an engine's memory that requests may hold. Beyond
 	// it parts that others are about to use make room, and are read again.
-	roomShare = 0.85
+	roomShare = 0.95
 	// mostReading is how many prompt tokens may wait to be read at an engine before
 	// a request goes there: a quarter of a second's work. What waits longer waits
 	// at the entry, where it can still go elsewhere. The request's own tokens don't
