What can't be served in time is refused at once; who goes first follows what it can still earn

Callers leave a silent stream after four targets or eight pauses, not at their deadline.

Change: a line measures how fast it moves, whatever limits it, and what comes. A request that can't be on time gets what those leave that come on time; where that is nothing it is refused with the time at which the line will have gone. Larger ones don't stand in the way of a small one. Within an urgency the one whose time is up first goes first.

--- /dev/null
+++ b/internal/serve/caller/await.go
@@ -0,0 +1,118 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"hornbeamwood/internal/base/wait"
+	"hornbeamwood/internal/serve/line"
+	"hornbeamwood/internal/site/document"
+)
+
+const (
+	// expectedFirst is how long an engine takes to the first event of a prompt that has most of its parts.
+	expectedFirst = 250 * time.Millisecond
+	// storesWait is how long a long prompt waits for the stores in a process that
+	// has just started: an election, a lease and the stores' lists.
+	storesWait = 1500 * time.Millisecond
+	// returnSpread is the part of the time until there is room by which callers
+	// that are refused together return apart.
+	returnSpread = 0.5
+)
+
+// Reasons of refusals.
+const (
+	noServer   = "no-server"
+	overloaded = "overloaded"
+)
+
+// awaitEngine waits in line until an engine has room for the request.
+//
+// A request that is sent to a full engine pushes out the parts that others are
+// about to use, and waits behind all that came before. Here it waits in an order
+// that can still be changed, and goes to whichever engine has room first.
+func (j *job) awaitEngine(ctx context.Context, e document.Engine) (choice, bool) {
+	if j.longest() >= longPart {
+		j.awaitStores(ctx)
+	}
+	c, ok := j.chooseEngine(e)
+	if ok && c.fits || !ok && !j.engineComes() {
+		j.Line.Direct(j.ask())
+		return c, ok
+	}
+	w := j.Line.Enter(j.ask())
+	c, ok = j.wait(ctx, e, w)
+	j.Line.Leave(w, ok)
+	return c, ok
+}
+
+// wait waits until there is room, or there won't be any in time.
+//
+// A request that can't be served is refused while its caller can still do
+// something else with the time; held until it is too late, it would take the room
+// of others at the last moment and bring nobody anything.
+func (j *job) wait(ctx context.Context, e document.Engine, w *line.Waiter) (choice, bool) {
+	for {
+		f := j.Line.Forecast(w)
+		if f.Hopeless {
+			j.refusal, j.clear = overloaded, f.Clear
+			return choice{}, false
+		}
+		switch j.Line.Wait(ctx, w) {
+		case line.Ended:
+			return choice{}, false
+		case line.Look:
+			continue
+		case line.Room:
+		}
+		c, ok := j.chooseEngine(e)
+		if ok && c.fits {
+			c.fields["waited-ms"] = time.Since(j.arrived).Milliseconds()
+			return c, true
+		}
+		if !ok && !j.engineComes() {
+			return c, false
+		}
+	}
+}
+
+// ask returns what the request waits for.
+func (j *job) ask() line.Ask {
+	last := j.deadline
+	if j.route.Silence > 0 {
+		last = wait.Earlier(last, j.arrived.Add(j.route.Silence))
+	}
+	return line.Ask{
+		Rank:   line.Rank{OnTime: j.arrived.Add(j.route.Target - expectedFirst), Urgency: j.urgency()},
+		Tokens: j.room(),
+		Last:   last.Add(-expectedFirst),
+	}
+}
+
+// room returns how many tokens of an engine's memory the request takes.
+func (j *job) room() int {
+	return j.request.Prompt.Tokens + j.request.Prompt.Output
+}
+
+// longest returns the size of the longest shared part.
+func (j *job) longest() int {
+	most := 0
+	for i, p := range j.request.Prompt.Parts {
+		if i < len(j.request.Prompt.Parts)-1 {
+			most = max(most, p.Tokens)
+		}
+	}
+	return most
+}
+
+// awaitStores lets a long prompt wait for what lies in the stores, in a process
+// that has just started.
+//
+// After a loss of power all entries come back knowing nothing. Each prompt of
+// the first half second would have its engine read again what lies in a store;
+// the engines are behind for seconds then.
+func (j *job) awaitStores(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, min(storesWait, time.Until(j.deadline)/4))
+	defer cancel()
+	j.Site.AwaitStores(ctx)
+}
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -10,7 +9,6 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/serve/choose"
-	"hornbeamwood/internal/serve/line"
 	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/serve/request"
 	"hornbeamwood/internal/site/directory"
@@ -24,14 +22,8 @@
 	// readBy is how long after it was sent to an engine a part can be fetched
 	// from there: the time to read a long one.
 	readBy = 600 * time.Millisecond
-	// expectedFirst is how long an engine takes to the first event of a prompt that has most of its parts.
-	expectedFirst = 250 * time.Millisecond
-	// longPart is the size in tokens from which on a shared part is worth a wait.
+	// longPart is the size in tokens from which on a shared part is worth a wait, and worth telling others of.
 	longPart = 1024
-	// storesWait is how long: an election, a lease and the stores' lists.
-	storesWait = 1500 * time.Millisecond
-	// lastStart is how long before its deadline a request stops waiting for room.
-	lastStart = 600 * time.Millisecond
 	// saltSeparator stands between the parts of a salt.
 	saltSeparator = "/"
 )
@@ -86,41 +78,6 @@
 	return now.Sub(t.Reported).Milliseconds()
 }
 
-// awaitEngine waits in line until an engine has room for the request.
-//
-// A request that is sent to a full engine pushes out the parts that others are
-// about to use, and waits behind all that came before. Here it waits in an order
-// that can still be changed, and goes to whichever engine has room first.
-func (j *job) awaitEngine(ctx context.Context, e document.Engine) (choice, bool) {
-	if j.longest() >= longPart {
-		j.awaitStores(ctx)
-	}
-	c, ok := j.chooseEngine(e)
-	if ok && c.fits || !ok && !j.engineComes() {
-		return c, ok
-	}
-	rank := line.Rank{OnTime: j.arrived.Add(j.route.Target - expectedFirst), Urgency: j.urgency(), Arrived: j.arrived}
-	w := j.Line.Enter(rank)
-	defer j.Line.Leave(w)
-	waiting, cancel := context.WithDeadline(ctx, j.deadline.Add(-lastStart))
-	defer cancel()
-	for j.Line.Wait(waiting, w) {
-		c, ok := j.chooseEngine(e)
-		if ok && c.fits {
-			c.fields["waited-ms"] = time.Since(j.arrived).Milliseconds()
-			return c, true
-		}
-		if !ok && !j.engineComes() {
-			return c, false
-		}
-	}
-	if ctx.Err() != nil {
-		return choice{}, false
-	}
-	// It runs late or not at all; the engine may still have more room than told.
-	return j.chooseEngine(e)
-}
-
 // engineComes returns whether an engine that was not tried yet takes requests
 // again in a moment: it carries out an order, or is about to get one.
 func (j *job) engineComes() bool {
@@ -137,29 +94,6 @@
 	return version < j.Site.Newest(model) && j.Site.Outdated(model)
 }
 
-// longest returns the size of the longest shared part.
-func (j *job) longest() int {
-	most := 0
-	for i, p := range j.request.Prompt.Parts {
-		if i < len(j.request.Prompt.Parts)-1 {
-			most = max(most, p.Tokens)
-		}
-	}
-	return most
-}
-
-// awaitStores lets a long prompt wait for what lies in the stores, in a process
-// that has just started.
-//
-// After a loss of power all entries come back knowing nothing. Each prompt of
-// the first half second would have its engine read again what lies in a store;
-// the engines are behind for seconds then.
-func (j *job) awaitStores(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, min(storesWait, time.Until(j.deadline)/4))
-	defer cancel()
-	j.Site.AwaitStores(ctx)
-}
-
 // chooseEngine weighs the engines of each version by themselves: parts that
 // were read under one version are of no use under another.
 func (j *job) chooseEngine(e document.Engine) (choice, bool) {
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -57,6 +58,10 @@
 	// events is the state of a stream that is passed on.
 	events relay
 
+	// refusal is why no server was tried, and clear when there will be room; both for callers that are refused.
+	refusal string
+	clear   time.Duration
+
 	status int
 	reason string
 }
@@ -84,7 +89,7 @@
 			return
 		}
 		if !ok {
-			j.giveUp("no-server")
+			j.giveUp(cmp.Or(j.refusal, noServer))
 			return
 		}
 		done, reason := j.try(ctx, c)
@@ -324,10 +329,12 @@
 	}
 }
 
-// comeBack returns when a refused caller should ask again: spread over a
-// moment, so that those who were refused together don't return together.
+// comeBack returns when a refused caller should ask again: when those who wait
+// now will have gone, spread over a while, so that those who were refused
+// together don't return together.
 func (j *job) comeBack() time.Duration {
-	return retrySoon + time.Duration(fraction()*float64(retrySoon))
+	soon := retrySoon + time.Duration(fraction()*float64(retrySoon))
+	return max(soon, time.Duration((1+returnSpread*fraction())*float64(j.clear)))
 }
 
 // abandon ends a request whose caller has left.
--- a/internal/serve/line/line.go
+++ b/internal/serve/line/line.go
@@ -15,38 +15,20 @@
 // turnPause is how long an entry waits that left room to others: until it hears what they took.
 const turnPause = 40 * time.Millisecond
 
-// Rank says who goes first.
-type Rank struct {
-	// OnTime is until when the answer has its full worth.
-	OnTime time.Time
-	// Urgency is the request's rank, 0 the most urgent.
-	Urgency int
-	// Arrived is when it came.
-	Arrived time.Time
-}
-
-// before returns whether r goes before o.
-//
-// One that can still be on time goes before one that is late already: served in
-// the order of arrival, in a burst everybody would be late.
-func (r Rank) before(o Rank, now time.Time) bool {
-	late, otherLate := now.After(r.OnTime), now.After(o.OnTime)
-	switch {
-	case late != otherLate:
-		return otherLate
-	case r.Urgency != o.Urgency:
-		return r.Urgency < o.Urgency
-	}
-	return r.Arrived.Before(o.Arrived)
-}
+// lookInterval is how long a waiter rests at most before it looks again what it can expect.
+const lookInterval = 100 * time.Millisecond
 
 // Line is those who wait.
 type Line interface {
-	// Wait returns when the waiter may try again; false when ctx ends before.
-	Wait(ctx context.Context, w *Waiter) bool
-	// Enter adds a waiter and Leave takes it out.
-	Enter(r Rank) *Waiter
-	Leave(w *Waiter)
+	// Wait returns when the waiter may try again, or after a moment to look what it can expect, or when ctx ends.
+	Wait(ctx context.Context, w *Waiter) Wake
+	// Enter adds a waiter and Leave takes it out; sent says that its request went to an engine.
+	Enter(a Ask) *Waiter
+	Leave(w *Waiter, sent bool)
+	// Direct notes a request that was sent without waiting.
+	Direct(a Ask)
+	// Forecast returns what the waiter can expect.
+	Forecast(w *Waiter) Forecast
 	// Changed lets those in front try again: this entry has made room.
 	Changed()
 	// ChangedElsewhere does so when all entries hear of room at the same moment: at
@@ -56,15 +38,43 @@
 	Len() int
 }
 
+// Wake is why a wait has ended.
+type Wake uint8
+
+const (
+	// Ended means that the context has.
+	Ended Wake = iota
+	// Look means that nothing has changed for a while.
+	Look
+	// Room means that there may be room, and that it is the waiter's turn.
+	Room
+)
+
+// Ask is what a request waits for.
+type Ask struct {
+	// Rank says who goes first.
+	Rank Rank
+	// Tokens is the room that the request takes at an engine.
+	Tokens int
+	// Last is until when it must be sent for its caller to get the answer.
+	Last time.Time
+}
+
+// competes returns whether the request stands in the way of b when it goes first.
+func (a Ask) competes(b Ask) bool {
+	return a.Tokens <= largerTimes*b.Tokens
+}
+
 // Waiter is one who waits.
 type Waiter struct {
-	rank Rank
+	Ask
 	wake chan struct{}
 }
 
 type line struct {
 	mu      sync.Mutex
 	waiters []*Waiter
+	flow    flow
 	// postponed says that a turn is due in a moment.
 	postponed bool
 }
@@ -75,30 +85,61 @@
 }
 
 // Enter implements Line.
-func (l *line) Enter(r Rank) *Waiter {
-	w := &Waiter{rank: r, wake: make(chan struct{}, 1)}
+func (l *line) Enter(a Ask) *Waiter {
+	w := &Waiter{Ask: a, wake: make(chan struct{}, 1)}
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiters = append(l.waiters, w)
+	l.flow.pass(now, true)
+	l.flow.arrive(now, a)
 	return w
 }
 
 // Leave implements Line.
-func (l *line) Leave(w *Waiter) {
+func (l *line) Leave(w *Waiter, sent bool) {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if i := slices.Index(l.waiters, w); i >= 0 {
 		l.waiters = slices.Delete(l.waiters, i, i+1)
 	}
+	if sent {
+		l.flow.leave(now, w.Tokens)
+	}
+	l.flow.pass(now, len(l.waiters) > 0)
+}
+
+// Direct implements Line.
+func (l *line) Direct(a Ask) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.flow.pass(now, len(l.waiters) > 0)
+	l.flow.arrive(now, a)
+	l.flow.leave(now, a.Tokens)
+}
+
+// Forecast implements Line.
+func (l *line) Forecast(w *Waiter) Forecast {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.flow.pass(now, len(l.waiters) > 0)
+	return forecast(l.waiters, w, &l.flow, now)
 }
 
 // Wait implements Line.
-func (l *line) Wait(ctx context.Context, w *Waiter) bool {
+func (l *line) Wait(ctx context.Context, w *Waiter) Wake {
+	look := time.NewTimer(lookInterval)
+	defer look.Stop()
 	select {
 	case <-w.wake:
-		return true
+		return Room
+	case <-look.C:
+		return Look
 	case <-ctx.Done():
-		return false
+		return Ended
 	}
 }
 
@@ -112,9 +153,9 @@
 	now := time.Now()
 	slices.SortStableFunc(l.waiters, func(a, b *Waiter) int {
 		switch {
-		case a.rank.before(b.rank, now):
+		case a.Rank.before(b.Rank, now):
 			return -1
-		case b.rank.before(a.rank, now):
+		case b.Rank.before(a.Rank, now):
 			return 1
 		}
 		return 0
--- a/internal/site/document/route.go
+++ b/internal/site/document/route.go
@@ -18,6 +18,8 @@
 	Target time.Duration `cbor:"target"`
 	// Gap is the longest pause between events at which a stream is on time; zero for none.
 	Gap time.Duration `cbor:"gap"`
+	// Silence is how long callers of a stream wait for its next event, the first one too, before they leave; zero where it isn't known.
+	Silence time.Duration `cbor:"silence"`
 	// Priority is the rank, 0 the most urgent.
 	Priority int `cbor:"priority"`
 	// Shares are the services with their weights.
