--- a/internal/serve/line/flow.go
+++ b/internal/serve/line/flow.go
@@ -9,8 +9,9 @@
 	// flowSpan is how long what came and went says something of what comes next.
 	flowSpan = flowSteps * flowStep
 	// flowLeast is how long requests must have waited within that span for the rate
-	// at which they leave to be known.
-	flowLeast = 750 * time.Millisecond
+	// at which they leave to be known: when all engines have filled at once nothing
+	// leaves until the first requests have run.
+	flowLeast = flowSpan - flowStep
 	// largerTimes is how many times the size of a request another one must have not
 	// to stand in its way: a small one finds room that is too little for a large one.
 	largerTimes = 2
