--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -106,7 +106,7 @@
 		return nil, errors.Join(err, p.node.Close())
 	}
 	p.leader = quic.Register(quic.Config{Node: p.node, Replica: p.replica, Machine: m, Leases: quic.NewLeases(lease.NewHolders(nil), noTerms{}, time.Now)})
-	p.orders()
+	p.orders(m)
 	p.watchers()
 	p.admission = admission.NewKeeper(admission.Config{Replica: p.replica, Peers: peers{p.node, p.transport}, Addresses: p.addresses, Logger: c.Logger})
 	p.gauges()
@@ -134,14 +134,14 @@
 }
 
 // orders sets up what this replica does while it holds the lease.
-func (p *process) orders() {
+func (p *process) orders(m state.Machine) {
 	turn := p.config.Host.Bounds.Lease
 	if turn <= 0 {
 		turn = defaultTurn
 	}
 	p.holder = &holder{
 		name: p.config.Host.Internal, turn: turn,
-		propose: p.leader.Propose, leads: p.leads, logger: p.config.Logger,
+		propose: p.leader.Propose, leads: p.leads, current: func() (controllease.Lease, bool) { return p.currentLease(m) }, logger: p.config.Logger,
 	}
 	p.librarian = &librarian{process: p, client: p.config.Stores, clock: stores.NewClock(), shelves: map[string]*shelf{}, epochs: map[string]context.CancelFunc{}}
 }
--- a/internal/process/sitecontrol/lease.go
+++ b/internal/process/sitecontrol/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"hornbeamwood/internal/base/wait"
 	controllease "hornbeamwood/internal/control/lease"
 	"hornbeamwood/internal/control/raft"
+	"hornbeamwood/internal/control/state"
 	"hornbeamwood/internal/node/boottime"
 )
 
@@ -32,6 +34,8 @@
 	renewTimeout = time.Second
 	// orderMargin is kept off the end of the lease for the way of an order to its server.
 	orderMargin = 700 * time.Millisecond
+	// nameSeparator stands behind the replica's name in that of a holder.
+	nameSeparator = "/"
 	// defaultTurn is used where the site doesn't say how long apart two givers of orders must be.
 	defaultTurn = 3 * time.Second
 )
@@ -43,6 +47,8 @@
 	turn    time.Duration
 	propose func(ctx context.Context, section string, body []byte) ([]byte, error)
 	leads   func() bool
+	// current returns the lease as this replica's log has it, and false while the log isn't up to date.
+	current func() (controllease.Lease, bool)
 	logger  log.Interface
 
 	mu sync.Mutex
@@ -101,8 +107,9 @@
 // A replica that has just come to lead asks at once: until it holds the lease,
 // entries learn nothing of the stores.
 func (h *holder) run(ctx context.Context) {
-	asked := time.Time{}
+	asked, returned := time.Time{}, false
 	for wait.For(ctx, leadInterval) {
+		returned = returned || h.leads() || h.giveBack(ctx)
 		switch {
 		case !h.leads():
 			asked = time.Time{}
@@ -113,6 +120,27 @@
 	}
 }
 
+// giveBack gives back the lease that this replica held before its process was
+// restarted, and returns true once there is nothing to give back.
+//
+// The one that leads now would otherwise wait until it has run out, and entries
+// learn nothing of the stores until then. From before the proposal on this process
+// counts as another holder, so that the lease never returns to it by the old name.
+func (h *holder) giveBack(ctx context.Context) bool {
+	l, ok := h.current()
+	if !ok {
+		return false
+	}
+	if l.Released || !strings.HasPrefix(l.Holder, h.name+nameSeparator) {
+		return true
+	}
+	h.mu.Lock()
+	h.refused = max(h.refused, l.Fencing)
+	h.mu.Unlock()
+	h.proposeRelease(ctx, l.Holder, l.Fencing)
+	return true
+}
+
 func (h *holder) stopping() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -129,9 +157,13 @@
 	if fencing == 0 {
 		return
 	}
+	h.proposeRelease(ctx, h.holderName(), fencing)
+}
+
+func (h *holder) proposeRelease(ctx context.Context, name string, fencing uint64) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	body, err := codec.Marshal(controllease.Command{Release: &controllease.Release{Name: ordersLease, Holder: h.holderName(), Fencing: fencing}})
+	body, err := codec.Marshal(controllease.Command{Release: &controllease.Release{Name: ordersLease, Holder: name, Fencing: fencing}})
 	if err == nil {
 		_, err = h.propose(ctx, controllease.Name, body)
 	}
@@ -171,7 +203,7 @@
 func (h *holder) holderName() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return fmt.Sprintf("%s/%d", h.name, h.refused)
+	return fmt.Sprintf("%s%s%d", h.name, nameSeparator, h.refused)
 }
 
 // take counts the lease from when it was asked for.
@@ -218,3 +250,20 @@
 func (p *process) leads() bool {
 	return p.replica.Status().Role == raft.Leader.String()
 }
+
+// currentLease returns the lease for orders as this replica's log has it.
+func (p *process) currentLease(m state.Machine) (controllease.Lease, bool) {
+	if !p.replica.Status().CaughtUp {
+		return controllease.Lease{}, false
+	}
+	q, err := codec.Marshal(controllease.Query{Name: ordersLease})
+	if err != nil {
+		return controllease.Lease{}, false
+	}
+	b, err := m.Query(state.Query{Section: controllease.Name, Body: q})
+	if err != nil {
+		return controllease.Lease{}, false
+	}
+	a, err := codec.Unmarshal[controllease.Answer](b)
+	return a.Lease, err == nil
+}
--- a/internal/process/sitecontrol/lease_test.go
+++ b/internal/process/sitecontrol/lease_test.go
@@ -29,10 +29,24 @@
 	return l.section.Apply(l.now, body), nil
 }
 
+// current returns the lease as the log has it.
+func (l *leaseLog) current() (controllease.Lease, bool) {
+	q, err := codec.Marshal(controllease.Query{Name: ordersLease})
+	if err != nil {
+		return controllease.Lease{}, false
+	}
+	b, err := l.section.Query(q)
+	if err != nil {
+		return controllease.Lease{}, false
+	}
+	a, err := codec.Unmarshal[controllease.Answer](b)
+	return a.Lease, err == nil
+}
+
 // holder returns a replica that asks this log for the lease.
 func (l *leaseLog) holder(name string) *holder {
 	return &holder{
-		name: name, turn: 3 * time.Second, propose: l.propose, leads: func() bool { return true },
+		name: name, turn: 3 * time.Second, propose: l.propose, leads: func() bool { return true }, current: l.current,
 		logger: &log.Logger{Handler: discard.New()},
 	}
 }
@@ -157,3 +171,32 @@
 	cancel()
 	<-ended
 }
+
+// All processes were killed and are back before the lease of the one that held it
+// has run out; another replica leads now. Were it to wait, engines would read again
+// for a second what lies in the stores. The old holder gives it back, and must not
+// take itself for the holder again, though it has the name.
+func TestRestartedHolderGivesBack(t *testing.T) {
+	l := newLeaseLog()
+	l.holder("a").renew(t.Context())
+	l.now = l.now.Add(time.Millisecond)
+	restarted, leader := l.holder("a"), l.holder("b")
+	leader.renew(t.Context())
+	if leader.number() != 0 {
+		t.Fatal("two hold the lease")
+	}
+	if !restarted.giveBack(t.Context()) {
+		t.Fatal("the lease was not given back")
+	}
+	leader.renew(t.Context())
+	if leader.number() == 0 {
+		t.Error("the lease is not to be had")
+	}
+	restarted.renew(t.Context())
+	if n := restarted.number(); n != 0 {
+		t.Errorf("the old holder holds it again under %d", n)
+	}
+	if _, ok := leader.held(); ok {
+		t.Error("the next holder gives orders before the site's time between two givers")
+	}
+}
