As many prompts go at once as there is room for

Cause: turns were drawn as if room were at one engine.

Change: a waiter goes by the number of engines with room and of all waiters; the others look again 40 ms later.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -95,7 +95,7 @@
 	memory, waiting := parts.NewMemory(), line.New()
 	watcher := fmt.Sprintf("%s/%d", c.Host.Internal, time.Now().UnixNano())
 	others := share.NewOthers(watcher)
-	p := &process{config: c, site: newSite(c.Logger, memory, others, func() { waiting.ChangedElsewhere(others.Load(lineName, time.Now()).InFlight) }), tracker: observe.New(), conns: newConns(), line: waiting, metrics: metrics.NewSet()}
+	p := &process{config: c, site: newSite(c.Logger, memory, others, waiting.ChangedElsewhere), tracker: observe.New(), conns: newConns(), line: waiting, metrics: metrics.NewSet()}
 	p.site.weights = c.Host.Bounds.Weights
 	p.seeds.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Entry)
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -135,14 +135,11 @@
 	}
 }
 
-// lineName is the name under which entries tell how many requests wait in their lines.
-const lineName = "line"
-
 // loads returns what this entry has at each engine, and in its line.
 func (p *process) loads() share.Loads {
 	all := p.tracker.Loads()
 	if n := p.line.Len(); n > 0 {
-		all[lineName] = share.Load{InFlight: n}
+		all[share.Line] = share.Load{InFlight: n}
 	}
 	return all
 }
--- a/internal/serve/caller/await.go
+++ b/internal/serve/caller/await.go
@@ -6,6 +6,7 @@
 
 	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/serve/line"
+	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/document"
 )
 
@@ -52,30 +53,39 @@
 // something else with the time; held until it is too late, it would take the room
 // of others at the last moment and bring nobody anything.
 func (j *job) wait(ctx context.Context, e document.Engine, w *line.Waiter) (choice, bool) {
+	rest := line.LookInterval
 	for {
 		f := j.Line.Forecast(w)
 		if f.Hopeless {
 			j.refusal, j.clear = overloaded, f.Clear
 			return choice{}, false
 		}
-		switch j.Line.Wait(ctx, w) {
-		case line.Ended:
+		why := j.Line.Wait(ctx, w, rest)
+		if why == line.Ended {
 			return choice{}, false
-		case line.Look:
+		}
+		if why == line.Look && rest != line.TurnPause {
 			continue
-		case line.Room:
 		}
 		c, ok := j.chooseEngine(e)
-		if ok && c.fits {
+		rest = line.LookInterval
+		switch {
+		case ok && c.fits && why != line.Room && !j.turn(c):
+			rest = line.TurnPause
+		case ok && c.fits:
 			c.fields["waited-ms"] = time.Since(j.arrived).Milliseconds()
 			return c, true
-		}
-		if !ok && !j.engineComes() {
+		case !ok && !j.engineComes():
 			return c, false
 		}
 	}
 }
 
+// turn returns whether the request takes room of which other entries hear too.
+func (j *job) turn(c choice) bool {
+	return line.Turn(c.rooms, j.Line.Len()+j.Others.Load(share.Line, time.Now()).InFlight, fraction())
+}
+
 // ask returns what the request waits for.
 func (j *job) ask() line.Ask {
 	last := j.deadline
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -139,6 +139,8 @@
 	Missing int
 	// Fits says that the engine has room for the request now.
 	Fits bool
+	// Rooms is how many engines have, as far as the drawn ones tell.
+	Rooms float64
 	// From says, part by part, where it comes from: m for the engine's memory, s for a store, e for another engine, r for reading it.
 	From string
 }
@@ -165,5 +167,10 @@
 	}
 	p := plans[at]
 	p.At, p.Millis = drawn[at], millis
+	for _, x := range plans {
+		if x.Fits {
+			p.Rooms += float64(len(all)) / float64(len(drawn))
+		}
+	}
 	return p
 }
--- a/internal/serve/line/line.go
+++ b/internal/serve/line/line.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,16 +11,13 @@
 // small requests pass one that needs much room.
 const mostWoken = 12
 
-// turnPause is how long an entry waits that left room to others: until it hears what they took.
-const turnPause = 40 * time.Millisecond
-
-// lookInterval is how long a waiter rests at most before it looks again what it can expect.
-const lookInterval = 100 * time.Millisecond
+// LookInterval is how long a waiter rests at most before it looks again what it can expect.
+const LookInterval = 100 * time.Millisecond
 
 // Line is those who wait.
 type Line interface {
-	// Wait returns when the waiter may try again, or after a moment to look what it can expect, or when ctx ends.
-	Wait(ctx context.Context, w *Waiter) Wake
+	// Wait returns when the waiter may try again, or after a rest, or when ctx ends.
+	Wait(ctx context.Context, w *Waiter, rest time.Duration) Wake
 	// Enter adds a waiter and Leave takes it out; sent says that its request went to an engine.
 	Enter(a Ask) *Waiter
 	Leave(w *Waiter, sent bool)
@@ -31,9 +27,8 @@
 	Forecast(w *Waiter) Forecast
 	// Changed lets those in front try again: this entry has made room.
 	Changed()
-	// ChangedElsewhere does so when all entries hear of room at the same moment: at
-	// once in its turn, else a moment later. others is how many wait at other entries.
-	ChangedElsewhere(others int)
+	// ChangedElsewhere does so when all entries hear of room at the same moment.
+	ChangedElsewhere()
 	// Len returns how many wait.
 	Len() int
 }
@@ -46,8 +41,10 @@
 	Ended Wake = iota
 	// Look means that nothing has changed for a while.
 	Look
-	// Room means that there may be room, and that it is the waiter's turn.
+	// Room means that there may be room, of which this entry knows first.
 	Room
+	// RoomElsewhere means that there may be room, of which all entries hear at the same moment.
+	RoomElsewhere
 )
 
 // Ask is what a request waits for.
@@ -68,15 +65,13 @@
 // Waiter is one who waits.
 type Waiter struct {
 	Ask
-	wake chan struct{}
+	wake chan Wake
 }
 
 type line struct {
 	mu      sync.Mutex
 	waiters []*Waiter
 	flow    flow
-	// postponed says that a turn is due in a moment.
-	postponed bool
 }
 
 // New returns an empty Line.
@@ -86,7 +81,7 @@
 
 // Enter implements Line.
 func (l *line) Enter(a Ask) *Waiter {
-	w := &Waiter{Ask: a, wake: make(chan struct{}, 1)}
+	w := &Waiter{Ask: a, wake: make(chan Wake, 1)}
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -130,12 +125,12 @@
 }
 
 // Wait implements Line.
-func (l *line) Wait(ctx context.Context, w *Waiter) Wake {
-	look := time.NewTimer(lookInterval)
+func (l *line) Wait(ctx context.Context, w *Waiter, rest time.Duration) Wake {
+	look := time.NewTimer(rest)
 	defer look.Stop()
 	select {
-	case <-w.wake:
-		return Room
+	case why := <-w.wake:
+		return why
 	case <-look.C:
 		return Look
 	case <-ctx.Done():
@@ -145,6 +140,11 @@
 
 // Changed implements Line.
 func (l *line) Changed() {
+	l.wakeFront(Room)
+}
+
+// wakeFront wakes those in front.
+func (l *line) wakeFront(why Wake) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.waiters) == 0 {
@@ -162,38 +162,15 @@
 	})
 	for _, w := range l.waiters[:min(len(l.waiters), mostWoken)] {
 		select {
-		case w.wake <- struct{}{}:
+		case w.wake <- why:
 		default:
 		}
 	}
 }
 
 // ChangedElsewhere implements Line.
-//
-// All entries hear of the same room at the same moment. If each sent a request
-// there, most would wait at that engine behind the others; so each goes in
-// proportion to how many wait there, and the others look again once they know
-// what was taken.
-func (l *line) ChangedElsewhere(others int) {
-	l.mu.Lock()
-	own := len(l.waiters)
-	if own == 0 || l.postponed {
-		l.mu.Unlock()
-		return
-	}
-	if rand.IntN(own+max(0, others)) < own {
-		l.mu.Unlock()
-		l.Changed()
-		return
-	}
-	l.postponed = true
-	l.mu.Unlock()
-	time.AfterFunc(turnPause, func() {
-		l.mu.Lock()
-		l.postponed = false
-		l.mu.Unlock()
-		l.ChangedElsewhere(others)
-	})
+func (l *line) ChangedElsewhere() {
+	l.wakeFront(RoomElsewhere)
 }
 
 // Len implements Line.
--- a/internal/serve/share/load.go
+++ b/internal/serve/share/load.go
@@ -55,3 +55,6 @@
 func hash(name string) uint32 {
 	return uint32(xxhash.Sum64String(name))
 }
+
+// Line names the load that counts the requests in the entries' lines.
+const Line = "line"
