Of many engines two are drawn, and loads are told twice as often on large sites

With eight drawn of 67 engines the best is weighed by one entry in eight: the model test gives it 24 of 200 prompts, 8 times the mean; with two drawn under 4 times.

TestSumsKeepToTheirRate names the pause of each size; with 86 entries it is 150 ms instead of 275 ms now, still under the rate of 20 KB/s that the test is for.

--- a/internal/process/sitecontrol/loads.go
+++ b/internal/process/sitecontrol/loads.go
@@ -19,7 +19,7 @@
 	loadsInterval = 25 * time.Millisecond
 	// entriesPerInterval is for how many entries the interval holds; it grows with
 	// more, so that the cost of the sums stays what it is.
-	entriesPerInterval = 8
+	entriesPerInterval = 16
 	// loadsRate is how many bytes a second of sums each entry gets at most: a
 	// sixtieth of a link of 10 Mbit/s.
 	loadsRate = 20_000
--- a/internal/process/sitecontrol/loads_test.go
+++ b/internal/process/sitecontrol/loads_test.go
@@ -14,7 +14,7 @@
 		pause         time.Duration
 	}{
 		{6, 160, 25 * time.Millisecond},
-		{86, 2_200, 275 * time.Millisecond},
+		{86, 2_200, 150 * time.Millisecond},
 		{30, 5_000, 250 * time.Millisecond},
 		{100, 15_000, 750 * time.Millisecond},
 	} {
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -28,7 +28,7 @@
 	// are few entries, a tenth of the time that a long prompt is read for.
 	loadsInterval = 25 * time.Millisecond
 	// entriesPerInterval is for how many entries the interval holds; it grows with more.
-	entriesPerInterval = 8
+	entriesPerInterval = 16
 	// loadsRefresh is how often loads are posted that have not changed.
 	loadsRefresh = 500 * time.Millisecond
 	// noticeTimeout bounds one notice.
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -58,8 +58,9 @@
 	// what they know of each other is older, and all would choose the same best one.
 	fewEntries = 12
 	// sampled is how many engines are drawn to choose from beyond that, besides
-	// those that have a part of the prompt.
-	sampled = 8
+	// those that have a part of the prompt. All entries see the same old picture:
+	// the more each weighs, the more of them find the same engine to be the best.
+	sampled = 2
 	// millisJitter spreads equal choices of many entries.
 	millisJitter = 3.0
 )
--- a/internal/serve/choose/engine_test.go
+++ b/internal/serve/choose/engine_test.go
@@ -155,3 +155,34 @@
 		t.Error("the last engine isn't tried")
 	}
 }
+
+// Seventy-three entries hear of each other some tenths of a second late, and some
+// two hundred prompts are sent in that time. If each entry weighed many engines,
+// most of the prompts would go to the few that looked best, and wait there for
+// seconds while others are free.
+func TestManyEntriesDontMeetAtOneEngine(t *testing.T) {
+	const engines, entries, prompts = 67, 73, 200
+	r := rand.New(rand.NewPCG(11, 11))
+	all := make([]Candidate, engines)
+	for i := range all {
+		all[i] = Candidate{
+			Server: directory.Server{ID: fmt.Sprint("e", i), Zone: fmt.Sprint("z", i%3), Address: fmt.Sprint("a", i), Slots: 64},
+			Track:  observe.Track{InFlight: r.IntN(8), Reading: r.IntN(10_000), Held: r.IntN(70_000)},
+		}
+	}
+	got := map[int]int{}
+	for i := range prompts {
+		e := Engine{
+			Now: now, Zone: fmt.Sprint("z", i%3), Output: 400, Capacity: 95_000, Entries: entries, Random: r,
+			Parts: []Part{{Salt: "m/1", ID: fmt.Sprint("own", i), Tokens: 3000}},
+		}
+		got[e.Pick(all).At]++
+	}
+	most := 0
+	for _, n := range got {
+		most = max(most, n)
+	}
+	if mean := float64(prompts) / engines; float64(most) > 4*mean {
+		t.Errorf("one engine got %d of %d prompts, %.1f times the mean; %d got any", most, prompts, float64(most)/mean, len(got))
+	}
+}
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -18,7 +18,7 @@
 	// of a core, and ninety entries that poll at each change take a quarter of a
 	// core whole. mostPause is a sixth of the time that a change may take.
 	batchPause  = 3 * time.Millisecond
-	fewWatchers = 10
+	fewWatchers = 14
 	mostPause   = 400 * time.Millisecond
 	// watcherTimeout is how long a watcher counts after its last poll: some lost polls.
 	watcherTimeout = 12 * time.Second
