losses counts why requests were not answered on time, by route and moment

Comments in the choice of engines and of stores keep reasons and leave shares and counts to the commits that measured them.

--- a/cmd/hornbeamwood/explain.go
+++ b/cmd/hornbeamwood/explain.go
@@ -22,6 +22,17 @@
 }
 
 func explainRequest(request string, paths []string) error {
+	return withLogs("explain", paths, func(logs []io.Reader) error {
+		s, err := explain.Read(request, logs...)
+		if err != nil {
+			return err
+		}
+		return s.Write(os.Stdout)
+	})
+}
+
+// withLogs calls read with the files that are named, or with standard input.
+func withLogs(verb string, paths []string, read func(logs []io.Reader) error) error {
 	logs := []io.Reader{os.Stdin}
 	if len(paths) > 0 {
 		logs = nil
@@ -29,14 +40,10 @@
 	for _, p := range paths {
 		f, err := os.Open(p)
 		if err != nil {
-			return fmt.Errorf("explain: %w", err)
+			return fmt.Errorf("%s: %w", verb, err)
 		}
 		defer f.Close()
 		logs = append(logs, f)
 	}
-	s, err := explain.Read(request, logs...)
-	if err != nil {
-		return err
-	}
-	return s.Write(os.Stdout)
+	return read(logs)
 }
--- a/cmd/hornbeamwood/main.go
+++ b/cmd/hornbeamwood/main.go
@@ -31,7 +31,7 @@
 	flaggy.SetVersion("")
 	flaggy.DefaultParser.ShowHelpOnUnexpected = true
 	var verbs []verb
-	for _, add := range []func() []verb{entryVerb, controlVerb, keysVerbs, settingsVerbs, checkVerbs, statusVerb, demoVerb, loadVerb, explainVerb} {
+	for _, add := range []func() []verb{entryVerb, controlVerb, keysVerbs, settingsVerbs, checkVerbs, statusVerb, demoVerb, loadVerb, explainVerb, lossesVerb} {
 		verbs = append(verbs, add()...)
 	}
 	flaggy.Parse()
--- /dev/null
+++ b/internal/cli/explain/losses.go
@@ -0,0 +1,205 @@
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// LossesConfig says what counts as late.
+type LossesConfig struct {
+	// Target is the time to the first event, or to the whole answer where there are no events, within which an answer is on time.
+	Target time.Duration
+	// Targets are those of single routes.
+	Targets map[string]time.Duration
+	// Gap is the longest pause between events at which a stream is on time.
+	Gap time.Duration
+	// Step is the span of one row of the course.
+	Step time.Duration
+}
+
+// onTime is the reason of a request that lost nothing.
+const onTime = "on time"
+
+// Losses counts why requests were not answered on time.
+type Losses struct {
+	config LossesConfig
+	// routed are the last routing decisions of the requests that haven't ended.
+	routed map[string]line
+	// reasons are counts by route and reason, course by step and reason.
+	reasons map[string]map[string]int
+	course  map[int64]map[string]int
+	first   time.Time
+}
+
+// ReadLosses counts the requests in logs of entries.
+func ReadLosses(c LossesConfig, logs ...io.Reader) (Losses, error) {
+	s := Losses{config: c, routed: map[string]line{}, reasons: map[string]map[string]int{}, course: map[int64]map[string]int{}}
+	var ended []line
+	for _, r := range logs {
+		scanner := bufio.NewScanner(r)
+		scanner.Buffer(nil, maxLine)
+		for scanner.Scan() {
+			l, ok := parse(scanner.Bytes())
+			switch {
+			case !ok:
+			case l.Message == "attempt-routed":
+				s.routed[l.text("request")] = l
+			case l.Message == "request-ended":
+				ended = append(ended, l)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return Losses{}, fmt.Errorf("losses: %w", err)
+		}
+	}
+	byTime(ended)
+	for _, l := range ended {
+		s.count(l)
+	}
+	return s, nil
+}
+
+// count adds a request that has ended, at the moment of its arrival.
+func (s *Losses) count(l line) {
+	at, err := time.Parse(time.RFC3339Nano, l.Time)
+	if err != nil {
+		return
+	}
+	at = at.Add(-l.millis("ms"))
+	if s.first.IsZero() {
+		s.first = at.Truncate(time.Second)
+	}
+	reason := s.reason(l, s.routed[l.text("request")])
+	add(s.reasons, l.text("route"), reason)
+	add(s.course, int64(at.Sub(s.first)/s.config.Step), reason)
+}
+
+func add[K comparable](counts map[K]map[string]int, key K, reason string) {
+	if counts[key] == nil {
+		counts[key] = map[string]int{}
+	}
+	counts[key][reason]++
+}
+
+// reason says why a request was not answered on time.
+func (s *Losses) reason(ended, routed line) string {
+	status := ended.number("status")
+	switch {
+	case ended.text("reason") == "caller-left":
+		return "caller left, " + where(ended, routed)
+	case ended.text("verdict") == "not-run" && status >= http.StatusBadRequest:
+		return "refused, " + ended.text("reason")
+	case status < http.StatusOK || status >= http.StatusMultipleChoices || ended.text("reason") != "":
+		return "failed, " + ended.text("reason")
+	}
+	return s.lateness(ended, routed)
+}
+
+// where says how far a request had come when its caller left.
+func where(ended, routed line) string {
+	switch {
+	case ended.number("first-ms") >= 0:
+		return "in the stream"
+	case routed.Message == "":
+		return "never sent to a server"
+	case routed.millis("waited-ms") > ended.millis("ms")/2:
+		return "sent to a server late"
+	}
+	return "before the first event"
+}
+
+// lateness says why an answer was late.
+func (s *Losses) lateness(ended, routed line) string {
+	target, ok := s.config.Targets[ended.text("route")]
+	if !ok {
+		target = s.config.Target
+	}
+	first := ended.millis("first-ms")
+	if ended.number("first-ms") < 0 {
+		first = ended.millis("ms")
+	}
+	from := routed.text("from")
+	switch {
+	case first <= target && ended.millis("longest-pause-ms") > s.config.Gap:
+		return "late, pause in the stream"
+	case first <= target:
+		return onTime
+	case routed.millis("waited-ms") > first/2:
+		return "late, waited in line"
+	case len(from) > 1 && strings.Contains(from[:len(from)-1], "r"):
+		return "late, shared parts were read"
+	case routed.number("try") > 1:
+		return "late, after another try"
+	}
+	return "late, at the server"
+}
+
+// number returns a field as a number, -1 when it isn't there.
+func (l line) number(name string) int64 {
+	n, ok := l.Fields[name].(json.Number)
+	if !ok {
+		return -1
+	}
+	v, err := n.Int64()
+	if err != nil {
+		return -1
+	}
+	return v
+}
+
+// millis returns a field that counts milliseconds, zero when it isn't there.
+func (l line) millis(name string) time.Duration {
+	return time.Duration(max(0, l.number(name))) * time.Millisecond
+}
+
+// Write writes the counts by route and reason, and the course of the losses.
+func (s Losses) Write(w io.Writer) error {
+	var b strings.Builder
+	b.WriteString("requests by route and reason\n")
+	for _, route := range sorted(s.reasons) {
+		for _, reason := range byCount(s.reasons[route]) {
+			fmt.Fprintf(&b, "  %-16s %6d  %s\n", route, s.reasons[route][reason], reason)
+		}
+	}
+	b.WriteString("seconds since the first, requests, on time, most frequent losses\n")
+	for _, step := range sorted(s.course) {
+		fmt.Fprintf(&b, "  %5.1f %s\n", (time.Duration(step) * s.config.Step).Seconds(), row(s.course[step]))
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// row tells one step of the course.
+func row(counts map[string]int) string {
+	const most = 3
+	all, losses := 0, []string{}
+	for _, reason := range byCount(counts) {
+		all += counts[reason]
+		if reason != onTime && len(losses) < most {
+			losses = append(losses, fmt.Sprintf("%d %s", counts[reason], reason))
+		}
+	}
+	return strings.TrimRight(fmt.Sprintf("%6d %6d  %s", all, counts[onTime], strings.Join(losses, "; ")), " ")
+}
+
+func sorted[K ~string | ~int64, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// byCount returns the reasons, the most frequent first.
+func byCount(counts map[string]int) []string {
+	all := sorted(counts)
+	slices.SortStableFunc(all, func(a, b string) int { return counts[b] - counts[a] })
+	return all
+}
--- /dev/null
+++ b/internal/cli/explain/losses_test.go
@@ -0,0 +1,43 @@
+package explain
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// After a bad morning the engineer asks what was lost, when and why. Each way of
+// losing a request must be told apart from the logs alone.
+func TestLosses(t *testing.T) {
+	f, err := os.Open(filepath.Join("testdata", "losses.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	s, err := ReadLosses(LossesConfig{
+		Target: time.Second, Gap: 500 * time.Millisecond, Step: 2 * time.Second,
+		Targets: map[string]time.Duration{"status": 100 * time.Millisecond},
+	}, f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got bytes.Buffer
+	if err := s.Write(&got); err != nil {
+		t.Fatal(err)
+	}
+	golden := filepath.Join("testdata", "losses.golden")
+	if *update {
+		if err := os.WriteFile(golden, got.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.String() != string(want) {
+		t.Errorf("%s", got.String())
+	}
+}
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -34,10 +34,8 @@
 	// roomShare is how full a store may be for another part to be sent there; the
 	// rest is taken by parts that are on their way.
 	roomShare = 0.97
-	// longShare is how full a fast store may be for a long part to be sent there:
-	// on a large site the short parts take half of what its fast stores hold, and a
-	// tenth is on its way. Of 4,478 long prompts 2,581, 2,722 and 2,686 were in time
-	// with 0.3, 0.4 and 0.5.
+	// longShare is how full a fast store may be for a long part to be sent there;
+	// the rest is for short parts, which only fast stores serve well.
 	longShare = 0.4
 )
 
@@ -297,11 +295,8 @@
 // placement returns the stores in the order in which the part is offered to them.
 //
 // Short parts go to fast stores first, by a hash weighted by room. Long parts are
-// weighted by link: with all of them on the larger, slower stores those links were
-// used up while the links of the fast ones rested, and on a large site 37 in 100
-// long prompts had no first event within a second while engines crashed and for
-// twelve seconds after. With the crossing in the estimate of queues 2,611 of 4,478
-// long prompts of the day had their first event in time, 2,422 before.
+// weighted by link: with all of them on the larger, slower stores those links would
+// be used up while the links of the fast ones rest.
 func placement(all []document.Store, p stores.Part, tokens int) []document.Store {
 	type scored struct {
 		store document.Store
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -6,16 +6,15 @@
 )
 
 const (
-	// readRate is how many prompt tokens an engine reads in a millisecond, a
-	// little under what engines of today's sizes do, so that a queue isn't taken for shorter than it is.
+	// readRate is how many prompt tokens an engine is taken to read in a
+	// millisecond; rather too few, so that a queue isn't taken for shorter than it is.
 	readRate = 50.0
 	// busyMillis is what a full engine costs in milliseconds: each step takes longer with each request in it.
 	busyMillis = 120.0
 	// againCost multiplies the time to read a shared part that was read elsewhere
-	// before: the work is done twice, and a move takes a fiftieth of it.
+	// before: the work is done twice.
 	againCost = 3.0
-	// moveCost multiplies the time of a move over a store's link: those behind it
-	// wait as long, and at the peak the links are more than half in use.
+	// moveCost multiplies the time of a move over a store's link: those behind it wait as long.
 	moveCost = 2.0
 	// farWeight and nearWeight say how often an engine is drawn that is neither
 	// where the longest part lies nor in the entry's zone, or in the latter only. A
@@ -26,8 +25,8 @@
 	// one is left, and before those that are set aside.
 	doubtfulWeight = 1e-9
 	// homeMillis is what it costs to read a long part elsewhere than at its home
-	// engine, at which entries meet that know of no copy: one prompt in fifteen
-	// comes while another one reads the same part, and would have it read twice.
+	// engine, at which entries meet that know of no copy: a prompt that comes while
+	// another one reads the same part would have it read twice.
 	homeMillis = 40.0
 	// longPart is the size in tokens for which homeMillis holds.
 	longPart = 12000.0
@@ -52,7 +51,7 @@
 	// pauseMargin is the part of the longest timely pause that reading may fill.
 	pauseMargin = 0.9
 	// latePauseMillis is what it costs in milliseconds to make one running stream
-	// late by a pause: most of the worth of a short answer.
+	// late by a pause.
 	latePauseMillis = 60.0
 	// fewEntries is up to how many entries each one weighs all engines. With more,
 	// what they know of each other is older, and all would choose the same best one.
--- a/internal/serve/line/flow.go
+++ b/internal/serve/line/flow.go
@@ -32,7 +32,7 @@
 }
 
 // flow measures how fast a line moves. What limits it may be the time to read
-// prompts, the engines' memory, or links: it is measured where it shows, at who leaves.
+// prompts, the engines' memory, or links: it shows at what leaves.
 type flow struct {
 	counts   [flowSteps]count
 	arrivals []arrival
