An attempt is not given up for a second one that the budget refuses

Change: the budget is asked when the patience with a server is set. The test fails without it (502 after 300 ms where the answer comes after 500 ms).

--- a/internal/serve/caller/gateway_test.go
+++ b/internal/serve/caller/gateway_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"hornbeamwood/internal/serve/retry"
 	"hornbeamwood/internal/site/document"
 )
 
@@ -266,6 +267,25 @@
 	}
 }
 
+// A server takes longer than usual while the budget for repeats is used up. If the
+// attempt were given up for a second one that isn't allowed, the caller would get a
+// failure although its answer was about to come.
+func TestSlowAnswerIsAwaitedWithoutABudget(t *testing.T) {
+	slow := func(s *standin, c net.Conn, q *http.Request) bool {
+		time.Sleep(500 * time.Millisecond)
+		return answerOK("slow")(s, c, q)
+	}
+	b := newBench(t, slow, slow)
+	c := b.config
+	c.Budget = retry.NewBudget(retry.Terms{Window: time.Hour})
+	for c.Budget.Take("s", time.Now()) {
+	}
+	b.front.Config.Handler = New(c)
+	if got := b.ask(t, "r1", http.MethodGet, "/read/x"); got.status != http.StatusOK || got.body != "slow" {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // An operator bounds the headers of requests, so that no caller fills the
 // memory of a small entry with them. One byte more than that is refused, and the
 // request within the bound is served.
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -246,9 +246,10 @@
 // another server could still answer in time after it.
 //
 // Cut off too early, an answer that was about to come is thrown away and made
-// anew by a server that has even less time for it.
+// anew by a server that has even less time for it. And where the budget allows no
+// repeat, it would be thrown away for nothing.
 func (j *job) patience(now time.Time) time.Time {
-	if !j.route.Repeatable() || j.runs+1 >= j.route.MaxAttempts {
+	if !j.route.Repeatable() || j.runs+1 >= j.route.MaxAttempts || !j.Budget.Has(j.service.Name, now) {
 		return j.deadline
 	}
 	first := firstPatience(j.route)
--- a/internal/serve/retry/budget.go
+++ b/internal/serve/retry/budget.go
@@ -32,6 +32,8 @@
 	Request(service string, now time.Time)
 	// Take returns whether one repeat at the service may be sent, and spends it.
 	Take(service string, now time.Time) bool
+	// Has returns whether a repeat at the service could be sent now; it spends nothing.
+	Has(service string, now time.Time) bool
 	// SetEntries tells how many entries share the slack.
 	SetEntries(n int)
 }
@@ -89,6 +91,14 @@
 	return true
 }
 
+// Has implements Budget.
+func (b *budget) Has(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.bucket(service, now)
+	return k.earned >= 1 || k.slack >= 1
+}
+
 // share is an entry's part of the slack in half a window.
 func (b *budget) share() float64 {
 	return max(1, b.terms.Slack*slackShare/2/float64(b.entries))
