--- a/internal/cli/explain/line.go
+++ b/internal/cli/explain/line.go
@@ -1,10 +1,16 @@
 package explain
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
+	"io"
+	"time"
 )
 
+// maxLine bounds a log line in bytes.
+const maxLine = 1 << 20
+
 // line is one log line.
 type line struct {
 	Time    string         `json:"time"`
@@ -35,3 +41,38 @@
 	s, _ := l.Fields[name].(string)
 	return s
 }
+
+// number returns a field as a number, -1 when it isn't there.
+func (l line) number(name string) int64 {
+	n, ok := l.Fields[name].(json.Number)
+	if !ok {
+		return -1
+	}
+	v, err := n.Int64()
+	if err != nil {
+		return -1
+	}
+	return v
+}
+
+// millis returns a field that counts milliseconds, zero when it isn't there.
+func (l line) millis(name string) time.Duration {
+	return time.Duration(max(0, l.number(name))) * time.Millisecond
+}
+
+// each calls take with every log line.
+func each(logs []io.Reader, take func(l line)) error {
+	for _, r := range logs {
+		scanner := bufio.NewScanner(r)
+		scanner.Buffer(nil, maxLine)
+		for scanner.Scan() {
+			if l, ok := parse(scanner.Bytes()); ok {
+				take(l)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/cli/explain/losses.go
+++ b/internal/cli/explain/losses.go
@@ -1,8 +1,6 @@
 package explain
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -41,22 +39,16 @@
 func ReadLosses(c LossesConfig, logs ...io.Reader) (Losses, error) {
 	s := Losses{config: c, routed: map[string]line{}, reasons: map[string]map[string]int{}, course: map[int64]map[string]int{}}
 	var ended []line
-	for _, r := range logs {
-		scanner := bufio.NewScanner(r)
-		scanner.Buffer(nil, maxLine)
-		for scanner.Scan() {
-			l, ok := parse(scanner.Bytes())
-			switch {
-			case !ok:
-			case l.Message == "attempt-routed":
-				s.routed[l.text("request")] = l
-			case l.Message == "request-ended":
-				ended = append(ended, l)
-			}
-		}
-		if err := scanner.Err(); err != nil {
-			return Losses{}, fmt.Errorf("losses: %w", err)
+	err := each(logs, func(l line) {
+		switch l.Message {
+		case "attempt-routed":
+			s.routed[l.text("request")] = l
+		case "request-ended":
+			ended = append(ended, l)
 		}
+	})
+	if err != nil {
+		return Losses{}, fmt.Errorf("losses: %w", err)
 	}
 	byTime(ended)
 	for _, l := range ended {
@@ -140,24 +132,6 @@
 	return "late, at the server"
 }
 
-// number returns a field as a number, -1 when it isn't there.
-func (l line) number(name string) int64 {
-	n, ok := l.Fields[name].(json.Number)
-	if !ok {
-		return -1
-	}
-	v, err := n.Int64()
-	if err != nil {
-		return -1
-	}
-	return v
-}
-
-// millis returns a field that counts milliseconds, zero when it isn't there.
-func (l line) millis(name string) time.Duration {
-	return time.Duration(max(0, l.number(name))) * time.Millisecond
-}
-
 // Write writes the counts by route and reason, and the course of the losses.
 func (s Losses) Write(w io.Writer) error {
 	var b strings.Builder
--- a/internal/cli/explain/losses_test.go
+++ b/internal/cli/explain/losses_test.go
@@ -27,17 +27,5 @@
 	if err := s.Write(&got); err != nil {
 		t.Fatal(err)
 	}
-	golden := filepath.Join("testdata", "losses.golden")
-	if *update {
-		if err := os.WriteFile(golden, got.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got.String() != string(want) {
-		t.Errorf("%s", got.String())
-	}
+	golden(t, "losses", got.String())
 }
--- a/internal/cli/explain/story.go
+++ b/internal/cli/explain/story.go
@@ -1,7 +1,6 @@
 package explain
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,9 +9,6 @@
 	"strings"
 )
 
-// maxLine bounds a log line in bytes.
-const maxLine = 1 << 20
-
 // ErrUnknown means that no line tells of the request.
 var ErrUnknown = errors.New("no line of these logs tells of the request; it reached none of these processes, or its lines were dropped (look for lines-dropped)")
 
@@ -28,22 +24,16 @@
 func Read(request string, logs ...io.Reader) (Story, error) {
 	s := Story{request: request}
 	var others []line
-	for _, r := range logs {
-		scanner := bufio.NewScanner(r)
-		scanner.Buffer(nil, maxLine)
-		for scanner.Scan() {
-			l, ok := parse(scanner.Bytes())
-			switch {
-			case !ok:
-			case l.text("request") == request:
-				s.own = append(s.own, l)
-			case l.text("request") == "" && l.text("server") != "":
-				others = append(others, l)
-			}
-		}
-		if err := scanner.Err(); err != nil {
-			return Story{}, fmt.Errorf("explain: %w", err)
+	err := each(logs, func(l line) {
+		switch {
+		case l.text("request") == request:
+			s.own = append(s.own, l)
+		case l.text("request") == "" && l.text("server") != "":
+			others = append(others, l)
 		}
+	})
+	if err != nil {
+		return Story{}, fmt.Errorf("explain: %w", err)
 	}
 	if len(s.own) == 0 {
 		return Story{}, ErrUnknown
--- a/internal/cli/explain/story_test.go
+++ b/internal/cli/explain/story_test.go
@@ -33,19 +33,7 @@
 		if err := s.Write(&got); err != nil {
 			t.Fatal(err)
 		}
-		golden := filepath.Join("testdata", request+".golden")
-		if *update {
-			if err := os.WriteFile(golden, got.Bytes(), 0o644); err != nil {
-				t.Fatal(err)
-			}
-		}
-		want, err := os.ReadFile(golden)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got.String() != string(want) {
-			t.Errorf("%s:\n%s", request, got.String())
-		}
+		golden(t, request, got.String())
 	}
 }
 
@@ -54,3 +42,21 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// golden compares with the golden file of that name.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s:\n%s", name, got)
+	}
+}
