--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -118,6 +118,7 @@
 	case topic.Servers:
 		if len(r.Value) == 0 {
 			s.directory.Forget(r.Key)
+			s.memory.Forget(r.Key)
 			return nil
 		}
 		return decoded(r, s.takeServer)
--- a/internal/process/siteentry/site_test.go
+++ b/internal/process/siteentry/site_test.go
@@ -8,9 +8,13 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/serve/share"
+	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/parts"
+	"hornbeamwood/internal/site/stores"
+	"hornbeamwood/internal/site/topic"
 )
 
 func quietSite() *site {
@@ -39,3 +43,55 @@
 		t.Error("a process that knows its site waits for a service without servers")
 	}
 }
+
+// Engines come back under new names day after day. What an entry remembers of an
+// engine must go with it, or the entry's memory fills up over weeks.
+func TestMemoryOfAGoneEngineIsDropped(t *testing.T) {
+	s := quietSite()
+	now := time.Now()
+	s.takeServer(directory.Server{ID: "a", Born: 1, Service: "x", Address: "a:1"})
+	s.memory.Note("a", "m/1", "part", 3000, 90_000, now)
+	if err := s.takeRow("r", board.Row{Topic: topic.Servers, Key: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	if h := s.memory.Holders("m/1", "part", 3000, now); len(h) != 0 {
+		t.Errorf("still remembered: %v", h)
+	}
+}
+
+// Two replicas tell of one engine's memory while it moves from one to the other.
+// The word of the replica that it has left must not undo the newer one's, and an
+// engine that is started anew has nothing of what the one before it had.
+func TestEngineIsToldOfByItsReplica(t *testing.T) {
+	s := quietSite()
+	now := time.Now()
+	s.takeServer(directory.Server{ID: "a", Born: 2, Service: "x", Address: "a:1"})
+	row := func(born int64) board.Row {
+		p := stores.Part{Salt: "m/1", ID: "part"}
+		b, err := codec.Marshal(topic.Cache{Born: born, Least: 1024, Parts: map[uint64]int{p.Hash(): 3000}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return board.Row{Topic: topic.Caches, Key: "a", Value: b}
+	}
+	holds := func() bool { return s.memory.Holds("a", "m/1", "part", 3000, now) }
+	take := func(address string, r board.Row) {
+		if err := s.takeRow(address, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	take("old", row(1))
+	if holds() {
+		t.Error("the memory of an earlier start counts")
+	}
+	take("old", row(2))
+	take("new", row(2))
+	take("old", board.Row{Topic: topic.Caches, Key: "a"})
+	if !holds() {
+		t.Error("the replica that the engine has left undid what the new one told")
+	}
+	s.expireCaches()
+	if holds() {
+		t.Error("the word of a replica that doesn't answer counts for ever")
+	}
+}
