--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -14,9 +14,8 @@
 	maxWait = time.Second
 	// batchPause lets changes that come together travel in one answer while few
 	// watch. It grows with the square of the watchers, since with their number the
-	// changes become more as well as the answers to each: a poll costs about 0.2 ms
-	// of a core, and ninety entries that poll at each change take a quarter of a
-	// core whole. mostPause is a sixth of the time that a change may take.
+	// changes become more as well as the answers to each, and mostPause bounds it: a
+	// change must be in force everywhere soon.
 	batchPause  = 3 * time.Millisecond
 	fewWatchers = 14
 	mostPause   = 400 * time.Millisecond
