Draining leaves the last engines time to load

Traced: the last engines were drained until the time by which all have to be finished and loaded after it, 6.8 to 7.0 s after the weights were named in place of 6.0 of 10 s, so that the order of goroutines decided. The time of a load, once one has ended, is taken off what is left for draining.

--- a/internal/site/weights/pace.go
+++ b/internal/site/weights/pace.go
@@ -20,6 +20,16 @@
 	return pace{load: firstLoad}
 }
 
+// learnt returns how long a load takes, zero before the first one has ended.
+func (r *rollout) learnt() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.pace.seen {
+		return 0
+	}
+	return r.pace.load
+}
+
 // learn notes how long a load took, from its order to the engine's word that it is done.
 func (r *rollout) learn(took time.Duration) {
 	r.mu.Lock()
--- a/internal/site/weights/rollout.go
+++ b/internal/site/weights/rollout.go
@@ -171,12 +171,12 @@
 //
 // Where engines load quickly and new weights must be everywhere soon, draining
 // takes most of the time; the last engines would begin requests on old weights
-// after that.
+// after that. The last ones still have to load once they are drained.
 func (r *rollout) drainTime(model string, engines, most int) time.Duration {
 	if r.Within <= 0 {
 		return drainMost
 	}
-	left := time.Duration(finishedBy*float64(r.Within)) - time.Since(r.noticed[model].at)
+	left := time.Duration(finishedBy*float64(r.Within)) - time.Since(r.noticed[model].at) - r.learnt()
 	rounds := (engines + most - 1) / most
 	return max(drainLeast, min(drainMost, left/time.Duration(rounds)))
 }
