--- a/internal/serve/caller/await.go
+++ b/internal/serve/caller/await.go
@@ -13,9 +13,11 @@
 const (
 	// expectedFirst is how long an engine takes to the first event of a prompt that has most of its parts.
 	expectedFirst = 250 * time.Millisecond
-	// storesWait is how long a long prompt waits for the stores in a process that
-	// has just started: an election, a lease and the stores' lists.
-	storesWait = 1500 * time.Millisecond
+	// storesShare is the part of the time until a caller leaves for which a long prompt
+	// waits for the stores in a process that has just started: an election, a lease,
+	// the stores' lists and their way to all entries take seconds. The rest is for
+	// the prompts that wait with it and go out at the same moment.
+	storesShare = 0.75
 	// returnSpread is the part of the time until there is room by which callers
 	// that are refused together return apart.
 	returnSpread = 0.5
@@ -119,10 +121,13 @@
 // that has just started.
 //
 // After a loss of power all entries come back knowing nothing. Each prompt of
-// the first half second would have its engine read again what lies in a store;
-// the engines are behind for seconds then.
+// the first seconds would have its engine read again what lies in a store;
+// the engines are behind for seconds then. Such a prompt is late by the time that
+// the stores are known, so that it loses nothing by waiting for as long as its
+// caller does, and those that come after it find engines that are free.
 func (j *job) awaitStores(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, min(storesWait, time.Until(j.deadline)/4))
+	last := j.ask().Last
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(storesShare*float64(time.Until(last))))
 	defer cancel()
 	j.Site.AwaitStores(ctx)
 }
--- /dev/null
+++ b/internal/serve/caller/stores_test.go
@@ -0,0 +1,41 @@
+package caller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/serve/request"
+	"hornbeamwood/internal/site/document"
+)
+
+// tellingSite tells until when a prompt would wait for the stores.
+type tellingSite struct {
+	fakeSite
+	until time.Time
+}
+
+func (s *tellingSite) AwaitStores(ctx context.Context) {
+	s.until, _ = ctx.Deadline()
+}
+
+// All processes of a large site were killed, and hundreds of long prompts wait when
+// they are back. The stores' lists need three seconds to get to all entries. Sent
+// before that, every prompt is read whole by its engine: 6 million tokens in a
+// moment, and who comes in the next ten seconds is late behind them. They are late
+// themselves by then, so that waiting on costs their callers nothing; but the answer
+// must come before they leave.
+func TestLatePromptsWaitForTheStores(t *testing.T) {
+	const silence, spread = 4 * time.Second, 2800 * time.Millisecond
+	s := &tellingSite{}
+	now := time.Now()
+	j := &job{
+		gateway: &gateway{Config: Config{Site: s}}, arrived: now, deadline: now.Add(15 * time.Second),
+		route:   document.Route{Target: time.Second, Silence: silence},
+		request: request.Request{Prompt: &request.Prompt{Tokens: 12_000, Output: 400}},
+	}
+	j.awaitStores(t.Context())
+	if wait := s.until.Sub(now); wait < spread || wait > silence-expectedFirst {
+		t.Errorf("a prompt waits %s for the stores", wait)
+	}
+}
