--- a/internal/node/keys/open.go
+++ b/internal/node/keys/open.go
@@ -78,7 +78,11 @@
 // TLS implements Ring.
 func (r *openRing) TLS(protocol string) *tls.Config {
 	return &tls.Config{
-		MinVersion:         tls.VersionTLS13,
+		MinVersion: tls.VersionTLS13,
+		// After a loss of all processes each replica has a handshake with every entry
+		// before it can tell anything. Keys that nobody vouches for gain nothing from
+		// the larger exchange that also resists quantum computers.
+		CurvePreferences:   []tls.CurveID{tls.X25519},
 		NextProtos:         []string{protocol},
 		ServerName:         ServerName,
 		ClientAuth:         tls.RequireAnyClientCert,
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -198,13 +198,14 @@
 	}
 }
 
-func (p *process) put(t board.Topic, key string, value any) {
+// put shows a value and returns the board's number of its last change, zero when it can't be encoded.
+func (p *process) put(t board.Topic, key string, value any) uint64 {
 	b, err := codec.Marshal(value)
 	if err != nil {
 		event.AnnouncementNotAcknowledged.Write(p.config.Logger, log.Fields{"topic": t, "key": key, "error": err.Error()})
-		return
+		return 0
 	}
-	p.board.Put(t, key, b)
+	return p.board.Put(t, key, b)
 }
 
 // take takes what another replica shows: servers only, the log is this replica's own.
--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -40,11 +40,11 @@
 	listInterval = 20 * time.Second
 	// longPart is the size in tokens from which on a part is shown at once, and
 	// shortPause how long the shorter ones wait behind it at most after the first
-	// listing. A replica that has just got the lease owes all rows to every entry,
-	// and most rows are those of short parts; rowTime is what one row to one entry takes.
+	// listing. A replica that has just got the lease owes all parts to every entry,
+	// and most are short ones; partTime is what one part to one entry takes.
 	longPart   = 1024
 	shortPause = 700 * time.Millisecond
-	rowTime    = 20 * time.Microsecond
+	partTime   = 5 * time.Microsecond
 	// freeAhead is the part of the old weights' parts that goes ahead of the engines.
 	freeAhead = 0.25
 	// hashSteps is how finely parts are told apart by their hash.
@@ -72,6 +72,8 @@
 	cancel context.CancelFunc
 	// listed is when the whole was last read; only watch uses it.
 	listed time.Time
+	// shown is the board's number of the last row of the whole.
+	shown uint64
 }
 
 // run follows the document's stores until ctx ends.
@@ -230,14 +232,28 @@
 		return nil
 	}
 	long, short := bySize(changed, c.Held)
-	l.show(x, long)
-	time.AfterFunc(pauseOfShort(len(short), l.watched.Entries()), func() { l.show(x, short) })
+	l.showShelf(x, "long", true, long)
+	time.AfterFunc(pauseOfShort(len(short), l.watched.Entries()), func() { l.showShelf(x, "short", false, short) })
 	return nil
 }
 
-// pauseOfShort returns how long so many rows of short parts wait for the long ones to get to all entries.
-func pauseOfShort(rows, entries int) time.Duration {
-	return min(shortPause, time.Duration(rows*entries)*rowTime)
+// showShelf puts the present state of many parts into one row.
+func (l *librarian) showShelf(x *shelf, size string, whole bool, parts []stores.Part) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	s := topic.Shelf{Address: x.stock.Address, Listed: time.Now().UnixNano(), Whole: whole}
+	for _, p := range parts {
+		if tokens, ok := x.stock.Whole(p); ok {
+			s.Parts = append(s.Parts, p.Hash())
+			s.Tokens = append(s.Tokens, uint32(tokens))
+		}
+	}
+	x.shown = max(x.shown, l.put(topic.Shelves, s.Address+"/"+size, s))
+}
+
+// pauseOfShort returns how long so many short parts wait for the long ones to get to all entries.
+func pauseOfShort(parts, entries int) time.Duration {
+	return min(shortPause, time.Duration(parts*entries)*partTime)
 }
 
 // bySize divides the parts into those that are worth a row at once and the others.
@@ -258,10 +274,16 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, p := range parts {
-		if tokens, ok := x.stock.Whole(p); ok {
-			l.put(topic.Parts, p.Key(x.stock.Address), tokens)
-		} else {
-			number = max(number, l.board.Put(topic.Parts, p.Key(x.stock.Address), nil))
+		key := p.In(x.stock.Address).Key()
+		tokens, ok := x.stock.Whole(p)
+		if !ok {
+			number = max(number, l.board.Put(topic.Parts, key, nil))
+			continue
+		}
+		if l.put(topic.Parts, key, tokens) < x.shown {
+			// The same was shown before the whole was, under an earlier lease, and no longer counts.
+			l.board.Put(topic.Parts, key, nil)
+			l.put(topic.Parts, key, tokens)
 		}
 	}
 	return number
--- a/internal/process/sitecontrol/librarian_test.go
+++ b/internal/process/sitecontrol/librarian_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/stores"
+	"hornbeamwood/internal/site/topic"
 )
 
 // All processes of a large site were killed. The first replica to hold the lease
@@ -44,3 +46,23 @@
 		t.Errorf("on a large site short parts wait %s", p)
 	}
 }
+
+// A replica that had the lease before gets it again. A part that it showed under
+// the first lease, that was freed and has been saved anew since, has the same row
+// as then: were the row not told again, entries would have the part read and saved
+// over and over.
+func TestPartIsToldAgainAfterANewList(t *testing.T) {
+	b := board.New(1)
+	l := &librarian{process: &process{board: b}}
+	x := &shelf{stock: stores.NewShelf("1:1", 1000)}
+	p := stores.Part{Salt: "m/1", ID: "p"}
+	l.put(topic.Parts, p.In("1:1").Key(), 300)
+	l.showShelf(x, "long", true, nil)
+	_, before := b.Since(0)
+	x.stock.TakeList(stores.Listing{Epoch: 1, Held: map[stores.Part]int{p: 300}}, time.Now())
+	l.show(x, []stores.Part{p})
+	rows, _ := b.Since(before)
+	if len(rows) != 1 || len(rows[0].Value) == 0 {
+		t.Errorf("told %+v", rows)
+	}
+}
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,9 +44,9 @@
 	epoch   uint64
 	fencing uint64
 	heard   time.Time
-	// parts holds the sizes by store, used their sum.
-	parts map[stores.Part]map[string]int
-	used  map[string]int
+	// parts holds the sizes by part and store, used their sum by store.
+	parts map[uint64]map[uint32]int
+	used  map[uint32]int
 	up    map[string]bool
 	busy  map[string]bool
 	// epochs is the start of each store that the replica saw, polled when it last answered at all.
@@ -56,7 +55,7 @@
 }
 
 func newLead(epoch uint64) *lead {
-	return &lead{epoch: epoch, parts: map[stores.Part]map[string]int{}, used: map[string]int{}, up: map[string]bool{}, busy: map[string]bool{}, epochs: map[string]int64{}}
+	return &lead{epoch: epoch, parts: map[uint64]map[uint32]int{}, used: map[uint32]int{}, up: map[string]bool{}, busy: map[string]bool{}, epochs: map[string]int64{}}
 }
 
 // lead notes a replica's claim to the lease.
@@ -122,6 +121,8 @@
 	switch r.Topic {
 	case topic.Parts:
 		return l.takePart(r)
+	case topic.Shelves:
+		return decoded(r, l.takeShelf)
 	case topic.Loads:
 		if l != s.holder() {
 			return nil
@@ -155,26 +156,47 @@
 }
 
 func (l *lead) takePart(r board.Row) error {
-	fields := strings.Split(r.Key, "\x00")
-	if len(fields) != 3 {
-		return nil
+	p, err := stores.ParsePlace(r.Key)
+	if err != nil {
+		return err
 	}
-	store, p := fields[0], stores.Part{Salt: fields[1], ID: fields[2]}
-	l.used[store] -= l.parts[p][store]
-	delete(l.parts[p], store)
 	if len(r.Value) == 0 {
-		if len(l.parts[p]) == 0 {
-			delete(l.parts, p)
-		}
+		l.remove(p)
 		return nil
 	}
-	return decoded(r, func(tokens int) {
-		if l.parts[p] == nil {
-			l.parts[p] = map[string]int{}
+	return decoded(r, func(tokens int) { l.add(p, tokens) })
+}
+
+// takeShelf takes what lay in a store when it was listed.
+func (l *lead) takeShelf(s topic.Shelf) {
+	store := stores.ShortAddress(s.Address)
+	if s.Whole {
+		for part, held := range l.parts {
+			if _, ok := held[store]; ok {
+				l.remove(stores.Place{Store: store, Part: part})
+			}
 		}
-		l.parts[p][store] = tokens
-		l.used[store] += tokens
-	})
+	}
+	for i := range min(len(s.Parts), len(s.Tokens)) {
+		l.add(stores.Place{Store: store, Part: s.Parts[i]}, int(s.Tokens[i]))
+	}
+}
+
+func (l *lead) add(p stores.Place, tokens int) {
+	l.remove(p)
+	if l.parts[p.Part] == nil {
+		l.parts[p.Part] = map[uint32]int{}
+	}
+	l.parts[p.Part][p.Store] = tokens
+	l.used[p.Store] += tokens
+}
+
+func (l *lead) remove(p stores.Place) {
+	l.used[p.Store] -= l.parts[p.Part][p.Store]
+	delete(l.parts[p.Part], p.Store)
+	if len(l.parts[p.Part]) == 0 {
+		delete(l.parts, p.Part)
+	}
 }
 
 func (s *site) takeLoaded(server string, l topic.Loading) {
@@ -205,13 +227,13 @@
 		return nil
 	}
 	s.use(p)
-	held := l.parts[p]
+	held := l.parts[p.Hash()]
 	if len(held) == 0 {
 		return nil
 	}
 	var all []choose.Copy
 	for _, x := range t.Document().Stores {
-		if size, ok := held[x.Address]; ok && size >= tokens && l.up[x.Address] && s.sameStart(l, x.Address) {
+		if size, ok := held[stores.ShortAddress(x.Address)]; ok && size >= tokens && l.up[x.Address] && s.sameStart(l, x.Address) {
 			all = append(all, copyAt(x, tokenBytes(t.Document())))
 		}
 	}
@@ -269,7 +291,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.leading()
-	if l == nil || len(l.parts[p]) > 0 || now.Sub(s.saves[p]) < saveAgainAfter {
+	if l == nil || len(l.parts[p.Hash()]) > 0 || now.Sub(s.saves[p]) < saveAgainAfter {
 		return ""
 	}
 	for _, x := range placement(t.Document().Stores, p, tokens) {
@@ -277,7 +299,7 @@
 		if tokens >= smallPart && x.First <= fastFirst {
 			share = longShare
 		}
-		if l.up[x.Address] && float64(l.used[x.Address]+tokens) <= share*float64(x.Tokens) {
+		if l.up[x.Address] && float64(l.used[stores.ShortAddress(x.Address)]+tokens) <= share*float64(x.Tokens) {
 			s.saving(p, now)
 			return x.Address
 		}
--- a/internal/process/siteentry/lead_test.go
+++ b/internal/process/siteentry/lead_test.go
@@ -30,7 +30,7 @@
 	s.follow = func() {}
 	s.take("old", watch.Answer{Epoch: 1, Fencing: 4, CaughtUp: true, Rows: []board.Row{
 		row(t, topic.Document, "", document.Document{Number: 1, Stores: []document.Store{{Address: "1:1", Tokens: 1000}}}),
-		row(t, topic.Parts, stores.Part{Salt: "m/1", ID: "p"}.Key("1:1"), 300),
+		row(t, topic.Parts, stores.Part{Salt: "m/1", ID: "p"}.In("1:1").Key(), 300),
 		row(t, topic.StoresUp, "1:1", true),
 		row(t, topic.Epochs, "1:1", int64(7)),
 	}})
@@ -114,7 +114,7 @@
 	for _, x := range tieredStores() {
 		rows = append(rows, row(t, topic.StoresUp, x.Address, true))
 		if x.First <= fastFirst {
-			rows = append(rows, row(t, topic.Parts, stores.Part{Salt: "m/1", ID: "old"}.Key(x.Address), int(longShare*float64(x.Tokens))))
+			rows = append(rows, row(t, topic.Parts, stores.Part{Salt: "m/1", ID: "old"}.In(x.Address).Key(), int(longShare*float64(x.Tokens))))
 		}
 	}
 	s.take("old", watch.Answer{Epoch: 1, Fencing: 4, Rows: rows})
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -128,7 +128,7 @@
 		return decoded(r, s.takeReading)
 	case topic.Loaded:
 		return decoded(r, func(l topic.Loading) { s.takeLoaded(r.Key, l) })
-	case topic.Parts, topic.StoresUp, topic.Busy, topic.Loads, topic.Epochs:
+	case topic.Parts, topic.Shelves, topic.StoresUp, topic.Busy, topic.Loads, topic.Epochs:
 		return s.takeLeadRow(address, r)
 	case topic.Caches:
 		return s.takeCache(address, r)
--- a/internal/site/stores/part.go
+++ b/internal/site/stores/part.go
@@ -1,6 +1,12 @@
 package stores
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Part names a piece of a prompt in a store.
 type Part struct {
@@ -18,7 +24,47 @@
 // separator can't stand in addresses, salts or IDs, which travel in headers.
 const separator = "\x00"
 
-// Hash returns a short name of the part, for notes of its use.
+// Place is a part in a store by short names: rows about parts go to every entry,
+// by the thousand after a loss of all processes, and full names are most of their bytes.
+type Place struct {
+	// Store is the store's ShortAddress, Part the part's Hash.
+	Store uint32
+	Part  uint64
+}
+
+// ShortAddress returns a short name of the store at address.
+func ShortAddress(address string) uint32 {
+	return uint32(xxhash.Sum64String(address))
+}
+
+// placeBytes is the size of a Place before it is encoded as text.
+const placeBytes = 12
+
+var errPlace = errors.New("stores: a place can't be read")
+
+// Key returns the place as the key of a row.
+func (p Place) Key() string {
+	var b [placeBytes]byte
+	binary.BigEndian.PutUint32(b[:], p.Store)
+	binary.BigEndian.PutUint64(b[4:], p.Part)
+	return base64.RawStdEncoding.EncodeToString(b[:])
+}
+
+// ParsePlace returns the place of a row's key.
+func ParsePlace(key string) (Place, error) {
+	b, err := base64.RawStdEncoding.DecodeString(key)
+	if err != nil || len(b) != placeBytes {
+		return Place{}, errPlace
+	}
+	return Place{Store: binary.BigEndian.Uint32(b), Part: binary.BigEndian.Uint64(b[4:])}, nil
+}
+
+// In returns the part's place in the store at address.
+func (p Part) In(address string) Place {
+	return Place{Store: ShortAddress(address), Part: p.Hash()}
+}
+
+// Hash returns a short name of the part.
 func (p Part) Hash() uint64 {
 	return xxhash.Sum64String(p.Key(""))
 }
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -12,7 +12,7 @@
 	Members board.Topic = 3
 	// Versions holds the named version of weights for each model as an int64.
 	Versions board.Topic = 4
-	// Parts holds the size of each part that may be fetched from a store, as an int under stores.Part's key; only the rows of the replica that holds the lease count.
+	// Parts holds the size of each part that may be fetched from a store, as an int under the key of its stores.Place; only the rows of the replica that holds the lease count.
 	Parts board.Topic = 5
 	// StoresUp holds true for the address of each store that answers; only the rows of the replica that holds the lease count.
 	StoresUp board.Topic = 6
@@ -30,8 +30,29 @@
 	Caches board.Topic = 12
 	// NamedAt holds when each model's version was named by the servers' clock in Unix milliseconds as an int64, where that is known.
 	NamedAt board.Topic = 13
+	// Shelves holds what lay in a store when it was listed, as a Shelf under the store's address and the size of the parts; only the rows of the replica that holds the lease count, and those of Parts that came later go before them.
+	Shelves board.Topic = 14
 )
 
+// Shelf is the long or the short parts of a store as it was listed.
+//
+// A replica that has just got the lease owes each entry all that lies in all
+// stores. As one row a part, that takes seconds on a large site, and prompts have
+// engines read again what they don't know to be stored.
+type Shelf struct {
+	// Shelves travel without the names of their fields.
+	_ struct{} `cbor:",toarray"`
+	// Address is the store's.
+	Address string
+	// Listed is when it was listed, in Unix nanoseconds: each list counts, also one like the last.
+	Listed int64
+	// Whole says that what was told of the store before no longer counts.
+	Whole bool
+	// Parts are the parts' hashes, Tokens their sizes.
+	Parts  []uint64
+	Tokens []uint32
+}
+
 // Cache is the long parts in an engine's memory.
 type Cache struct {
 	// Born is the engine's start.
