Late prompts leave room to those that can be on time; rows of servers without names

A late answer brings a fifth of its benefit and takes as much of an engine as one on time. Rows of servers travel as arrays: they are half of what each replica owes every entry after a loss of all processes.

--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -134,7 +134,7 @@
 	salt := j.salt(version)
 	return choose.Engine{
 		Now: now, Zone: j.Zone, Parts: j.parts(salt, e, now), Output: j.request.Prompt.Output, Capacity: e.Tokens, Random: random(),
-		Stride: e.Stride, Gap: j.route.Gap, Entries: j.Site.Entries(),
+		Stride: e.Stride, Gap: j.route.Gap, Entries: j.Site.Entries(), Late: now.After(j.ask().Rank.OnTime),
 		Holds: func(server string, p choose.Part) bool { return j.Memory.Holds(server, p.Salt, p.ID, p.Tokens, now) },
 	}
 }
--- a/internal/serve/caller/stores_test.go
+++ b/internal/serve/caller/stores_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"hornbeamwood/internal/serve/line"
 	"hornbeamwood/internal/serve/request"
+	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/document"
 )
 
@@ -39,3 +41,18 @@
 		t.Errorf("a prompt waits %s for the stores", wait)
 	}
 }
+
+// Prompts wait for more room than there is. A short question takes so little of an
+// engine that it goes beside them; in turn with them it would be late for nothing.
+func TestSmallRequestsTakeNoTurns(t *testing.T) {
+	e := document.Engine{Tokens: 96_000}
+	l := line.New()
+	l.Enter(line.Ask{Tokens: 1_000_000})
+	j := &job{gateway: &gateway{Config: Config{Line: l, Others: share.NewOthers("e")}}}
+	for tokens, small := range map[int]bool{2_000: true, 12_000: false} {
+		j.request.Prompt = &request.Prompt{Tokens: tokens}
+		if took := j.turn(e, choice{}, time.Second); took != small {
+			t.Errorf("%d tokens: %v", tokens, took)
+		}
+	}
+}
--- a/internal/serve/choose/cost.go
+++ b/internal/serve/choose/cost.go
@@ -133,10 +133,22 @@
 	}
 	return c.Track.InFlight < c.Server.Slots &&
 		tokens+e.Output <= e.free(c) &&
-		c.Track.Reading <= mostReading
+		float64(c.Track.Reading) <= e.share()*mostReading
 }
 
-// free returns how many tokens of the engine's memory requests may still take.
+// share returns the part of an engine that the request may use.
+//
+// After a loss of all processes hundreds of prompts wait that are late, and go out
+// together as soon as they can. If they filled the engines, everybody who comes in
+// the next seconds would be late as well.
+func (e Engine) share() float64 {
+	if e.Late {
+		return lateShare
+	}
+	return 1
+}
+
+// free returns how many tokens of the engine's memory such requests may still take.
 func (e Engine) free(c Candidate) int {
-	return max(0, int(roomShare*float64(e.Capacity))-c.Track.Held)
+	return max(0, int(e.share()*roomShare*float64(e.Capacity))-c.Track.Held)
 }
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -39,6 +39,9 @@
 	// roomShare is the part of an engine's memory that requests may hold. Beyond
 	// it parts that others are about to use make room, and are read again.
 	roomShare = 0.95
+	// lateShare is the part of that room, and of the reading that may wait, which
+	// prompts may use that are late already: the rest is for those that can be on time.
+	lateShare = 0.6
 	// mostReading is how many prompt tokens may wait to be read at an engine before
 	// a request goes there: a quarter of a second's work. What waits longer waits
 	// at the entry, where it can still go elsewhere. The request's own tokens don't
@@ -104,6 +107,8 @@
 	// Stride is how many tokens one event holds, and Gap the longest timely pause between events; zero for none.
 	Stride int
 	Gap    time.Duration
+	// Late says that the answer can't be on time any more.
+	Late bool
 	// Entries is how many entries choose among the same engines.
 	Entries int
 	// Holds returns whether a server probably has a part in memory.
--- a/internal/serve/choose/engine_test.go
+++ b/internal/serve/choose/engine_test.go
@@ -186,3 +186,25 @@
 		t.Errorf("one engine got %d of %d prompts, %.1f times the mean; %d got any", most, prompts, float64(most)/mean, len(got))
 	}
 }
+
+// All processes were killed, and a thousand prompts that waited go out at the same
+// moment; each of them is late whatever happens. If they filled the engines, whoever
+// comes in the next seconds would find no room and be late too. A prompt that can be
+// on time gets room beside them, one more late one waits.
+func TestLatePromptsLeaveRoom(t *testing.T) {
+	all := engines(1)
+	for _, x := range []struct {
+		held, reading   int
+		onTime, tooLate bool
+	}{{20_000, 0, true, true}, {50_000, 0, true, false}, {20_000, 10_000, true, false}, {72_000, 0, false, false}} {
+		all[0].Track = observe.Track{InFlight: 3, Held: x.held, Reading: x.reading}
+		e := long(5000)
+		if p := e.Pick(all); p.Fits != x.onTime {
+			t.Errorf("%+v: fits %v", x, p.Fits)
+		}
+		e.Late = true
+		if p := e.Pick(all); p.Fits != x.tooLate {
+			t.Errorf("%+v: fits %v when late", x, p.Fits)
+		}
+	}
+}
--- a/internal/site/directory/server.go
+++ b/internal/site/directory/server.go
@@ -4,40 +4,44 @@
 
 // Server is what is known of one backend server.
 type Server struct {
+	// Servers travel without the names of their fields: after a loss of all processes
+	// each replica owes those of the whole site to every entry.
+	_ struct{} `cbor:",toarray"`
 	// ID names the server; it may return under the same one after a restart.
-	ID string `cbor:"id"`
+	ID string
 	// Born is the start of the incarnation in Unix milliseconds; a later start is another server.
-	Born int64 `cbor:"born"`
+	Born int64
 	// Sequence counts the announcements of the incarnation.
-	Sequence int64 `cbor:"sequence"`
+	Sequence int64
 	// Service is the service that it belongs to.
-	Service string `cbor:"service"`
+	Service string
 	// Address is its IP and port.
-	Address string `cbor:"address"`
+	Address string
 	// Zone is its availability zone.
-	Zone string `cbor:"zone"`
+	Zone string
 	// Software is the version of its software.
-	Software string `cbor:"software"`
+	Software string
 	// Slots is how many requests it processes at once.
-	Slots int `cbor:"slots"`
+	Slots int
 	// State is ready, leaving or gone.
-	State State `cbor:"state"`
+	State State
 	// Silent says that announcements have stopped coming.
-	Silent bool `cbor:"silent"`
+	Silent bool
 	// Cold is how long it stays slow after the announcement.
-	Cold time.Duration `cbor:"cold"`
+	Cold time.Duration
 	// Models are the weights that it has.
-	Models []Weights `cbor:"models"`
+	Models []Weights
 	// Home is the control replica that it announces itself to.
-	Home string `cbor:"home"`
+	Home string
 }
 
 // Weights is a model with the version of its weights.
 type Weights struct {
+	_ struct{} `cbor:",toarray"`
 	// Model names the model.
-	Model string `cbor:"model"`
+	Model string
 	// Version is the number of the weights.
-	Version int64 `cbor:"version"`
+	Version int64
 }
 
 // State is what a server says of its readiness.
