A part withdrawn again under a new lease is told again; files that had grown are split

Found by reading: a row that says the same as under an earlier lease of the same start kept its number, and the list that came since went before it, so that entries would go on fetching a part that is freed. What is listed late isn't shown of a store that is no longer followed.

--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -65,17 +65,6 @@
 	epochs map[string]context.CancelFunc
 }
 
-// shelf is a store that is followed.
-type shelf struct {
-	mu     sync.Mutex
-	stock  *stores.Shelf
-	cancel context.CancelFunc
-	// listed is when the whole was last read; only watch uses it.
-	listed time.Time
-	// shown is the board's number of the last row of the whole.
-	shown uint64
-}
-
 // run follows the document's stores until ctx ends.
 func (l *librarian) run(ctx context.Context) {
 	follow, free := time.NewTicker(followInterval), time.NewTicker(freeInterval)
@@ -121,7 +110,7 @@
 	}
 	for a, x := range l.shelves {
 		if _, ok := wanted[a]; !ok {
-			x.cancel()
+			x.leave()
 			delete(l.shelves, a)
 		}
 	}
@@ -237,58 +226,6 @@
 	return nil
 }
 
-// showShelf puts the present state of many parts into one row.
-func (l *librarian) showShelf(x *shelf, size string, whole bool, parts []stores.Part) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	s := topic.Shelf{Address: x.stock.Address, Listed: time.Now().UnixNano(), Whole: whole}
-	for _, p := range parts {
-		if tokens, ok := x.stock.Whole(p); ok {
-			s.Parts = append(s.Parts, p.Hash())
-			s.Tokens = append(s.Tokens, uint32(tokens))
-		}
-	}
-	x.shown = max(x.shown, l.put(topic.Shelves, s.Address+"/"+size, s))
-}
-
-// pauseOfShort returns how long so many short parts wait for the long ones to get to all entries.
-func pauseOfShort(parts, entries int) time.Duration {
-	return min(shortPause, time.Duration(parts*entries)*partTime)
-}
-
-// bySize divides the parts into those that are worth a row at once and the others.
-func bySize(all []stores.Part, sizes map[stores.Part]int) (long, short []stores.Part) {
-	for _, p := range all {
-		if sizes[p] >= longPart {
-			long = append(long, p)
-		} else {
-			short = append(short, p)
-		}
-	}
-	return long, short
-}
-
-// show puts the parts' present state on the board and returns the number that includes it.
-func (l *librarian) show(x *shelf, parts []stores.Part) uint64 {
-	number := uint64(0)
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, p := range parts {
-		key := p.In(x.stock.Address).Key()
-		tokens, ok := x.stock.Whole(p)
-		if !ok {
-			number = max(number, l.board.Put(topic.Parts, key, nil))
-			continue
-		}
-		if l.put(topic.Parts, key, tokens) < x.shown {
-			// The same was shown before the whole was, under an earlier lease, and no longer counts.
-			l.board.Put(topic.Parts, key, nil)
-			l.put(topic.Parts, key, tokens)
-		}
-	}
-	return number
-}
-
 // use notes which parts were asked for.
 func (l *librarian) use(hashes []uint64) {
 	now := time.Now()
--- a/internal/process/sitecontrol/librarian_test.go
+++ b/internal/process/sitecontrol/librarian_test.go
@@ -7,7 +7,6 @@
 
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/stores"
-	"hornbeamwood/internal/site/topic"
 )
 
 // All processes of a large site were killed. The first replica to hold the lease
@@ -50,19 +49,42 @@
 // A replica that had the lease before gets it again. A part that it showed under
 // the first lease, that was freed and has been saved anew since, has the same row
 // as then: were the row not told again, entries would have the part read and saved
-// over and over.
+// over and over. One that it withdrew then, and withdraws again, would go on being
+// fetched while it is freed and written anew.
 func TestPartIsToldAgainAfterANewList(t *testing.T) {
+	p := stores.Part{Salt: "m/1", ID: "p"}
+	for name, whole := range map[string]bool{"saved": true, "withdrawn": false} {
+		t.Run(name, func(t *testing.T) {
+			b := board.New(1)
+			l := &librarian{process: &process{board: b}}
+			x := &shelf{stock: stores.NewShelf("1:1", 1000)}
+			l.showPart(x, p.In("1:1").Key(), 300, whole)
+			l.showShelf(x, "long", true, nil)
+			_, before := b.Since(0)
+			if whole {
+				x.stock.TakeList(stores.Listing{Epoch: 1, Held: map[stores.Part]int{p: 300}}, time.Now())
+			}
+			number := l.show(x, []stores.Part{p})
+			rows, last := b.Since(before)
+			if len(rows) != 1 || len(rows[0].Value) > 0 != whole {
+				t.Errorf("told %+v", rows)
+			}
+			if !whole && number != last {
+				t.Errorf("the withdrawal counts as told at %d, not %d", number, last)
+			}
+		})
+	}
+}
+
+// A store is listed, and the lease is lost before its short parts are shown. Shown
+// all the same they would stand beside what the next list says.
+func TestNothingIsShownOfAStoreThatIsLeft(t *testing.T) {
 	b := board.New(1)
 	l := &librarian{process: &process{board: b}}
-	x := &shelf{stock: stores.NewShelf("1:1", 1000)}
-	p := stores.Part{Salt: "m/1", ID: "p"}
-	l.put(topic.Parts, p.In("1:1").Key(), 300)
-	l.showShelf(x, "long", true, nil)
-	_, before := b.Since(0)
-	x.stock.TakeList(stores.Listing{Epoch: 1, Held: map[stores.Part]int{p: 300}}, time.Now())
-	l.show(x, []stores.Part{p})
-	rows, _ := b.Since(before)
-	if len(rows) != 1 || len(rows[0].Value) == 0 {
+	x := &shelf{stock: stores.NewShelf("1:1", 1000), cancel: func() {}}
+	x.leave()
+	l.showShelf(x, "short", false, nil)
+	if rows, _ := b.Since(0); len(rows) > 0 {
 		t.Errorf("told %+v", rows)
 	}
 }
--- /dev/null
+++ b/internal/process/sitecontrol/shelf.go
@@ -0,0 +1,99 @@
+package sitecontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hornbeamwood/internal/site/stores"
+	"hornbeamwood/internal/site/topic"
+)
+
+// shelf is a store that is followed.
+type shelf struct {
+	mu     sync.Mutex
+	stock  *stores.Shelf
+	cancel context.CancelFunc
+	// listed is when the whole was last read; only watch uses it.
+	listed time.Time
+	// shown is the board's number of the last row of the whole.
+	shown uint64
+	// left says that the store is no longer followed.
+	left bool
+}
+
+// showShelf puts the present state of many parts into one row, while the store is followed.
+func (l *librarian) showShelf(x *shelf, size string, whole bool, parts []stores.Part) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.left {
+		return
+	}
+	s := topic.Shelf{Address: x.stock.Address, Listed: time.Now().UnixNano(), Whole: whole}
+	for _, p := range parts {
+		if tokens, ok := x.stock.Whole(p); ok {
+			s.Parts = append(s.Parts, p.Hash())
+			s.Tokens = append(s.Tokens, uint32(tokens))
+		}
+	}
+	x.shown = max(x.shown, l.put(topic.Shelves, s.Address+"/"+size, s))
+}
+
+// pauseOfShort returns how long so many short parts wait for the long ones to get to all entries.
+func pauseOfShort(parts, entries int) time.Duration {
+	return min(shortPause, time.Duration(parts*entries)*partTime)
+}
+
+// bySize divides the parts into those that are worth a row at once and the others.
+func bySize(all []stores.Part, sizes map[stores.Part]int) (long, short []stores.Part) {
+	for _, p := range all {
+		if sizes[p] >= longPart {
+			long = append(long, p)
+		} else {
+			short = append(short, p)
+		}
+	}
+	return long, short
+}
+
+// show puts the parts' present state on the board and returns the number that includes it.
+func (l *librarian) show(x *shelf, parts []stores.Part) uint64 {
+	number := uint64(0)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range parts {
+		tokens, ok := x.stock.Whole(p)
+		if n := l.showPart(x, p.In(x.stock.Address).Key(), tokens, ok); !ok {
+			number = max(number, n)
+		}
+	}
+	return number
+}
+
+// showPart puts the row of one part on the board and returns its number.
+//
+// A row that says the same as under an earlier lease keeps its number, and the list
+// that was shown since goes before it: entries would go on fetching a part that is
+// about to be freed. Such a row is changed and changed back.
+func (l *librarian) showPart(x *shelf, key string, tokens int, whole bool) uint64 {
+	put := func(whole bool, tokens int) uint64 {
+		if whole {
+			return l.put(topic.Parts, key, tokens)
+		}
+		return l.board.Put(topic.Parts, key, nil)
+	}
+	n := put(whole, tokens)
+	if n >= x.shown {
+		return n
+	}
+	put(!whole, 0)
+	return put(whole, tokens)
+}
+
+// leave ends the following of the store.
+func (x *shelf) leave() {
+	x.cancel()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.left = true
+}
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -1,11 +1,8 @@
 package siteentry
 
 import (
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hornbeamwood/internal/serve/choose"
 	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/board"
@@ -155,50 +152,6 @@
 	return true
 }
 
-func (l *lead) takePart(r board.Row) error {
-	p, err := stores.ParsePlace(r.Key)
-	if err != nil {
-		return err
-	}
-	if len(r.Value) == 0 {
-		l.remove(p)
-		return nil
-	}
-	return decoded(r, func(tokens int) { l.add(p, tokens) })
-}
-
-// takeShelf takes what lay in a store when it was listed.
-func (l *lead) takeShelf(s topic.Shelf) {
-	store := stores.ShortAddress(s.Address)
-	if s.Whole {
-		for part, held := range l.parts {
-			if _, ok := held[store]; ok {
-				l.remove(stores.Place{Store: store, Part: part})
-			}
-		}
-	}
-	for i := range min(len(s.Parts), len(s.Tokens)) {
-		l.add(stores.Place{Store: store, Part: s.Parts[i]}, int(s.Tokens[i]))
-	}
-}
-
-func (l *lead) add(p stores.Place, tokens int) {
-	l.remove(p)
-	if l.parts[p.Part] == nil {
-		l.parts[p.Part] = map[uint32]int{}
-	}
-	l.parts[p.Part][p.Store] = tokens
-	l.used[p.Store] += tokens
-}
-
-func (l *lead) remove(p stores.Place) {
-	l.used[p.Store] -= l.parts[p.Part][p.Store]
-	delete(l.parts[p.Part], p.Store)
-	if len(l.parts[p.Part]) == 0 {
-		delete(l.parts, p.Part)
-	}
-}
-
 func (s *site) takeLoaded(server string, l topic.Loading) {
 	if known, ok := s.directory.Get(server); ok && known.Born == l.Born {
 		s.Noticed(server, l.Model, l.Version)
@@ -314,46 +267,6 @@
 	s.saves[p] = now
 }
 
-// placement returns the stores in the order in which the part is offered to them.
-//
-// Short parts go to fast stores first, by a hash weighted by room. Long parts are
-// weighted by link: with all of them on the larger, slower stores those links would
-// be used up while the links of the fast ones rest.
-func placement(all []document.Store, p stores.Part, tokens int) []document.Store {
-	type scored struct {
-		store document.Store
-		suits bool
-		score float64
-	}
-	list := make([]scored, 0, len(all))
-	for _, x := range all {
-		h := xxhash.Sum64String(x.Address + "\x00" + p.Salt + "\x00" + p.ID)
-		u := (float64(h>>11) + 0.5) / (1 << 53)
-		small := tokens < smallPart
-		weight := x.LinkRate
-		if small || weight <= 0 {
-			weight = float64(x.Tokens)
-		}
-		list = append(list, scored{x, !small || x.First <= fastFirst, rendezvous(u, weight)})
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		switch {
-		case a.suits != b.suits && a.suits:
-			return -1
-		case a.suits != b.suits:
-			return 1
-		case a.score > b.score:
-			return -1
-		}
-		return 1
-	})
-	ordered := make([]document.Store, len(list))
-	for i, x := range list {
-		ordered[i] = x.store
-	}
-	return ordered
-}
-
 // FetchUntil implements caller.Site.
 func (s *site) FetchUntil() int64 {
 	now := s.clock.Now()
--- /dev/null
+++ b/internal/process/siteentry/lead_parts.go
@@ -0,0 +1,51 @@
+package siteentry
+
+import (
+	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/stores"
+	"hornbeamwood/internal/site/topic"
+)
+
+func (l *lead) takePart(r board.Row) error {
+	p, err := stores.ParsePlace(r.Key)
+	if err != nil {
+		return err
+	}
+	if len(r.Value) == 0 {
+		l.remove(p)
+		return nil
+	}
+	return decoded(r, func(tokens int) { l.add(p, tokens) })
+}
+
+// takeShelf takes what lay in a store when it was listed.
+func (l *lead) takeShelf(s topic.Shelf) {
+	store := stores.ShortAddress(s.Address)
+	if s.Whole && l.used[store] > 0 {
+		for part, held := range l.parts {
+			if _, ok := held[store]; ok {
+				l.remove(stores.Place{Store: store, Part: part})
+			}
+		}
+	}
+	for i := range min(len(s.Parts), len(s.Tokens)) {
+		l.add(stores.Place{Store: store, Part: s.Parts[i]}, int(s.Tokens[i]))
+	}
+}
+
+func (l *lead) add(p stores.Place, tokens int) {
+	l.remove(p)
+	if l.parts[p.Part] == nil {
+		l.parts[p.Part] = map[uint32]int{}
+	}
+	l.parts[p.Part][p.Store] = tokens
+	l.used[p.Store] += tokens
+}
+
+func (l *lead) remove(p stores.Place) {
+	l.used[p.Store] -= l.parts[p.Part][p.Store]
+	delete(l.parts[p.Part], p.Store)
+	if len(l.parts[p.Part]) == 0 {
+		delete(l.parts, p.Part)
+	}
+}
--- /dev/null
+++ b/internal/process/siteentry/placement.go
@@ -0,0 +1,50 @@
+package siteentry
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/stores"
+)
+
+// placement returns the stores in the order in which the part is offered to them.
+//
+// Short parts go to fast stores first, by a hash weighted by room. Long parts are
+// weighted by link: with all of them on the larger, slower stores those links would
+// be used up while the links of the fast ones rest.
+func placement(all []document.Store, p stores.Part, tokens int) []document.Store {
+	type scored struct {
+		store document.Store
+		suits bool
+		score float64
+	}
+	list := make([]scored, 0, len(all))
+	for _, x := range all {
+		h := xxhash.Sum64String(x.Address + "\x00" + p.Salt + "\x00" + p.ID)
+		u := (float64(h>>11) + 0.5) / (1 << 53)
+		small := tokens < smallPart
+		weight := x.LinkRate
+		if small || weight <= 0 {
+			weight = float64(x.Tokens)
+		}
+		list = append(list, scored{x, !small || x.First <= fastFirst, rendezvous(u, weight)})
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		switch {
+		case a.suits != b.suits && a.suits:
+			return -1
+		case a.suits != b.suits:
+			return 1
+		case a.score > b.score:
+			return -1
+		}
+		return 1
+	})
+	ordered := make([]document.Store, len(list))
+	for i, x := range list {
+		ordered[i] = x.store
+	}
+	return ordered
+}
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -242,56 +241,6 @@
 	event.AttemptFailed.Write(j.Logger, f)
 }
 
-// patience returns how long one attempt may take: all that is left, unless
-// another server could still answer in time after it.
-//
-// Cut off too early, an answer that was about to come is thrown away and made
-// anew by a server that has even less time for it. And where the budget allows no
-// repeat, it would be thrown away for nothing.
-func (j *job) patience(now time.Time) time.Time {
-	if !j.route.Repeatable() || j.runs+1 >= j.route.MaxAttempts || !j.Budget.Has(j.service.Name, now) {
-		return j.deadline
-	}
-	first := firstPatience(j.route)
-	if j.deadline.Sub(now) < 2*first {
-		return j.deadline
-	}
-	return now.Add(first)
-}
-
-// firstPatience is how long the first server may take when there may be a
-// second one: a few times what the route aims at, so that a slow answer isn't
-// thrown away for one that begins anew.
-func firstPatience(r document.Route) time.Duration {
-	const times, least = 3, 200 * time.Millisecond
-	return max(times*r.Target, least)
-}
-
-// reject ends a request that is not tried at all.
-func (j *job) reject(status int, reason string, retryAfter time.Duration) bool {
-	j.refuse(status, reason, retryAfter)
-	return false
-}
-
-// refuse gives the caller a final answer of the entry's own.
-func (j *job) refuse(status int, reason string, retryAfter time.Duration) {
-	j.reason = reason
-	if j.events.started {
-		// The stream can't be completed and must not look complete.
-		j.status = status
-		panic(http.ErrAbortHandler)
-	}
-	h := j.writer.Header()
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	}
-	j.status = status
-	j.writer.WriteHeader(status)
-	// The caller may have left; there is nobody else to tell.
-	_, _ = j.writer.Write([]byte(reason + "\n"))
-}
-
 // intended returns whether a panic ends the connection on purpose, as of a stream that can't be completed.
 func intended(cause any) bool {
 	err, ok := cause.(error)
@@ -313,38 +262,6 @@
 	return true
 }
 
-// giveUp answers when no server is tried any more.
-//
-// Only a request that no server has run, and none ever will, is refused with the
-// status that promises so; of all others nothing is said.
-func (j *job) giveUp(reason string) {
-	switch {
-	case j.kept != nil && !j.events.started:
-		j.reason = reason
-		j.deliver(j.kept)
-	case j.verdict == verdict.NotRun:
-		j.refuse(http.StatusServiceUnavailable, reason, j.comeBack())
-	case !time.Now().Before(j.deadline):
-		j.refuse(http.StatusGatewayTimeout, reason, 0)
-	default:
-		j.refuse(http.StatusBadGateway, reason, 0)
-	}
-}
-
-// comeBack returns when a refused caller should ask again: when those who wait
-// now will have gone, spread over a while, so that those who were refused
-// together don't return together.
-func (j *job) comeBack() time.Duration {
-	soon := retrySoon + time.Duration(fraction()*float64(retrySoon))
-	return max(soon, time.Duration((1+returnSpread*fraction())*float64(j.clear)))
-}
-
-// abandon ends a request whose caller has left.
-func (j *job) abandon() {
-	j.reason = "caller-left"
-	panic(http.ErrAbortHandler)
-}
-
 // end writes what became of the request.
 func (j *job) end() {
 	cause := recover()
