A prompt isn't late when it comes, however short its target

Found by reading: with a target of up to 250 ms, which is what an engine is expected to take to a first event, every prompt counted as late from the start, and would have had six tenths of each engine. The test failed before for targets of 50 and 200 ms.

--- a/internal/serve/caller/await.go
+++ b/internal/serve/caller/await.go
@@ -108,7 +108,7 @@
 		last = wait.Earlier(last, j.arrived.Add(j.route.Silence))
 	}
 	return line.Ask{
-		Rank:   line.Rank{OnTime: j.arrived.Add(j.route.Target - expectedFirst), Urgency: j.urgency()},
+		Rank:   line.Rank{OnTime: j.arrived.Add(j.route.Target - min(expectedFirst, j.route.Target/2)), Urgency: j.urgency()},
 		Tokens: j.room(),
 		Last:   last.Add(-expectedFirst),
 	}
--- a/internal/serve/caller/await_test.go
+++ b/internal/serve/caller/await_test.go
@@ -56,3 +56,19 @@
 		}
 	}
 }
+
+// A site promises its callers the first event within 200 ms, less than an engine
+// takes to one as a rule. If each of its prompts counted as late when it comes, they
+// would have but a part of every engine, and leave the rest to nobody.
+func TestPromptIsNotLateWhenItComes(t *testing.T) {
+	now := time.Now()
+	for _, target := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		j := &job{
+			gateway: &gateway{}, arrived: now, deadline: now.Add(time.Minute), route: document.Route{Target: target},
+			request: request.Request{Prompt: &request.Prompt{Tokens: 1000}},
+		}
+		if on := j.ask().Rank.OnTime; !on.After(now) || on.After(now.Add(target)) {
+			t.Errorf("with a target of %s on time until %s after it came", target, on.Sub(now))
+		}
+	}
+}
