Rows of another shape have topics of their own; a comment without figures

Found by reading: parts' keys and servers' rows had changed their shape under their old numbers, which the numbers' own comment rules out. Processes of two releases would have misread each other; now they pass over what they don't know.

--- a/internal/serve/share/load.go
+++ b/internal/serve/share/load.go
@@ -45,9 +45,9 @@
 
 // Sum is the load of all entries.
 //
-// Names travel as short hashes: with 90 engines and 86 entries a sum has 2.3 KB
-// in place of 3.8 KB. Two names with one hash, one chance in some millions, count
-// as one engine that is a little busier.
+// Names travel as short hashes, which every entry gets several times a second. Two
+// names with one hash, one chance in some millions, count as one engine that is a
+// little busier.
 type Sum struct {
 	// Loads are the loads by the hash of the engine's ID.
 	Loads map[uint32]Load `cbor:"loads"`
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -2,18 +2,20 @@
 
 import "hornbeamwood/internal/site/board"
 
-// Topics of rows. The numbers travel between processes and are never reused.
+// Topics of rows. The numbers travel between processes and are never reused: a process
+// of another release passes over a number that it doesn't know, and would misread a row
+// whose key or value has changed. Numbers 2 and 5 are retired.
 const (
 	// Document is the operator's document; its one row holds a document.Document.
 	Document board.Topic = 1
 	// Servers holds a directory.Server for each server's ID.
-	Servers board.Topic = 2
+	Servers board.Topic = 15
 	// Members holds the addresses of the control replicas as []string in one row.
 	Members board.Topic = 3
 	// Versions holds the named version of weights for each model as an int64.
 	Versions board.Topic = 4
 	// Parts holds the size of each part that may be fetched from a store, as an int under the key of its stores.Place; only the rows of the replica that holds the lease count.
-	Parts board.Topic = 5
+	Parts board.Topic = 16
 	// StoresUp holds true for the address of each store that answers; only the rows of the replica that holds the lease count.
 	StoresUp board.Topic = 6
 	// Loaded holds the weights that an engine was brought to, as a Loading under the engine's ID.
--- /dev/null
+++ b/internal/site/topic/topic_test.go
@@ -0,0 +1,24 @@
+package topic
+
+import (
+	"testing"
+
+	"hornbeamwood/internal/site/board"
+)
+
+// While a site is brought to a new release, processes of both talk to each other. One
+// that reads a row of another shape under a number that it knows takes it for what it
+// isn't, or knows no server at all; under a number that it doesn't know it passes it
+// over. So each topic has a number of its own, and none has that of a retired one.
+func TestNumbersAreNeverReused(t *testing.T) {
+	retired := map[board.Topic]bool{2: true, 5: true}
+	seen := map[board.Topic]bool{}
+	for _, x := range []board.Topic{
+		Document, Servers, Members, Versions, Parts, StoresUp, Loaded, Busy, Reads, Loads, Epochs, Caches, NamedAt, Shelves,
+	} {
+		if retired[x] || seen[x] {
+			t.Errorf("number %d is used again", x)
+		}
+		seen[x] = true
+	}
+}
