--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -11,7 +11,7 @@
 	// ReplicaRegained is written when a control replica answers polls again.
 	ReplicaRegained = define(902, log.InfoLevel, "replica-regained", "A control replica answers polls, for the first time or again.")
 	// DocumentInForce is written when a process obeys another document.
-	DocumentInForce = define(903, log.InfoLevel, "document-in-force", "The process obeys the document with the given number; the field before is the number of the earlier one.")
+	DocumentInForce = define(903, log.InfoLevel, "document-in-force", "The process obeys the document with the given number; the fields give the number before, the replica that told it, and how long reading it took.")
 	// DocumentTaken is written when a replica answers a document that an operator sent.
 	DocumentTaken = define(904, log.InfoLevel, "document-taken", "An operator's document was answered; changed says whether it is another one than before, error why it wasn't taken.")
 	// VersionNamed is written when a replica answers an order for new weights.
@@ -22,6 +22,8 @@
 	AnnouncementNotAcknowledged = define(907, log.WarnLevel, "announcement-not-acknowledged", "An announcement wasn't acknowledged, so that the server tells another replica; error says why.")
 	// DocumentRead is written when an operator reads the document.
 	DocumentRead = define(908, log.InfoLevel, "document-read", "An operator read the document in force; error says why it couldn't be confirmed.")
+	// DocumentShown is written when a replica has applied another document and shows it to the processes that poll it.
+	DocumentShown = define(909, log.InfoLevel, "document-shown", "The replica shows the document with the given number to entries; routes and bytes tell its size.")
 	// AttemptRouted is written for each attempt at a backend server.
 	AttemptRouted = define(910, log.InfoLevel, "attempt-routed", "A request goes to the named server; the fields give what the choice was made from.")
 	// RequestEnded is written when a caller has its final answer.
--- a/internal/node/rpc/call.go
+++ b/internal/node/rpc/call.go
@@ -31,9 +31,11 @@
 		return nil, lost(name, address, err)
 	}
 	_ = s.Close()
-	a, err := readFrame[answer](s)
+	r := &countingReader{Reader: s}
+	a, err := readFrame[answer](r)
+	n.countAnswer(name, r.bytes, err == nil)
 	if err != nil {
-		return nil, lost(name, address, err)
+		return nil, brokeOff(name, address, r.bytes, err)
 	}
 	if a.Failure != nil {
 		return nil, *a.Failure
@@ -69,6 +71,10 @@
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "unreachable", "the process at %s can't be reached", address).WithCause(err)
 }
 
+func brokeOff(name, address string, bytes int, err error) error {
+	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "answer-lost", "the answer of %s to %s was lost after %d bytes", address, name, bytes).WithCause(err)
+}
+
 func lost(name, address string, err error) error {
 	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "answer-lost", "the answer of %s to %s was lost", address, name).WithCause(err)
 }
--- /dev/null
+++ b/internal/node/rpc/counting_reader.go
@@ -0,0 +1,31 @@
+package rpc
+
+import (
+	"fmt"
+	"io"
+)
+
+// countingReader counts the bytes that were read through it.
+type countingReader struct {
+	io.Reader
+	bytes int
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.bytes += n
+	return n, err
+}
+
+// countAnswer adds the bytes of one answer to the counters, apart for those that did not come whole.
+func (n *node) countAnswer(method string, bytes int, whole bool) {
+	if n.config.Metrics == nil {
+		return
+	}
+	outcome := "whole"
+	if !whole {
+		outcome = "lost"
+	}
+	n.config.Metrics.GetOrCreateCounter(fmt.Sprintf(`hornbeamwood_rpc_answer_bytes_total{method=%q,outcome=%q}`, method, outcome)).Add(bytes)
+}
--- a/internal/node/rpc/node.go
+++ b/internal/node/rpc/node.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/quic-go/quic-go"
 
@@ -34,6 +35,8 @@
 	Ring keys.Ring
 	// Logger takes the events; nil for none.
 	Logger log.Interface
+	// Metrics takes the counters; nil for none.
+	Metrics *metrics.Set
 }
 
 // Node is one process's end of the QUIC connections: it calls and is called on one UDP socket.
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -25,6 +25,7 @@
 	"hornbeamwood/internal/settings/lease"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/directory"
+	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/host"
 	"hornbeamwood/internal/site/section"
 	"hornbeamwood/internal/site/stores"
@@ -78,7 +79,9 @@
 	loads     share.Adder
 	watched   watch.Server
 	librarian *librarian
-	mu        sync.Mutex
+	// shown is the number of the document on the board.
+	shown atomic.Int64
+	mu    sync.Mutex
 	// loaded is what engines were brought to, by their ID.
 	loaded map[string]topic.Loading
 }
@@ -92,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.node, err = rpc.New(rpc.Config{Listen: c.Host.Internal, Ring: ring, Logger: c.Logger}); err != nil {
+	if p.node, err = rpc.New(rpc.Config{Listen: c.Host.Internal, Ring: ring, Logger: c.Logger, Metrics: p.metrics}); err != nil {
 		return nil, err
 	}
 	p.section = section.New(section.Config{Changed: p.show})
@@ -188,7 +191,7 @@
 // show puts what the log holds on the board.
 func (p *process) show() {
 	if h, ok := p.section.Held(); ok {
-		p.put(topic.Document, "", h.Document)
+		p.showDocument(h.Document)
 	}
 	for model, version := range p.section.Versions() {
 		p.put(topic.Versions, model, version)
@@ -198,6 +201,19 @@
 	}
 }
 
+// showDocument puts the document on the board.
+func (p *process) showDocument(d document.Document) {
+	b, err := codec.Marshal(d)
+	if err != nil {
+		event.AnnouncementNotAcknowledged.Write(p.config.Logger, log.Fields{"topic": topic.Document, "error": err.Error()})
+		return
+	}
+	p.board.Put(topic.Document, "", b)
+	if p.shown.Swap(d.Number) != d.Number {
+		event.DocumentShown.Write(p.config.Logger, log.Fields{"number": d.Number, "routes": len(d.Routes), "bytes": len(b)})
+	}
+}
+
 // put shows a value and returns the board's number of its last change, zero when it can't be encoded.
 func (p *process) put(t board.Topic, key string, value any) uint64 {
 	b, err := codec.Marshal(value)
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.node, err = rpc.New(rpc.Config{Listen: c.Host.Internal, Ring: ring, Logger: c.Logger}); err != nil {
+	if p.node, err = rpc.New(rpc.Config{Listen: c.Host.Internal, Ring: ring, Logger: c.Logger, Metrics: p.metrics}); err != nil {
 		return nil, err
 	}
 	p.follower = watch.NewFollower(watch.FollowerConfig{
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -114,7 +115,7 @@
 func (s *site) takeRow(address string, r board.Row) error {
 	switch r.Topic {
 	case topic.Document:
-		return decoded(r, s.takeDocument)
+		return s.takeDocumentRow(address, r)
 	case topic.Servers:
 		if len(r.Value) == 0 {
 			s.directory.Forget(r.Key)
@@ -153,8 +154,15 @@
 // none stands for the number of no document.
 const none = int64(math.MinInt64)
 
+func (s *site) takeDocumentRow(address string, r board.Row) error {
+	began := time.Now()
+	return decoded(r, func(d document.Document) {
+		s.takeDocument(d, log.Fields{"replica": address, "bytes": len(r.Value), "reading-ms": time.Since(began).Milliseconds()})
+	})
+}
+
 // takeDocument takes a document with a higher number; a replica that lags behind shows older ones.
-func (s *site) takeDocument(d document.Document) {
+func (s *site) takeDocument(d document.Document, origin log.Fields) {
 	s.documents.Lock()
 	defer s.documents.Unlock()
 	before := none
@@ -169,7 +177,9 @@
 	if before == none {
 		close(s.first)
 	}
-	event.DocumentInForce.Write(s.logger, log.Fields{"number": d.Number, "before": before, "routes": len(d.Routes), "workspaces": len(d.Workspaces)})
+	f := log.Fields{"number": d.Number, "before": before, "routes": len(d.Routes), "workspaces": len(d.Workspaces)}
+	maps.Copy(f, origin)
+	event.DocumentInForce.Write(s.logger, f)
 }
 
 func (s *site) takeServer(v directory.Server) {
