A document travels as the chunks that differ, once to each entry

Cause: each change sent the whole document. Every one of nine replicas sent it to each entry (855 KB at 4,249 routes: 7.4 MB for a link of 10 Mbit/s) and to the eight other replicas, which drop it. A poll that wasn't through within 1.7 s began anew, so that links and processors did the same work again: from being shown to being in force it took 0.6 to 2.2 s, and replicas came to 272.8 of 280 MB. The log's entry held the document twice, 1.8 MB to each of eight replicas; heartbeats waited behind it and each growth elected another leader, up to four times.

Ruled out: slow entries, which read the document within 7 to 39 ms.

Now a replica shows the names of a document's chunks, and an entry asks one replica for those that it lacks and keeps what has come when a call fails. The log's entry has the chunks that the document in force lacks; a change over another one is sent again whole.

Setting up a document in tests of the entry goes by takeDocument, since rows don't carry one any more.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -11,7 +11,7 @@
 	// ReplicaRegained is written when a control replica answers polls again.
 	ReplicaRegained = define(902, log.InfoLevel, "replica-regained", "A control replica answers polls, for the first time or again.")
 	// DocumentInForce is written when a process obeys another document.
-	DocumentInForce = define(903, log.InfoLevel, "document-in-force", "The process obeys the document with the given number; the fields give the number before, the replica that told it, and how long reading it took.")
+	DocumentInForce = define(903, log.InfoLevel, "document-in-force", "The process obeys the document with the given number; the fields give the number before, the replica and the bytes that it came from, how long ago it was shown first, and how long reading it took.")
 	// DocumentTaken is written when a replica answers a document that an operator sent.
 	DocumentTaken = define(904, log.InfoLevel, "document-taken", "An operator's document was answered; changed says whether it is another one than before, error why it wasn't taken.")
 	// VersionNamed is written when a replica answers an order for new weights.
@@ -23,7 +23,7 @@
 	// DocumentRead is written when an operator reads the document.
 	DocumentRead = define(908, log.InfoLevel, "document-read", "An operator read the document in force; error says why it couldn't be confirmed.")
 	// DocumentShown is written when a replica has applied another document and shows it to the processes that poll it.
-	DocumentShown = define(909, log.InfoLevel, "document-shown", "The replica shows the document with the given number to entries; routes and bytes tell its size.")
+	DocumentShown = define(909, log.InfoLevel, "document-shown", "The replica shows the document with the given number to entries; routes, chunks and bytes tell its size.")
 	// AttemptRouted is written for each attempt at a backend server.
 	AttemptRouted = define(910, log.InfoLevel, "attempt-routed", "A request goes to the named server; the fields give what the choice was made from.")
 	// RequestEnded is written when a caller has its final answer.
@@ -32,6 +32,8 @@
 	AttemptFailed = define(912, log.InfoLevel, "attempt-failed", "An attempt at a server failed; the fields give the verdict, the reason and what follows.")
 	// HandlerPanicked is written when a defect ended the handling of a request.
 	HandlerPanicked = define(913, log.ErrorLevel, "handler-panicked", "A defect ended the handling of a request; the fields give the request, the cause and the stack.")
+	// DocumentNotFetched is written when a replica doesn't give what it shows of a document.
+	DocumentNotFetched = define(914, log.WarnLevel, "document-not-fetched", "Chunks of a document did not come from the named replica; another one is asked for those that are lacking.")
 	// WeightsOrdered is written for each order to an engine.
 	WeightsOrdered = define(930, log.InfoLevel, "weights-ordered", "An engine was ordered to load weights; the fields give the fencing number, the expected sequence and the outcome.")
 	// EngineNotAsked is written when an engine can't be asked.
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -24,8 +24,8 @@
 	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/settings/lease"
 	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/chunk"
 	"hornbeamwood/internal/site/directory"
-	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/host"
 	"hornbeamwood/internal/site/section"
 	"hornbeamwood/internal/site/stores"
@@ -156,6 +156,10 @@
 		Holder:   func() (uint64, int64) { return p.holder.number(), p.librarian.clock.Now() },
 	})
 	p.watched = server
+	rpc.Handle(p.node, watch.Chunks, func(_ context.Context, _ rpc.Peer, wanted []chunk.Digest) ([]chunk.Chunk, error) {
+		h, _ := p.section.Held()
+		return chunksOf(h, wanted), nil
+	})
 	rpc.Receive(p.node, watch.Uses, func(_ rpc.Peer, hashes []uint64) { p.librarian.use(hashes) })
 	rpc.Receive(p.node, watch.Loads, func(_ rpc.Peer, l share.Post) { p.loads.Take(l, time.Now()) })
 	rpc.Receive(p.node, watch.Readings, func(_ rpc.Peer, all []watch.Reading) { p.takeReadings(all) })
@@ -191,7 +195,7 @@
 // show puts what the log holds on the board.
 func (p *process) show() {
 	if h, ok := p.section.Held(); ok {
-		p.showDocument(h.Document)
+		p.showDocument(h)
 	}
 	for model, version := range p.section.Versions() {
 		p.put(topic.Versions, model, version)
@@ -201,19 +205,6 @@
 	}
 }
 
-// showDocument puts the document on the board.
-func (p *process) showDocument(d document.Document) {
-	b, err := codec.Marshal(d)
-	if err != nil {
-		event.AnnouncementNotAcknowledged.Write(p.config.Logger, log.Fields{"topic": topic.Document, "error": err.Error()})
-		return
-	}
-	p.board.Put(topic.Document, "", b)
-	if p.shown.Swap(d.Number) != d.Number {
-		event.DocumentShown.Write(p.config.Logger, log.Fields{"number": d.Number, "routes": len(d.Routes), "bytes": len(b)})
-	}
-}
-
 // put shows a value and returns the board's number of its last change, zero when it can't be encoded.
 func (p *process) put(t board.Topic, key string, value any) uint64 {
 	b, err := codec.Marshal(value)
--- a/internal/process/sitecontrol/operator.go
+++ b/internal/process/sitecontrol/operator.go
@@ -42,7 +42,7 @@
 // PutDocument implements Service.
 func (p *process) PutDocument(ctx context.Context, d document.Document, source []byte) error {
 	began := time.Now()
-	r, err := p.change(ctx, section.Command{Put: &section.Put{Document: d, Source: source}})
+	r, err := p.putDocument(ctx, d, source)
 	f := log.Fields{"number": d.Number, "changed": r.Changed, "in-force": r.Number, "ms": time.Since(began).Milliseconds()}
 	if err != nil {
 		f["error"] = err.Error()
@@ -51,6 +51,24 @@
 	return err
 }
 
+// putDocument commits a document, without the chunks that it shares with the one in force here.
+func (p *process) putDocument(ctx context.Context, d document.Document, source []byte) (section.Result, error) {
+	h, _ := p.section.Held()
+	r, err := p.putOver(ctx, h, d, source)
+	if err == nil && r.Lacking {
+		return p.putOver(ctx, section.Held{}, d, source)
+	}
+	return r, err
+}
+
+func (p *process) putOver(ctx context.Context, h section.Held, d document.Document, source []byte) (section.Result, error) {
+	put, err := section.NewPutChunks(d, source, h)
+	if err != nil {
+		return section.Result{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "malformed-document", "the document could not be encoded").WithCause(err)
+	}
+	return p.change(ctx, section.Command{PutChunks: &put})
+}
+
 // NameVersion implements Service.
 func (p *process) NameVersion(ctx context.Context, model string, version int64) error {
 	r, err := p.change(ctx, section.Command{NameVersion: &section.NameVersion{Model: model, Version: version, At: p.librarian.clock.Now()}})
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -24,6 +24,7 @@
 	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/serve/retry"
 	"hornbeamwood/internal/serve/share"
+	"hornbeamwood/internal/site/chunk"
 	"hornbeamwood/internal/site/host"
 	"hornbeamwood/internal/site/parts"
 	"hornbeamwood/internal/site/watch"
@@ -105,6 +106,7 @@
 	if p.node, err = rpc.New(rpc.Config{Listen: c.Host.Internal, Ring: ring, Logger: c.Logger, Metrics: p.metrics}); err != nil {
 		return nil, err
 	}
+	p.site.documents = newDocuments(documentsConfig{fetch: p.fetch, take: p.site.takeDocument, logger: c.Logger})
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Node: p.node, Watcher: watcher, Entry: true, Take: p.take, Logger: c.Logger,
 	})
@@ -141,10 +143,16 @@
 
 func (p *process) take(address string, a watch.Answer, sent time.Time) {
 	p.site.take(address, a)
-	p.site.thaw.heard(sent)
+	// What was asked for after a standstill is known once its document is in force.
+	p.site.documents.whenCurrent(func() { p.site.thaw.heard(sent) })
 	p.budget.SetEntries(p.site.Entries())
 }
 
+// fetch gets chunks of a document from the replica at address.
+func (p *process) fetch(ctx context.Context, address string, wanted []chunk.Digest) ([]chunk.Chunk, error) {
+	return rpc.Call(ctx, p.node, address, watch.Chunks, wanted)
+}
+
 // stopping returns whether the process was told to stop.
 func (p *process) stopping() bool {
 	return p.stopped.Load() != nil
@@ -167,6 +175,7 @@
 	defer stop()
 	p.follow(serving)
 	p.loops.Go(func() { p.refollow(serving) })
+	p.loops.Go(func() { p.site.documents.run(serving) })
 	p.loops.Go(func() { p.site.thaw.run(serving) })
 	p.loops.Go(func() { p.tellReadings(serving) })
 	p.loops.Go(func() { p.tellUses(serving) })
--- a/internal/process/siteentry/lead_test.go
+++ b/internal/process/siteentry/lead_test.go
@@ -28,8 +28,8 @@
 func siteWithStore(t *testing.T) *site {
 	s := newSite(nil, parts.NewMemory(), share.NewOthers("e"), func() {})
 	s.follow = func() {}
+	s.takeDocument(document.Document{Number: 1, Stores: []document.Store{{Address: "1:1", Tokens: 1000}}}, nil)
 	s.take("old", watch.Answer{Epoch: 1, Fencing: 4, CaughtUp: true, Rows: []board.Row{
-		row(t, topic.Document, "", document.Document{Number: 1, Stores: []document.Store{{Address: "1:1", Tokens: 1000}}}),
 		row(t, topic.Parts, stores.Part{Salt: "m/1", ID: "p"}.In("1:1").Key(), 300),
 		row(t, topic.StoresUp, "1:1", true),
 		row(t, topic.Epochs, "1:1", int64(7)),
@@ -110,7 +110,8 @@
 // fetched ten times as often and for which a slow store's wait is most of the time.
 func TestLongPartsLeaveRoomForShortOnes(t *testing.T) {
 	s := siteWithStore(t)
-	rows := []board.Row{row(t, topic.Document, "", document.Document{Number: 2, Stores: tieredStores()})}
+	s.takeDocument(document.Document{Number: 2, Stores: tieredStores()}, nil)
+	var rows []board.Row
 	for _, x := range tieredStores() {
 		rows = append(rows, row(t, topic.StoresUp, x.Address, true))
 		if x.First <= fastFirst {
@@ -135,8 +136,8 @@
 // the old word back either.
 func TestNextHolderCountsOnceItHasListedAllStores(t *testing.T) {
 	s := siteWithStore(t)
+	s.takeDocument(document.Document{Number: 2, Stores: []document.Store{{Address: "1:1", Tokens: 1000}, {Address: "2:2", Tokens: 1000}}}, nil)
 	s.take("old", watch.Answer{Epoch: 1, Fencing: 4, Rows: []board.Row{
-		row(t, topic.Document, "", document.Document{Number: 2, Stores: []document.Store{{Address: "1:1", Tokens: 1000}, {Address: "2:2", Tokens: 1000}}}),
 		row(t, topic.StoresUp, "2:2", true),
 	}})
 	whole := func() bool { return len(s.Copies("m/1", "p", 300)) == 1 }
@@ -163,8 +164,8 @@
 	s.follow = func() {}
 	adder := share.NewAdder()
 	adder.Take(share.Post{Entry: "o", Number: 1, Loads: share.Loads{"i-1": {InFlight: 3}}}, time.Now())
+	s.takeDocument(document.Document{Number: 1}, nil)
 	s.take("a", watch.Answer{Epoch: 1, Fencing: 4, Rows: []board.Row{
-		row(t, topic.Document, "", document.Document{Number: 1}),
 		row(t, topic.Loads, "", adder.Sum(time.Now())),
 		row(t, topic.Busy, "i-2", true),
 	}})
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -28,9 +28,11 @@
 	logger    log.Interface
 	directory directory.Directory
 	table     atomic.Pointer[document.Table]
-	// documents guards the change of table; first is closed with the first one.
-	documents sync.Mutex
-	first     chan struct{}
+	// changing guards the change of table; first is closed with the first one.
+	changing sync.Mutex
+	first    chan struct{}
+	// documents fetches what replicas show.
+	documents *documents
 	// informed is closed when a holder of the lease has told of the stores, at uninformed after the start at the latest.
 	informed chan struct{}
 	inform   sync.Once
@@ -103,19 +105,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries[address] = a.Entries
-	if l := s.leading(); l != nil && l.complete(s.Table()) {
-		s.inform.Do(func() { close(s.informed) })
-	}
+	s.noteInformed()
 	s.clock.Heard(a.Clock)
 	if a.CaughtUp {
 		s.caughtUp[address] = time.Now()
 	}
 }
 
+// noteInformed ends the wait for the stores once a holder of the lease has told of those that the document names; the caller holds the lock.
+func (s *site) noteInformed() {
+	if l := s.leading(); l != nil && l.complete(s.Table()) {
+		s.inform.Do(func() { close(s.informed) })
+	}
+}
+
 func (s *site) takeRow(address string, r board.Row) error {
 	switch r.Topic {
-	case topic.Document:
-		return s.takeDocumentRow(address, r)
+	case topic.DocumentChunks:
+		return decoded(r, func(m topic.Document) { s.documents.show(address, m) })
 	case topic.Servers:
 		if len(r.Value) == 0 {
 			s.directory.Forget(r.Key)
@@ -154,17 +161,10 @@
 // none stands for the number of no document.
 const none = int64(math.MinInt64)
 
-func (s *site) takeDocumentRow(address string, r board.Row) error {
-	began := time.Now()
-	return decoded(r, func(d document.Document) {
-		s.takeDocument(d, log.Fields{"replica": address, "bytes": len(r.Value), "reading-ms": time.Since(began).Milliseconds()})
-	})
-}
-
-// takeDocument takes a document with a higher number; a replica that lags behind shows older ones.
+// takeDocument takes a document with a higher number.
 func (s *site) takeDocument(d document.Document, origin log.Fields) {
-	s.documents.Lock()
-	defer s.documents.Unlock()
+	s.changing.Lock()
+	defer s.changing.Unlock()
 	before := none
 	if t := s.table.Load(); t != nil {
 		before = (*t).Document().Number
@@ -180,6 +180,9 @@
 	f := log.Fields{"number": d.Number, "before": before, "routes": len(d.Routes), "workspaces": len(d.Workspaces)}
 	maps.Copy(f, origin)
 	event.DocumentInForce.Write(s.logger, f)
+	s.mu.Lock()
+	s.noteInformed()
+	s.mu.Unlock()
 }
 
 func (s *site) takeServer(v directory.Server) {
--- /dev/null
+++ b/internal/site/chunk/cut.go
@@ -0,0 +1,61 @@
+package chunk
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/restic/chunker"
+)
+
+const (
+	// polynomial is an irreducible one of degree 53; texts share chunks only if they were cut with the same one.
+	polynomial = chunker.Pol(0x3DA3358B4DC173)
+	// minBytes and maxBytes bound a chunk, which has 2^averageBits bytes beyond the least on average.
+	minBytes    = 4 << 10
+	maxBytes    = 64 << 10
+	averageBits = 13
+)
+
+// Finder returns a chunk that is already there by its name.
+type Finder func(Digest) (Chunk, bool)
+
+// Cut returns the chunks of a text; those that find knows are not compressed again.
+func Cut(text []byte, find Finder) ([]Chunk, error) {
+	cutter := chunker.NewWithBoundaries(bytes.NewReader(text), polynomial, minBytes, maxBytes)
+	cutter.SetAverageBits(averageBits)
+	w, err := flate.NewWriter(nil, flate.DefaultCompression)
+	if err != nil {
+		return nil, fmt.Errorf("chunk: %w", err)
+	}
+	var all []Chunk
+	stretch := make([]byte, maxBytes)
+	for {
+		next, err := cutter.Next(stretch)
+		if errors.Is(err, io.EOF) {
+			return all, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("chunk: cut: %w", err)
+		}
+		c, known := find(digestOf(next.Data))
+		if !known {
+			if c, err = deflate(w, next.Data); err != nil {
+				return nil, err
+			}
+		}
+		all = append(all, c)
+	}
+}
+
+func deflate(w *flate.Writer, text []byte) (Chunk, error) {
+	var b bytes.Buffer
+	w.Reset(&b)
+	_, err := w.Write(text)
+	if err := errors.Join(err, w.Close()); err != nil {
+		return Chunk{}, fmt.Errorf("chunk: compress: %w", err)
+	}
+	return Chunk{Digest: digestOf(text), Size: len(text), Data: b.Bytes()}, nil
+}
--- a/internal/site/section/command.go
+++ b/internal/site/section/command.go
@@ -1,14 +1,19 @@
 package section
 
-import "hornbeamwood/internal/site/document"
+import (
+	"hornbeamwood/internal/site/chunk"
+	"hornbeamwood/internal/site/document"
+)
 
 // Name is the section's name in the control log.
 const Name = "site"
 
 // Command is one change; exactly one field is set.
 type Command struct {
-	// Put brings a document into force.
+	// Put brings a document into force; logs of earlier releases hold it.
 	Put *Put `cbor:"put,omitempty"`
+	// PutChunks brings a document into force.
+	PutChunks *PutChunks `cbor:"put-chunks,omitempty"`
 	// NameVersion names new weights.
 	NameVersion *NameVersion `cbor:"name-version,omitempty"`
 }
@@ -21,6 +26,20 @@
 	Source []byte `cbor:"source"`
 }
 
+// PutChunks brings a document into force unless one with its number or a higher one is.
+//
+// Chunks without data are those of the document in force when the command was made.
+// A log entry with all of a large document takes the leader's link for longer than
+// heartbeats may be late, and another replica is elected while it is under way.
+type PutChunks struct {
+	// Number is the document's.
+	Number int64 `cbor:"number"`
+	// Document is the decoded document, checked before it is proposed, in its encoding.
+	Document []chunk.Chunk `cbor:"document"`
+	// Source is what the operator sent; reads return it unchanged.
+	Source []chunk.Chunk `cbor:"source"`
+}
+
 // NameVersion names the weights that the engines shall have.
 type NameVersion struct {
 	// Model is the model.
@@ -35,6 +54,8 @@
 type Result struct {
 	// Taken says that the command was read; also one that changed nothing is.
 	Taken bool `cbor:"taken"`
+	// Lacking says that the command left out chunks that aren't held any more; it has changed nothing and is sent again with all of them.
+	Lacking bool `cbor:"lacking,omitempty"`
 	// Changed says that the state is another one now.
 	Changed bool `cbor:"changed"`
 	// Number is the number of the document in force.
--- a/internal/site/section/held.go
+++ b/internal/site/section/held.go
@@ -1,11 +1,64 @@
 package section
 
-import "hornbeamwood/internal/site/document"
+import (
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/site/chunk"
+	"hornbeamwood/internal/site/document"
+)
 
-// Held is the document in force.
+// Held is the document in force; it is immutable.
 type Held struct {
 	// Document is the decoded document.
-	Document document.Document `cbor:"document"`
-	// Source is what the operator sent.
-	Source []byte `cbor:"source"`
+	Document document.Document
+	// Chunks hold the document's encoding.
+	Chunks []chunk.Chunk
+
+	source []chunk.Chunk
+	byName map[chunk.Digest]chunk.Chunk
+}
+
+// newHeld decodes a document from its chunks.
+func newHeld(encoded, source []chunk.Chunk) (Held, error) {
+	text, err := chunk.Join(encoded)
+	if err != nil {
+		return Held{}, err
+	}
+	d, err := codec.Unmarshal[document.Document](text)
+	if err != nil {
+		return Held{}, err
+	}
+	h := Held{Document: d, Chunks: encoded, source: source, byName: map[chunk.Digest]chunk.Chunk{}}
+	for _, all := range [][]chunk.Chunk{encoded, source} {
+		for _, c := range all {
+			h.byName[c.Digest] = c
+		}
+	}
+	return h, nil
+}
+
+// Source returns what the operator sent.
+func (h Held) Source() ([]byte, error) {
+	return chunk.Join(h.source)
+}
+
+// Chunk returns a chunk of the document or of its source by its name.
+func (h Held) Chunk(d chunk.Digest) (chunk.Chunk, bool) {
+	c, ok := h.byName[d]
+	return c, ok
+}
+
+// fill returns the chunks with the data that the command left out, and false if some of it isn't held.
+func (h Held) fill(all []chunk.Chunk) ([]chunk.Chunk, bool) {
+	filled := make([]chunk.Chunk, 0, len(all))
+	for _, c := range all {
+		if len(c.Data) == 0 {
+			known, ok := h.Chunk(c.Digest)
+			if !ok {
+				return nil, false
+			}
+			c = known
+		}
+		filled = append(filled, c)
+	}
+	return filled, true
 }
--- a/internal/site/section/section.go
+++ b/internal/site/section/section.go
@@ -32,19 +32,24 @@
 type section struct {
 	config Config
 	mu     sync.RWMutex
-	image  image
+	// held is the document in force, nil while there is none.
+	held     *Held
+	versions map[string]int64
+	namedAt  map[string]int64
 }
 
 // image is the snapshot of the section.
 type image struct {
-	Held     *Held            `cbor:"held,omitempty"`
+	// Held is set in snapshots of earlier releases.
+	Held     *Put             `cbor:"held,omitempty"`
+	Chunks   *PutChunks       `cbor:"chunks,omitempty"`
 	Versions map[string]int64 `cbor:"versions"`
 	NamedAt  map[string]int64 `cbor:"named-at,omitempty"`
 }
 
 // New returns the empty section.
 func New(c Config) Section {
-	return &section{config: c, image: image{Versions: map[string]int64{}, NamedAt: map[string]int64{}}}
+	return &section{config: c, versions: map[string]int64{}, namedAt: map[string]int64{}}
 }
 
 // Name implements state.Section.
@@ -74,12 +79,14 @@
 	r := Result{}
 	switch {
 	case c.Put != nil:
-		r = s.put(*c.Put)
+		r = s.putWhole(*c.Put)
+	case c.PutChunks != nil:
+		r = s.put(*c.PutChunks)
 	case c.NameVersion != nil:
 		r = s.nameVersion(*c.NameVersion)
 	}
-	if s.image.Held != nil {
-		r.Number = s.image.Held.Document.Number
+	if s.held != nil {
+		r.Number = s.held.Document.Number
 	}
 	return r
 }
@@ -89,22 +96,44 @@
 // A resend of an accepted document, or one that a higher number has overtaken,
 // is answered like the first time and changes nothing: an older document that
 // arrives late would otherwise undo a newer one.
-func (s *section) put(p Put) Result {
-	if s.image.Held != nil && p.Document.Number <= s.image.Held.Document.Number {
+func (s *section) put(p PutChunks) Result {
+	var before Held
+	if s.held != nil {
+		before = *s.held
+	}
+	if s.held != nil && p.Number <= before.Document.Number {
 		return Result{Taken: true}
 	}
-	s.image.Held = &Held{Document: p.Document, Source: p.Source}
+	encoded, whole := before.fill(p.Document)
+	source, sourceWhole := before.fill(p.Source)
+	if !whole || !sourceWhole {
+		return Result{Taken: true, Lacking: true}
+	}
+	h, err := newHeld(encoded, source)
+	if err != nil {
+		return Result{}
+	}
+	s.held = &h
 	return Result{Taken: true, Changed: true}
 }
 
+// putWhole takes a document as logs of earlier releases hold it.
+func (s *section) putWhole(p Put) Result {
+	c, err := NewPutChunks(p.Document, p.Source, Held{})
+	if err != nil {
+		return Result{}
+	}
+	return s.put(c)
+}
+
 func (s *section) nameVersion(n NameVersion) Result {
-	if n.Model == "" || n.Version <= s.image.Versions[n.Model] {
+	if n.Model == "" || n.Version <= s.versions[n.Model] {
 		return Result{Taken: n.Model != ""}
 	}
-	s.image.Versions[n.Model] = n.Version
-	delete(s.image.NamedAt, n.Model)
+	s.versions[n.Model] = n.Version
+	delete(s.namedAt, n.Model)
 	if n.At > 0 {
-		s.image.NamedAt[n.Model] = n.At
+		s.namedAt[n.Model] = n.At
 	}
 	return Result{Taken: true, Changed: true}
 }
@@ -119,24 +148,24 @@
 func (s *section) Held() (Held, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if s.image.Held == nil {
+	if s.held == nil {
 		return Held{}, false
 	}
-	return *s.image.Held, true
+	return *s.held, true
 }
 
 // Versions implements Section.
 func (s *section) Versions() map[string]int64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return maps.Clone(s.image.Versions)
+	return maps.Clone(s.versions)
 }
 
 // NamedAt implements Section.
 func (s *section) NamedAt() map[string]int64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return maps.Clone(s.image.NamedAt)
+	return maps.Clone(s.namedAt)
 }
 
 // Query implements state.Section.
@@ -148,7 +177,11 @@
 func (s *section) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return codec.Marshal(s.image)
+	i := image{Versions: s.versions, NamedAt: s.namedAt}
+	if s.held != nil {
+		i.Chunks = &PutChunks{Number: s.held.Document.Number, Document: s.held.Chunks, Source: s.held.source}
+	}
+	return codec.Marshal(i)
 }
 
 // Restore implements state.Section.
@@ -157,6 +190,10 @@
 	if err != nil {
 		return err
 	}
+	held, err := i.held()
+	if err != nil {
+		return err
+	}
 	if i.Versions == nil {
 		i.Versions = map[string]int64{}
 	}
@@ -164,8 +201,25 @@
 		i.NamedAt = map[string]int64{}
 	}
 	s.mu.Lock()
-	s.image = i
+	s.held, s.versions, s.namedAt = held, i.Versions, i.NamedAt
 	s.mu.Unlock()
 	s.changed()
 	return nil
 }
+
+// held returns the document of a snapshot, nil where there is none.
+func (i image) held() (*Held, error) {
+	c := i.Chunks
+	if i.Held != nil {
+		whole, err := NewPutChunks(i.Held.Document, i.Held.Source, Held{})
+		if err != nil {
+			return nil, err
+		}
+		c = &whole
+	}
+	if c == nil {
+		return nil, nil
+	}
+	h, err := newHeld(c.Document, c.Source)
+	return &h, err
+}
--- a/internal/site/section/section_test.go
+++ b/internal/site/section/section_test.go
@@ -1,6 +1,7 @@
 package section
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -28,9 +29,10 @@
 		{8, "eight", false, "nine"},
 	}
 	for _, p := range steps {
-		r := apply(t, s, Command{Put: &Put{Document: document.Document{Number: p.number}, Source: []byte(p.source)}})
-		if h, _ := s.Held(); !r.Taken || r.Changed != p.changed || string(h.Source) != p.held {
-			t.Errorf("%d %s: %+v, held %s", p.number, p.source, r, h.Source)
+		h, _ := s.Held()
+		r := apply(t, s, put(t, document.Document{Number: p.number}, p.source, h))
+		if got := source(t, s); !r.Taken || r.Changed != p.changed || got != p.held {
+			t.Errorf("%d %s: %+v, held %s", p.number, p.source, r, got)
 		}
 	}
 }
@@ -39,7 +41,7 @@
 // was accepted meanwhile must be in force there as well.
 func TestSnapshotHoldsEverything(t *testing.T) {
 	s := New(Config{})
-	apply(t, s, Command{Put: &Put{Document: document.Document{Number: 4}, Source: []byte("x")}})
+	apply(t, s, put(t, document.Document{Number: 4}, "x", Held{}))
 	apply(t, s, Command{NameVersion: &NameVersion{Model: "m", Version: 3}})
 	apply(t, s, Command{NameVersion: &NameVersion{Model: "m", Version: 2}})
 	b, err := s.Snapshot()
@@ -52,11 +54,92 @@
 		t.Fatal(err)
 	}
 	h, ok := o.Held()
-	if !ok || h.Document.Number != 4 || string(h.Source) != "x" || o.Versions()["m"] != 3 || !told {
+	if !ok || h.Document.Number != 4 || source(t, o) != "x" || o.Versions()["m"] != 3 || !told {
 		t.Errorf("restored %+v %v %v", h, o.Versions(), told)
 	}
 }
 
+// A change leaves out the chunks that it shares with the document in force; when
+// another change has come in between, they aren't held any more and must be sent.
+func TestChangeOverAnotherDocumentIsSentWhole(t *testing.T) {
+	s := New(Config{})
+	apply(t, s, put(t, document.Document{Number: 1, Routes: routes(500)}, "one", Held{}))
+	h, _ := s.Held()
+	late := put(t, document.Document{Number: 3, Routes: routes(500)}, "three", h)
+	apply(t, s, put(t, document.Document{Number: 2}, "two", h))
+	if r := apply(t, s, late); !r.Lacking || r.Changed || source(t, s) != "two" {
+		t.Errorf("%+v, held %s", r, source(t, s))
+	}
+	if r := apply(t, s, put(t, document.Document{Number: 3, Routes: routes(500)}, "three", Held{})); !r.Changed || source(t, s) != "three" {
+		t.Errorf("%+v, held %s", r, source(t, s))
+	}
+}
+
+// A replica is started with a new release on the data of an earlier one, whose
+// log and snapshots hold documents whole; none of them may be lost.
+func TestDocumentsOfEarlierReleasesAreRead(t *testing.T) {
+	whole := Put{Document: document.Document{Number: 6, Routes: routes(3)}, Source: []byte("six")}
+	s := New(Config{})
+	if r := apply(t, s, Command{Put: &whole}); !r.Changed || source(t, s) != "six" {
+		t.Errorf("log: %+v, held %s", r, source(t, s))
+	}
+	b, err := codec.Marshal(image{Held: &whole})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := New(Config{})
+	if err := o.Restore(b); err != nil {
+		t.Fatal(err)
+	}
+	if h, _ := o.Held(); source(t, o) != "six" || len(h.Document.Routes) != 3 {
+		t.Errorf("snapshot: %+v", h.Document)
+	}
+}
+
+// One route in place of another in a large document must not send the log all of it.
+func TestSmallChangeIsASmallCommand(t *testing.T) {
+	const most = 64 << 10 // a document of 4,000 routes has ten times as much
+	s := New(Config{})
+	all := routes(4000)
+	apply(t, s, put(t, document.Document{Number: 1, Routes: all}, "one", Held{}))
+	h, _ := s.Held()
+	all[2000].Prefix = "/other/"
+	b, err := codec.Marshal(put(t, document.Document{Number: 2, Routes: all}, "two", h))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b) > most {
+		t.Errorf("the command has %d bytes", len(b))
+	}
+}
+
+func routes(n int) []document.Route {
+	all := make([]document.Route, 0, n)
+	for i := range n {
+		all = append(all, document.Route{Name: fmt.Sprint("r", i), Host: fmt.Sprintf("h%d.example", i*7919), Prefix: fmt.Sprintf("/p%x/", i*104729), Timeout: time.Second})
+	}
+	return all
+}
+
+func put(t *testing.T, d document.Document, source string, h Held) Command {
+	t.Helper()
+	c, err := NewPutChunks(d, []byte(source), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Command{PutChunks: &c}
+}
+
+func source(t *testing.T, s Section) string {
+	t.Helper()
+	h, _ := s.Held()
+	b, err := h.Source()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
 func apply(t *testing.T, s Section, c Command) Result {
 	t.Helper()
 	b, err := codec.Marshal(c)
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -1,13 +1,16 @@
 package topic
 
-import "hornbeamwood/internal/site/board"
+import (
+	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/chunk"
+)
 
 // Topics of rows. The numbers travel between processes and are never reused: a process
 // of another release passes over a number that it doesn't know, and would misread a row
-// whose key or value has changed. Numbers 2 and 5 are retired.
+// whose key or value has changed. Numbers 1, 2 and 5 are retired.
 const (
-	// Document is the operator's document; its one row holds a document.Document.
-	Document board.Topic = 1
+	// DocumentChunks names the chunks of the operator's document as a Document in its one row.
+	DocumentChunks board.Topic = 17
 	// Servers holds a directory.Server for each server's ID.
 	Servers board.Topic = 15
 	// Members holds the addresses of the control replicas as []string in one row.
@@ -36,6 +39,14 @@
 	Shelves board.Topic = 14
 )
 
+// Document names the operator's document and its chunks.
+type Document struct {
+	// Number is the document's.
+	Number int64 `cbor:"number"`
+	// Chunks are the names of its chunks in their order.
+	Chunks []chunk.Digest `cbor:"chunks"`
+}
+
 // Shelf is the long or the short parts of a store as it was listed.
 //
 // A replica that has just got the lease owes each entry all that lies in all
--- a/internal/site/topic/topic_test.go
+++ b/internal/site/topic/topic_test.go
@@ -11,10 +11,10 @@
 // isn't, or knows no server at all; under a number that it doesn't know it passes it
 // over. So each topic has a number of its own, and none has that of a retired one.
 func TestNumbersAreNeverReused(t *testing.T) {
-	retired := map[board.Topic]bool{2: true, 5: true}
+	retired := map[board.Topic]bool{1: true, 2: true, 5: true}
 	seen := map[board.Topic]bool{}
 	for _, x := range []board.Topic{
-		Document, Servers, Members, Versions, Parts, StoresUp, Loaded, Busy, Reads, Loads, Epochs, Caches, NamedAt, Shelves,
+		DocumentChunks, Servers, Members, Versions, Parts, StoresUp, Loaded, Busy, Reads, Loads, Epochs, Caches, NamedAt, Shelves,
 	} {
 		if retired[x] || seen[x] {
 			t.Errorf("number %d is used again", x)
--- a/internal/site/watch/protocol.go
+++ b/internal/site/watch/protocol.go
@@ -7,6 +7,7 @@
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/chunk"
 )
 
 // Poll asks for the rows that changed since the last answer.
@@ -50,6 +51,12 @@
 	Roles: []keys.Role{keys.Entry, keys.Control},
 }
 
+// Chunks is how an entry gets the chunks of a document that it lacks: the first of those asked for that the replica has.
+var Chunks = rpc.Method[[]chunk.Digest, []chunk.Chunk]{
+	Name:  "site-chunks",
+	Roles: []keys.Role{keys.Entry},
+}
+
 // Reading tells that an engine reads a part that was nowhere else.
 type Reading struct {
 	// Salt and Part name the part, Tokens is its size.
