A document that isn't newer than the one applied is acknowledged without a log entry

What operators saw: a document whose acknowledgement was lost was proposed again with each resend, to a log that was slow because of it, and stayed without an answer while there was no quorum. What a replica has applied is committed, and a document with its number or a lower one changes nothing, so the answer is known.

TestResendOfAnAppliedDocumentNeedsNoQuorum failed before: 503 commit-unknown and 503 not-leader; a new document is still refused there.

--- a/internal/process/sitecontrol/operator.go
+++ b/internal/process/sitecontrol/operator.go
@@ -52,8 +52,15 @@
 }
 
 // putDocument commits a document, without the chunks that it shares with the one in force here.
+//
+// Whatever this replica has applied is committed: a document that isn't newer needs no
+// entry in the log. Operators send again what wasn't acknowledged in time, which would
+// make a slow log slower.
 func (p *process) putDocument(ctx context.Context, d document.Document, source []byte) (section.Result, error) {
-	h, _ := p.section.Held()
+	h, ok := p.section.Held()
+	if ok && d.Number <= h.Document.Number {
+		return section.Result{Taken: true, Number: h.Document.Number}, nil
+	}
 	r, err := p.putOver(ctx, h, d, source)
 	if err == nil && r.Lacking {
 		return p.putOver(ctx, section.Held{}, d, source)
