--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -34,6 +34,8 @@
 	HandlerPanicked = define(913, log.ErrorLevel, "handler-panicked", "A defect ended the handling of a request; the fields give the request, the cause and the stack.")
 	// DocumentNotFetched is written when a replica doesn't give what it shows of a document.
 	DocumentNotFetched = define(914, log.WarnLevel, "document-not-fetched", "Chunks of a document did not come from the named replica; another one is asked for those that are lacking.")
+	// RowTooLarge is written when a replica shows a row that is larger than an answer to a poll should be.
+	RowTooLarge = define(915, log.WarnLevel, "row-too-large", "A row is larger than one answer to a poll should be; polls may time out before it is through.")
 	// WeightsOrdered is written for each order to an engine.
 	WeightsOrdered = define(930, log.InfoLevel, "weights-ordered", "An engine was ordered to load weights; the fields give the fencing number, the expected sequence and the outcome.")
 	// EngineNotAsked is written when an engine can't be asked.
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -212,6 +212,9 @@
 		event.AnnouncementNotAcknowledged.Write(p.config.Logger, log.Fields{"topic": t, "key": key, "error": err.Error()})
 		return 0
 	}
+	if len(b) > board.MaxAnswerBytes {
+		event.RowTooLarge.Write(p.config.Logger, log.Fields{"topic": t, "key": key, "bytes": len(b), "most": board.MaxAnswerBytes})
+	}
 	return p.board.Put(t, key, b)
 }
 
--- a/internal/process/sitecontrol/librarian_test.go
+++ b/internal/process/sitecontrol/librarian_test.go
@@ -5,8 +5,10 @@
 	"testing"
 	"time"
 
+	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/stores"
+	"hornbeamwood/internal/site/topic"
 )
 
 // All processes of a large site were killed. The first replica to hold the lease
@@ -88,3 +90,43 @@
 		t.Errorf("told %+v", rows)
 	}
 }
+
+// A store holds tens of thousands of short parts. In one row they take an entry's
+// link for longer than a poll may last: the poll begins anew each time, and the
+// entry hears of nothing else either.
+func TestListOfALargeStoreComesInShortRows(t *testing.T) {
+	const parts, mostBytes = 30_000, 64 << 10
+	b := board.New(1)
+	l := &librarian{process: &process{board: b}}
+	x := &shelf{stock: stores.NewShelf("1:1", 300*parts)}
+	held := map[stores.Part]int{}
+	var all []stores.Part
+	for i := range parts {
+		p := stores.Part{Salt: "m/1", ID: fmt.Sprint(i)}
+		held[p] = 300
+		all = append(all, p)
+	}
+	x.stock.TakeList(stores.Listing{Epoch: 1, Held: held}, time.Now())
+	l.showShelf(x, "short", true, all)
+	told := 0
+	for at, i := uint64(0), 0; b.Behind(at); i++ {
+		rows, next := b.Since(at)
+		at = next
+		for _, r := range rows {
+			s, err := codec.Unmarshal[topic.Shelf](r.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.Value) > mostBytes {
+				t.Errorf("row %s has %d bytes", r.Key, len(r.Value))
+			}
+			if s.Whole != (told == 0) {
+				t.Errorf("row %s replaces what was told before: %v", r.Key, s.Whole)
+			}
+			told += len(s.Parts)
+		}
+	}
+	if told != parts {
+		t.Errorf("%d of %d parts were told", told, parts)
+	}
+}
--- a/internal/process/sitecontrol/shelf.go
+++ b/internal/process/sitecontrol/shelf.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,13 +23,25 @@
 	left bool
 }
 
-// showShelf puts the present state of many parts into one row, while the store is followed.
+// maxShelfParts bounds the parts in one row, which takes 14 bytes for each of them:
+// a row has to be through an entry's link before its poll times out.
+const maxShelfParts = 4096
+
+// showShelf puts the present state of many parts into as few rows as may be, while the store is followed.
 func (l *librarian) showShelf(x *shelf, size string, whole bool, parts []stores.Part) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.left {
 		return
 	}
+	l.showParts(x, size, whole, parts[:min(len(parts), maxShelfParts)])
+	for at := maxShelfParts; at < len(parts); at += maxShelfParts {
+		l.showParts(x, size+"/"+strconv.Itoa(at), false, parts[at:min(len(parts), at+maxShelfParts)])
+	}
+}
+
+// showParts puts the present state of parts into one row; the caller holds the shelf's lock.
+func (l *librarian) showParts(x *shelf, key string, whole bool, parts []stores.Part) {
 	s := topic.Shelf{Address: x.stock.Address, Listed: time.Now().UnixNano(), Whole: whole}
 	for _, p := range parts {
 		if tokens, ok := x.stock.Whole(p); ok {
@@ -36,7 +49,7 @@
 			s.Tokens = append(s.Tokens, uint32(tokens))
 		}
 	}
-	x.shown = max(x.shown, l.put(topic.Shelves, s.Address+"/"+size, s))
+	x.shown = max(x.shown, l.put(topic.Shelves, s.Address+"/"+key, s))
 }
 
 // pauseOfShort returns how long so many short parts wait for the long ones to get to all entries.
--- a/internal/site/board/board.go
+++ b/internal/site/board/board.go
@@ -6,11 +6,12 @@
 	"sync"
 )
 
-// maxAnswerBytes bounds the rows of one answer; the rest follows at once. An
+// MaxAnswerBytes bounds the rows of one answer; the rest follows at once. A larger row
+// comes by itself and may not be through in time. An
 // answer has to be through before its poll times out, also when a replica that has
 // just started owes all rows to a hundred watchers: one that isn't begins anew, and
 // the watchers would never learn anything.
-const maxAnswerBytes = 64 << 10
+const MaxAnswerBytes = 64 << 10
 
 // rowBytes is what a row takes besides its key and value.
 const rowBytes = 8
@@ -115,7 +116,7 @@
 			continue
 		}
 		bytes := len(e.row.Key) + len(e.row.Value) + rowBytes
-		if size > 0 && size+bytes > maxAnswerBytes {
+		if size > 0 && size+bytes > MaxAnswerBytes {
 			return rows, p.changed - 1
 		}
 		size += bytes
--- a/internal/site/board/board_test.go
+++ b/internal/site/board/board_test.go
@@ -42,12 +42,11 @@
 	p.TestingRun(t)
 }
 
-// The document of a large site is megabytes long. It comes in one answer with
-// nothing else, and what follows it is not forgotten.
+// Rows that each fill an answer come one by one, and what follows is not forgotten.
 func TestLargeRowsComeOneByOne(t *testing.T) {
 	b := New(1)
 	for _, k := range []string{"a", "b", "c"} {
-		b.Put(1, k, make([]byte, maxAnswerBytes-1))
+		b.Put(1, k, make([]byte, MaxAnswerBytes-1))
 	}
 	at, got := uint64(0), ""
 	for range 3 {
