--- a/deploy/soak/main.go
+++ b/deploy/soak/main.go
@@ -20,9 +20,17 @@
 	exitUsage  = 2
 )
 
+// Processes of a run where nothing else is asked for, and the most that a run's addresses allow.
+const (
+	usualReplicas = 3
+	usualEntries  = 2
+	mostReplicas  = 9
+	mostEntries   = 200
+)
+
 func main() {
 	first, seeds, parallel, seconds := uint64(1), 1, 1, 20
-	program, folder := "", ""
+	c := runConfig{replicas: usualReplicas, entries: usualEntries}
 	flaggy.SetName("soak")
 	flaggy.SetDescription("runs a site under faults and checks its promises")
 	flaggy.SetVersion("")
@@ -30,24 +38,31 @@
 	flaggy.Int(&seeds, "n", "seeds", "number of seeds")
 	flaggy.Int(&parallel, "p", "parallel", "seeds at once")
 	flaggy.Int(&seconds, "s", "seconds", "length of each run under faults")
-	flaggy.String(&program, "", "program", "hornbeamwood-platform; built when not given")
-	flaggy.String(&folder, "", "folder", "where logs and reports stay; a temporary one when not given")
+	flaggy.Int(&c.replicas, "r", "replicas", "control processes of a run, 3 to 9")
+	flaggy.Int(&c.entries, "e", "entries", "entry processes of a run, 1 to 200")
+	flaggy.String(&c.program, "", "program", "hornbeamwood-platform; built when not given")
+	flaggy.String(&c.folder, "", "folder", "where logs and reports stay; a temporary one when not given")
 	flaggy.Parse()
 	if seeds < 1 || parallel < 1 || seconds < 1 {
 		fmt.Fprintln(os.Stderr, "soak: --seeds, --parallel and --seconds must be at least 1")
 		os.Exit(exitUsage)
 	}
+	if c.replicas < usualReplicas || c.replicas > mostReplicas || c.entries < 1 || c.entries > mostEntries {
+		fmt.Fprintln(os.Stderr, "soak: --replicas must be 3 to 9 and --entries 1 to 200")
+		os.Exit(exitUsage)
+	}
 	if first == 0 {
 		first = uint64(time.Now().UnixNano() % 1e9)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	os.Exit(soak(ctx, first, seeds, parallel, time.Duration(seconds)*time.Second, program, folder))
+	c.length = time.Duration(seconds) * time.Second
+	os.Exit(soak(ctx, c, first, seeds, parallel))
 }
 
-func soak(ctx context.Context, first uint64, seeds, parallel int, length time.Duration, program, folder string) int {
-	folder, program, err := prepare(ctx, folder, program)
-	if err != nil {
+func soak(ctx context.Context, c runConfig, first uint64, seeds, parallel int) int {
+	var err error
+	if c.folder, c.program, err = prepare(ctx, c.folder, c.program); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		return exitUsage
 	}
@@ -59,7 +74,9 @@
 		places <- struct{}{}
 		all.Go(func() {
 			defer func() { <-places }()
-			r := run(ctx, runConfig{seed: first + uint64(i), length: length, program: program, folder: folder})
+			c := c
+			c.seed = first + uint64(i)
+			r := run(ctx, c)
 			mu.Lock()
 			defer mu.Unlock()
 			fmt.Println(r)
@@ -69,7 +86,7 @@
 		})
 	}
 	all.Wait()
-	fmt.Printf("%d seeds from %d on, %d broken; logs in %s\n", seeds, first, broken, folder)
+	fmt.Printf("%d seeds from %d on, %d broken; logs in %s\n", seeds, first, broken, c.folder)
 	if broken > 0 {
 		return exitBroken
 	}
--- a/deploy/soak/operator.go
+++ b/deploy/soak/operator.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -19,28 +20,50 @@
 	mu       sync.Mutex
 	sent     int
 	acked    int
+	// grows draws how the document grows, apart from what else a seed draws.
+	grows *rand.Rand
+	extra int
+}
+
+const (
+	// maxGrowth bounds the routes that one change adds, mostExtra those of a document.
+	maxGrowth = 1400
+	mostExtra = 6000
+)
+
+// next returns the number of the next document and how many routes it has that nobody asks for.
+func (o *operator) next(r *rand.Rand) (number, extra int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sent += 1 + r.IntN(3)
+	if o.grows.IntN(3) == 0 {
+		o.extra = min(mostExtra, o.extra+o.grows.IntN(maxGrowth))
+	}
+	return o.sent, o.extra
 }
 
 // document returns the document with the given number.
-func (o *operator) document(number int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[
+func (o *operator) document(number, extra int) string {
+	var more strings.Builder
+	for i := range extra {
+		fmt.Fprintf(&more, `{"name":"extra-%d","host":"extra%d","path_prefix":"/%x/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,"service":"desk","max_attempts":1},`, i, i%40, i*104729)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s
 {"name":"read","host":"soak","path_prefix":"/read/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,"service":"desk","max_attempts":2},
 {"name":"once","host":"soak","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":100,"service":"desk","max_attempts":1},
 {"name":"stream","host":"soak","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,"service":"desk","max_attempts":2,"resumable":true,"gap_target_ms":300},
 {"name":"prompt","host":"soak","path_prefix":"/prompt/","kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,"service":"writer","max_attempts":2,"resumable":true,"sticky":true,"gap_target_ms":500},
 {"name":"n","host":"soak","path_prefix":"/n%d/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,"service":"desk","max_attempts":1}],
-"services":[{"name":"desk","max_connections":200},{"name":"writer","max_connections":200,"engine":{"slots":8,"kv_capacity_tokens":90000,"kv_token_bytes":35136,"link_mbps":100000,"managed":true,"stride":1,"max_concurrent":12,"models":[{"name":"m"}]}}],"limits":{},"tenants":[{"name":"t1","api_keys":["k1"]},{"name":"t2","api_keys":["k2"]}]}`, number, number)
+"services":[{"name":"desk","max_connections":200},{"name":"writer","max_connections":200,"engine":{"slots":8,"kv_capacity_tokens":90000,"kv_token_bytes":35136,"link_mbps":100000,"managed":true,"stride":1,"max_concurrent":12,"models":[{"name":"m"}]}}],"limits":{},"tenants":[{"name":"t1","api_keys":["k1"]},{"name":"t2","api_keys":["k2"]}]}`, number, more.String(), number)
 }
 
 // change sends the next document until some replica acknowledges it, or ctx ends.
 func (o *operator) change(ctx context.Context, r *rand.Rand) bool {
-	o.mu.Lock()
-	o.sent += 1 + r.IntN(3)
-	number := o.sent
-	o.mu.Unlock()
+	number, extra := o.next(r)
+	body := o.document(number, extra)
 	for ctx.Err() == nil {
 		at := o.controls[r.IntN(len(o.controls))]
-		switch status := post(ctx, "http://"+at+":8000/v1/Config.Put", o.document(number), 1500*time.Millisecond); status {
+		switch status := post(ctx, "http://"+at+":8000/v1/Config.Put", body, 1500*time.Millisecond); status {
 		case http.StatusOK:
 			o.mu.Lock()
 			o.acked = max(o.acked, number)
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -16,6 +17,9 @@
 	length  time.Duration
 	program string
 	folder  string
+	// replicas and entries are how many processes of each role run.
+	replicas int
+	entries  int
 }
 
 // result is what one run showed.
@@ -150,9 +154,12 @@
 		s.record.broke("callers are not served again: %d since the last fault", s.record.served()-before)
 	}
 	s.checkWeights(ctx)
-	for _, at := range s.seeds {
+	newest := 0
+	for _, at := range s.operator.controls {
 		for {
-			if _, ok := s.operator.read(ctx, at); ok {
+			number, ok := s.operator.read(ctx, at)
+			if ok {
+				newest = max(newest, number)
 				break
 			}
 			if ctx.Err() != nil {
@@ -162,6 +169,40 @@
 			pause(ctx, 100*time.Millisecond)
 		}
 	}
+	s.checkInForce(ctx, newest)
+}
+
+// checkInForce waits until every entry serves the route that only the newest document has.
+func (s *site) checkInForce(ctx context.Context, newest int) {
+	for i, f := range s.fronts {
+		for !inForce(ctx, f.address(), newest) {
+			if ctx.Err() != nil {
+				s.record.broke("document %d is not in force at entry-%d", newest, i)
+				break
+			}
+			pause(ctx, 100*time.Millisecond)
+		}
+	}
+}
+
+// inForce returns whether the entry behind the address serves the route that only that document has.
+func inForce(ctx context.Context, address string, number int) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/n%d/x", address, number), nil)
+	if err != nil {
+		return false
+	}
+	q.Host, q.Close = "soak", true
+	q.Header.Set("Attempt-Id", fmt.Sprintf("probe-%d-%s", number, address))
+	q.Header.Set("X-Api-Key", "k1")
+	q.Header.Set("Deadline-Ms", "900")
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return false
+	}
+	defer a.Body.Close()
+	return a.StatusCode == http.StatusOK
 }
 
 // checkWeights waits until every engine has the newest weights.
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -12,8 +12,7 @@
 
 // Sizes of the site of a run.
 const (
-	replicas       = 3
-	entries        = 2
+	seedReplicas   = 3
 	servers        = 3
 	engines        = 3
 	clientsPerSite = 6
@@ -45,15 +44,17 @@
 		ledger: &ledger{runs: map[string]int{}, tenants: map[string]string{}},
 	}
 	network := fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, c.seed%250)
-	for i := range replicas {
-		s.seeds = append(s.seeds, fmt.Sprint(network, 10+i))
+	var controls []string
+	for i := range c.replicas {
+		controls = append(controls, fmt.Sprint(network, 10+i))
 	}
+	s.seeds = controls[:min(len(controls), seedReplicas)]
 	s.orders = newOrders(r)
-	s.operator = &operator{controls: s.seeds, record: r, orders: s.orders}
-	for i, ip := range s.seeds {
+	s.operator = &operator{controls: controls, record: r, orders: s.orders, grows: rand.New(rand.NewPCG(c.seed, 13))}
+	for i, ip := range controls {
 		s.replicas = append(s.replicas, s.newProcess(c, fmt.Sprint("control-", i), "control", ip))
 	}
-	for i := range entries {
+	for i := range c.entries {
 		p := s.newProcess(c, fmt.Sprint("entry-", i), "entry", fmt.Sprint(network, 50+i))
 		s.entries = append(s.entries, p)
 		front, err := newProxy(p.ip + ":8005")
--- a/deploy/soak/soak_test.go
+++ b/deploy/soak/soak_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	for _, seed := range []uint64{1, 2} {
-		r := run(context.Background(), runConfig{seed: seed, length: shortRun, program: program, folder: folder})
+		r := run(context.Background(), runConfig{seed: seed, length: shortRun, program: program, folder: folder, replicas: usualReplicas, entries: usualEntries})
 		t.Log(r)
 		for _, b := range r.broken {
 			t.Errorf("seed %d: %s", seed, b)
