A read of the control log is given up when nothing comes, not when it is long

An entry that starts asks for the whole settings tree, and each try had 0.7 s and each report the time between two of them. Now a call can bound how long nothing of its answer comes, which leaves a silent replica as soon as before; an entry without a lease waits for an answer that is still coming, and one with a lease does not.

--- a/internal/control/protocol/read.go
+++ b/internal/control/protocol/read.go
@@ -1,6 +1,8 @@
 package protocol
 
 import (
+	"time"
+
 	"hornbeamwood/internal/control/state"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
@@ -22,10 +24,14 @@
 	Bodies [][]byte `cbor:"bodies"`
 }
 
+// ReadIdle is how long nothing of an answer to Read may come; a frozen replica costs its caller no more than this.
+const ReadIdle = 700 * time.Millisecond
+
 // Read answers queries through any replica.
 var Read = rpc.Method[Reading, Answers]{
 	Name:  "control-read",
 	Roles: []keys.Role{keys.Entry, keys.Control},
+	Idle:  ReadIdle,
 }
 
 // Confirmation asks the leader for an index that a quorum confirms.
--- a/internal/entry/control/client.go
+++ b/internal/entry/control/client.go
@@ -19,8 +19,10 @@
 const (
 	// defaultTimeout bounds a call whose context has no deadline.
 	defaultTimeout = 5 * time.Second
-	// readTimeout bounds one try of a read; a frozen replica costs no more than this.
+	// readTimeout bounds one try of a read with a small answer; a frozen replica costs no more than this.
 	readTimeout = 700 * time.Millisecond
+	// answerTimeout bounds one try of a read whose answer may be large, beside protocol.ReadIdle.
+	answerTimeout = 20 * time.Second
 	// proposeTimeout bounds one try of a proposal; past it the commit is unknown.
 	proposeTimeout = 2 * time.Second
 	// roundPause is waited after every replica refused.
@@ -85,7 +87,7 @@
 // ReadAll implements Client.
 func (c *client) ReadAll(ctx context.Context, r *protocol.Report, queries ...state.Query) (protocol.Answers, error) {
 	q := protocol.Reading{Queries: queries, Report: r}
-	a, err := try(ctx, c, readTimeout, always, func(ctx context.Context, address string) (protocol.Answers, error) {
+	a, err := try(ctx, c, answerTimeout, always, func(ctx context.Context, address string) (protocol.Answers, error) {
 		return rpc.Call(ctx, c.config.Node, address, protocol.Read, q)
 	})
 	if err == nil && len(a.Bodies) != len(queries) {
--- a/internal/entry/settings/keeper.go
+++ b/internal/entry/settings/keeper.go
@@ -21,6 +21,8 @@
 const (
 	// firstLease is assumed of the lease until the settings tell.
 	firstLease = 4 * time.Second
+	// transferTimeout bounds a report by an entry without a lease, whose answer may be the whole tree.
+	transferTimeout = 20 * time.Second
 	// forcePause is waited between two questions whether a revision is in force.
 	forcePause = 100 * time.Millisecond
 )
@@ -124,15 +126,24 @@
 	return k.ownLease(k.Follower.View()) / lease.ReportsPerLease
 }
 
-// renew reports once and returns whether there was something newer to apply,
-// so that the next report must not wait.
+// patience returns how long a report may take. Who has no lease has none to lose by
+// waiting for an answer that is still coming.
+func (k *keeper) patience() time.Duration {
+	if k.Check() != nil {
+		return transferTimeout
+	}
+	return k.interval()
+}
+
+// renew reports once and returns whether the next report must not wait: there was
+// something newer to apply, or the answer took so long that its lease is nearly over.
 func (k *keeper) renew(ctx context.Context) bool {
 	applied := k.Follower.View()
 	queries, err := k.queries(applied.Revision())
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, k.interval())
+	ctx, cancel := context.WithTimeout(ctx, k.patience())
 	defer cancel()
 	own := k.ownLease(applied)
 	sent := k.Now()
@@ -146,7 +157,7 @@
 		return false
 	}
 	k.lease.Confirm(lease.Proof{SentAt: sent, Applied: applied.Revision(), Confirmed: newest, Lease: own})
-	return newest > applied.Revision()
+	return newest > applied.Revision() || k.Now().Sub(sent) > k.interval()
 }
 
 // ownLease returns the settings lease at the revision of v.
--- a/internal/entry/settings/keeper_test.go
+++ b/internal/entry/settings/keeper_test.go
@@ -23,13 +23,18 @@
 	machine state.Machine
 	cut     bool
 	delay   func()
+	// takes is how long an answer is on its way.
+	takes   time.Duration
 	reports []protocol.Report
 }
 
-func (l *fakeLog) ReadAll(_ context.Context, r *protocol.Report, queries ...state.Query) (protocol.Answers, error) {
+func (l *fakeLog) ReadAll(ctx context.Context, r *protocol.Report, queries ...state.Query) (protocol.Answers, error) {
 	if l.delay != nil {
 		l.delay()
 	}
+	if d, ok := ctx.Deadline(); l.takes > 0 && ok && time.Until(d) < l.takes {
+		return protocol.Answers{}, context.DeadlineExceeded
+	}
 	if l.cut {
 		return protocol.Answers{}, errors.New("no answer")
 	}
@@ -130,6 +135,25 @@
 	}
 }
 
+// An entry starts, and the whole tree is on its way for longer than the time between
+// two reports. Given up each time it never comes, and the entry serves nobody. An
+// entry that has a lease must not spend it on one answer.
+func TestEntryWithoutALeaseAwaitsTheWholeTree(t *testing.T) {
+	b := newBench(t)
+	b.log.takes = 3 * firstLease / 2
+	if !b.renew(t.Context()) || b.View().Revision() != 1 {
+		t.Fatalf("revision %d", b.View().Revision())
+	}
+	b.renew(t.Context())
+	if b.Check() != nil {
+		t.Fatalf("no lease: %v", b.Check())
+	}
+	reports := len(b.log.reports)
+	if b.renew(t.Context()); len(b.log.reports) != reports {
+		t.Error("an entry with a lease waits for one answer for longer than between two reports")
+	}
+}
+
 // An answer takes long. What it proves was true when the entry asked; counted
 // from its arrival the lease would outlast what the leader counts.
 func TestLeaseCountsFromBeforeTheRequest(t *testing.T) {
--- a/internal/node/rpc/call.go
+++ b/internal/node/rpc/call.go
@@ -8,11 +8,21 @@
 	"hornbeamwood/internal/base/verdict"
 )
 
+// request is one encoded call.
+type request struct {
+	name string
+	// idle is the method's.
+	idle time.Duration
+	body []byte
+}
+
 // call sends one request and returns the answer's body.
 //
 // Once a byte was handed to the connection nobody can say whether it left, so
 // from then on every failure is MayHaveRun.
-func (n *node) call(ctx context.Context, address, name string, body []byte) ([]byte, error) {
+func (n *node) call(ctx context.Context, address string, q request) ([]byte, error) {
+	ctx, heard, stopIdle := withIdle(ctx, q.idle)
+	defer stopIdle()
 	c, err := n.pool.get(ctx, address)
 	if err != nil {
 		return nil, unreachable(address, err)
@@ -27,15 +37,15 @@
 		s.CancelWrite(0)
 	})
 	defer stop()
-	if err := writeFrame(s, header{Name: name, Timeout: remaining(ctx), Body: body}); err != nil {
-		return nil, lost(name, address, err)
+	if err := writeFrame(s, header{Name: q.name, Timeout: q.timeout(ctx), Body: q.body}); err != nil {
+		return nil, lost(q.name, address, err)
 	}
 	_ = s.Close()
-	r := &countingReader{Reader: s}
+	r := &countingReader{Reader: s, heard: heard}
 	a, err := readFrame[answer](r)
-	n.countAnswer(name, r.bytes, err == nil)
+	n.countAnswer(q.name, r.bytes, err == nil)
 	if err != nil {
-		return nil, brokeOff(name, address, r.bytes, err)
+		return nil, brokeOff(q.name, address, r.bytes, err)
 	}
 	if a.Failure != nil {
 		return nil, *a.Failure
@@ -43,6 +53,19 @@
 	return a.Body, nil
 }
 
+// withIdle returns a context that ends when heard isn't called for the given time; zero sets no such bound.
+func withIdle(ctx context.Context, idle time.Duration) (bounded context.Context, heard func(), stop func()) {
+	if idle <= 0 {
+		return ctx, func() {}, func() {}
+	}
+	bounded, cancel := context.WithCancel(ctx)
+	t := time.AfterFunc(idle, cancel)
+	return bounded, func() { t.Reset(idle) }, func() {
+		t.Stop()
+		cancel()
+	}
+}
+
 func (n *node) notify(ctx context.Context, address, name string, body []byte) error {
 	c, err := n.pool.get(ctx, address)
 	if err != nil {
@@ -59,12 +82,13 @@
 	return s.Close()
 }
 
-func remaining(ctx context.Context) int64 {
-	d, ok := ctx.Deadline()
-	if !ok {
-		return 0
+// timeout returns how long the peer may work at the request, in nanoseconds; zero for no bound.
+func (q request) timeout(ctx context.Context) int64 {
+	left := q.idle
+	if d, ok := ctx.Deadline(); ok && (left <= 0 || time.Until(d) < left) {
+		left = max(1, time.Until(d))
 	}
-	return max(1, int64(time.Until(d)))
+	return int64(left)
 }
 
 func unreachable(address string, err error) error {
--- a/internal/node/rpc/counting_reader.go
+++ b/internal/node/rpc/counting_reader.go
@@ -5,9 +5,10 @@
 	"io"
 )
 
-// countingReader counts the bytes that were read through it.
+// countingReader counts the bytes that were read through it and calls heard when some come.
 type countingReader struct {
 	io.Reader
+	heard func()
 	bytes int
 }
 
@@ -15,6 +16,9 @@
 func (r *countingReader) Read(b []byte) (int, error) {
 	n, err := r.Reader.Read(b)
 	r.bytes += n
+	if n > 0 {
+		r.heard()
+	}
 	return n, err
 }
 
--- a/internal/node/rpc/handler.go
+++ b/internal/node/rpc/handler.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return zero, verdict.New(verdict.NotRun, http.StatusInternalServerError, "not-encoded", "the call could not be encoded").WithCause(err)
 	}
-	b, err := n.call(ctx, address, m.Name, body)
+	b, err := n.call(ctx, address, request{name: m.Name, idle: m.Idle, body: body})
 	if err != nil {
 		return zero, err
 	}
--- a/internal/node/rpc/method.go
+++ b/internal/node/rpc/method.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hornbeamwood/internal/node/keys"
 )
@@ -12,6 +13,11 @@
 	Name string
 	// Roles are those who may call.
 	Roles []keys.Role
+	// Idle is how long nothing of the answer may come until the call counts as lost; zero leaves that to the call's context.
+	//
+	// A bound on the whole answer must be short for a silent peer to be left soon, and
+	// an answer that grows with the state is then given up while it is still coming.
+	Idle time.Duration
 }
 
 // Notice names a message without an answer.
--- a/internal/node/rpc/node.go
+++ b/internal/node/rpc/node.go
@@ -51,7 +51,7 @@
 	Close() error
 
 	register(name string, h rawHandler)
-	call(ctx context.Context, address, name string, body []byte) ([]byte, error)
+	call(ctx context.Context, address string, q request) ([]byte, error)
 	notify(ctx context.Context, address, name string, body []byte) error
 }
 
