--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -90,6 +90,7 @@
 func New(c Config) (Process, error) {
 	p := &process{config: c, metrics: metrics.NewSet(), board: board.New(uint64(time.Now().UnixNano())), loaded: map[string]topic.Loading{}, loads: share.NewAdder()}
 	p.host.Store(&c.Host)
+	p.shown.Store(noDocument)
 	p.peers.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Control)
 	if err != nil {
--- a/internal/process/sitecontrol/document.go
+++ b/internal/process/sitecontrol/document.go
@@ -1,6 +1,8 @@
 package sitecontrol
 
 import (
+	"math"
+
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
@@ -12,6 +14,9 @@
 // maxChunksBytes bounds the data of one answer, which has to be through an entry's link before the call times out.
 const maxChunksBytes = 64 << 10
 
+// noDocument stands for the number of no document.
+const noDocument = math.MinInt64
+
 // showDocument puts the names of the document's chunks on the board.
 //
 // Entries get the chunks that they lack from one replica. If each replica sent
--- a/internal/process/siteentry/documents.go
+++ b/internal/process/siteentry/documents.go
@@ -34,7 +34,9 @@
 	// fetch gets chunks from the replica at address; some may be left out.
 	fetch func(ctx context.Context, address string, wanted []chunk.Digest) ([]chunk.Chunk, error)
 	// take brings a document into force; the fields tell where it came from.
-	take   func(d document.Document, origin log.Fields)
+	take func(d document.Document, origin log.Fields)
+	// news is told the latest time at which news were asked for that have come, with the document that was among them in force.
+	news   func(asked time.Time)
 	logger log.Interface
 }
 
@@ -52,8 +54,8 @@
 	sources []string
 	// inForce is the number of the document in force.
 	inForce int64
-	// waiting is called once the wanted document is in force.
-	waiting []func()
+	// asked is when the latest news were asked for that have come.
+	asked time.Time
 
 	// What follows is used by run only: the chunks that are here, the bytes that were
 	// received since the last document, and who answered last or failed last.
@@ -92,16 +94,17 @@
 	}
 }
 
-// whenCurrent calls f once the newest document that was shown is in force.
-func (d *documents) whenCurrent(f func()) {
+// heard notes that news have come that were asked for at that time; show has been called with the document among them.
+func (d *documents) heard(asked time.Time) {
 	d.mu.Lock()
-	if d.wanted.Number > d.inForce {
-		d.waiting = append(d.waiting, f)
-		d.mu.Unlock()
-		return
+	if asked.After(d.asked) {
+		d.asked = asked
 	}
+	behind := d.wanted.Number > d.inForce
 	d.mu.Unlock()
-	f()
+	if !behind {
+		d.news(asked)
+	}
 }
 
 // run brings documents into force until ctx ends.
@@ -118,7 +121,7 @@
 
 // catchUp returns once the newest document that was shown is in force, or ctx ends.
 func (d *documents) catchUp(ctx context.Context) {
-	if _, _, behind := d.target(); behind && d.has() {
+	if d.hasOlder() {
 		wait.For(ctx, gatherPause)
 	}
 	pause := fetchPause
@@ -136,11 +139,11 @@
 	}
 }
 
-// has returns whether a document is in force.
-func (d *documents) has() bool {
+// hasOlder returns whether a document is in force that a newer one was shown after.
+func (d *documents) hasOlder() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.inForce != none
+	return d.inForce != none && d.inForce < d.wanted.Number
 }
 
 // target returns the newest document that was shown, a replica to ask, and whether it isn't in force yet.
@@ -206,7 +209,7 @@
 		kept[x] = d.chunks[x]
 		all = append(all, d.chunks[x])
 	}
-	v, err := read(all)
+	v, err := decodeDocument(all)
 	if err != nil {
 		// One of them isn't what it should be: all are fetched again.
 		d.chunks = map[chunk.Digest]chunk.Chunk{}
@@ -220,27 +223,23 @@
 		"replica": d.answered, "bytes": d.received, "shown-ms": time.Since(since).Milliseconds(), "reading-ms": time.Since(began).Milliseconds(),
 	})
 	d.chunks, d.received = kept, 0
-	for _, f := range d.setInForce(m.Number) {
-		f()
+	if asked, newest := d.setInForce(m.Number); newest {
+		d.news(asked)
 	}
 	return true
 }
 
-// setInForce notes which document is in force, and returns who waited for it unless a newer one was shown meanwhile.
-func (d *documents) setInForce(number int64) []func() {
+// setInForce notes which document is in force; it returns when the latest news were
+// asked for, and whether no newer document was among them.
+func (d *documents) setInForce(number int64) (asked time.Time, newest bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inForce = number
-	if d.wanted.Number > number {
-		return nil
-	}
-	waiting := d.waiting
-	d.waiting = nil
-	return waiting
+	return d.asked, d.wanted.Number <= number
 }
 
-// read returns the document that the chunks hold.
-func read(all []chunk.Chunk) (document.Document, error) {
+// decodeDocument returns the document that the chunks hold.
+func decodeDocument(all []chunk.Chunk) (document.Document, error) {
 	text, err := chunk.Join(all)
 	if err != nil {
 		return document.Document{}, err
--- a/internal/process/siteentry/documents_test.go
+++ b/internal/process/siteentry/documents_test.go
@@ -69,10 +69,11 @@
 	sources map[string]*testSource
 	taken   []int64
 	fetched int
+	told    chan time.Time
 }
 
 func newTestEntry(t *testing.T) *testEntry {
-	e := &testEntry{sources: map[string]*testSource{}}
+	e := &testEntry{sources: map[string]*testSource{}, told: make(chan time.Time, 16)}
 	e.documents = newDocuments(documentsConfig{
 		fetch: func(_ context.Context, address string, wanted []chunk.Digest) ([]chunk.Chunk, error) {
 			e.mu.Lock()
@@ -86,6 +87,7 @@
 			defer e.mu.Unlock()
 			e.taken = append(e.taken, d.Number)
 		},
+		news: func(asked time.Time) { e.told <- asked },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -192,10 +194,10 @@
 // document that was shown among them counts once it is in force.
 func TestNewsCountOnceTheirDocumentIsInForce(t *testing.T) {
 	e := newTestEntry(t)
-	called := make(chan int64, 2)
-	e.whenCurrent(func() { called <- 0 })
-	if got := <-called; got != 0 {
-		t.Fatal("nothing was shown, and yet something is waited for")
+	first, second := time.Now(), time.Now().Add(time.Second)
+	e.heard(first)
+	if at := <-e.told; at != first {
+		t.Fatalf("news of %s were told, not those of %s", at, first)
 	}
 	s := newTestSource(t, 3, 500)
 	var open sync.Mutex
@@ -206,15 +208,16 @@
 		return false
 	}
 	e.connect("a", s)
-	e.whenCurrent(func() { called <- e.newest() })
+	e.heard(second)
+	e.heard(first)
 	select {
-	case <-called:
-		t.Fatal("called before the document was in force")
+	case <-e.told:
+		t.Fatal("told before the document was in force")
 	case <-time.After(50 * time.Millisecond):
 	}
 	open.Unlock()
-	if got := <-called; got != 3 {
-		t.Errorf("called with document %d in force", got)
+	if at := <-e.told; at != second || e.newest() != 3 {
+		t.Errorf("news of %s were told, not those of %s, with document %d in force", at, second, e.newest())
 	}
 }
 
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -106,7 +106,7 @@
 	if p.node, err = rpc.New(rpc.Config{Listen: c.Host.Internal, Ring: ring, Logger: c.Logger, Metrics: p.metrics}); err != nil {
 		return nil, err
 	}
-	p.site.documents = newDocuments(documentsConfig{fetch: p.fetch, take: p.site.takeDocument, logger: c.Logger})
+	p.site.documents = newDocuments(documentsConfig{fetch: p.fetch, take: p.site.takeDocument, news: p.site.thaw.heard, logger: c.Logger})
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Node: p.node, Watcher: watcher, Entry: true, Take: p.take, Logger: c.Logger,
 	})
@@ -143,8 +143,7 @@
 
 func (p *process) take(address string, a watch.Answer, sent time.Time) {
 	p.site.take(address, a)
-	// What was asked for after a standstill is known once its document is in force.
-	p.site.documents.whenCurrent(func() { p.site.thaw.heard(sent) })
+	p.site.documents.heard(sent)
 	p.budget.SetEntries(p.site.Entries())
 }
 
