--- a/deploy/soak/main.go
+++ b/deploy/soak/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -54,7 +55,7 @@
 	if first == 0 {
 		first = uint64(time.Now().UnixNano() % 1e9)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	c.length = time.Duration(seconds) * time.Second
 	os.Exit(soak(ctx, c, first, seeds, parallel))
@@ -79,6 +80,10 @@
 			r := run(ctx, c)
 			mu.Lock()
 			defer mu.Unlock()
+			if ctx.Err() != nil {
+				fmt.Printf("seed %d: interrupted\n", c.seed)
+				return
+			}
 			fmt.Println(r)
 			if len(r.broken) > 0 {
 				broken++
@@ -87,7 +92,7 @@
 	}
 	all.Wait()
 	fmt.Printf("%d seeds from %d on, %d broken; logs in %s\n", seeds, first, broken, c.folder)
-	if broken > 0 {
+	if broken > 0 || ctx.Err() != nil {
 		return exitBroken
 	}
 	return exitHeld
