A blank replica asks those that followers name as their leader

A replica that lost its disk knows the seeds alone. While one leads that is no seed it found no leader, asked nobody, and stayed out of the control log: callers saw nothing, but the next loss counted double.

Cause: the look for the leader took only what was asked directly; a follower's word on whom it follows was passed over. Ruled out: that the leader refused it (no replica had written join-asked).

Now at most two of the named ones are asked as well, the latest term first, and only one that says itself that it leads is asked to take it in. TestBlankReplicaFindsALeaderThatIsNoSeed and the two new tests failed before (asked "", the leader is at "other"; asked "", "leader"; asked "", "named-19") and hold now.

--- a/internal/control/admission/keeper.go
+++ b/internal/control/admission/keeper.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +24,8 @@
 	changeTimeout = time.Second
 	// joinAfter is how long a replica must have heard no leader until it asks to be taken in.
 	joinAfter = time.Second
+	// maxNamed is how many replicas that others name as their leader are asked at a look.
+	maxNamed = 2
 )
 
 // Replica is this process's replica.
@@ -212,25 +216,55 @@
 }
 
 // leader returns the status of the replica that leads, if any that is known does.
+//
+// A replica without a log knows the seeds alone. Where none of them leads, those that
+// they follow are asked as well; being named is no proof, a leader says itself that it leads.
 func (k *keeper) leader(ctx context.Context, self replica.Status) (replica.Status, bool) {
+	known := slices.DeleteFunc(slices.Clone(k.Addresses()), func(a string) bool { return a == self.Address })
+	answers := k.statuses(ctx, known)
+	named := slices.DeleteFunc(namedLeaders(answers), func(a string) bool {
+		return a == self.Address || slices.Contains(known, a)
+	})
+	answers = append(answers, k.statuses(ctx, named[:min(len(named), maxNamed)])...)
+	var found replica.Status
+	for _, s := range answers {
+		if s.Role == raft.Leader.String() && s.Term >= found.Term {
+			found = s
+		}
+	}
+	return found, found.Role != ""
+}
+
+// statuses asks the replicas at addresses where they stand and returns the answers that come in time.
+func (k *keeper) statuses(ctx context.Context, addresses []string) []replica.Status {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var asked sync.WaitGroup
-	var found replica.Status
-	for _, a := range k.Addresses() {
-		if a == self.Address {
-			continue
-		}
+	var answers []replica.Status
+	for _, a := range addresses {
 		asked.Go(func() {
 			s, err := k.Peers.Status(ctx, a)
+			if err != nil {
+				return
+			}
 			mu.Lock()
 			defer mu.Unlock()
-			if err == nil && s.Role == raft.Leader.String() && s.Term >= found.Term {
-				found = s
-			}
+			answers = append(answers, s)
 		})
 	}
 	asked.Wait()
-	return found, found.Role != ""
+	return answers
+}
+
+// namedLeaders returns the addresses that the replicas name as their leader's, those of the latest term first.
+func namedLeaders(answers []replica.Status) []string {
+	latest := slices.SortedFunc(slices.Values(answers), func(a, b replica.Status) int { return cmp.Compare(b.Term, a.Term) })
+	var named []string
+	for _, s := range latest {
+		if s.LeaderAddress != "" && !slices.Contains(named, s.LeaderAddress) {
+			named = append(named, s.LeaderAddress)
+		}
+	}
+	return named
 }
--- a/internal/control/admission/keeper_test.go
+++ b/internal/control/admission/keeper_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"testing"
 
 	"hornbeamwood/internal/control/raft"
@@ -18,10 +20,13 @@
 func (r fakeReplica) Promote(context.Context, raft.Identity) error { return nil }
 func (r fakeReplica) Remove(context.Context, raft.Identity) error  { return nil }
 
-// fakePeers are replicas by their address; it notes who was asked to take a member in.
+// fakePeers are replicas by their address; it notes who was asked where it stands and who to take a member in.
 type fakePeers struct {
 	statuses map[string]replica.Status
 	asked    string
+
+	mu    sync.Mutex
+	calls []string
 }
 
 func (p *fakePeers) Probe(context.Context, string) (replica.Formation, error) {
@@ -29,6 +34,9 @@
 }
 
 func (p *fakePeers) Status(_ context.Context, address string) (replica.Status, error) {
+	p.mu.Lock()
+	p.calls = append(p.calls, address)
+	p.mu.Unlock()
 	s, ok := p.statuses[address]
 	if !ok {
 		return replica.Status{}, errors.New("unreachable")
@@ -63,3 +71,51 @@
 		t.Errorf("asked %q to be taken in, the leader is at %q", p.asked, "other")
 	}
 }
+
+// blankKeeper returns a Keeper of a replica that lost its disk and knows the addresses alone.
+func blankKeeper(p Peers, known ...string) Keeper {
+	return NewKeeper(Config{
+		Replica:   fakeReplica{replica.Status{Identity: "9", Address: "blank", Role: replica.RoleBlank}},
+		Peers:     p,
+		Addresses: func() []string { return known },
+	})
+}
+
+// A seed was cut off and still names the leader that it followed then, which leads no
+// more. A replica that lost its disk must not ask that one to be taken in, but the one
+// that leads now.
+func TestBlankReplicaPassesOverAFormerLeader(t *testing.T) {
+	stale := replica.Status{Role: raft.Follower.String(), Term: 2, LeaderAddress: "former"}
+	fresh := replica.Status{Role: raft.Follower.String(), Term: 3, LeaderAddress: "leader"}
+	former := replica.Status{Role: raft.Follower.String(), Term: 3, Address: "former", LeaderAddress: "leader"}
+	leader := replica.Status{Role: raft.Leader.String(), Term: 3, Address: "leader"}
+	p := &fakePeers{statuses: map[string]replica.Status{"seed-1": stale, "former": former, "seed-2": fresh, "leader": leader}}
+	blankKeeper(p, "seed-1").Look(t.Context())
+	if p.asked != "" {
+		t.Errorf("asked %q to be taken in, which doesn't lead", p.asked)
+	}
+	blankKeeper(p, "seed-1", "seed-2").Look(t.Context())
+	if p.asked != "leader" {
+		t.Errorf("asked %q to be taken in, the leader is at %q", p.asked, "leader")
+	}
+}
+
+// Replicas name each a leader of their own. A replica that lost its disk asks a few of
+// them, those of the latest terms, and not whomever it is told of.
+func TestBlankReplicaAsksFewOfTheNamedLeaders(t *testing.T) {
+	p := &fakePeers{statuses: map[string]replica.Status{}}
+	var known []string
+	for i := range uint64(20) {
+		a := fmt.Sprint("seed-", i)
+		known = append(known, a)
+		p.statuses[a] = replica.Status{Role: raft.Follower.String(), Term: i, LeaderAddress: fmt.Sprint("named-", i)}
+	}
+	p.statuses["named-19"] = replica.Status{Role: raft.Leader.String(), Term: 19, Address: "named-19"}
+	blankKeeper(p, known...).Look(t.Context())
+	if p.asked != "named-19" {
+		t.Errorf("asked %q to be taken in, the leader is at %q", p.asked, "named-19")
+	}
+	if most := len(known) + maxNamed; len(p.calls) > most {
+		t.Errorf("%d replicas were asked where they stand, %d at most", len(p.calls), most)
+	}
+}
