Each entry exchanges hints with one replica, its relay

What callers saw on the large site: prompts met at the same engines, so that a quarter of the long ones were late in the first seconds and streams of short ones paused for 0.6 to 1.1 s behind them.

Cause: with 291 entries what one has at an engine reached the others after up to 0.475 s at the entry, 0.475 s at the holder of the lease and 0.4 s of gathering; which engine reads a part after 0.57 s and 0.4 s; what engines keep after 3.8 s. The intervals grew with the number of entries because one replica told all of them. Ruled out as the remedy: shorter intervals alone.

Now loads, readings and what engines keep go over the entry's relay: the holder with up to 32 entries, else a replica of the entry's availability zone. Relays ask each other for what they were told. Hints may be late or missing, nothing that must hold depends on them. A relay's work grows with the entries that it serves, so the intervals do too: 0.1 s at the entry, 0.125 s and at most 0.08 s at the relay, and what engines keep comes after 0.8 s.

Also: what was told of an engine's memory before its announcement had come was dropped, and told again only when it changed; it is kept now.

The tests of relays are new; TestEngineIsToldOfByItsReplica moved with the code: its half on two replicas that tell of one engine is TestEngineMovesToAnotherReplica now.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -36,6 +36,8 @@
 	DocumentNotFetched = define(914, log.WarnLevel, "document-not-fetched", "Chunks of a document did not come from the named replica; another one is asked for those that are lacking.")
 	// RowTooLarge is written when a replica shows a row that is larger than an answer to a poll should be.
 	RowTooLarge = define(915, log.WarnLevel, "row-too-large", "A row is larger than one answer to a poll should be; polls may time out before it is through.")
+	// RelayChosen is written when an entry takes another relay.
+	RelayChosen = define(916, log.InfoLevel, "relay-chosen", "The entry exchanges hints on engines with another replica; empty when none answers.")
 	// WeightsOrdered is written for each order to an engine.
 	WeightsOrdered = define(930, log.InfoLevel, "weights-ordered", "An engine was ordered to load weights; the fields give the fencing number, the expected sequence and the outcome.")
 	// EngineNotAsked is written when an engine can't be asked.
--- a/internal/process/sitecontrol/caches.go
+++ b/internal/process/sitecontrol/caches.go
@@ -78,17 +78,17 @@
 
 // watch shows what one engine keeps until ctx ends; nothing is shown while the engine doesn't answer.
 func (c *caches) watch(ctx context.Context, s directory.Server) {
-	defer c.board.Put(topic.Caches, s.ID, nil)
+	defer c.relay.dropCache(s.ID)
 	k := stores.NewCache(longPart)
 	for ctx.Err() == nil {
 		if err := c.poll(ctx, s, k); err != nil {
-			c.board.Put(topic.Caches, s.ID, nil)
+			c.relay.dropCache(s.ID)
 			k = stores.NewCache(longPart)
 			wait.For(ctx, storePause)
 			continue
 		}
-		c.put(topic.Caches, s.ID, topic.Cache{Born: s.Born, Least: longPart, Parts: maps.Clone(k.Parts())})
-		wait.For(ctx, time.Duration(1+c.watched.Entries()/entriesPerInterval)*cachePause)
+		c.relay.putCache(s.ID, topic.Cache{Born: s.Born, Least: longPart, Parts: maps.Clone(k.Parts())})
+		wait.For(ctx, time.Duration(1+c.relay.entries.Entries()/entriesPerInterval)*cachePause)
 	}
 }
 
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -21,7 +21,6 @@
 	"hornbeamwood/internal/control/state"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
-	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/settings/lease"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/chunk"
@@ -76,7 +75,7 @@
 	loops     sync.WaitGroup
 	peers     atomic.Pointer[[]string]
 	holder    *holder
-	loads     share.Adder
+	relay     *relay
 	watched   watch.Server
 	librarian *librarian
 	// shown is the number of the document on the board.
@@ -88,7 +87,7 @@
 
 // New opens the data folder and the sockets of a control process.
 func New(c Config) (Process, error) {
-	p := &process{config: c, metrics: metrics.NewSet(), board: board.New(uint64(time.Now().UnixNano())), loaded: map[string]topic.Loading{}, loads: share.NewAdder()}
+	p := &process{config: c, metrics: metrics.NewSet(), board: board.New(uint64(time.Now().UnixNano())), loaded: map[string]topic.Loading{}}
 	p.host.Store(&c.Host)
 	p.shown.Store(noDocument)
 	p.peers.Store(&c.Host.Seeds)
@@ -151,8 +150,12 @@
 }
 
 func (p *process) watchers() {
+	p.relay = newRelay(relayConfig{
+		node: p.node, self: p.config.Host.Internal, zone: p.config.Host.Zone, epoch: p.board.Epoch(),
+		caughtUp: func() bool { return p.replica.Status().CaughtUp }, logger: p.config.Logger,
+	})
 	server := watch.NewServer(watch.Config{
-		Node: p.node, Board: p.board,
+		Method: watch.Watch, Zone: p.config.Host.Zone, Node: p.node, Board: p.board,
 		CaughtUp: func() bool { return p.replica.Status().CaughtUp },
 		Holder:   func() (uint64, int64) { return p.holder.number(), p.librarian.clock.Now() },
 	})
@@ -162,10 +165,8 @@
 		return chunksOf(h, wanted), nil
 	})
 	rpc.Receive(p.node, watch.Uses, func(_ rpc.Peer, hashes []uint64) { p.librarian.use(hashes) })
-	rpc.Receive(p.node, watch.Loads, func(_ rpc.Peer, l share.Post) { p.loads.Take(l, time.Now()) })
-	rpc.Receive(p.node, watch.Readings, func(_ rpc.Peer, all []watch.Reading) { p.takeReadings(all) })
 	p.follower = watch.NewFollower(watch.FollowerConfig{
-		Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), Take: p.take, Logger: p.config.Logger,
+		Method: watch.Watch, Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), Take: p.take, Logger: p.config.Logger,
 	})
 	p.servers = &announcements{
 		home: p.config.Host.Internal, heartbeat: p.config.Host.Bounds.Heartbeat,
@@ -234,13 +235,6 @@
 	}
 }
 
-// takeReadings shows entries which engines read which parts.
-func (p *process) takeReadings(all []watch.Reading) {
-	for _, r := range all {
-		p.put(topic.Reads, stores.Part{Salt: r.Salt, ID: r.Part}.Key(""), r)
-	}
-}
-
 // Run implements Process.
 func (p *process) Run(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -258,7 +252,7 @@
 	p.loops.Go(func() {
 		(&caches{process: p, client: p.config.Stores, following: map[string]context.CancelFunc{}}).run(serving)
 	})
-	p.loops.Go(func() { p.showLoads(serving) })
+	p.loops.Go(func() { p.relay.run(serving, p.addresses) })
 	p.loops.Go(func() {
 		weights.New(weights.Config{Client: p.config.Engines, Site: engines{p}, Within: p.config.Host.Bounds.Weights, Logger: p.config.Logger}).Run(serving)
 	})
--- a/internal/process/sitecontrol/loads.go
+++ b/internal/process/sitecontrol/loads.go
@@ -1,16 +1,6 @@
 package sitecontrol
 
-import (
-	"context"
-	"time"
-
-	"github.com/apex/log"
-
-	"hornbeamwood/internal/base/codec"
-	"hornbeamwood/internal/base/event"
-	"hornbeamwood/internal/base/wait"
-	"hornbeamwood/internal/site/topic"
-)
+import "time"
 
 const (
 	// loadsInterval is the time between two sums on the board while there are few
@@ -25,24 +15,6 @@
 	loadsRate = 20_000
 )
 
-// showLoads puts the sum of the entries' loads on the board until ctx ends.
-func (p *process) showLoads(ctx context.Context) {
-	size := 0
-	for ctx.Err() == nil {
-		wait.For(ctx, loadsPause(p.watched.Entries(), size))
-		if p.holder.number() == 0 {
-			continue
-		}
-		b, err := codec.Marshal(p.loads.Sum(time.Now()))
-		if err != nil {
-			event.NoticeRefused.Write(p.config.Logger, log.Fields{"notice": "loads", "error": err.Error()})
-			continue
-		}
-		size = len(b)
-		p.board.Put(topic.Loads, "", b)
-	}
-}
-
 // loadsPause returns how long to wait between two sums of so many bytes for so many entries.
 func loadsPause(entries, size int) time.Duration {
 	byEntries := time.Duration(1+entries/entriesPerInterval) * loadsInterval
--- /dev/null
+++ b/internal/process/sitecontrol/relay.go
@@ -0,0 +1,254 @@
+package sitecontrol
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/base/wait"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/serve/share"
+	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/stores"
+	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
+)
+
+const (
+	// relayInterval is the time between two looks whom to exchange hints with.
+	relayInterval = 250 * time.Millisecond
+	// peerTimeout is how long another relay's hints count without hearing from it.
+	peerTimeout = 2 * time.Second
+	// exchangePause is how long hints are gathered for the other relays.
+	exchangePause = 20 * time.Millisecond
+	// hintsPause is how long hints are gathered for each entry that the relay serves, so
+	// that it gives as many answers a second to any number of them.
+	hintsPause = 1500 * time.Microsecond
+)
+
+// relay passes on what makes the entries' choices better: what they have at each
+// engine, which engines read which parts, and what lies in engines' memory.
+//
+// Were each entry told by every replica, or all by one, the work of a replica would
+// grow with entries times news, and the news would have to be gathered for longer the
+// more entries there are: they would all choose by one old picture and meet at the
+// same engines. Each entry has one relay instead, relays tell each other, and a relay's
+// work grows with the entries that it serves. Hints may be late or missing; nothing
+// that must hold depends on them.
+type relay struct {
+	node   rpc.Node
+	self   string
+	logger log.Interface
+	// told holds the hints that came from entries and engines of this replica, shown
+	// those of all relays.
+	told, shown board.Board
+	entries     watch.Server
+	follower    watch.Follower
+	loads       share.Adder
+
+	mu sync.Mutex
+	// sums are the other relays' loads, caches the engines that each relay follows, this one's under self.
+	sums   map[string]share.Sum
+	caches map[string]map[string]bool
+}
+
+// relayConfig is what a relay needs.
+type relayConfig struct {
+	node rpc.Node
+	// self is this replica's address, zone its availability zone.
+	self, zone string
+	epoch      uint64
+	caughtUp   func() bool
+	logger     log.Interface
+}
+
+func newRelay(c relayConfig) *relay {
+	r := &relay{
+		node: c.node, self: c.self, logger: c.logger, told: board.New(c.epoch), shown: board.New(c.epoch), loads: share.NewAdder(),
+		sums: map[string]share.Sum{}, caches: map[string]map[string]bool{},
+	}
+	noLease := func() (uint64, int64) { return 0, 0 }
+	r.entries = watch.NewServer(watch.Config{Method: watch.Hints, Zone: c.zone, Node: c.node, Board: r.shown, CaughtUp: c.caughtUp, Holder: noLease, Pause: pauseOfHints})
+	watch.NewServer(watch.Config{
+		Method: watch.Exchange, Zone: c.zone, Node: c.node, Board: r.told, CaughtUp: c.caughtUp, Holder: noLease,
+		Pause: func(int) time.Duration { return exchangePause },
+	})
+	rpc.Receive(c.node, watch.Loads, func(_ rpc.Peer, l share.Post) { r.loads.Take(l, time.Now()) })
+	rpc.Receive(c.node, watch.Readings, func(_ rpc.Peer, all []watch.Reading) { r.takeReadings(all) })
+	r.follower = watch.NewFollower(watch.FollowerConfig{
+		Method: watch.Exchange, Node: c.node, Watcher: fmt.Sprintf("%s/%d", c.self, c.epoch), Take: r.take, Logger: c.logger,
+	})
+	return r
+}
+
+// pauseOfHints returns how long hints are gathered for so many entries.
+func pauseOfHints(entries int) time.Duration {
+	return time.Duration(max(1, entries)) * hintsPause
+}
+
+// put shows a hint that this replica was told.
+func (r *relay) put(t board.Topic, key string, value any) {
+	b, err := codec.Marshal(value)
+	if err != nil {
+		event.NoticeRefused.Write(r.logger, log.Fields{"notice": "hint", "topic": t, "key": key, "error": err.Error()})
+		return
+	}
+	r.told.Put(t, key, b)
+	r.shown.Put(t, key, b)
+}
+
+// putCache shows what lies in the memory of an engine that announces itself to this replica.
+func (r *relay) putCache(server string, c topic.Cache) {
+	b, err := codec.Marshal(c)
+	if err != nil {
+		event.NoticeRefused.Write(r.logger, log.Fields{"notice": "cache", "server": server, "error": err.Error()})
+		return
+	}
+	r.told.Put(topic.Caches, server, b)
+	r.takeCache(r.self, board.Row{Topic: topic.Caches, Key: server, Value: b})
+}
+
+// dropCache ends what this replica tells of an engine.
+func (r *relay) dropCache(server string) {
+	r.told.Put(topic.Caches, server, nil)
+	r.takeCache(r.self, board.Row{Topic: topic.Caches, Key: server})
+}
+
+func (r *relay) takeReadings(all []watch.Reading) {
+	for _, x := range all {
+		r.put(topic.Reads, stores.Part{Salt: x.Salt, ID: x.Part}.Key(""), x)
+	}
+}
+
+// take takes the hints that another relay was told.
+func (r *relay) take(address string, a watch.Answer, _ time.Time) {
+	for _, row := range a.Rows {
+		switch row.Topic {
+		case topic.Loads:
+			r.takeSum(address, row)
+		case topic.Caches:
+			r.takeCache(address, row)
+		case topic.Reads:
+			r.shown.Put(row.Topic, row.Key, row.Value)
+		}
+	}
+}
+
+func (r *relay) takeSum(address string, row board.Row) {
+	s, err := codec.Unmarshal[share.Sum](row.Value)
+	if err != nil {
+		event.NoticeRefused.Write(r.logger, log.Fields{"notice": "sum of loads", "peer": address, "error": err.Error()})
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sums[address] = s
+}
+
+// takeCache takes what a relay tells of an engine's memory, or that it tells no more of it.
+//
+// An engine that has moved to another replica is told of by two of them for a moment.
+// The word of the one that it has left must not undo the other's.
+func (r *relay) takeCache(address string, row board.Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(row.Value) == 0 {
+		if r.caches[address][row.Key] {
+			delete(r.caches[address], row.Key)
+			r.shown.Put(row.Topic, row.Key, nil)
+		}
+		return
+	}
+	for _, followed := range r.caches {
+		delete(followed, row.Key)
+	}
+	if r.caches[address] == nil {
+		r.caches[address] = map[string]bool{}
+	}
+	r.caches[address][row.Key] = true
+	r.shown.Put(row.Topic, row.Key, row.Value)
+}
+
+// expire forgets what relays told that don't answer any more.
+func (r *relay) expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for address := range r.sums {
+		if r.silent(address) {
+			delete(r.sums, address)
+		}
+	}
+	for address, followed := range r.caches {
+		if address == r.self || !r.silent(address) {
+			continue
+		}
+		delete(r.caches, address)
+		for key := range followed {
+			r.shown.Put(topic.Caches, key, nil)
+		}
+	}
+}
+
+func (r *relay) silent(address string) bool {
+	ago, ok := r.follower.Heard(address)
+	return !ok || ago > peerTimeout
+}
+
+// run exchanges hints with the relays at addresses while entries ask for them, until ctx ends.
+func (r *relay) run(ctx context.Context, addresses func() []string) {
+	var sums sync.WaitGroup
+	sums.Go(func() { r.showLoads(ctx) })
+	defer sums.Wait()
+	for {
+		var peers []string
+		if r.entries.Entries() > 0 {
+			peers = addresses()
+		}
+		r.follower.Follow(ctx, peers)
+		r.expire()
+		if !wait.For(ctx, relayInterval) {
+			return
+		}
+	}
+}
+
+// showLoads shows the sum of the loads until ctx ends: to other relays that of the
+// entries of this one, to those entries that of all.
+func (r *relay) showLoads(ctx context.Context) {
+	size := 0
+	for ctx.Err() == nil {
+		n := r.entries.Entries()
+		wait.For(ctx, loadsPause(n, size))
+		own := r.loads.Sum(time.Now())
+		r.putSum(r.told, share.Sum{Loads: own.Loads})
+		if n > 0 {
+			size = r.putSum(r.shown, r.total(own))
+		}
+	}
+}
+
+// total adds the other relays' loads.
+func (r *relay) total(own share.Sum) share.Sum {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.sums {
+		own = own.WithLoads(s)
+	}
+	return own
+}
+
+// putSum shows a sum on a board and returns its bytes.
+func (r *relay) putSum(b board.Board, s share.Sum) int {
+	encoded, err := codec.Marshal(s)
+	if err != nil {
+		event.NoticeRefused.Write(r.logger, log.Fields{"notice": "loads", "error": err.Error()})
+		return 0
+	}
+	b.Put(topic.Loads, "", encoded)
+	return len(encoded)
+}
--- /dev/null
+++ b/internal/process/sitecontrol/relay_test.go
@@ -0,0 +1,177 @@
+package sitecontrol
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/serve/share"
+	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
+)
+
+func testNode(t *testing.T, role keys.Role) (rpc.Node, string) {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := c.LocalAddr().String()
+	_ = c.Close()
+	ring, err := keys.NewOpenRing(address, role)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := rpc.New(rpc.Config{Listen: address, Ring: ring})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Close() })
+	return n, address
+}
+
+// quietRelay returns a relay that serves nobody, for what needs no network.
+func quietRelay(t *testing.T) *relay {
+	t.Helper()
+	n, address := testNode(t, keys.Control)
+	return newRelay(relayConfig{node: n, self: address, epoch: 1, caughtUp: func() bool { return true }})
+}
+
+func cacheRow(t *testing.T, born int64) board.Row {
+	t.Helper()
+	b, err := codec.Marshal(topic.Cache{Born: born, Least: 1024})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return board.Row{Topic: topic.Caches, Key: "engine", Value: b}
+}
+
+// shownCache returns what the relay shows entries of the engine's memory.
+func (r *relay) shownCache() []byte {
+	rows, _ := r.shown.Since(0)
+	at := slices.IndexFunc(rows, func(x board.Row) bool { return x.Topic == topic.Caches })
+	if at < 0 {
+		return nil
+	}
+	return rows[at].Value
+}
+
+// Two replicas tell of one engine's memory while it moves from one to the other. The
+// word of the replica that it has left must not undo the newer one's: entries would go
+// back to guessing and have parts read again that the engine still has.
+func TestEngineMovesToAnotherReplica(t *testing.T) {
+	r := quietRelay(t)
+	r.take("old", watch.Answer{Rows: []board.Row{cacheRow(t, 1)}}, time.Now())
+	r.take("new", watch.Answer{Rows: []board.Row{cacheRow(t, 2)}}, time.Now())
+	r.take("old", watch.Answer{Rows: []board.Row{{Topic: topic.Caches, Key: "engine"}}}, time.Now())
+	if len(r.shownCache()) == 0 {
+		t.Error("the replica that the engine has left undid what the new one told")
+	}
+	r.putCache("engine", topic.Cache{Born: 3})
+	r.take("new", watch.Answer{Rows: []board.Row{{Topic: topic.Caches, Key: "engine"}}}, time.Now())
+	if len(r.shownCache()) == 0 {
+		t.Error("the replica that the engine has left undid what this one knows")
+	}
+	r.dropCache("engine")
+	if len(r.shownCache()) != 0 {
+		t.Error("an engine that nobody follows is still told of")
+	}
+}
+
+// A replica dies with the loads of thirty entries and the memory of twenty engines.
+// Counted for ever, they would keep all entries from engines that are free, and have
+// prompts sent where nothing is kept.
+func TestHintsOfALostRelayAreForgotten(t *testing.T) {
+	r := quietRelay(t)
+	b, err := codec.Marshal(share.Sum{Loads: map[uint32]share.Load{7: {InFlight: 9}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.take("lost", watch.Answer{Rows: []board.Row{cacheRow(t, 1), {Topic: topic.Loads, Value: b}}}, time.Now())
+	if r.total(share.Sum{}).Loads[7].InFlight != 9 || len(r.shownCache()) == 0 {
+		t.Fatal("what another relay tells doesn't count")
+	}
+	r.expire()
+	if n := r.total(share.Sum{}).Loads[7].InFlight; n != 0 {
+		t.Errorf("%d requests of a lost relay's entries still count", n)
+	}
+	if len(r.shownCache()) != 0 {
+		t.Error("a lost relay's word of an engine still counts")
+	}
+}
+
+// Entries of two relays choose among the same engines. Each must hear of what the
+// other has there within a fraction of the time that a prompt is read for, or both
+// choose the same engine for the next one.
+func TestEntriesOfTwoRelaysSeeEachOther(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var relays []*relay
+	var addresses []string
+	for range 2 {
+		n, address := testNode(t, keys.Control)
+		relays = append(relays, newRelay(relayConfig{node: n, self: address, epoch: 1, caughtUp: func() bool { return true }}))
+		addresses = append(addresses, address)
+		go func() { _ = n.Serve(ctx) }()
+	}
+	for i, r := range relays {
+		others := []string{addresses[1-i]}
+		go r.run(ctx, func() []string { return others })
+	}
+	heard := make(chan struct{})
+	follower := func(i int, take func(a watch.Answer)) {
+		n, _ := testNode(t, keys.Entry)
+		f := watch.NewFollower(watch.FollowerConfig{Method: watch.Hints, Node: n, Watcher: addresses[i], Entry: true, Take: func(_ string, a watch.Answer, _ time.Time) { take(a) }})
+		f.Follow(ctx, []string{addresses[i]})
+		if i == 0 {
+			post := share.Post{Entry: "e", Number: 1, Loads: share.Loads{"engine": {InFlight: 3}}}
+			if err := rpc.Notify(ctx, n, addresses[0], watch.Loads, post); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	others := share.NewOthers("another")
+	follower(0, func(watch.Answer) {})
+	follower(1, func(a watch.Answer) {
+		for _, row := range a.Rows {
+			s, err := codec.Unmarshal[share.Sum](row.Value)
+			if err == nil && row.Topic == topic.Loads && others.Load("engine", time.Now()).InFlight == 0 {
+				others.Take(s, time.Now())
+				if others.Load("engine", time.Now()).InFlight == 3 {
+					close(heard)
+				}
+			}
+		}
+	})
+	select {
+	case <-heard:
+	case <-time.After(postLife):
+		t.Error("an entry doesn't hear of the load that an entry of another relay has told")
+	}
+}
+
+// postLife is how long a load counts after an entry has told it.
+const postLife = 1500 * time.Millisecond
+
+// A relay of fifty entries must give them news several times in the time that a prompt
+// runs, at a number of answers that its share of a processor bears; a relay of few
+// entries must not let them wait.
+func TestRelayAnswersAtASteadyRate(t *testing.T) {
+	// A third of a share of 0.24 cores, at 63 us an answer; a tenth of the time that a long prompt runs.
+	const mostAnswers, oldest = 1270, 130 * time.Millisecond
+	for n := 1; n <= 80; n++ {
+		pause := pauseOfHints(n)
+		if pause > oldest {
+			t.Errorf("%d entries: hints wait for %s", n, pause)
+		}
+		if rate := float64(n) / pause.Seconds(); rate > mostAnswers {
+			t.Errorf("%d entries: %.0f answers a second", n, rate)
+		}
+	}
+}
--- a/internal/process/siteentry/caches.go
+++ b/internal/process/siteentry/caches.go
@@ -1,53 +1,52 @@
 package siteentry
 
 import (
-	"time"
-
 	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/topic"
 )
 
-// takeCache takes what a replica tells of an engine's memory. An engine that
-// announces itself elsewhere is told of by another replica from then on.
-func (s *site) takeCache(address string, r board.Row) error {
+// takeCache takes what the relay tells of an engine's memory.
+//
+// Hints and announcements come by different ways; what is told of a start that hasn't
+// announced itself here is kept until it has, since it is told again only when it changes.
+func (s *site) takeCache(r board.Row) error {
 	if len(r.Value) == 0 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.forgetCaches(func(server, from string) bool { return server == r.Key && from == address })
+		delete(s.caches, r.Key)
+		s.memory.Confirm(r.Key, nil, 0)
 		return nil
 	}
 	return decoded(r, func(c topic.Cache) {
-		if known, ok := s.directory.Get(r.Key); !ok || known.Born != c.Born {
-			return
-		}
 		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.cachesFrom[r.Key] = address
-		if c.Parts == nil {
-			c.Parts = map[uint64]int{}
+		s.caches[r.Key] = c
+		s.mu.Unlock()
+		if known, ok := s.directory.Get(r.Key); ok {
+			s.confirmCache(known)
 		}
-		s.memory.Confirm(r.Key, c.Parts, c.Least)
 	})
 }
 
-// forgetCaches goes back to guessing for the engines that the condition holds
-// for; the caller holds the lock.
-func (s *site) forgetCaches(condition func(server, from string) bool) {
-	for server, from := range s.cachesFrom {
-		if condition(server, from) {
-			delete(s.cachesFrom, server)
-			s.memory.Confirm(server, nil, 0)
-		}
+// confirmCache applies what was told of the memory of this start of an engine.
+func (s *site) confirmCache(v directory.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.caches[v.ID]
+	if !ok || c.Born != v.Born {
+		return
 	}
+	if c.Parts == nil {
+		c.Parts = map[uint64]int{}
+	}
+	s.memory.Confirm(v.ID, c.Parts, c.Least)
 }
 
-// expireCaches goes back to guessing what lies in engines whose replica hasn't
-// answered for a while: what was there then may have been dropped since.
-func (s *site) expireCaches() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.forgetCaches(func(_, from string) bool {
-		l, ok := s.leads[from]
-		return !ok || time.Since(l.polled) > tellsFor
-	})
+// forgetCaches goes back to guessing what lies in engines: no relay tells it any
+// more, and what was there may have been dropped since. The caller holds the lock.
+func (s *site) forgetCaches() {
+	for server := range s.caches {
+		s.memory.Confirm(server, nil, 0)
+	}
+	clear(s.caches)
 }
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -78,6 +78,7 @@
 	site     *site
 	tracker  observe.Tracker
 	follower watch.Follower
+	hints    *hints
 	client   backend.Client
 	budget   retry.Budget
 	handler  http.Handler
@@ -107,8 +108,9 @@
 		return nil, err
 	}
 	p.site.documents = newDocuments(documentsConfig{fetch: p.fetch, take: p.site.takeDocument, news: p.site.thaw.heard, logger: c.Logger})
+	p.hints = newHints(p, watcher)
 	p.follower = watch.NewFollower(watch.FollowerConfig{
-		Node: p.node, Watcher: watcher, Entry: true, Take: p.take, Logger: c.Logger,
+		Method: watch.Watch, Node: p.node, Watcher: watcher, Entry: true, Take: p.take, Logger: c.Logger,
 	})
 	dialled := p.metrics.NewCounter("hornbeamwood_site_dialled_total")
 	p.client = backend.New(backend.Config{
@@ -176,6 +178,7 @@
 	p.loops.Go(func() { p.refollow(serving) })
 	p.loops.Go(func() { p.site.documents.run(serving) })
 	p.loops.Go(func() { p.site.thaw.run(serving) })
+	p.loops.Go(func() { p.hints.run(serving) })
 	p.loops.Go(func() { p.tellReadings(serving) })
 	p.loops.Go(func() { p.tellUses(serving) })
 	p.loops.Go(func() { p.tellLoads(serving) })
@@ -191,6 +194,7 @@
 	p.drain()
 	stop()
 	p.follower.Wait()
+	p.hints.follower.Wait()
 	p.loops.Wait()
 	p.client.Close()
 	err := p.node.Close()
@@ -229,7 +233,6 @@
 			return
 		case <-t.C:
 			p.follower.Follow(ctx, p.addresses())
-			p.site.expireCaches()
 		}
 	}
 }
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"hornbeamwood/internal/serve/choose"
-	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/stores"
@@ -49,6 +48,8 @@
 	// epochs is the start of each store that the replica saw, polled when it last answered at all.
 	epochs map[string]int64
 	polled time.Time
+	// zone is the replica's availability zone.
+	zone string
 }
 
 func newLead(epoch uint64) *lead {
@@ -62,10 +63,9 @@
 	l, ok := s.leads[address]
 	if !ok || l.epoch != a.Epoch {
 		l = newLead(a.Epoch)
-		s.forgetCaches(func(_, from string) bool { return from == address })
 		s.leads[address] = l
 	}
-	l.polled = time.Now()
+	l.polled, l.zone = time.Now(), a.Zone
 	if a.Fencing != 0 {
 		l.fencing, l.heard = a.Fencing, l.polled
 	}
@@ -120,12 +120,6 @@
 		return l.takePart(r)
 	case topic.Shelves:
 		return decoded(r, l.takeShelf)
-	case topic.Loads:
-		if l != s.holder() {
-			return nil
-		}
-		defer s.changed()
-		return decoded(r, func(sum share.Sum) { s.others.Take(sum, time.Now()) })
 	case topic.Epochs:
 		return decoded(r, func(epoch int64) { l.epochs[r.Key] = epoch })
 	case topic.StoresUp:
--- a/internal/process/siteentry/lead_test.go
+++ b/internal/process/siteentry/lead_test.go
@@ -149,6 +149,9 @@
 		t.Error("the part is forgotten before the new holder has listed its store")
 	}
 	if at := s.holder(); at != s.leads["new"] {
+		t.Error("the uses of parts still go to the earlier holder")
+	}
+	if at := s.chooseRelay("z", "e", time.Now()); at != "new" {
 		t.Error("loads and readings still go to the earlier holder")
 	}
 	s.take("new", watch.Answer{Epoch: 1, Fencing: 5, Rows: []board.Row{row(t, topic.StoresUp, "1:1", true)}})
@@ -166,16 +169,21 @@
 	adder.Take(share.Post{Entry: "o", Number: 1, Loads: share.Loads{"i-1": {InFlight: 3}}}, time.Now())
 	s.takeDocument(document.Document{Number: 1}, nil)
 	s.take("a", watch.Answer{Epoch: 1, Fencing: 4, Rows: []board.Row{
-		row(t, topic.Loads, "", adder.Sum(time.Now())),
 		row(t, topic.Busy, "i-2", true),
 	}})
+	if err := s.takeHint(row(t, topic.Loads, "", adder.Sum(time.Now()))); err != nil {
+		t.Fatal(err)
+	}
 	if l := s.others.Load("i-1", time.Now()); l.InFlight != 3 {
 		t.Errorf("the others have %d requests there", l.InFlight)
 	}
 	if !s.Busy("i-2") {
 		t.Error("an engine that loads new weights isn't spared")
 	}
-	if s.leader() != "a" {
+	if s.chooseRelay("z", "e", time.Now()) != "a" {
 		t.Error("nobody is told what this entry has at engines")
 	}
+	if s.leader() != "a" {
+		t.Error("nobody is told which parts were asked for")
+	}
 }
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -84,7 +84,7 @@
 	defer s.mu.Unlock()
 	all := s.readings
 	s.readings = nil
-	return all, s.leader()
+	return all, s.relay
 }
 
 // pendingUses returns what is to be told, and the replica to tell it to.
@@ -106,10 +106,10 @@
 	tell(ctx, p.node, func() time.Duration { return usesInterval }, watch.Uses, p.site.pendingUses)
 }
 
-// scaled returns an interval for the present number of entries, so that what
-// they tell together doesn't grow with them.
+// scaled returns an interval for the number of entries that the relay serves, so
+// that what they tell it together doesn't grow with them.
 func (p *process) scaled(d time.Duration) time.Duration {
-	return time.Duration(1+p.site.Entries()/entriesPerInterval) * d
+	return time.Duration(1+p.hints.served()/entriesPerInterval) * d
 }
 
 // tellLoads tells what this entry has at each engine until ctx ends.
@@ -121,9 +121,7 @@
 		quiet++
 		force := time.Duration(quiet)*interval >= loadsRefresh
 		post, changed := p.site.others.Post(p.loads(), force, time.Now())
-		p.site.mu.Lock()
-		address := p.site.leader()
-		p.site.mu.Unlock()
+		address := p.site.hintsFrom()
 		if !changed || address == "" {
 			continue
 		}
--- /dev/null
+++ b/internal/process/siteentry/relay_test.go
@@ -0,0 +1,81 @@
+package siteentry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/serve/share"
+	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/parts"
+	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
+)
+
+// Three hundred entries before nine replicas, as one large site has them. If all told
+// one replica what they have at engines and heard of it from there, its work would
+// grow with the square of the entries, and news would be the older the more there are.
+func TestManyEntriesAreSpreadOverRelays(t *testing.T) {
+	zones := map[string]int{"a": 55, "b": 50, "c": 50, "d": 41, "e": 52, "f": 43}
+	replicas := []string{"a", "a", "b", "b", "c", "c", "d", "e", "f"}
+	served, far := map[string]int{}, 0
+	for zone, entries := range zones {
+		for i := range entries {
+			var known []candidateRelay
+			for j, z := range replicas {
+				known = append(known, candidateRelay{address: fmt.Sprint(z, j), near: z == zone, holder: j == 0})
+			}
+			relay := pickRelay(known, 291, fmt.Sprint(zone, "/", i))
+			served[relay]++
+			if relay[:1] != zone {
+				far++
+			}
+		}
+	}
+	if far > 0 {
+		t.Errorf("%d entries have a relay in another availability zone", far)
+	}
+	for relay, n := range served {
+		if n > 60 {
+			t.Errorf("%s serves %d entries", relay, n)
+		}
+	}
+}
+
+// On a small site the way from relay to relay would make news older than one relay
+// for all does.
+func TestFewEntriesShareOneRelay(t *testing.T) {
+	known := []candidateRelay{{address: "a", near: true}, {address: "b", holder: true}, {address: "c"}}
+	for i := range 20 {
+		if r := pickRelay(known, entriesPerRelay, fmt.Sprint(i)); r != "b" {
+			t.Errorf("entry %d has relay %q", i, r)
+		}
+	}
+	if pickRelay(nil, 3, "e") != "" || pickRelay(known[:1], 3, "e") != "a" {
+		t.Error("without a holder any replica that answers must do, and none without replicas")
+	}
+}
+
+// The relay of an entry is lost. What it told of loads goes on counting for a while as
+// that of any sum, but what it told of engines' memory is no longer followed, and the
+// next relay must be found among the replicas that still answer.
+func TestLostRelayIsLeft(t *testing.T) {
+	s := newSite(nil, parts.NewMemory(), share.NewOthers("e"), func() {})
+	s.follow = func() {}
+	s.takeDocument(document.Document{Number: 1}, nil)
+	s.take("a", watch.Answer{Epoch: 1, Fencing: 4})
+	now := time.Now()
+	first := s.chooseRelay("z", "e", now)
+	s.setRelay(first)
+	if first != "a" {
+		t.Fatalf("relay %q", first)
+	}
+	s.leads["b"] = newLead(1)
+	s.leads["b"].polled = now.Add(relayTimeout)
+	if r := s.chooseRelay("z", "e", now.Add(relayTimeout)); r != "b" {
+		t.Errorf("relay %q after the first was lost", r)
+	}
+	if err := s.takeHint(row(t, topic.Loads, "", share.Sum{})); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -57,8 +57,10 @@
 	// memory guesses what engines hold; readings waits to be told to the others.
 	memory   parts.Memory
 	readings []watch.Reading
-	// cachesFrom is the replica that tells what lies in each engine's memory.
-	cachesFrom map[string]string
+	// relay is the replica that this entry exchanges hints with, empty for none.
+	relay string
+	// caches is what the relay tells of the memory of engines that haven't announced themselves here yet.
+	caches map[string]topic.Cache
 	// others is what the other entries have at each engine; changed is called when it does.
 	others  share.Others
 	changed func()
@@ -87,8 +89,8 @@
 		clock:     stores.NewClock(),
 		saves:     map[stores.Part]time.Time{},
 
-		cachesFrom: map[string]string{},
-		uses:       map[uint64]struct{}{},
+		caches: map[string]topic.Cache{},
+		uses:   map[uint64]struct{}{},
 	}
 	time.AfterFunc(uninformed, func() { s.inform.Do(func() { close(s.informed) }) })
 	return s
@@ -132,14 +134,10 @@
 		return decoded(r, s.takeServer)
 	case topic.Members:
 		return decoded(r, func(m []string) { s.takeMembers(address, m) })
-	case topic.Reads:
-		return decoded(r, s.takeReading)
 	case topic.Loaded:
 		return decoded(r, func(l topic.Loading) { s.takeLoaded(r.Key, l) })
-	case topic.Parts, topic.Shelves, topic.StoresUp, topic.Busy, topic.Loads, topic.Epochs:
+	case topic.Parts, topic.Shelves, topic.StoresUp, topic.Busy, topic.Epochs:
 		return s.takeLeadRow(address, r)
-	case topic.Caches:
-		return s.takeCache(address, r)
 	case topic.Versions:
 		return decoded(r, func(v int64) { s.takeVersion(r.Key, v) })
 	case topic.NamedAt:
@@ -187,6 +185,7 @@
 
 func (s *site) takeServer(v directory.Server) {
 	if _, matters := s.directory.Merge(v); matters {
+		s.confirmCache(v)
 		event.ServerAnnounced.Write(s.logger, log.Fields{
 			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "born": v.Born,
 			"sequence": v.Sequence, "state": v.State.String(), "silent": v.Silent, "home": v.Home,
--- a/internal/process/siteentry/site_test.go
+++ b/internal/process/siteentry/site_test.go
@@ -59,10 +59,10 @@
 	}
 }
 
-// Two replicas tell of one engine's memory while it moves from one to the other.
-// The word of the replica that it has left must not undo the newer one's, and an
-// engine that is started anew has nothing of what the one before it had.
-func TestEngineIsToldOfByItsReplica(t *testing.T) {
+// An engine that is started anew has nothing of what the one before it had. What its
+// relay tells may come before the announcement of the start and must not be lost, and
+// without a relay nobody says any more that the engine still has it.
+func TestEngineIsToldOfByTheRelay(t *testing.T) {
 	s := quietSite()
 	now := time.Now()
 	s.takeServer(directory.Server{ID: "a", Born: 2, Service: "x", Address: "a:1"})
@@ -75,23 +75,31 @@
 		return board.Row{Topic: topic.Caches, Key: "a", Value: b}
 	}
 	holds := func() bool { return s.memory.Holds("a", "m/1", "part", 3000, now) }
-	take := func(address string, r board.Row) {
-		if err := s.takeRow(address, r); err != nil {
+	take := func(r board.Row) {
+		if err := s.takeHint(r); err != nil {
 			t.Fatal(err)
 		}
 	}
-	take("old", row(1))
+	take(row(1))
 	if holds() {
 		t.Error("the memory of an earlier start counts")
 	}
-	take("old", row(2))
-	take("new", row(2))
-	take("old", board.Row{Topic: topic.Caches, Key: "a"})
+	take(row(2))
 	if !holds() {
-		t.Error("the replica that the engine has left undid what the new one told")
+		t.Error("what the relay tells doesn't count")
 	}
-	s.expireCaches()
+	take(row(3))
+	s.takeServer(directory.Server{ID: "a", Born: 3, Service: "x", Address: "a:1"})
+	if !holds() {
+		t.Error("what was told before the announcement is lost")
+	}
+	s.setRelay("another")
+	if holds() {
+		t.Error("the word of a relay that is no more counts for ever")
+	}
+	take(row(3))
+	take(board.Row{Topic: topic.Caches, Key: "a"})
 	if holds() {
-		t.Error("the word of a replica that doesn't answer counts for ever")
+		t.Error("an engine that isn't followed any more is still believed to have the part")
 	}
 }
--- a/internal/serve/share/load.go
+++ b/internal/serve/share/load.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,6 +56,19 @@
 	Posts map[uint32]uint64 `cbor:"posts"`
 }
 
+// WithLoads returns the sum with other's loads added; the posts stay those of s.
+func (s Sum) WithLoads(other Sum) Sum {
+	loads := maps.Clone(s.Loads)
+	if loads == nil {
+		loads = map[uint32]Load{}
+	}
+	for h, l := range other.Loads {
+		loads[h] = loads[h].Plus(l)
+	}
+	s.Loads = loads
+	return s
+}
+
 // hash returns a short name for an engine or an entry.
 func hash(name string) uint32 {
 	return uint32(xxhash.Sum64String(name))
--- a/internal/site/watch/follower.go
+++ b/internal/site/watch/follower.go
@@ -22,6 +22,8 @@
 
 // FollowerConfig is what a Follower needs.
 type FollowerConfig struct {
+	// Method is the call that is made.
+	Method rpc.Method[Poll, Answer]
 	// Node makes the calls.
 	Node rpc.Node
 	// Watcher names this process with its start.
@@ -127,5 +129,5 @@
 func (f *follower) ask(ctx context.Context, address string, p Poll) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.Wait+answerSlack)
 	defer cancel()
-	return rpc.Call(ctx, f.config.Node, address, Watch, p)
+	return rpc.Call(ctx, f.config.Node, address, f.config.Method, p)
 }
--- a/internal/site/watch/protocol.go
+++ b/internal/site/watch/protocol.go
@@ -43,14 +43,28 @@
 	Fencing uint64 `cbor:"fencing"`
 	// Clock is the servers' clock in Unix milliseconds as the answer left, zero when the replica can't tell it.
 	Clock int64 `cbor:"clock"`
+	// Zone is the replica's availability zone, empty where it isn't told.
+	Zone string `cbor:"zone,omitempty"`
 }
 
-// Watch is the call.
+// Watch asks for what entries must know to serve correctly: each entry asks every replica.
 var Watch = rpc.Method[Poll, Answer]{
 	Name:  "site-watch",
 	Roles: []keys.Role{keys.Entry, keys.Control},
 }
 
+// Hints asks for what makes choices better and may be late or missing: an entry asks its relay alone.
+var Hints = rpc.Method[Poll, Answer]{
+	Name:  "site-hints",
+	Roles: []keys.Role{keys.Entry},
+}
+
+// Exchange asks for the hints that a replica was told itself: relays ask each other.
+var Exchange = rpc.Method[Poll, Answer]{
+	Name:  "site-exchange",
+	Roles: []keys.Role{keys.Control},
+}
+
 // Chunks is how an entry gets the chunks of a document that it lacks: the first of those asked for that the replica has.
 var Chunks = rpc.Method[[]chunk.Digest, []chunk.Chunk]{
 	Name:  "site-chunks",
@@ -67,7 +81,7 @@
 	Server string `cbor:"server"`
 }
 
-// Readings is how an entry tells the replica that holds the lease, which shows it to all entries.
+// Readings is how an entry tells its relay, through which all entries hear of it.
 var Readings = rpc.Notice[[]Reading]{
 	Name:  "site-readings",
 	Roles: []keys.Role{keys.Entry},
@@ -79,7 +93,7 @@
 	Roles: []keys.Role{keys.Entry},
 }
 
-// Loads is how an entry tells the replica that holds the lease what it has at each engine.
+// Loads is how an entry tells its relay what it has at each engine.
 var Loads = rpc.Notice[share.Post]{
 	Name:  "site-loads",
 	Roles: []keys.Role{keys.Entry},
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -25,6 +25,12 @@
 
 // Config is what a Server needs.
 type Config struct {
+	// Method is the call that is answered.
+	Method rpc.Method[Poll, Answer]
+	// Zone is the replica's availability zone.
+	Zone string
+	// Pause returns how long changes are gathered for so many watchers; nil grows with their square.
+	Pause func(watchers int) time.Duration
 	// Node takes the polls.
 	Node rpc.Node
 	// Board holds the rows.
@@ -61,7 +67,10 @@
 // NewServer registers the call and returns its Server; it is called before the node serves.
 func NewServer(c Config) Server {
 	s := &server{Config: c, watchers: map[string]watcher{}, advanced: make(chan struct{})}
-	rpc.Handle(c.Node, Watch, s.watch)
+	if s.Pause == nil {
+		s.Pause = pauseFor
+	}
+	rpc.Handle(c.Node, c.Method, s.watch)
 	return s
 }
 
@@ -76,10 +85,10 @@
 	catching := p.Catching && s.Board.Behind(p.Number)
 	s.Board.Wait(ctx, p.Number)
 	if ctx.Err() == nil && !catching {
-		time.Sleep(pauseFor(s.count()))
+		time.Sleep(s.Pause(s.count()))
 	}
 	rows, number := s.Board.Since(p.Number)
-	a := Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, More: s.Board.Behind(number), CaughtUp: s.CaughtUp(), Entries: s.Entries()}
+	a := Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, More: s.Board.Behind(number), CaughtUp: s.CaughtUp(), Entries: s.Entries(), Zone: s.Zone}
 	a.Fencing, a.Clock = s.Holder()
 	return a, nil
 }
--- a/internal/site/watch/watch_test.go
+++ b/internal/site/watch/watch_test.go
@@ -36,7 +36,7 @@
 func serving(t *testing.T, b board.Board) (rpc.Node, Server) {
 	t.Helper()
 	n := node(t, keys.Control)
-	s := NewServer(Config{Node: n, Board: b, CaughtUp: func() bool { return true }, Holder: func() (uint64, int64) { return 0, 0 }})
+	s := NewServer(Config{Method: Watch, Node: n, Board: b, CaughtUp: func() bool { return true }, Holder: func() (uint64, int64) { return 0, 0 }})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = n.Serve(ctx) }()
@@ -56,7 +56,7 @@
 	var mu sync.Mutex
 	got, most := map[string]bool{}, 0
 	done := make(chan struct{})
-	f := NewFollower(FollowerConfig{Node: node(t, keys.Entry), Watcher: "e", Entry: true, Take: func(_ string, a Answer, _ time.Time) {
+	f := NewFollower(FollowerConfig{Method: Watch, Node: node(t, keys.Entry), Watcher: "e", Entry: true, Take: func(_ string, a Answer, _ time.Time) {
 		mu.Lock()
 		defer mu.Unlock()
 		bytes := 0
@@ -98,7 +98,7 @@
 		t.Fatal("nobody can have the news yet")
 	}
 	ctx, stop := context.WithCancel(t.Context())
-	f := NewFollower(FollowerConfig{Node: node(t, keys.Control), Watcher: "r", Take: func(string, Answer, time.Time) {}})
+	f := NewFollower(FollowerConfig{Method: Watch, Node: node(t, keys.Control), Watcher: "r", Take: func(string, Answer, time.Time) {}})
 	f.Follow(ctx, []string{server.Address()})
 	long, cancelLong := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancelLong()
