A change after a quiet time is answered at once

Every change was gathered for as long as continual ones must be: with 300 watchers an entry heard of a document, an order or a server 0.4 s later than its replica, also when nothing had come for seconds before.

Rounds of answers are as far apart as before, but the first change after a quiet time opens one in 3 ms. TestChangeAfterAQuietTimeIsAnsweredAtOnce; the function that it calls is new, so it could not run before.

--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -13,9 +13,9 @@
 	// maxWait bounds a poll; a watcher that hears nothing for longer takes the replica for lost.
 	maxWait = time.Second
 	// batchPause lets changes that come together travel in one answer while few
-	// watch. It grows with the square of the watchers, since with their number the
-	// changes become more as well as the answers to each, and mostPause bounds it: a
-	// change must be in force everywhere soon.
+	// watch. The time between two rounds of answers grows with the square of the
+	// watchers, since with their number the changes become more as well as the answers
+	// to each, and mostPause bounds it: a change must be in force everywhere soon.
 	batchPause  = 3 * time.Millisecond
 	fewWatchers = 14
 	mostPause   = 400 * time.Millisecond
@@ -29,7 +29,7 @@
 	Method rpc.Method[Poll, Answer]
 	// Zone is the replica's availability zone.
 	Zone string
-	// Pause returns how long changes are gathered for so many watchers; nil grows with their square.
+	// Pause returns the time between two rounds of answers to so many watchers; nil grows with their square.
 	Pause func(watchers int) time.Duration
 	// Node takes the polls.
 	Node rpc.Node
@@ -62,6 +62,8 @@
 	mu       sync.Mutex
 	watchers map[string]watcher
 	advanced chan struct{}
+	// round is when changes are answered next, or were last.
+	round time.Time
 }
 
 // NewServer registers the call and returns its Server; it is called before the node serves.
@@ -85,7 +87,7 @@
 	catching := p.Catching && s.Board.Behind(p.Number)
 	s.Board.Wait(ctx, p.Number)
 	if ctx.Err() == nil && !catching {
-		time.Sleep(s.Pause(s.count()))
+		time.Sleep(time.Until(s.nextRound(time.Now())))
 	}
 	rows, number := s.Board.Since(p.Number)
 	a := Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, More: s.Board.Behind(number), CaughtUp: s.CaughtUp(), Entries: s.Entries(), Zone: s.Zone}
@@ -102,11 +104,23 @@
 	return min(mostPause, time.Duration(x*x*float64(batchPause)))
 }
 
-// count returns how many watch.
-func (s *server) count() int {
+// nextRound returns when a change that is there now is answered: with the round that
+// is being gathered, or in a moment when the last one is long past.
+//
+// Were each change gathered for as long as continual ones must be, an order or a
+// document that comes after a quiet time would wait for nothing.
+func (s *server) nextRound(now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.watchers)
+	if now.Before(s.round) {
+		return s.round
+	}
+	soon, due := now.Add(batchPause), s.round.Add(s.Pause(len(s.watchers)))
+	s.round = soon
+	if due.After(soon) {
+		s.round = due
+	}
+	return s.round
 }
 
 // note remembers how far the watcher is.
--- a/internal/site/watch/watch_test.go
+++ b/internal/site/watch/watch_test.go
@@ -43,6 +43,37 @@
 	return n, s
 }
 
+// Three hundred entries watch a replica, and an operator's document comes after a quiet
+// time. If it were gathered like continual changes, it would be in force nearly half a
+// second later for nothing; and continual changes must not be answered more often than
+// the replica's processor bears.
+func TestChangeAfterAQuietTimeIsAnsweredAtOnce(t *testing.T) {
+	s := &server{watchers: map[string]watcher{}, Config: Config{Pause: pauseFor}}
+	for i := range 300 {
+		s.watchers[fmt.Sprint(i)] = watcher{entry: true}
+	}
+	start := time.Unix(100, 0)
+	if at := s.nextRound(start); at.Sub(start) > batchPause {
+		t.Errorf("the first change waits for %s", at.Sub(start))
+	}
+	rounds := map[time.Time]bool{}
+	for ms := range 10_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		at := s.nextRound(now)
+		if wait := at.Sub(now); wait > mostPause {
+			t.Fatalf("a change waits for %s", wait)
+		}
+		rounds[at] = true
+	}
+	if most := int(10*time.Second/mostPause) + 1; len(rounds) > most {
+		t.Errorf("%d rounds of answers in ten seconds of continual changes, %d at most", len(rounds), most)
+	}
+	quiet := start.Add(time.Minute)
+	if at := s.nextRound(quiet); at.Sub(quiet) > batchPause {
+		t.Errorf("a change after a quiet time waits for %s", at.Sub(quiet))
+	}
+}
+
 // A replica has just started and owes thousands of rows to every entry. Sent as
 // one answer they would not be through before the poll times out, the poll would
 // begin anew, and no entry would learn where any part lies.
