Replicas name all members as soon as their log is read

What callers saw on the large site: after a loss of power of all VMs every request was refused with no-document for 3.4 s (2,262 in two seconds at 50 of 291 entries).

The entries asked the three seeds alone, since a replica named the others only once it had heard a leader and applied their joining; the seeds, asked by all 291, had that at 37.9 s. Ruled out: a late election.

The addresses of the latest configuration, committed or not, are shown now; who is polled decides nothing. TestReplicaNamesTheOthersBeforeALeaderIsHeard failed before: no address but the founders' until a leader was heard.

--- a/internal/control/raft/configuration.go
+++ b/internal/control/raft/configuration.go
@@ -86,3 +86,12 @@
 func decodeConfiguration(b []byte) (Configuration, error) {
 	return codec.Unmarshal[Configuration](b)
 }
+
+// Addresses returns where the members are reached.
+func (c Configuration) Addresses() []string {
+	all := make([]string, 0, len(c.Members))
+	for _, m := range c.Members {
+		all = append(all, m.Address)
+	}
+	return all
+}
--- a/internal/control/replica/publish.go
+++ b/internal/control/replica/publish.go
@@ -25,6 +25,7 @@
 	r.status.Term = s.Term
 	r.status.Leader, r.status.LeaderAddress = l.nameOf(s), s.LeaderAddress
 	r.status.Commit, r.status.Last, r.status.Snapshot = s.Commit, s.Last, s.Snapshot
+	r.status.Addresses = s.Configuration.Addresses()
 	r.status.Members = s.CommittedConfiguration.Members
 	r.status.Matches = s.Matches
 	r.heard, r.target = s.Leader != raft.None && s.Heard, s.Target
--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/control/raft"
 )
 
 // Three VMs start with empty disks, an operator's edits are accepted, and the
@@ -51,6 +52,31 @@
 	c.until("caught up", func() bool { return down.replica.Status().CaughtUp })
 }
 
+// All VMs lost power, and a replica is back before the others. It is asked at once by
+// hundreds of entries that know the seeds alone. It must tell them of all replicas that
+// its log names, also while no leader is heard, or they wait behind each other at the
+// seeds while the others are idle.
+func TestReplicaNamesTheOthersBeforeALeaderIsHeard(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.write("one")
+	leader, ctx := c.leader(), context.Background()
+	joined := raft.Member{Name: "joined", Identity: "77", Address: "joined:1"}
+	if err := leader.replica.AddLearner(ctx, joined); err != nil {
+		t.Fatal(err)
+	}
+	c.write("two")
+	c.agree("one two", c.nodes...)
+	for _, n := range c.nodes {
+		c.kill(n)
+	}
+	back := c.nodes[0]
+	c.start(back)
+	c.until("the addresses of all members are known", func() bool { return len(back.replica.Status().Addresses) == 4 })
+	if s := back.replica.Status(); s.Leader != "" {
+		t.Fatalf("leader %q", s.Leader)
+	}
+}
+
 // An operator's program asks a replica that does not lead. It must learn whom
 // to ask and be told truly that nothing was done, or it would send an edit a
 // second time or give up one that could be sent elsewhere.
--- a/internal/control/replica/status.go
+++ b/internal/control/replica/status.go
@@ -22,6 +22,9 @@
 	Applied  uint64 `cbor:"applied" json:"applied"`
 	Last     uint64 `cbor:"last" json:"last"`
 	Snapshot uint64 `cbor:"snapshot" json:"snapshot"`
+	// Addresses are where the members of the latest configuration are reached, committed
+	// or not: known as soon as the log is read, before any leader is heard.
+	Addresses []string `cbor:"addresses" json:"addresses"`
 	// Members are the voters and learners of the latest committed configuration.
 	Members []raft.Member `cbor:"members" json:"members"`
 	// Matches is, at the leader, the last entry on each member's disk.
--- a/internal/process/sitecontrol/members.go
+++ b/internal/process/sitecontrol/members.go
@@ -13,10 +13,7 @@
 
 // addresses returns where replicas may be found: the members of the log, the seeds, and whom this process heard of before.
 func (p *process) addresses() []string {
-	all := slices.Clone(p.host.Load().Seeds)
-	for _, m := range p.replica.Status().Members {
-		all = append(all, m.Address)
-	}
+	all := slices.Concat(p.host.Load().Seeds, p.replica.Status().Addresses)
 	slices.Sort(all)
 	all = slices.Compact(all)
 	return slices.DeleteFunc(all, func(a string) bool { return a == p.config.Host.Internal })
@@ -39,15 +36,14 @@
 	}
 }
 
+// showMembers shows entries where replicas may be found. They must hear of all of them
+// before a leader is: after a loss of power of all VMs, hundreds of entries would else
+// ask the seeds alone and wait behind each other.
 func (p *process) showMembers() {
-	members := p.replica.Status().Members
-	if len(members) == 0 {
+	addresses := slices.Clone(p.replica.Status().Addresses)
+	if len(addresses) == 0 {
 		return
 	}
-	addresses := make([]string, 0, len(members))
-	for _, m := range members {
-		addresses = append(addresses, m.Address)
-	}
 	slices.Sort(addresses)
 	p.put(topic.Members, "", slices.Compact(addresses))
 }
