Relays pass on what the holder of the lease tells of stores and orders

Cause, from the logs of the control VMs: whoever got the lease owed the lists of all stores, 182 KB, to each of 291 entries. A KB takes about 86 us of processor time with QUIC, a replica has 0.24 cores, so that it had time for nothing else for seconds: its heartbeats came late, another one was elected, and began anew (each new leader was silent 1.3 to 2.7 s after it got the lease). Ruled out: the freeze itself, which ended one leader only.

On sites of more than 32 entries each one asks its relay for these rows, and the holder owes them to the other replicas. Freeing a part rests on what all entries know: a relay tells the holder up to which of its rows all entries that it serves have them, and passes on how old its word is, by the boot clock, from when it asked. Entries believe it no longer than before. TestRelayNeverClaimsMoreThanItsEntriesKnow is the property; rows that come by the other way don't count, in either direction.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -155,7 +155,7 @@
 		caughtUp: func() bool { return p.replica.Status().CaughtUp }, logger: p.config.Logger,
 	})
 	server := watch.NewServer(watch.Config{
-		Method: watch.Watch, Zone: p.config.Host.Zone, Node: p.node, Board: p.board,
+		Method: watch.Watch, Zone: p.config.Host.Zone, LeftOut: topic.LeftOut, Node: p.node, Board: p.board,
 		CaughtUp: func() bool { return p.replica.Status().CaughtUp },
 		Holder:   func() (uint64, int64) { return p.holder.number(), p.librarian.clock.Now() },
 	})
@@ -166,7 +166,7 @@
 	})
 	rpc.Receive(p.node, watch.Uses, func(_ rpc.Peer, hashes []uint64) { p.librarian.use(hashes) })
 	p.follower = watch.NewFollower(watch.FollowerConfig{
-		Method: watch.Watch, Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), Take: p.take, Logger: p.config.Logger,
+		Method: watch.Watch, Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.board.Epoch()), Take: p.take, Prepare: p.relay.prepare, Logger: p.config.Logger,
 	})
 	p.servers = &announcements{
 		home: p.config.Host.Internal, heartbeat: p.config.Host.Bounds.Heartbeat,
@@ -220,8 +220,9 @@
 	return p.board.Put(t, key, b)
 }
 
-// take takes what another replica shows: servers only, the log is this replica's own.
-func (p *process) take(_ string, a watch.Answer, _ time.Time) {
+// take takes what another replica shows: servers, and what is passed on to entries; the log is this replica's own.
+func (p *process) take(address string, a watch.Answer, _ time.Time) {
+	p.relay.leads.Take(address, a)
 	for _, r := range a.Rows {
 		if r.Topic != topic.Servers || len(r.Value) == 0 {
 			continue
@@ -253,6 +254,7 @@
 		(&caches{process: p, client: p.config.Stores, following: map[string]context.CancelFunc{}}).run(serving)
 	})
 	p.loops.Go(func() { p.relay.run(serving, p.addresses) })
+	p.loops.Go(func() { p.relay.copySelf(serving, p.board, p.holder.number) })
 	p.loops.Go(func() {
 		weights.New(weights.Config{Client: p.config.Engines, Site: engines{p}, Within: p.config.Host.Bounds.Weights, Logger: p.config.Logger}).Run(serving)
 	})
--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -260,12 +260,18 @@
 		number := l.show(x, marked)
 		x.mu.Lock()
 		x.stock.Told(marked, number)
-		due, epoch := x.stock.Due(l.watched.Known(stores.StaleAfter), now), x.stock.Epoch()
+		due, epoch := x.stock.Due(l.known(), now), x.stock.Epoch()
 		x.mu.Unlock()
 		l.drop(ctx, x, due, epoch)
 	}
 }
 
+// known returns the board's number up to which all entries have the rows that were
+// heard within StaleAfter, by this replica, as a relay or by others.
+func (l *librarian) known() uint64 {
+	return min(l.watched.Known(stores.StaleAfter), l.relay.leads.Known(l.relay.self, stores.StaleAfter))
+}
+
 func (l *librarian) drop(ctx context.Context, x *shelf, due []stores.Part, epoch int64) {
 	clock := l.clock.Now()
 	if len(due) == 0 || clock == 0 {
--- a/internal/process/sitecontrol/relay.go
+++ b/internal/process/sitecontrol/relay.go
@@ -25,7 +25,7 @@
 	// peerTimeout is how long another relay's hints count without hearing from it.
 	peerTimeout = 2 * time.Second
 	// exchangePause is how long hints are gathered for the other relays.
-	exchangePause = 20 * time.Millisecond
+	exchangePause = 40 * time.Millisecond
 	// hintsPause is how long hints are gathered for each entry that the relay serves, so
 	// that it gives as many answers a second to any number of them.
 	hintsPause = 1500 * time.Microsecond
@@ -50,6 +50,8 @@
 	entries     watch.Server
 	follower    watch.Follower
 	loads       share.Adder
+	// leads are copies of what holders of the lease show.
+	leads watch.Copies
 
 	mu sync.Mutex
 	// sums are the other relays' loads, caches the engines that each relay follows, this one's under self.
@@ -78,6 +80,7 @@
 		Method: watch.Exchange, Zone: c.zone, Node: c.node, Board: r.told, CaughtUp: c.caughtUp, Holder: noLease,
 		Pause: func(int) time.Duration { return exchangePause },
 	})
+	r.leads = watch.NewCopies(watch.CopiesConfig{Node: c.node, Relayed: topic.Relayed, Pause: pauseOfHints})
 	rpc.Receive(c.node, watch.Loads, func(_ rpc.Peer, l share.Post) { r.loads.Take(l, time.Now()) })
 	rpc.Receive(c.node, watch.Readings, func(_ rpc.Peer, all []watch.Reading) { r.takeReadings(all) })
 	r.follower = watch.NewFollower(watch.FollowerConfig{
@@ -86,6 +89,30 @@
 	return r
 }
 
+// prepare completes a poll of the replica at address.
+func (r *relay) prepare(address string, p *watch.Poll) {
+	r.leads.Asking(address)
+	p.Relay, p.Known = true, r.leads.Known(address, stores.StaleAfter)
+}
+
+// copySelf copies what this replica shows, for the entries that it serves, until ctx ends.
+func (r *relay) copySelf(ctx context.Context, b board.Board, fencing func() uint64) {
+	for number := uint64(0); ctx.Err() == nil; {
+		r.leads.Asking(r.self)
+		a := watch.Answer{Epoch: b.Epoch(), Fencing: fencing()}
+		a.Rows, a.Number = b.Since(number)
+		number = a.Number
+		r.leads.Take(r.self, a)
+		if b.Behind(number) {
+			continue
+		}
+		waiting, cancel := context.WithTimeout(ctx, relayInterval)
+		b.Wait(waiting, number)
+		cancel()
+		wait.For(ctx, exchangePause)
+	}
+}
+
 // pauseOfHints returns how long hints are gathered for so many entries.
 func pauseOfHints(entries int) time.Duration {
 	return time.Duration(max(1, entries)) * hintsPause
--- /dev/null
+++ b/internal/process/siteentry/copies_test.go
@@ -0,0 +1,101 @@
+package siteentry
+
+import (
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/site/board"
+	"hornbeamwood/internal/site/stores"
+	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
+)
+
+// relayedLead is a holder of the lease that shows one whole part, as a relay tells of it.
+func relayedLead(t *testing.T, copied watch.Position, age time.Duration) watch.Lead {
+	return watch.Lead{Address: "holder", Epoch: 1, Fencing: 4, Age: age, Copy: copied, Rows: []board.Row{
+		row(t, topic.StoresUp, "1:1", true),
+		row(t, topic.Shelves, "1:1/long", shelfOf(true, map[string]int{"q": 400})),
+		row(t, topic.Busy, "engine", true),
+	}}
+}
+
+// relayedSite returns what an entry behind a relay knows after the relay's first word.
+func relayedSite(t *testing.T) *site {
+	t.Helper()
+	s := siteWithStore(t)
+	s.takeDocument(s.Table().Document(), nil)
+	s.setRelayed(true)
+	s.takeLead(relayedLead(t, watch.Position{Epoch: 7, Number: 3}, 0), time.Now(), nil)
+	return s
+}
+
+func holdsPart(s *site, id string) bool { return len(s.Copies("m/1", id, 300)) == 1 }
+
+// An entry of a large site gets the word on stores and orders from its relay. It must
+// fetch what the holder shows, and spare engines that carry out an order.
+func TestRelayedWordCounts(t *testing.T) {
+	s := relayedSite(t)
+	if !holdsPart(s, "q") || !s.Busy("engine") {
+		t.Error("the holder's word doesn't count")
+	}
+	if s.leader() != "holder" {
+		t.Errorf("uses of parts are told to %q", s.leader())
+	}
+	if p := s.positions()["holder"]; p != (watch.Position{Epoch: 7, Number: 3}) {
+		t.Errorf("the relay is asked for what comes after %+v", p)
+	}
+}
+
+// A relay is cut off from the holder, and answers. What it told can have been freed
+// since: an entry that believes it has an engine fetch a part that is being written
+// anew, and a caller gets an answer made from half of it.
+func TestOldRelayedWordIsNotBelieved(t *testing.T) {
+	s := relayedSite(t)
+	s.takeLead(relayedLead(t, watch.Position{Epoch: 7, Number: 3}, stores.StaleAfter), time.Now(), nil)
+	if holdsPart(s, "q") {
+		t.Error("a part is fetched by a word that is too old")
+	}
+	s.takeLead(watch.Lead{Address: "holder", Epoch: 1, Fencing: 4, Copy: watch.Position{Epoch: 7, Number: 3}}, time.Now().Add(-stores.StaleAfter), nil)
+	if holdsPart(s, "q") {
+		t.Error("the age of a word begins when its answer comes, not when it was asked for")
+	}
+}
+
+// An entry goes over to another relay, or a relay has begun a copy anew. Parts that the
+// earlier copy had and the new one lacks were freed meanwhile.
+func TestNewCopyReplacesTheEarlierOne(t *testing.T) {
+	s := relayedSite(t)
+	l := relayedLead(t, watch.Position{Epoch: 8, Number: 2}, 0)
+	l.Rows = l.Rows[:1]
+	s.takeLead(l, time.Now(), nil)
+	if holdsPart(s, "q") || s.Busy("engine") {
+		t.Error("rows of the earlier copy still count")
+	}
+}
+
+// A site shrinks, and entries hear of stores and orders from the holder again. Nobody
+// tells them any more what has changed of the relay's word, so that it must not count;
+// and while it counts, what replicas tell directly must not.
+func TestOneWayCountsAtATime(t *testing.T) {
+	s := relayedSite(t)
+	direct := watch.Answer{Epoch: 1, Fencing: 5, Rows: []board.Row{
+		row(t, topic.StoresUp, "1:1", true),
+		row(t, topic.Shelves, "1:1/long", shelfOf(true, map[string]int{"r": 400})),
+	}}
+	s.take("holder", direct)
+	if holdsPart(s, "r") || !holdsPart(s, "q") {
+		t.Error("a replica's direct word counts beside the relay's")
+	}
+	s.setRelayed(false)
+	if holdsPart(s, "q") || holdsPart(s, "r") {
+		t.Error("what was told by the other way still counts")
+	}
+	s.take("holder", direct)
+	if !holdsPart(s, "r") {
+		t.Error("the holder's direct word doesn't count")
+	}
+	s.takeLead(relayedLead(t, watch.Position{Epoch: 7, Number: 9}, 0), time.Now(), nil)
+	if holdsPart(s, "q") {
+		t.Error("an answer of the relay that came late counts")
+	}
+}
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -111,6 +111,7 @@
 	p.hints = newHints(p, watcher)
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Method: watch.Watch, Node: p.node, Watcher: watcher, Entry: true, Take: p.take, Logger: c.Logger,
+		Prepare: func(_ string, q *watch.Poll) { q.Relayed = p.site.isRelayed() },
 	})
 	dialled := p.metrics.NewCounter("hornbeamwood_site_dialled_total")
 	p.client = backend.New(backend.Config{
@@ -179,6 +180,7 @@
 	p.loops.Go(func() { p.site.documents.run(serving) })
 	p.loops.Go(func() { p.site.thaw.run(serving) })
 	p.loops.Go(func() { p.hints.run(serving) })
+	p.loops.Go(func() { p.hints.followLeads(serving) })
 	p.loops.Go(func() { p.tellReadings(serving) })
 	p.loops.Go(func() { p.tellUses(serving) })
 	p.loops.Go(func() { p.tellLoads(serving) })
--- a/internal/process/siteentry/hints.go
+++ b/internal/process/siteentry/hints.go
@@ -50,6 +50,7 @@
 func (h *hints) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		h.follow(ctx, h.site.chooseRelay(h.config.Host.Zone, h.watcher, time.Now()))
+		h.site.setRelayed(h.site.many())
 		wait.For(ctx, relayLook)
 	}
 }
@@ -123,10 +124,22 @@
 	s.forgetCaches()
 }
 
+// many returns whether there are so many entries that each keeps to a relay of its
+// own. Once there were, half of them are enough, so that few that come and go change nothing.
+func (s *site) many() bool {
+	entries := s.Entries()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.relayed {
+		return entries > watch.FewEntries/2
+	}
+	return entries > watch.FewEntries
+}
+
 // chooseRelay returns the address of the replica that this entry exchanges hints
 // with, empty while none answers.
 func (s *site) chooseRelay(zone, watcher string, now time.Time) string {
-	entries := s.Entries()
+	many := s.many()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var known []candidateRelay
@@ -135,5 +148,5 @@
 			known = append(known, candidateRelay{address: a, near: l.zone == zone, holder: l == s.holder()})
 		}
 	}
-	return pickRelay(known, entries, watcher)
+	return pickRelay(known, many, watcher)
 }
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -50,6 +50,8 @@
 	polled time.Time
 	// zone is the replica's availability zone.
 	zone string
+	// copied is how far this is the relay's copy of what the replica shows, where it comes from a relay.
+	copied watch.Position
 }
 
 func newLead(epoch uint64) *lead {
@@ -66,7 +68,7 @@
 		s.leads[address] = l
 	}
 	l.polled, l.zone = time.Now(), a.Zone
-	if a.Fencing != 0 {
+	if a.Fencing != 0 && !s.relayed {
 		l.fencing, l.heard = a.Fencing, l.polled
 	}
 }
@@ -93,11 +95,20 @@
 	return s.best(func(l *lead) bool { return len(l.up) > 0 })
 }
 
+// told returns what holders of the lease tell: through the relay, or where there is
+// none directly; the caller holds the lock.
+func (s *site) told() map[string]*lead {
+	if s.relayed {
+		return s.copies
+	}
+	return s.leads
+}
+
 // best returns the lead with the highest fencing number of those that were heard
 // lately and satisfy the condition.
 func (s *site) best(condition func(*lead) bool) *lead {
 	var found *lead
-	for _, l := range s.leads {
+	for _, l := range s.told() {
 		if l.fencing == 0 || time.Since(l.heard) >= stores.StaleAfter || !condition(l) {
 			continue
 		}
@@ -112,9 +123,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l, ok := s.leads[address]
-	if !ok {
+	if !ok || s.relayed && topic.LeftOut(r.Topic) {
 		return nil
 	}
+	return l.take(r)
+}
+
+// take takes a row on stores and orders.
+func (l *lead) take(r board.Row) error {
 	switch r.Topic {
 	case topic.Parts:
 		return l.takePart(r)
@@ -187,6 +203,17 @@
 	return all
 }
 
+// StoresAge implements caller.Site.
+func (s *site) StoresAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leading()
+	if l == nil {
+		return -1
+	}
+	return time.Since(l.heard)
+}
+
 // sameStart returns whether the store still runs that the replica told of: at
 // once while that one is heard, later by the word of another.
 func (s *site) sameStart(l *lead, store string) bool {
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -70,7 +70,7 @@
 // leader returns the address of the replica that holds the lease, empty for none; the caller holds the lock.
 func (s *site) leader() string {
 	l := s.holder()
-	for a, x := range s.leads {
+	for a, x := range s.told() {
 		if x == l {
 			return a
 		}
--- a/internal/process/siteentry/relay.go
+++ b/internal/process/siteentry/relay.go
@@ -2,10 +2,6 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// entriesPerRelay is up to how many entries have one relay together: with fewer, the
-// way from relay to relay costs more time than the work of one takes.
-const entriesPerRelay = 32
-
 // candidateRelay is a replica that answers.
 type candidateRelay struct {
 	address string
@@ -13,18 +9,18 @@
 	near, holder bool
 }
 
-// pickRelay returns the address of the replica that the watcher of so many entries
-// exchanges hints with, empty when none is known.
+// pickRelay returns the address of the replica that the watcher exchanges hints with,
+// one of few entries or of many, empty when none is known.
 //
 // Few entries meet at the replica that holds the lease. Many are spread over the
 // replicas of their availability zones: hints are most of what replicas tell, and
 // bytes between zones are dear.
-func pickRelay(known []candidateRelay, entries int, watcher string) string {
+func pickRelay(known []candidateRelay, many bool, watcher string) string {
 	found, best := "", uint64(0)
 	for _, c := range known {
-		preferred := c.near
-		if entries <= entriesPerRelay {
-			preferred = c.holder
+		preferred := c.holder
+		if many {
+			preferred = c.near
 		}
 		score := xxhash.Sum64String(watcher+"\x00"+c.address) >> 1
 		if preferred {
--- a/internal/process/siteentry/relay_test.go
+++ b/internal/process/siteentry/relay_test.go
@@ -25,7 +25,7 @@
 			for j, z := range replicas {
 				known = append(known, candidateRelay{address: fmt.Sprint(z, j), near: z == zone, holder: j == 0})
 			}
-			relay := pickRelay(known, 291, fmt.Sprint(zone, "/", i))
+			relay := pickRelay(known, true, fmt.Sprint(zone, "/", i))
 			served[relay]++
 			if relay[:1] != zone {
 				far++
@@ -47,11 +47,11 @@
 func TestFewEntriesShareOneRelay(t *testing.T) {
 	known := []candidateRelay{{address: "a", near: true}, {address: "b", holder: true}, {address: "c"}}
 	for i := range 20 {
-		if r := pickRelay(known, entriesPerRelay, fmt.Sprint(i)); r != "b" {
+		if r := pickRelay(known, false, fmt.Sprint(i)); r != "b" {
 			t.Errorf("entry %d has relay %q", i, r)
 		}
 	}
-	if pickRelay(nil, 3, "e") != "" || pickRelay(known[:1], 3, "e") != "a" {
+	if pickRelay(nil, false, "e") != "" || pickRelay(known[:1], false, "e") != "a" {
 		t.Error("without a holder any replica that answers must do, and none without replicas")
 	}
 }
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -57,6 +57,9 @@
 	// memory guesses what engines hold; readings waits to be told to the others.
 	memory   parts.Memory
 	readings []watch.Reading
+	// copies is what the relay tells of holders of the lease; it counts in place of leads while relayed.
+	copies  map[string]*lead
+	relayed bool
 	// relay is the replica that this entry exchanges hints with, empty for none.
 	relay string
 	// caches is what the relay tells of the memory of engines that haven't announced themselves here yet.
@@ -90,6 +93,7 @@
 		saves:     map[stores.Part]time.Time{},
 
 		caches: map[string]topic.Cache{},
+		copies: map[string]*lead{},
 		uses:   map[uint64]struct{}{},
 	}
 	time.AfterFunc(uninformed, func() { s.inform.Do(func() { close(s.informed) }) })
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -84,3 +84,20 @@
 	Model   string `cbor:"model"`
 	Version int64  `cbor:"version"`
 }
+
+// Relayed returns whether rows of the topic reach the entries of a large site through
+// their relays: all that the holder of the lease tells of stores and orders.
+func Relayed(t board.Topic) bool {
+	switch t {
+	case Parts, Shelves, StoresUp, Busy, Epochs:
+		return true
+	}
+	return false
+}
+
+// LeftOut returns whether rows of the topic are left out where they come through a
+// relay. Which start of a store each replica sees is told directly as well: it is what
+// a relay's word is checked by.
+func LeftOut(t board.Topic) bool {
+	return Relayed(t) && t != Epochs
+}
--- /dev/null
+++ b/internal/site/watch/copies.go
@@ -0,0 +1,280 @@
+package watch
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"hornbeamwood/internal/node/boottime"
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/site/board"
+)
+
+// FewEntries is up to how many entries have one relay together: with fewer, the way
+// from relay to relay costs more time than the work of one takes.
+const FewEntries = 32
+
+const (
+	// mostSteps bounds the numbers that are remembered of a copy: those of some minutes.
+	mostSteps = 4096
+	// passedOn is of how many holders of the lease entries are told: the present one, and
+	// the one before it until the present one has told of every store.
+	passedOn = 2
+)
+
+// Copies are a relay's copies of what replicas show of stores and orders, which it
+// passes on to the entries that it serves.
+//
+// A replica that has just got the lease owes every entry all that lies in all stores.
+// On a large site that is more than its processor bears beside the heartbeats of the
+// control log: it loses the lease over it, and the next one begins anew.
+type Copies interface {
+	// Asking notes that the replica at address is about to be asked.
+	Asking(address string)
+	// Take takes the replica's answer.
+	Take(address string, a Answer)
+	// Known returns the replica's number up to which all entries have the rows that asked within the given time.
+	Known(address string, within time.Duration) uint64
+}
+
+// CopiesConfig is what Copies need.
+type CopiesConfig struct {
+	// Node takes the polls.
+	Node rpc.Node
+	// Relayed returns whether rows of the topic are passed on.
+	Relayed func(t board.Topic) bool
+	// Pause returns the time between two rounds of answers to so many entries.
+	Pause func(entries int) time.Duration
+}
+
+// step says that the changes of a copy up to its number are those of the replica up to origin.
+type step struct {
+	number, origin uint64
+}
+
+// position is how far an entry had a copy when it last asked.
+type position struct {
+	number uint64
+	asked  time.Duration
+}
+
+// replicaCopy is the copy of what one replica shows.
+type replicaCopy struct {
+	// epoch is the replica's, fencing the number of the lease that it told last.
+	epoch, fencing uint64
+	// asked is when it was asked to which it told so, by the boot clock: a relay that
+	// has stood still must not pass on what it was told before as if it were fresh.
+	asked   time.Duration
+	board   board.Board
+	last    uint64
+	steps   []step
+	entries map[string]position
+}
+
+type copies struct {
+	CopiesConfig
+	// now reads the boot clock.
+	now func() time.Duration
+
+	mu  sync.Mutex
+	all map[string]*replicaCopy
+	// asking is when each replica was last asked, entries when each entry asked, by now.
+	asking  map[string]time.Duration
+	entries map[string]time.Duration
+	rounds  rounds
+	signal  chan struct{}
+}
+
+// NewCopies registers the call and returns Copies of nothing; it is called before the node serves.
+func NewCopies(c CopiesConfig) Copies {
+	x := newCopies(c, boottime.Now)
+	rpc.Handle(c.Node, Leads, x.leads)
+	return x
+}
+
+func newCopies(c CopiesConfig, now func() time.Duration) *copies {
+	return &copies{
+		CopiesConfig: c, now: now, all: map[string]*replicaCopy{},
+		asking: map[string]time.Duration{}, entries: map[string]time.Duration{}, signal: make(chan struct{}),
+	}
+}
+
+// Asking implements Copies.
+func (x *copies) Asking(address string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.asking[address] = x.now()
+}
+
+// Take implements Copies.
+func (x *copies) Take(address string, a Answer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c, ok := x.all[address]
+	if !ok || c.epoch != a.Epoch {
+		c = &replicaCopy{epoch: a.Epoch, board: board.New(uint64(time.Now().UnixNano())), entries: map[string]position{}}
+		x.all[address] = c
+	}
+	changed := false
+	for _, r := range a.Rows {
+		if x.Relayed(r.Topic) {
+			c.last = max(c.last, c.board.Put(r.Topic, r.Key, r.Value))
+			changed = true
+		}
+	}
+	c.note(a.Number)
+	if a.Fencing != 0 {
+		changed = changed || a.Fencing != c.fencing
+		c.fencing, c.asked = a.Fencing, x.asking[address]
+	}
+	if changed {
+		close(x.signal)
+		x.signal = make(chan struct{})
+	}
+}
+
+// note remembers that the copy has all changes of the replica up to origin.
+func (c *replicaCopy) note(origin uint64) {
+	if n := len(c.steps); n > 0 && c.steps[n-1].number == c.last {
+		c.steps[n-1].origin = max(c.steps[n-1].origin, origin)
+		return
+	}
+	c.steps = append(c.steps, step{c.last, origin})
+	if len(c.steps) > mostSteps {
+		c.steps = append([]step(nil), c.steps[mostSteps/2:]...)
+	}
+}
+
+// origin returns the replica's number up to which an entry has the rows that has the copy up to number.
+func (c *replicaCopy) origin(number uint64) uint64 {
+	found := uint64(0)
+	for _, s := range c.steps {
+		if s.number > number {
+			break
+		}
+		found = s.origin
+	}
+	return found
+}
+
+// Known implements Copies.
+func (x *copies) Known(address string, within time.Duration) uint64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c, ok := x.all[address]
+	if !ok {
+		return 0
+	}
+	least := c.last
+	for name, p := range c.entries {
+		if x.now()-p.asked > within {
+			delete(c.entries, name)
+			continue
+		}
+		least = min(least, p.number)
+	}
+	return c.origin(least)
+}
+
+// leads answers an entry.
+func (x *copies) leads(ctx context.Context, _ rpc.Peer, p LeadsPoll) ([]Lead, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(max(p.Wait, 0), maxWait))
+	defer cancel()
+	x.note(p)
+	if x.await(ctx, p) && !p.Catching {
+		x.mu.Lock()
+		at := x.rounds.next(time.Now(), x.Pause(len(x.entries)))
+		x.mu.Unlock()
+		time.Sleep(time.Until(at))
+	}
+	return x.since(p.Known), nil
+}
+
+// since returns what a watcher lacks that has the copies up to its positions.
+func (x *copies) since(known map[string]Position) []Lead {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var all []Lead
+	for _, address := range x.holders() {
+		c := x.all[address]
+		l := c.lead(address, known[address])
+		l.Age = x.now() - c.asked
+		all = append(all, l)
+	}
+	return all
+}
+
+// holders returns the addresses of the latest holders of the lease, the present one
+// first; the caller holds the lock.
+func (x *copies) holders() []string {
+	var all []string
+	for address, c := range x.all {
+		if c.fencing != 0 {
+			all = append(all, address)
+		}
+	}
+	slices.SortFunc(all, func(a, b string) int { return cmp.Compare(x.all[b].fencing, x.all[a].fencing) })
+	return all[:min(len(all), passedOn)]
+}
+
+// lead returns what a watcher at the position lacks.
+func (c *replicaCopy) lead(address string, at Position) Lead {
+	number := at.Number
+	if at.Epoch != c.board.Epoch() {
+		number = 0
+	}
+	l := Lead{Address: address, Epoch: c.epoch, Fencing: c.fencing, Copy: Position{Epoch: c.board.Epoch()}}
+	l.Rows, l.Copy.Number = c.board.Since(number)
+	l.More = c.board.Behind(l.Copy.Number)
+	return l
+}
+
+// note remembers how far the entry is.
+func (x *copies) note(p LeadsPoll) {
+	now := x.now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.entries[p.Watcher] = now
+	for name, at := range x.entries {
+		if now-at > watcherTimeout {
+			delete(x.entries, name)
+		}
+	}
+	for address, c := range x.all {
+		number := uint64(0)
+		if k := p.Known[address]; k.Epoch == c.board.Epoch() {
+			number = k.Number
+		}
+		c.entries[p.Watcher] = position{number, now}
+	}
+}
+
+// await waits until there is something that the entry lacks; false when ctx ends before.
+func (x *copies) await(ctx context.Context, p LeadsPoll) bool {
+	for {
+		x.mu.Lock()
+		signal, news := x.signal, x.behind(p)
+		x.mu.Unlock()
+		if news {
+			return true
+		}
+		select {
+		case <-signal:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// behind returns whether the entry lacks anything; the caller holds the lock.
+func (x *copies) behind(p LeadsPoll) bool {
+	for _, address := range x.holders() {
+		c, k := x.all[address], p.Known[address]
+		if k.Epoch != c.board.Epoch() || c.board.Behind(k.Number) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/site/watch/copies_test.go
@@ -0,0 +1,190 @@
+package watch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"hornbeamwood/internal/node/rpc"
+	"hornbeamwood/internal/site/board"
+)
+
+const (
+	relayedTopic board.Topic = 6
+	directTopic  board.Topic = 15
+	// counted is within which time the entries that asked are counted.
+	counted = 10 * time.Second
+)
+
+func relayed(t board.Topic) bool { return t == relayedTopic }
+
+// testCopies returns copies whose clock the test moves.
+func testCopies() (*copies, *time.Duration) {
+	now := time.Hour
+	return newCopies(CopiesConfig{Relayed: relayed, Pause: func(int) time.Duration { return 0 }}, func() time.Duration { return now }), &now
+}
+
+// asks has an entry ask and returns the answer.
+func (x *copies) asks(watcher string, known map[string]Position) []Lead {
+	x.note(LeadsPoll{Watcher: watcher, Known: known})
+	return x.since(known)
+}
+
+// modelEntry is an entry in the property: which of the holder's changes it has, and how far it believes its copy to go.
+type modelEntry struct {
+	known map[string]Position
+	// has is up to which of the holder's changes it has all relayed rows.
+	has   uint64
+	asked time.Duration
+}
+
+// A part is freed once all entries were told that it goes. With entries behind relays,
+// whose answers are late or lost, a relay must never say that its entries know more
+// than the one that knows least, or an engine fetches a part that is being written anew
+// and a caller gets an answer made from half of it.
+func TestRelayNeverClaimsMoreThanItsEntriesKnow(t *testing.T) {
+	p := gopter.NewProperties(nil)
+	p.Property("known is what all have", prop.ForAll(func(seed uint64) bool {
+		return claimsHold(t, rand.New(rand.NewPCG(seed, 7)))
+	}, gen.UInt64()))
+	p.TestingRun(t)
+}
+
+func claimsHold(t *testing.T, r *rand.Rand) bool {
+	t.Helper()
+	x, now := testCopies()
+	holder, taken := board.New(1), uint64(0)
+	entries := make([]modelEntry, 1+r.IntN(5))
+	for i := range entries {
+		entries[i].known = map[string]Position{}
+	}
+	for step := range 200 {
+		*now += time.Duration(r.IntN(600)) * time.Millisecond
+		switch r.IntN(4) {
+		case 0:
+			topic := relayedTopic
+			if r.IntN(3) == 0 {
+				topic = directTopic
+			}
+			holder.Put(topic, fmt.Sprint(r.IntN(8)), []byte{byte(step)})
+		case 1:
+			x.Asking("holder")
+			rows, number := holder.Since(taken)
+			x.Take("holder", Answer{Epoch: 1, Fencing: 1, Number: number, Rows: rows})
+			taken = number
+		default:
+			e := &entries[r.IntN(len(entries))]
+			answer := x.asks(fmt.Sprintf("%p", e), e.known)
+			e.asked = *now
+			if len(answer) == 1 && r.IntN(3) > 0 {
+				e.known = map[string]Position{"holder": answer[0].Copy}
+				e.has = taken
+			}
+		}
+		claimed := x.Known("holder", counted)
+		for _, e := range entries {
+			// An entry without a copy believes nothing of the holder.
+			if len(e.known) > 0 && *now-e.asked <= counted && claimed > e.has && hasNews(holder, e.has, claimed) {
+				t.Logf("step %d: the relay claims %d, an entry has %d", step, claimed, e.has)
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// hasNews returns whether a relayed row changed after a number and not after another one.
+func hasNews(b board.Board, after, upTo uint64) bool {
+	rows, _ := b.Since(after)
+	later, _ := b.Since(upTo)
+	count := func(rows []board.Row) int {
+		n := 0
+		for _, r := range rows {
+			if relayed(r.Topic) {
+				n++
+			}
+		}
+		return n
+	}
+	return count(rows) > count(later)
+}
+
+// A relay asked the holder, and the answer came a second later. What it passes on is as
+// old as the question: an entry that takes it for fresh goes on fetching parts that the
+// holder has freed since.
+func TestRelayedWordIsAsOldAsItsQuestion(t *testing.T) {
+	x, now := testCopies()
+	x.Asking("holder")
+	*now += time.Second
+	x.Take("holder", Answer{Epoch: 1, Fencing: 1, Number: 1})
+	*now += 2 * time.Second
+	all := x.asks("e", nil)
+	if len(all) != 1 || all[0].Age != 3*time.Second {
+		t.Errorf("got %+v", all)
+	}
+	x.Asking("holder")
+	x.Take("holder", Answer{Epoch: 1, Number: 2})
+	if all := x.asks("e", nil); all[0].Age != 3*time.Second {
+		t.Errorf("the word of a replica that no longer holds the lease is %s old", all[0].Age)
+	}
+}
+
+// The lease goes from hand to hand. Entries need the present holder's word and, until
+// it has told of every store, that of the one before; the lists of all that ever held
+// it would fill their links.
+func TestEntriesAreToldOfTheLatestHolders(t *testing.T) {
+	x, _ := testCopies()
+	for i, name := range []string{"b", "c", "a", "never"} {
+		x.Asking(name)
+		a := Answer{Epoch: 1, Fencing: uint64(i + 1), Number: 1, Rows: []board.Row{{Topic: relayedTopic, Key: name, Value: []byte{1}}}}
+		if name == "never" {
+			a.Fencing = 0
+		}
+		x.Take(name, a)
+	}
+	all := x.asks("e", nil)
+	if len(all) != 2 || all[0].Address != "a" || all[1].Address != "c" || len(all[0].Rows) != 1 {
+		t.Errorf("got %+v", all)
+	}
+}
+
+// A replica has just got the lease and owes thousands of rows on parts. To three hundred
+// entries directly they were more than its processor bore: heartbeats of the control
+// log came late, it lost the lease, and the next one began anew. It owes them to eight
+// relays only.
+func TestNewHolderOwesItsListsToRelays(t *testing.T) {
+	b := board.New(1)
+	b.Put(directTopic, "server", []byte{1})
+	for i := range 2000 {
+		b.Put(relayedTopic, fmt.Sprintf("%020d", i), []byte{1, 2, 3})
+	}
+	s := &server{
+		watchers: map[string]watcher{}, advanced: make(chan struct{}),
+		Config: Config{Board: b, LeftOut: relayed, Pause: pauseFor, CaughtUp: func() bool { return true }, Holder: func() (uint64, int64) { return 1, 0 }},
+	}
+	rows := func(p Poll) int {
+		a, err := s.watch(t.Context(), rpc.Peer{}, p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(a.Rows)
+	}
+	if n := rows(Poll{Watcher: "entry", Entry: true, Relayed: true}); n != 1 {
+		t.Errorf("an entry behind a relay gets %d rows", n)
+	}
+	if n := rows(Poll{Watcher: "relay", Relay: true}); n < 1000 {
+		t.Errorf("a relay gets %d rows", n)
+	}
+	if known := s.Known(counted); known != 0 {
+		t.Errorf("entries behind a relay that has told nothing of them are said to know %d", known)
+	}
+	rows(Poll{Watcher: "relay", Relay: true, Known: 1500})
+	if known := s.Known(counted); known != 1500 {
+		t.Errorf("entries behind the relay are said to know %d", known)
+	}
+}
--- a/internal/site/watch/follower.go
+++ b/internal/site/watch/follower.go
@@ -32,6 +32,8 @@
 	Entry bool
 	// Take gets each answer of the replica at address to a poll that was sent at that time.
 	Take func(address string, a Answer, sent time.Time)
+	// Prepare, if any, completes each poll of the replica at address before it is sent.
+	Prepare func(address string, p *Poll)
 	// Logger takes the events.
 	Logger log.Interface
 }
@@ -96,9 +98,11 @@
 
 // poll asks the replica at address until ctx ends.
 func (f *follower) poll(ctx context.Context, address string) {
-	p := Poll{Watcher: f.config.Watcher, Entry: f.config.Entry, Wait: maxWait}
+	// What a replica knows already is wanted at once, also where it is nothing yet.
+	p := Poll{Watcher: f.config.Watcher, Entry: f.config.Entry}
 	pause, lost := firstPause, true
 	for ctx.Err() == nil {
+		f.prepare(address, &p)
 		sent := time.Now()
 		a, err := f.ask(ctx, address, p)
 		if err != nil {
@@ -126,6 +130,18 @@
 	}
 }
 
+// prepare completes a poll. What was left out while another replica relayed it is asked for again.
+func (f *follower) prepare(address string, p *Poll) {
+	if f.config.Prepare == nil {
+		return
+	}
+	relayed := p.Relayed
+	f.config.Prepare(address, p)
+	if relayed && !p.Relayed {
+		p.Number = 0
+	}
+}
+
 func (f *follower) ask(ctx context.Context, address string, p Poll) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.Wait+answerSlack)
 	defer cancel()
--- a/internal/site/watch/protocol.go
+++ b/internal/site/watch/protocol.go
@@ -23,6 +23,11 @@
 	Catching bool `cbor:"catching"`
 	// Wait is how long the answer may wait for a change.
 	Wait time.Duration `cbor:"wait"`
+	// Relayed says that the watcher gets the rows on stores and orders from its relay.
+	Relayed bool `cbor:"relayed,omitempty"`
+	// Relay says that the watcher passes those rows on, and Known up to which number all whom it serves have them.
+	Relay bool   `cbor:"relay,omitempty"`
+	Known uint64 `cbor:"known,omitempty"`
 }
 
 // Answer is what a replica knows beyond the last answer.
@@ -65,6 +70,48 @@
 	Roles: []keys.Role{keys.Control},
 }
 
+// Position is how far a watcher has a copy of what a replica shows.
+type Position struct {
+	// Epoch is the copy's, Number is up to which of its changes the rows go.
+	Epoch  uint64 `cbor:"epoch"`
+	Number uint64 `cbor:"number"`
+}
+
+// LeadsPoll asks a relay for what holders of the lease show of stores and orders.
+type LeadsPoll struct {
+	// Watcher names the process with its start.
+	Watcher string `cbor:"watcher"`
+	// Known is how far the watcher has each copy, by the holder's address.
+	Known map[string]Position `cbor:"known"`
+	// Catching says that the last answer left rows out, so that no further changes are waited for.
+	Catching bool `cbor:"catching"`
+	// Wait is how long the answer may wait for a change.
+	Wait time.Duration `cbor:"wait"`
+}
+
+// Lead is what a holder of the lease shows of stores and orders, as a relay knows it.
+type Lead struct {
+	// Address is the holder's, Epoch its start.
+	Address string `cbor:"address"`
+	Epoch   uint64 `cbor:"epoch"`
+	// Fencing is the number of the lease that it told last.
+	Fencing uint64 `cbor:"fencing"`
+	// Age is how long ago the relay asked for the word that this is.
+	Age time.Duration `cbor:"age"`
+	// Copy is how far the rows go. They are all of the copy when its epoch is another one than the watcher's.
+	Copy Position `cbor:"copy"`
+	// Rows changed since the watcher's position.
+	Rows []board.Row `cbor:"rows"`
+	// More says that there are more rows than fit into one answer.
+	More bool `cbor:"more"`
+}
+
+// Leads is how an entry on a site of many asks its relay.
+var Leads = rpc.Method[LeadsPoll, []Lead]{
+	Name:  "site-leads",
+	Roles: []keys.Role{keys.Entry},
+}
+
 // Chunks is how an entry gets the chunks of a document that it lacks: the first of those asked for that the replica has.
 var Chunks = rpc.Method[[]chunk.Digest, []chunk.Chunk]{
 	Name:  "site-chunks",
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	Method rpc.Method[Poll, Answer]
 	// Zone is the replica's availability zone.
 	Zone string
+	// LeftOut returns whether rows of the topic are left out for watchers that get them from a relay; nil for none.
+	LeftOut func(t board.Topic) bool
 	// Pause returns the time between two rounds of answers to so many watchers; nil grows with their square.
 	Pause func(watchers int) time.Duration
 	// Node takes the polls.
@@ -47,7 +50,7 @@
 	AwaitReplicas(ctx context.Context, number uint64, n int) bool
 	// Entries returns how many entries polled lately.
 	Entries() int
-	// Known returns the number up to which all entries have the rows that polled within the given time.
+	// Known returns the number up to which all entries have the rows that polled within the given time, here or at a relay.
 	Known(within time.Duration) uint64
 }
 
@@ -55,6 +58,18 @@
 	entry  bool
 	number uint64
 	polled time.Time
+	// relayed and relay are as in a Poll; known is the relay's.
+	relayed, relay bool
+	known          uint64
+}
+
+// has returns the number up to which the entries have the rows on stores and orders
+// that get them from this replica, directly or over the watcher; ok is false for none.
+func (w watcher) has() (number uint64, ok bool) {
+	if w.relay {
+		return w.known, true
+	}
+	return w.number, w.entry && !w.relayed
 }
 
 type server struct {
@@ -62,8 +77,7 @@
 	mu       sync.Mutex
 	watchers map[string]watcher
 	advanced chan struct{}
-	// round is when changes are answered next, or were last.
-	round time.Time
+	rounds   rounds
 }
 
 // NewServer registers the call and returns its Server; it is called before the node serves.
@@ -83,18 +97,46 @@
 	s.note(p)
 	ctx, cancel := context.WithTimeout(ctx, min(max(p.Wait, 0), maxWait))
 	defer cancel()
-	// Who has much to catch up with gets the next piece at once.
-	catching := p.Catching && s.Board.Behind(p.Number)
-	s.Board.Wait(ctx, p.Number)
-	if ctx.Err() == nil && !catching {
-		time.Sleep(time.Until(s.nextRound(time.Now())))
-	}
-	rows, number := s.Board.Since(p.Number)
+	rows, number := s.await(ctx, p)
 	a := Answer{Epoch: s.Board.Epoch(), Number: number, Rows: rows, More: s.Board.Behind(number), CaughtUp: s.CaughtUp(), Entries: s.Entries(), Zone: s.Zone}
 	a.Fencing, a.Clock = s.Holder()
 	return a, nil
 }
 
+// await returns the rows that the watcher lacks, as soon as there are any or ctx ends,
+// and the number up to which they go.
+func (s *server) await(ctx context.Context, p Poll) ([]board.Row, uint64) {
+	// Who has much to catch up with gets the next piece at once.
+	catching := p.Catching && s.Board.Behind(p.Number)
+	for number := p.Number; ; {
+		s.Board.Wait(ctx, number)
+		if ctx.Err() == nil && !catching {
+			s.gather(p)
+		}
+		var rows []board.Row
+		rows, number = s.Board.Since(number)
+		if p.Relayed && s.LeftOut != nil {
+			rows = slices.DeleteFunc(rows, func(r board.Row) bool { return s.LeftOut(r.Topic) })
+		}
+		if len(rows) > 0 || ctx.Err() != nil {
+			return rows, number
+		}
+	}
+}
+
+// gather waits for the round in which the poll is answered. Replicas are few, and what
+// they are told they pass on.
+func (s *server) gather(p Poll) {
+	if !p.Entry {
+		time.Sleep(min(batchPause, s.Pause(1)))
+		return
+	}
+	s.mu.Lock()
+	at := s.rounds.next(time.Now(), s.Pause(len(s.watchers)))
+	s.mu.Unlock()
+	time.Sleep(time.Until(at))
+}
+
 // pauseFor returns how long changes are gathered for so many watchers.
 func pauseFor(watchers int) time.Duration {
 	if watchers <= fewWatchers {
@@ -104,30 +146,13 @@
 	return min(mostPause, time.Duration(x*x*float64(batchPause)))
 }
 
-// nextRound returns when a change that is there now is answered: with the round that
-// is being gathered, or in a moment when the last one is long past.
-//
-// Were each change gathered for as long as continual ones must be, an order or a
-// document that comes after a quiet time would wait for nothing.
-func (s *server) nextRound(now time.Time) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Before(s.round) {
-		return s.round
-	}
-	soon, due := now.Add(batchPause), s.round.Add(s.Pause(len(s.watchers)))
-	s.round = soon
-	if due.After(soon) {
-		s.round = due
-	}
-	return s.round
-}
-
 // note remembers how far the watcher is.
 func (s *server) note(p Poll) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watchers[p.Watcher] = watcher{entry: p.Entry, number: p.Number, polled: time.Now()}
+	s.watchers[p.Watcher] = watcher{
+		entry: p.Entry, number: p.Number, polled: time.Now(), relayed: p.Relayed, relay: p.Relay, known: p.Known,
+	}
 	close(s.advanced)
 	s.advanced = make(chan struct{})
 }
@@ -176,8 +201,8 @@
 	defer s.mu.Unlock()
 	known := ^uint64(0)
 	for _, w := range s.watchers {
-		if w.entry && time.Since(w.polled) <= within {
-			known = min(known, w.number)
+		if number, ok := w.has(); ok && time.Since(w.polled) <= within {
+			known = min(known, number)
 		}
 	}
 	return known
--- a/internal/site/watch/watch_test.go
+++ b/internal/site/watch/watch_test.go
@@ -48,28 +48,26 @@
 // second later for nothing; and continual changes must not be answered more often than
 // the replica's processor bears.
 func TestChangeAfterAQuietTimeIsAnsweredAtOnce(t *testing.T) {
-	s := &server{watchers: map[string]watcher{}, Config: Config{Pause: pauseFor}}
-	for i := range 300 {
-		s.watchers[fmt.Sprint(i)] = watcher{entry: true}
-	}
+	var r rounds
+	next := func(now time.Time) time.Time { return r.next(now, pauseFor(300)) }
 	start := time.Unix(100, 0)
-	if at := s.nextRound(start); at.Sub(start) > batchPause {
+	if at := next(start); at.Sub(start) > batchPause {
 		t.Errorf("the first change waits for %s", at.Sub(start))
 	}
-	rounds := map[time.Time]bool{}
+	answered := map[time.Time]bool{}
 	for ms := range 10_000 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
-		at := s.nextRound(now)
+		at := next(now)
 		if wait := at.Sub(now); wait > mostPause {
 			t.Fatalf("a change waits for %s", wait)
 		}
-		rounds[at] = true
+		answered[at] = true
 	}
-	if most := int(10*time.Second/mostPause) + 1; len(rounds) > most {
-		t.Errorf("%d rounds of answers in ten seconds of continual changes, %d at most", len(rounds), most)
+	if most := int(10*time.Second/mostPause) + 1; len(answered) > most {
+		t.Errorf("%d rounds of answers in ten seconds of continual changes, %d at most", len(answered), most)
 	}
 	quiet := start.Add(time.Minute)
-	if at := s.nextRound(quiet); at.Sub(quiet) > batchPause {
+	if at := next(quiet); at.Sub(quiet) > batchPause {
 		t.Errorf("a change after a quiet time waits for %s", at.Sub(quiet))
 	}
 }
