Entries begin with one replica after the other

What callers saw on the large site: after a loss of power of all VMs entries had a first answer of a replica 0.5 to 2 s after their start, and refused everything until then.

Cause: 291 entries asked three seeds at once, and all nine replicas as soon as they knew them. A handshake costs a replica about a millisecond of its 0.24 cores, and its socket holds 64 KB of first packets; what is dropped comes again 0.2, 0.6 and 1.4 s later.

Each entry asks one replica, drawn at random, and the next when that one has answered or is slow, with pauses that grow with the time that answers take. A first poll gets what there is at once. TestReplicasAreAskedOneByOne failed before: three replicas were asked at once.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -111,7 +111,8 @@
 	p.hints = newHints(p, watcher)
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Method: watch.Watch, Node: p.node, Watcher: watcher, Entry: true, Take: p.take, Logger: c.Logger,
-		Prepare: func(_ string, q *watch.Poll) { q.Relayed = p.site.isRelayed() },
+		OneByOne: true,
+		Prepare:  func(_ string, q *watch.Poll) { q.Relayed = p.site.isRelayed() },
 	})
 	dialled := p.metrics.NewCounter("hornbeamwood_site_dialled_total")
 	p.client = backend.New(backend.Config{
--- a/internal/site/watch/follower.go
+++ b/internal/site/watch/follower.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,11 @@
 	// firstPause and maxPause bound the pause after a failure; it doubles.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 500 * time.Millisecond
+	// firstPatience is how long the first answer of a replica may take until the next
+	// one is asked as well, beginPauses how many times as long as the answer took the
+	// pause before that is.
+	firstPatience = 200 * time.Millisecond
+	beginPauses   = 2
 )
 
 // FollowerConfig is what a Follower needs.
@@ -34,6 +41,12 @@
 	Take func(address string, a Answer, sent time.Time)
 	// Prepare, if any, completes each poll of the replica at address before it is sent.
 	Prepare func(address string, p *Poll)
+	// OneByOne has replicas that weren't polled before asked one after the other, each
+	// once the one before it has answered or is slow, in an order of this process's own.
+	//
+	// A handshake costs a replica a millisecond. When hundreds of entries come back
+	// together and each asks all replicas at once, none gets an answer for seconds.
+	OneByOne bool
 	// Logger takes the events.
 	Logger log.Interface
 }
@@ -53,9 +66,18 @@
 	mu     sync.Mutex
 	polls  map[string]context.CancelFunc
 	heard  map[string]time.Time
+	// queue are the replicas that wait for their first poll, queued says that somebody begins with them.
+	queue  []newcomer
+	queued bool
 	ended  sync.WaitGroup
 }
 
+// newcomer is a replica that is polled for the first time.
+type newcomer struct {
+	address string
+	ctx     context.Context
+}
+
 // NewFollower returns a Follower of nobody.
 func NewFollower(c FollowerConfig) Follower {
 	return &follower{config: c, polls: map[string]context.CancelFunc{}, heard: map[string]time.Time{}}
@@ -73,7 +95,15 @@
 		}
 		polling, cancel := context.WithCancel(ctx)
 		f.polls[a] = cancel
-		f.ended.Go(func() { f.poll(polling, a) })
+		if f.config.OneByOne {
+			f.queue = append(f.queue, newcomer{a, polling})
+			continue
+		}
+		f.ended.Go(func() { f.poll(polling, a, func() {}) })
+	}
+	if len(f.queue) > 0 && !f.queued {
+		f.queued = true
+		f.ended.Go(f.begin)
 	}
 	for a, cancel := range f.polls {
 		if !wanted[a] {
@@ -83,6 +113,45 @@
 	}
 }
 
+// begin begins with those that wait, one after the other.
+//
+// The pause after each grows with the time that its answer took: where replicas answer
+// at once all are polled within some hundredths of a second, where they are busy their
+// processor is left to what is more urgent. Who gives no answer is perhaps down, and
+// the next one is asked without a pause.
+func (f *follower) begin() {
+	for {
+		n, ok := f.next()
+		if !ok {
+			return
+		}
+		began, answered := time.Now(), make(chan struct{})
+		var once sync.Once
+		f.ended.Go(func() { f.poll(n.ctx, n.address, func() { once.Do(func() { close(answered) }) }) })
+		select {
+		case <-answered:
+			wait.For(n.ctx, beginPauses*time.Since(began))
+		case <-time.After(firstPatience):
+		case <-n.ctx.Done():
+		}
+	}
+}
+
+// next takes one of those that wait, drawn at random.
+func (f *follower) next() (newcomer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.queue = slices.DeleteFunc(f.queue, func(n newcomer) bool { return n.ctx.Err() != nil })
+	if len(f.queue) == 0 {
+		f.queued = false
+		return newcomer{}, false
+	}
+	i := rand.IntN(len(f.queue))
+	n := f.queue[i]
+	f.queue = slices.Delete(f.queue, i, i+1)
+	return n, true
+}
+
 // Heard implements Follower.
 func (f *follower) Heard(address string) (time.Duration, bool) {
 	f.mu.Lock()
@@ -96,8 +165,8 @@
 	f.ended.Wait()
 }
 
-// poll asks the replica at address until ctx ends.
-func (f *follower) poll(ctx context.Context, address string) {
+// poll asks the replica at address until ctx ends, and calls answered at its answers.
+func (f *follower) poll(ctx context.Context, address string, answered func()) {
 	// What a replica knows already is wanted at once, also where it is nothing yet.
 	p := Poll{Watcher: f.config.Watcher, Entry: f.config.Entry}
 	pause, lost := firstPause, true
@@ -120,6 +189,7 @@
 			lost = false
 			event.ReplicaRegained.Write(f.config.Logger, log.Fields{"replica": address, "epoch": a.Epoch, "rows": len(a.Rows)})
 		}
+		answered()
 		pause = firstPause
 		p.Wait = maxWait
 		p.Epoch, p.Number, p.Catching = a.Epoch, a.Number, a.More
--- a/internal/site/watch/watch_test.go
+++ b/internal/site/watch/watch_test.go
@@ -137,3 +137,57 @@
 	stop()
 	f.Wait()
 }
+
+// Three hundred entries come back together after a loss of power and each knows three
+// seeds. A handshake costs a replica a millisecond: asked by all at once it answers
+// nobody for over a second, and callers are refused meanwhile. Each entry asks one, and
+// the next when that one has answered or is slow.
+func TestReplicasAreAskedOneByOne(t *testing.T) {
+	const silent = 3
+	asked := make(chan string, 1000)
+	var addresses []string
+	for range silent {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		address := c.LocalAddr().String()
+		addresses = append(addresses, address)
+		go func() {
+			packet := make([]byte, 2048)
+			for {
+				if _, _, err := c.ReadFrom(packet); err != nil {
+					return
+				}
+				asked <- address
+			}
+		}()
+	}
+	f := NewFollower(FollowerConfig{Method: Watch, OneByOne: true, Node: node(t, keys.Entry), Watcher: "e", Entry: true, Take: func(string, Answer, time.Time) {}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f.Follow(ctx, addresses)
+	seen := map[string]bool{}
+	half := time.After(firstPatience / 2)
+	for more := true; more; {
+		select {
+		case a := <-asked:
+			seen[a] = true
+		case <-half:
+			more = false
+		}
+	}
+	if len(seen) != 1 {
+		t.Errorf("%d replicas were asked at once", len(seen))
+	}
+	end := time.After(10 * time.Second)
+	for len(seen) < silent {
+		select {
+		case a := <-asked:
+			seen[a] = true
+		case <-end:
+			t.Fatalf("%d of %d replicas were asked while the others gave no answer", len(seen), silent)
+		}
+	}
+}
