Short parts of stores are told one store after the other; a store that is down is told of

Callers of the large site whose prompts are long were late for seconds after a change of the lease: the short parts of all stores, nine in ten of the list's bytes, were told within 0.7 s, and whoever tells entries of them had time for nothing else (control VMs lost each other from 37.75 to 40.25 s after a loss at 35 s, seen with relays too). They are shown one store after the other, so far apart that they take a third of that process's time.

A store that doesn't answer when a replica gets the lease was never told of: its state counted as unchanged. Entries take a holder's word once it has told of every store, so that they went by the one before for up to 10 s, and waited 4 s after a loss of all.

--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -38,13 +38,15 @@
 	// listInterval is the time between two lists of a store: some of its events
 	// never come, and what isn't known to be there is never freed.
 	listInterval = 20 * time.Second
-	// longPart is the size in tokens from which on a part is shown at once, and
-	// shortPause how long the shorter ones wait behind it at most after the first
-	// listing. A replica that has just got the lease owes all parts to every entry,
-	// and most are short ones; partTime is what one part to one entry takes.
+	// longPart is the size in tokens from which on a part is shown at once. A replica
+	// that has just got the lease owes all parts to every entry, and most are short ones:
+	// those of one store follow those of the other, so far apart that they take whoever
+	// tells entries of them a third of its time. partTime is what one part to one entry
+	// takes, shortPause the longest pause after a store.
 	longPart   = 1024
-	shortPause = 700 * time.Millisecond
+	shortShare = 1.0 / 3
 	partTime   = 5 * time.Microsecond
+	shortPause = time.Second
 	// freeAhead is the part of the old weights' parts that goes ahead of the engines.
 	freeAhead = 0.25
 	// hashSteps is how finely parts are told apart by their hash.
@@ -63,6 +65,14 @@
 	shelves map[string]*shelf
 	// epochs ends the looks at each store whether it has restarted.
 	epochs map[string]context.CancelFunc
+	// shorts are the short parts of stores that are still to be shown.
+	shorts []shortParts
+}
+
+// shortParts are the short parts of a store as it was first listed.
+type shortParts struct {
+	shelf *shelf
+	parts []stores.Part
 }
 
 // run follows the document's stores until ctx ends.
@@ -72,6 +82,7 @@
 	defer free.Stop()
 	var all sync.WaitGroup
 	defer all.Wait()
+	all.Go(func() { l.showShorts(ctx) })
 	for {
 		l.follow(ctx, &all)
 		select {
@@ -161,27 +172,36 @@
 
 // watch polls one store until ctx ends.
 func (l *librarian) watch(ctx context.Context, x *shelf) {
-	up := false
 	for ctx.Err() == nil {
 		err := l.poll(ctx, x)
 		if ctx.Err() != nil {
 			return
 		}
-		if (err == nil) != up {
-			up = err == nil
-			l.put(topic.StoresUp, x.stock.Address, up)
-			f := log.Fields{"store": x.stock.Address, "up": up}
-			if err != nil {
-				f["error"] = err.Error()
-			}
-			event.StoreLost.Write(l.config.Logger, f)
-		}
+		l.showUp(x, err)
 		if err != nil {
 			wait.For(ctx, storePause)
 		}
 	}
 }
 
+// showUp shows whether the store answers when that has changed, or was never shown.
+//
+// Entries go by a new holder's word once it has told of every store. One that is down
+// when the lease changes hands must be told of too.
+func (l *librarian) showUp(x *shelf, err error) {
+	up := err == nil
+	if x.asked && x.up == up {
+		return
+	}
+	x.asked, x.up = true, up
+	l.put(topic.StoresUp, x.stock.Address, up)
+	f := log.Fields{"store": x.stock.Address, "up": up}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	event.StoreLost.Write(l.config.Logger, f)
+}
+
 // poll takes one answer of the store.
 func (l *librarian) poll(ctx context.Context, x *shelf) error {
 	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
@@ -222,10 +242,34 @@
 	}
 	long, short := bySize(changed, c.Held)
 	l.showShelf(x, "long", true, long)
-	time.AfterFunc(pauseOfShort(len(short), l.watched.Entries()), func() { l.showShelf(x, "short", false, short) })
+	l.later(x, short)
 	return nil
 }
 
+// later has the short parts of a store shown after those of the stores before it.
+func (l *librarian) later(x *shelf, short []stores.Part) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shorts = append(l.shorts, shortParts{x, short})
+}
+
+// showShorts shows the short parts of one store after the other until ctx ends.
+func (l *librarian) showShorts(ctx context.Context) {
+	for pause := followInterval; wait.For(ctx, pause); {
+		l.mu.Lock()
+		if len(l.shorts) == 0 {
+			l.mu.Unlock()
+			pause = followInterval
+			continue
+		}
+		next := l.shorts[0]
+		l.shorts = l.shorts[1:]
+		l.mu.Unlock()
+		l.showShelf(next.shelf, "short", false, next.parts)
+		pause = pauseOfShort(len(next.parts), servedTogether(l.watched.Entries(), len(l.replica.Status().Members)))
+	}
+}
+
 // use notes which parts were asked for.
 func (l *librarian) use(hashes []uint64) {
 	now := time.Now()
--- a/internal/process/sitecontrol/shelf.go
+++ b/internal/process/sitecontrol/shelf.go
@@ -8,6 +8,7 @@
 
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
 )
 
 // shelf is a store that is followed.
@@ -15,8 +16,10 @@
 	mu     sync.Mutex
 	stock  *stores.Shelf
 	cancel context.CancelFunc
-	// listed is when the whole was last read; only watch uses it.
-	listed time.Time
+	// listed is when the whole was last read, asked says that the store was asked at all,
+	// up that it answered last; only watch uses them.
+	listed    time.Time
+	asked, up bool
 	// shown is the board's number of the last row of the whole.
 	shown uint64
 	// left says that the store is no longer followed.
@@ -52,9 +55,19 @@
 	x.shown = max(x.shown, l.put(topic.Shelves, s.Address+"/"+key, s))
 }
 
-// pauseOfShort returns how long so many short parts wait for the long ones to get to all entries.
+// pauseOfShort returns how long after so many short parts those of the next store are
+// shown, when one process tells so many entries of them.
 func pauseOfShort(parts, entries int) time.Duration {
-	return min(shortPause, time.Duration(parts*entries)*partTime)
+	return min(shortPause, time.Duration(float64(parts*entries)*float64(partTime)/shortShare))
+}
+
+// servedTogether returns how many of the entries one process tells of parts: the
+// holder all of few, and each relay its share of many.
+func servedTogether(entries, replicas int) int {
+	if entries <= watch.FewEntries {
+		return entries
+	}
+	return (entries + replicas - 1) / max(1, replicas)
 }
 
 // bySize divides the parts into those that are worth a row at once and the others.
