hornbeamwood readings: why engines read shared parts, first or again

An operator of a large site sees tokens read again and can't tell news that come late from stores that are full or engines that are lost. Routing lines of prompts with a long shared part name it, the places that were known of it and the age of the word on stores; the command counts tokens by cause and moment from the logs of all entries. TestReadings has a case of each cause.

--- a/cmd/hornbeamwood/main.go
+++ b/cmd/hornbeamwood/main.go
@@ -31,7 +31,7 @@
 	flaggy.SetVersion("")
 	flaggy.DefaultParser.ShowHelpOnUnexpected = true
 	var verbs []verb
-	for _, add := range []func() []verb{entryVerb, controlVerb, keysVerbs, settingsVerbs, checkVerbs, statusVerb, demoVerb, loadVerb, explainVerb, lossesVerb} {
+	for _, add := range []func() []verb{entryVerb, controlVerb, keysVerbs, settingsVerbs, checkVerbs, statusVerb, demoVerb, loadVerb, explainVerb, lossesVerb, readingsVerb} {
 		verbs = append(verbs, add()...)
 	}
 	flaggy.Parse()
--- a/internal/cli/explain/losses.go
+++ b/internal/cli/explain/losses.go
@@ -162,6 +162,7 @@
 	return strings.TrimRight(fmt.Sprintf("%6d %6d  %s", all, counts[onTime], strings.Join(losses, "; ")), " ")
 }
 
+// sorted returns the keys of m in order.
 func sorted[K ~string | ~int64, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for k := range m {
--- /dev/null
+++ b/internal/cli/explain/readings_test.go
@@ -0,0 +1,29 @@
+package explain
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// An operator sees that engines read shared parts again and wants to know why: the
+// remedies for news that come late, for stores that are full and for engines that are
+// lost differ.
+func TestReadings(t *testing.T) {
+	f, err := os.Open(filepath.Join("testdata", "readings.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	s, err := ReadReadings(ReadingsConfig{Step: 2 * time.Second, News: 2 * time.Second}, f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got strings.Builder
+	if err := s.Write(&got); err != nil {
+		t.Fatal(err)
+	}
+	golden(t, "readings", got.String())
+}
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -13,6 +13,7 @@
 	"hornbeamwood/internal/serve/request"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/stores"
 )
 
 const (
@@ -205,6 +206,7 @@
 		attempt:  observe.Attempt{Reading: p.Missing, Held: held, Fetching: fetching(p, prompt.Parts)},
 		prepare:  func(d *request.Dispatch) { j.prepare(d, version) },
 		noted:    func() { j.noteParts(c.Server, salt, e, p.From, now) },
+		describe: func(f log.Fields) { j.describeLongest(f, salt, e, now) },
 		fields: log.Fields{
 			"kind": "engine", "cost-ms": p.Millis, "missing": p.Missing, "from": p.From, "tokens": prompt.Tokens, "version": version,
 			"in-flight": c.Track.InFlight, "reading": c.Track.Reading, "held": c.Track.Held, "load-age-ms": age(c.Track, now),
@@ -212,6 +214,27 @@
 	}
 }
 
+// describeLongest adds to the log line what was known of the longest shared part, if that is long.
+func (j *job) describeLongest(f log.Fields, salt string, e document.Engine, now time.Time) {
+	shared := j.request.Prompt.Parts[:max(0, len(j.request.Prompt.Parts)-1)]
+	at, most := -1, longPart-1
+	for i, p := range shared {
+		if p.Tokens > most {
+			at, most = i, p.Tokens
+		}
+	}
+	if at < 0 {
+		return
+	}
+	p := shared[at]
+	f["part"] = strconv.FormatUint(stores.Part{Salt: salt, ID: p.ID}.Hash(), 16)
+	f["part-place"], f["part-tokens"], f["places"] = at, p.Tokens, len(j.copies(salt, p, e, now))
+	f["stores-age-ms"] = -1
+	if age := j.Site.StoresAge(); age >= 0 {
+		f["stores-age-ms"] = age.Milliseconds()
+	}
+}
+
 // fetching returns how many tokens come from each store.
 func fetching(p choose.Plan, parts []request.Part) map[string]int {
 	all := map[string]int{}
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -61,6 +62,8 @@
 	Copies(salt, part string, tokens int) []choose.Copy
 	// SaveTo returns the store that shall have the part, empty for none.
 	SaveTo(salt, part string, tokens int) string
+	// StoresAge returns how old the word is by which Copies goes, negative when there is none.
+	StoresAge() time.Duration
 	// FetchUntil returns the servers' clock time until which a fetch that begins now may last, zero when it can't be told.
 	FetchUntil() int64
 	// Entries returns how many entries share the servers.
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -108,6 +108,7 @@
 func (s *fakeSite) Await(context.Context)                    {}
 func (s *fakeSite) Settle(context.Context)                   {}
 func (s *fakeSite) AwaitStores(context.Context)              {}
+func (s *fakeSite) StoresAge() time.Duration                 { return 0 }
 func (s *fakeSite) AwaitServers(context.Context, string)     {}
 func (s *fakeSite) Server(string) (directory.Server, bool)   { return directory.Server{}, false }
 func (s *fakeSite) Reads(string, string, int, string)        {}
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -139,6 +139,8 @@
 	prepare func(*request.Dispatch)
 	// noted, if any, is called when the request is sent.
 	noted func()
+	// describe, if any, adds to the log line what takes time to find out.
+	describe func(log.Fields)
 }
 
 func (j *job) choose(ctx context.Context) (choice, bool) {
@@ -169,6 +171,9 @@
 	c.dispatch.Left = j.deadline.Sub(now)
 	c.fields["request"], c.fields["server"], c.fields["try"] = j.request.Attempt, c.server.ID, len(j.tried)
 	c.fields["document"] = j.number
+	if c.describe != nil {
+		c.describe(c.fields)
+	}
 	event.AttemptRouted.Write(j.Logger, c.fields)
 	c.attempt.Server, c.attempt.Began = c.server.ID, now
 	a := j.Tracker.Begin(c.attempt)
