--- a/internal/process/sitecontrol/relay.go
+++ b/internal/process/sitecontrol/relay.go
@@ -28,7 +28,10 @@
 	exchangePause = 40 * time.Millisecond
 	// hintsPause is how long hints are gathered for each entry that the relay serves, so
 	// that it gives as many answers a second to any number of them.
-	hintsPause = 1500 * time.Microsecond
+	hintsPause = 2 * time.Millisecond
+	// leadsPause is the same for rows on stores and orders: they change all the time, and
+	// a part is asked for again seconds later as a rule.
+	leadsPause = 5 * time.Millisecond
 )
 
 // relay passes on what makes the entries' choices better: what they have at each
@@ -80,7 +83,7 @@
 		Method: watch.Exchange, Zone: c.zone, Node: c.node, Board: r.told, CaughtUp: c.caughtUp, Holder: noLease,
 		Pause: func(int) time.Duration { return exchangePause },
 	})
-	r.leads = watch.NewCopies(watch.CopiesConfig{Node: c.node, Relayed: topic.Relayed, Pause: pauseOfHints})
+	r.leads = watch.NewCopies(watch.CopiesConfig{Node: c.node, Relayed: topic.Relayed, Pause: pauseOfLeads})
 	rpc.Receive(c.node, watch.Loads, func(_ rpc.Peer, l share.Post) { r.loads.Take(l, time.Now()) })
 	rpc.Receive(c.node, watch.Readings, func(_ rpc.Peer, all []watch.Reading) { r.takeReadings(all) })
 	r.follower = watch.NewFollower(watch.FollowerConfig{
@@ -118,6 +121,11 @@
 	return time.Duration(max(1, entries)) * hintsPause
 }
 
+// pauseOfLeads returns the time between two rounds of rows on stores and orders to so many entries.
+func pauseOfLeads(entries int) time.Duration {
+	return time.Duration(max(1, entries)) * leadsPause
+}
+
 // put shows a hint that this replica was told.
 func (r *relay) put(t board.Topic, key string, value any) {
 	b, err := codec.Marshal(value)
