--- a/internal/process/sitecontrol/relay.go
+++ b/internal/process/sitecontrol/relay.go
@@ -137,23 +137,6 @@
 	r.shown.Put(t, key, b)
 }
 
-// putCache shows what lies in the memory of an engine that announces itself to this replica.
-func (r *relay) putCache(server string, c topic.Cache) {
-	b, err := codec.Marshal(c)
-	if err != nil {
-		event.NoticeRefused.Write(r.logger, log.Fields{"notice": "cache", "server": server, "error": err.Error()})
-		return
-	}
-	r.told.Put(topic.Caches, server, b)
-	r.takeCache(r.self, board.Row{Topic: topic.Caches, Key: server, Value: b})
-}
-
-// dropCache ends what this replica tells of an engine.
-func (r *relay) dropCache(server string) {
-	r.told.Put(topic.Caches, server, nil)
-	r.takeCache(r.self, board.Row{Topic: topic.Caches, Key: server})
-}
-
 func (r *relay) takeReadings(all []watch.Reading) {
 	for _, x := range all {
 		r.put(topic.Reads, stores.Part{Salt: x.Salt, ID: x.Part}.Key(""), x)
@@ -174,41 +157,6 @@
 	}
 }
 
-func (r *relay) takeSum(address string, row board.Row) {
-	s, err := codec.Unmarshal[share.Sum](row.Value)
-	if err != nil {
-		event.NoticeRefused.Write(r.logger, log.Fields{"notice": "sum of loads", "peer": address, "error": err.Error()})
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.sums[address] = s
-}
-
-// takeCache takes what a relay tells of an engine's memory, or that it tells no more of it.
-//
-// An engine that has moved to another replica is told of by two of them for a moment.
-// The word of the one that it has left must not undo the other's.
-func (r *relay) takeCache(address string, row board.Row) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(row.Value) == 0 {
-		if r.caches[address][row.Key] {
-			delete(r.caches[address], row.Key)
-			r.shown.Put(row.Topic, row.Key, nil)
-		}
-		return
-	}
-	for _, followed := range r.caches {
-		delete(followed, row.Key)
-	}
-	if r.caches[address] == nil {
-		r.caches[address] = map[string]bool{}
-	}
-	r.caches[address][row.Key] = true
-	r.shown.Put(row.Topic, row.Key, row.Value)
-}
-
 // expire forgets what relays told that don't answer any more.
 func (r *relay) expire() {
 	r.mu.Lock()
@@ -251,39 +199,3 @@
 		}
 	}
 }
-
-// showLoads shows the sum of the loads until ctx ends: to other relays that of the
-// entries of this one, to those entries that of all.
-func (r *relay) showLoads(ctx context.Context) {
-	size := 0
-	for ctx.Err() == nil {
-		n := r.entries.Entries()
-		wait.For(ctx, loadsPause(n, size))
-		own := r.loads.Sum(time.Now())
-		r.putSum(r.told, share.Sum{Loads: own.Loads})
-		if n > 0 {
-			size = r.putSum(r.shown, r.total(own))
-		}
-	}
-}
-
-// total adds the other relays' loads.
-func (r *relay) total(own share.Sum) share.Sum {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range r.sums {
-		own = own.WithLoads(s)
-	}
-	return own
-}
-
-// putSum shows a sum on a board and returns its bytes.
-func (r *relay) putSum(b board.Board, s share.Sum) int {
-	encoded, err := codec.Marshal(s)
-	if err != nil {
-		event.NoticeRefused.Write(r.logger, log.Fields{"notice": "loads", "error": err.Error()})
-		return 0
-	}
-	b.Put(topic.Loads, "", encoded)
-	return len(encoded)
-}
--- a/internal/site/watch/copies.go
+++ b/internal/site/watch/copies.go
@@ -16,13 +16,9 @@
 // from relay to relay costs more time than the work of one takes.
 const FewEntries = 32
 
-const (
-	// mostSteps bounds the numbers that are remembered of a copy: those of some minutes.
-	mostSteps = 4096
-	// passedOn is of how many holders of the lease entries are told: the present one, and
-	// the one before it until the present one has told of every store.
-	passedOn = 2
-)
+// passedOn is of how many holders of the lease entries are told: the present one, and
+// the one before it until the present one has told of every store.
+const passedOn = 2
 
 // Copies are a relay's copies of what replicas show of stores and orders, which it
 // passes on to the entries that it serves.
@@ -49,30 +45,6 @@
 	Pause func(entries int) time.Duration
 }
 
-// step says that the changes of a copy up to its number are those of the replica up to origin.
-type step struct {
-	number, origin uint64
-}
-
-// position is how far an entry had a copy when it last asked.
-type position struct {
-	number uint64
-	asked  time.Duration
-}
-
-// replicaCopy is the copy of what one replica shows.
-type replicaCopy struct {
-	// epoch is the replica's, fencing the number of the lease that it told last.
-	epoch, fencing uint64
-	// asked is when it was asked to which it told so, by the boot clock: a relay that
-	// has stood still must not pass on what it was told before as if it were fresh.
-	asked   time.Duration
-	board   board.Board
-	last    uint64
-	steps   []step
-	entries map[string]position
-}
-
 type copies struct {
 	CopiesConfig
 	// now reads the boot clock.
@@ -135,30 +107,6 @@
 	}
 }
 
-// note remembers that the copy has all changes of the replica up to origin.
-func (c *replicaCopy) note(origin uint64) {
-	if n := len(c.steps); n > 0 && c.steps[n-1].number == c.last {
-		c.steps[n-1].origin = max(c.steps[n-1].origin, origin)
-		return
-	}
-	c.steps = append(c.steps, step{c.last, origin})
-	if len(c.steps) > mostSteps {
-		c.steps = append([]step(nil), c.steps[mostSteps/2:]...)
-	}
-}
-
-// origin returns the replica's number up to which an entry has the rows that has the copy up to number.
-func (c *replicaCopy) origin(number uint64) uint64 {
-	found := uint64(0)
-	for _, s := range c.steps {
-		if s.number > number {
-			break
-		}
-		found = s.origin
-	}
-	return found
-}
-
 // Known implements Copies.
 func (x *copies) Known(address string, within time.Duration) uint64 {
 	x.mu.Lock()
@@ -219,18 +167,6 @@
 	return all[:min(len(all), passedOn)]
 }
 
-// lead returns what a watcher at the position lacks.
-func (c *replicaCopy) lead(address string, at Position) Lead {
-	number := at.Number
-	if at.Epoch != c.board.Epoch() {
-		number = 0
-	}
-	l := Lead{Address: address, Epoch: c.epoch, Fencing: c.fencing, Copy: Position{Epoch: c.board.Epoch()}}
-	l.Rows, l.Copy.Number = c.board.Since(number)
-	l.More = c.board.Behind(l.Copy.Number)
-	return l
-}
-
 // note remembers how far the entry is.
 func (x *copies) note(p LeadsPoll) {
 	now := x.now()
