News of a large site come at a steady rate to each process

Cause: intervals were scaled by the entries that one relay serves. With 73 entries before nine relays, eight each, every entry was answered fifty times a second, told its loads forty times, and each engine was asked five times a second for what it keeps. What all do together grew with the square of the processes again, only with another constant.

Where a site has more than 32 entries, each process sends another one news every 0.1 s at most, rows on stores every 0.25 s, and engines are asked every second. TestNewsOfALargeSiteComeAtASteadyRate replaces TestRelayAnswersAtASteadyRate: it has its bounds and one more, on answers to each entry; the function that it calls has changed its shape.

--- a/internal/process/sitecontrol/caches.go
+++ b/internal/process/sitecontrol/caches.go
@@ -10,6 +10,7 @@
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
 )
 
 const (
@@ -18,6 +19,8 @@
 	// cachePause is the time between two polls of an engine while there are few
 	// entries: what came meanwhile travels in one row.
 	cachePause = 200 * time.Millisecond
+	// manyCachePause is the time where there are many: each row goes to all of them.
+	manyCachePause = time.Second
 )
 
 // caches follows what lies in the memory of the engines that announce themselves
@@ -88,10 +91,18 @@
 			continue
 		}
 		c.relay.putCache(s.ID, topic.Cache{Born: s.Born, Least: longPart, Parts: maps.Clone(k.Parts())})
-		wait.For(ctx, time.Duration(1+c.relay.entries.Entries()/entriesPerInterval)*cachePause)
+		wait.For(ctx, c.pause())
 	}
 }
 
+// pause returns the time between two polls of an engine.
+func (c *caches) pause() time.Duration {
+	if c.watched.Entries() > watch.FewEntries {
+		return manyCachePause
+	}
+	return time.Duration(1+c.relay.entries.Entries()/entriesPerInterval) * cachePause
+}
+
 // poll takes one answer of the engine, and the whole list when events were lost.
 func (c *caches) poll(ctx context.Context, s directory.Server, k *stores.Cache) error {
 	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -152,7 +152,7 @@
 func (p *process) watchers() {
 	p.relay = newRelay(relayConfig{
 		node: p.node, self: p.config.Host.Internal, zone: p.config.Host.Zone, epoch: p.board.Epoch(),
-		caughtUp: func() bool { return p.replica.Status().CaughtUp }, logger: p.config.Logger,
+		caughtUp: func() bool { return p.replica.Status().CaughtUp }, siteEntries: func() int { return p.watched.Entries() }, logger: p.config.Logger,
 	})
 	server := watch.NewServer(watch.Config{
 		Method: watch.Watch, Zone: p.config.Host.Zone, LeftOut: topic.LeftOut, Node: p.node, Board: p.board,
--- a/internal/process/sitecontrol/relay.go
+++ b/internal/process/sitecontrol/relay.go
@@ -24,14 +24,14 @@
 	relayInterval = 250 * time.Millisecond
 	// peerTimeout is how long another relay's hints count without hearing from it.
 	peerTimeout = 2 * time.Second
-	// exchangePause is how long hints are gathered for the other relays.
-	exchangePause = 40 * time.Millisecond
+	// selfPause is the time between two looks at what this replica shows itself.
+	selfPause = 20 * time.Millisecond
 	// hintsPause is how long hints are gathered for each entry that the relay serves, so
 	// that it gives as many answers a second to any number of them.
 	hintsPause = 2 * time.Millisecond
-	// leadsPause is the same for rows on stores and orders: they change all the time, and
-	// a part is asked for again seconds later as a rule.
-	leadsPause = 5 * time.Millisecond
+	// leadsPause is the time between two rounds of rows on stores and orders: they change
+	// all the time, and a part is asked for again seconds later as a rule.
+	leadsPause = 250 * time.Millisecond
 )
 
 // relay passes on what makes the entries' choices better: what they have at each
@@ -47,6 +47,8 @@
 	node   rpc.Node
 	self   string
 	logger log.Interface
+	// siteEntries returns how many entries the site has.
+	siteEntries func() int
 	// told holds the hints that came from entries and engines of this replica, shown
 	// those of all relays.
 	told, shown board.Board
@@ -69,21 +71,23 @@
 	self, zone string
 	epoch      uint64
 	caughtUp   func() bool
-	logger     log.Interface
+	// siteEntries returns how many entries the site has.
+	siteEntries func() int
+	logger      log.Interface
 }
 
 func newRelay(c relayConfig) *relay {
 	r := &relay{
-		node: c.node, self: c.self, logger: c.logger, told: board.New(c.epoch), shown: board.New(c.epoch), loads: share.NewAdder(),
+		node: c.node, self: c.self, logger: c.logger, siteEntries: c.siteEntries, told: board.New(c.epoch), shown: board.New(c.epoch), loads: share.NewAdder(),
 		sums: map[string]share.Sum{}, caches: map[string]map[string]bool{},
 	}
 	noLease := func() (uint64, int64) { return 0, 0 }
-	r.entries = watch.NewServer(watch.Config{Method: watch.Hints, Zone: c.zone, Node: c.node, Board: r.shown, CaughtUp: c.caughtUp, Holder: noLease, Pause: pauseOfHints})
+	r.entries = watch.NewServer(watch.Config{Method: watch.Hints, Zone: c.zone, Node: c.node, Board: r.shown, CaughtUp: c.caughtUp, Holder: noLease, Pause: r.pauseOfHints})
 	watch.NewServer(watch.Config{
 		Method: watch.Exchange, Zone: c.zone, Node: c.node, Board: r.told, CaughtUp: c.caughtUp, Holder: noLease,
-		Pause: func(int) time.Duration { return exchangePause },
+		Pause: func(int) time.Duration { return watch.ManyPause },
 	})
-	r.leads = watch.NewCopies(watch.CopiesConfig{Node: c.node, Relayed: topic.Relayed, Pause: pauseOfLeads})
+	r.leads = watch.NewCopies(watch.CopiesConfig{Node: c.node, Relayed: topic.Relayed, Pause: func(int) time.Duration { return leadsPause }})
 	rpc.Receive(c.node, watch.Loads, func(_ rpc.Peer, l share.Post) { r.loads.Take(l, time.Now()) })
 	rpc.Receive(c.node, watch.Readings, func(_ rpc.Peer, all []watch.Reading) { r.takeReadings(all) })
 	r.follower = watch.NewFollower(watch.FollowerConfig{
@@ -112,18 +116,21 @@
 		waiting, cancel := context.WithTimeout(ctx, relayInterval)
 		b.Wait(waiting, number)
 		cancel()
-		wait.For(ctx, exchangePause)
+		wait.For(ctx, selfPause)
 	}
 }
 
-// pauseOfHints returns how long hints are gathered for so many entries.
-func pauseOfHints(entries int) time.Duration {
-	return time.Duration(max(1, entries)) * hintsPause
+// pauseOfHints returns the time between two rounds of hints to so many entries.
+func (r *relay) pauseOfHints(entries int) time.Duration {
+	return r.paced(time.Duration(max(1, entries)) * hintsPause)
 }
 
-// pauseOfLeads returns the time between two rounds of rows on stores and orders to so many entries.
-func pauseOfLeads(entries int) time.Duration {
-	return time.Duration(max(1, entries)) * leadsPause
+// paced returns the pause, on a site of many entries ManyPause at least.
+func (r *relay) paced(pause time.Duration) time.Duration {
+	if r.siteEntries() > watch.FewEntries {
+		return max(pause, watch.ManyPause)
+	}
+	return pause
 }
 
 // put shows a hint that this replica was told.
--- a/internal/process/sitecontrol/relay_loads.go
+++ b/internal/process/sitecontrol/relay_loads.go
@@ -31,7 +31,7 @@
 	size := 0
 	for ctx.Err() == nil {
 		n := r.entries.Entries()
-		wait.For(ctx, loadsPause(n, size))
+		wait.For(ctx, r.paced(loadsPause(n, size)))
 		own := r.loads.Sum(time.Now())
 		r.putSum(r.told, share.Sum{Loads: own.Loads})
 		if n > 0 {
--- a/internal/process/sitecontrol/relay_test.go
+++ b/internal/process/sitecontrol/relay_test.go
@@ -40,7 +40,7 @@
 func quietRelay(t *testing.T) *relay {
 	t.Helper()
 	n, address := testNode(t, keys.Control)
-	return newRelay(relayConfig{node: n, self: address, epoch: 1, caughtUp: func() bool { return true }})
+	return newRelay(relayConfig{node: n, self: address, epoch: 1, caughtUp: func() bool { return true }, siteEntries: func() int { return 1 }})
 }
 
 func cacheRow(t *testing.T, born int64) board.Row {
@@ -116,7 +116,7 @@
 	var addresses []string
 	for range 2 {
 		n, address := testNode(t, keys.Control)
-		relays = append(relays, newRelay(relayConfig{node: n, self: address, epoch: 1, caughtUp: func() bool { return true }}))
+		relays = append(relays, newRelay(relayConfig{node: n, self: address, epoch: 1, caughtUp: func() bool { return true }, siteEntries: func() int { return 2 }}))
 		addresses = append(addresses, address)
 		go func() { _ = n.Serve(ctx) }()
 	}
@@ -159,19 +159,31 @@
 // postLife is how long a load counts after an entry has told it.
 const postLife = 1500 * time.Millisecond
 
-// A relay of fifty entries must give them news several times in the time that a prompt
-// runs, at a number of answers that its share of a processor bears; a relay of few
-// entries must not let them wait.
-func TestRelayAnswersAtASteadyRate(t *testing.T) {
-	// A third of a share of 0.24 cores, at 63 us an answer; a tenth of the time that a long prompt runs.
-	const mostAnswers, oldest = 1270, 130 * time.Millisecond
-	for n := 1; n <= 60; n++ {
-		hints, leads := pauseOfHints(n), pauseOfLeads(n)
-		if hints > oldest {
-			t.Errorf("%d entries: hints wait for %s", n, hints)
-		}
-		if rate := float64(n)/hints.Seconds() + float64(n)/leads.Seconds(); rate > mostAnswers {
-			t.Errorf("%d entries: %.0f answers a second", n, rate)
+// Entries of a large site must hear news several times in the time that a prompt runs, at
+// a number of messages that the processors of all bear: with 73 entries before nine relays
+// each of them was answered fifty times a second, and the site's processes used twice the
+// time. A relay of few entries must not let them wait.
+func TestNewsOfALargeSiteComeAtASteadyRate(t *testing.T) {
+	// A third of a share of 0.24 cores at 63 us an answer; a tenth of the time that a long prompt runs.
+	const mostAnswers, mostToOne, oldest = 1270, 15, 130 * time.Millisecond
+	for _, entries := range []int{73, 291} {
+		r := quietRelay(t)
+		r.siteEntries = func() int { return entries }
+		for n := 1; n <= 60; n++ {
+			hints := r.pauseOfHints(n)
+			if hints > oldest {
+				t.Errorf("%d of %d entries: hints wait for %s", n, entries, hints)
+			}
+			toOne := 1/hints.Seconds() + 1/leadsPause.Seconds()
+			if rate := float64(n) * toOne; rate > mostAnswers {
+				t.Errorf("%d of %d entries: %.0f answers a second", n, entries, rate)
+			}
+			if toOne > mostToOne {
+				t.Errorf("%d of %d entries: %.0f answers a second to each", n, entries, toOne)
+			}
 		}
 	}
+	if r := quietRelay(t); r.pauseOfHints(7) > 15*time.Millisecond {
+		t.Errorf("hints wait for %s on a small site", r.pauseOfHints(7))
+	}
 }
--- a/internal/process/siteentry/readings.go
+++ b/internal/process/siteentry/readings.go
@@ -109,7 +109,11 @@
 // scaled returns an interval for the number of entries that the relay serves, so
 // that what they tell it together doesn't grow with them.
 func (p *process) scaled(d time.Duration) time.Duration {
-	return time.Duration(1+p.hints.served()/entriesPerInterval) * d
+	d *= time.Duration(1 + p.hints.served()/entriesPerInterval)
+	if p.site.many() {
+		return max(d, watch.ManyPause)
+	}
+	return d
 }
 
 // tellLoads tells what this entry has at each engine until ctx ends.
--- a/internal/site/watch/copies.go
+++ b/internal/site/watch/copies.go
@@ -16,6 +16,11 @@
 // from relay to relay costs more time than the work of one takes.
 const FewEntries = 32
 
+// ManyPause is the time between two messages of one process to another of a site of
+// more entries, where each of them has several such peers: what all spend on news
+// together grows with their number only.
+const ManyPause = 100 * time.Millisecond
+
 // passedOn is of how many holders of the lease entries are told: the present one, and
 // the one before it until the present one has told of every store.
 const passedOn = 2
