Relays answer each other in rounds

The time between two answers to another relay was set to 0.1 s and not kept: replicas were answered 3 ms after each change, as they must be with what the log holds. Hints change all the time, so that nine relays did so all the time. TestHintsBetweenRelaysComeInRounds failed before: over four answers to forty changes in 0.4 s.

--- a/internal/process/sitecontrol/relay.go
+++ b/internal/process/sitecontrol/relay.go
@@ -85,7 +85,7 @@
 	r.entries = watch.NewServer(watch.Config{Method: watch.Hints, Zone: c.zone, Node: c.node, Board: r.shown, CaughtUp: c.caughtUp, Holder: noLease, Pause: r.pauseOfHints})
 	watch.NewServer(watch.Config{
 		Method: watch.Exchange, Zone: c.zone, Node: c.node, Board: r.told, CaughtUp: c.caughtUp, Holder: noLease,
-		Pause: func(int) time.Duration { return watch.ManyPause },
+		Pause: func(int) time.Duration { return watch.ManyPause }, AllInRounds: true,
 	})
 	r.leads = watch.NewCopies(watch.CopiesConfig{Node: c.node, Relayed: topic.Relayed, Pause: func(int) time.Duration { return leadsPause }})
 	rpc.Receive(c.node, watch.Loads, func(_ rpc.Peer, l share.Post) { r.loads.Take(l, time.Now()) })
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -38,6 +38,8 @@
 	Node rpc.Node
 	// Board holds the rows.
 	Board board.Board
+	// AllInRounds has replicas answered in rounds too; else what they are told comes at once.
+	AllInRounds bool
 	// CaughtUp says whether the replica is up to date.
 	CaughtUp func() bool
 	// Holder returns the fencing number of the lease that this replica holds, zero for none, and the servers' clock.
@@ -127,14 +129,17 @@
 // gather waits for the round in which the poll is answered. Replicas are few, and what
 // they are told they pass on.
 func (s *server) gather(p Poll) {
-	if !p.Entry {
-		time.Sleep(min(batchPause, s.Pause(1)))
+	if !p.Entry && !s.AllInRounds {
+		time.Sleep(batchPause)
 		return
 	}
+	time.Sleep(time.Until(s.nextRound(time.Now())))
+}
+
+func (s *server) nextRound(now time.Time) time.Time {
 	s.mu.Lock()
-	at := s.rounds.next(time.Now(), s.Pause(len(s.watchers)))
-	s.mu.Unlock()
-	time.Sleep(time.Until(at))
+	defer s.mu.Unlock()
+	return s.rounds.next(now, s.Pause(len(s.watchers)))
 }
 
 // pauseFor returns how long changes are gathered for so many watchers.
--- a/internal/site/watch/watch_test.go
+++ b/internal/site/watch/watch_test.go
@@ -72,6 +72,40 @@
 	}
 }
 
+// Eight relays ask each other for hints, which change all the time. Answered at each
+// change, they would do little else; the leader's word to other replicas must not wait.
+func TestHintsBetweenRelaysComeInRounds(t *testing.T) {
+	// In 0.4 s there are two rounds, one before them and one that ends later.
+	const changes, pause, rounds = 40, 200 * time.Millisecond, 4
+	for allInRounds, enough := range map[bool]func(n int) bool{
+		true:  func(n int) bool { return n <= rounds },
+		false: func(n int) bool { return n > rounds },
+	} {
+		b := board.New(1)
+		s := &server{
+			watchers: map[string]watcher{}, advanced: make(chan struct{}),
+			Config: Config{Board: b, Pause: func(int) time.Duration { return pause }, AllInRounds: allInRounds, CaughtUp: func() bool { return true }, Holder: func() (uint64, int64) { return 0, 0 }},
+		}
+		go func() {
+			for i := range changes {
+				b.Put(5, "hint", []byte{byte(i)})
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+		answers, p := 0, Poll{Watcher: "relay", Wait: maxWait}
+		for end := time.Now().Add(changes * 10 * time.Millisecond); time.Now().Before(end); answers++ {
+			a, err := s.watch(t.Context(), rpc.Peer{}, p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Epoch, p.Number = a.Epoch, a.Number
+		}
+		if !enough(answers) {
+			t.Errorf("in rounds %v: %d answers to %d changes", allInRounds, answers, changes)
+		}
+	}
+}
+
 // A replica has just started and owes thousands of rows to every entry. Sent as
 // one answer they would not be through before the poll times out, the poll would
 // begin anew, and no entry would learn where any part lies.
