A relay that was silent for a while is asked for all its hints again

Found by reading. A relay forgets what another one told that hasn't answered for two seconds, and its poll went on from where it was: after a freeze or a cut what that one tells of engines' memory came back only with each engine's next change, and prompts went where nothing was known to be kept.

The poll begins anew once its hints have expired. TestRelayThatWasSilentIsAskedForAllItsHints fails without that: polled [other silent] at the look at which they expired.

--- a/internal/process/sitecontrol/relay.go
+++ b/internal/process/sitecontrol/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -164,13 +165,15 @@
 	}
 }
 
-// expire forgets what relays told that don't answer any more.
-func (r *relay) expire() {
+// expire forgets what relays told that don't answer any more and returns their addresses.
+func (r *relay) expire() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var expired []string
 	for address := range r.sums {
 		if r.silent(address) {
 			delete(r.sums, address)
+			expired = append(expired, address)
 		}
 	}
 	for address, followed := range r.caches {
@@ -178,10 +181,23 @@
 			continue
 		}
 		delete(r.caches, address)
+		expired = append(expired, address)
 		for key := range followed {
 			r.shown.Put(topic.Caches, key, nil)
 		}
 	}
+	return expired
+}
+
+// peers returns which of the replicas are polled until the next look. One whose hints
+// have expired is left out once: a new poll asks for all of them, the present one only
+// for what changes.
+func (r *relay) peers(addresses []string) []string {
+	expired := r.expire()
+	if r.entries.Entries() == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return slices.Contains(expired, a) })
 }
 
 func (r *relay) silent(address string) bool {
@@ -195,12 +211,7 @@
 	sums.Go(func() { r.showLoads(ctx) })
 	defer sums.Wait()
 	for {
-		var peers []string
-		if r.entries.Entries() > 0 {
-			peers = addresses()
-		}
-		r.follower.Follow(ctx, peers)
-		r.expire()
+		r.follower.Follow(ctx, r.peers(addresses()))
 		if !wait.For(ctx, relayInterval) {
 			return
 		}
--- a/internal/process/sitecontrol/relay_test.go
+++ b/internal/process/sitecontrol/relay_test.go
@@ -106,6 +106,26 @@
 	}
 }
 
+// Guards against hints of a relay that was cut off for a while staying forgotten after it answers again.
+func TestRelayThatWasSilentIsAskedForAllItsHints(t *testing.T) {
+	r := quietRelay(t)
+	r.entries = busyServer{}
+	r.take("silent", watch.Answer{Rows: []board.Row{cacheRow(t, 1)}}, time.Now())
+	all := []string{"other", "silent"}
+	if p := r.peers(all); !slices.Equal(p, []string{"other"}) {
+		t.Errorf("polled %v while the poll of the silent relay has to begin anew", p)
+	}
+	if p := r.peers(all); !slices.Equal(p, all) {
+		t.Errorf("polled %v afterwards", p)
+	}
+}
+
+// busyServer serves one entry.
+type busyServer struct{ watch.Server }
+
+// Entries implements watch.Server.
+func (busyServer) Entries() int { return 1 }
+
 // Entries of two relays choose among the same engines. Each must hear of what the
 // other has there within a fraction of the time that a prompt is read for, or both
 // choose the same engine for the next one.
