A relay that was started anew is believed anew

Found by reading. An entry kept what the earlier start of its relay had told of engines' memory, and what nobody told any more counted until the engine left: prompts went to engines that may have dropped their parts. A relay that was left for another one lost its word before the next one's had come.

What a relay told counts until the first answer of another relay, or of another start of it, with which all rows come. TestEngineIsToldOfByTheRelay has both cases and fails when starts aren't told apart.

--- a/internal/process/siteentry/caches.go
+++ b/internal/process/siteentry/caches.go
@@ -43,8 +43,10 @@
 }
 
 // forgetCaches goes back to guessing what lies in engines: no relay tells it any
-// more, and what was there may have been dropped since. The caller holds the lock.
+// more, and what was there may have been dropped since.
 func (s *site) forgetCaches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for server := range s.caches {
 		s.memory.Confirm(server, nil, 0)
 	}
--- a/internal/process/siteentry/hints.go
+++ b/internal/process/siteentry/hints.go
@@ -64,6 +64,7 @@
 	h.site.setRelay(relay)
 	event.RelayChosen.Write(h.config.Logger, log.Fields{"relay": relay, "before": before})
 	if relay == "" {
+		h.site.forgetCaches()
 		h.follower.Follow(ctx, nil)
 		return
 	}
@@ -88,13 +89,37 @@
 		return
 	}
 	h.entries.Store(int64(a.Entries))
-	for _, r := range a.Rows {
-		if err := h.site.takeHint(r); err != nil {
-			event.NoticeRefused.Write(h.config.Logger, log.Fields{"peer": address, "notice": "hint", "topic": r.Topic, "key": r.Key, "error": err.Error()})
+	h.site.takeHints(relayStart{address, a.Epoch}, a.Rows, h.config.Logger)
+}
+
+// relayStart is one start of a relay.
+type relayStart struct {
+	address string
+	epoch   uint64
+}
+
+// takeHints takes rows of a relay. What another relay told, or another start of it,
+// counts until the first answer, with which all rows come.
+func (s *site) takeHints(from relayStart, rows []board.Row, logger log.Interface) {
+	if s.changeHinted(from) {
+		s.forgetCaches()
+	}
+	for _, r := range rows {
+		if err := s.takeHint(r); err != nil {
+			event.NoticeRefused.Write(logger, log.Fields{"peer": from.address, "notice": "hint", "topic": r.Topic, "key": r.Key, "error": err.Error()})
 		}
 	}
 }
 
+// changeHinted notes whose hints are taken and returns whether others' were before.
+func (s *site) changeHinted(from relayStart) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.hinted != from
+	s.hinted = from
+	return changed
+}
+
 // takeHint takes a row of the relay.
 func (s *site) takeHint(r board.Row) error {
 	switch r.Topic {
@@ -121,7 +146,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.relay = address
-	s.forgetCaches()
 }
 
 // many returns whether there are so many entries that each keeps to a relay of its
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -62,6 +62,8 @@
 	relayed bool
 	// relay is the replica that this entry exchanges hints with, empty for none.
 	relay string
+	// hinted is the start of the relay whose hints were taken last.
+	hinted relayStart
 	// caches is what the relay tells of the memory of engines that haven't announced themselves here yet.
 	caches map[string]topic.Cache
 	// others is what the other entries have at each engine; changed is called when it does.
@@ -131,8 +133,7 @@
 		return decoded(r, func(m topic.Document) { s.documents.show(address, m) })
 	case topic.Servers:
 		if len(r.Value) == 0 {
-			s.directory.Forget(r.Key)
-			s.memory.Forget(r.Key)
+			s.forgetServer(r.Key)
 			return nil
 		}
 		return decoded(r, s.takeServer)
@@ -151,6 +152,15 @@
 	return nil
 }
 
+// forgetServer forgets a server that is gone for good.
+func (s *site) forgetServer(id string) {
+	s.directory.Forget(id)
+	s.memory.Forget(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.caches, id)
+}
+
 func decoded[T any](r board.Row, take func(T)) error {
 	v, err := codec.Unmarshal[T](r.Value)
 	if err != nil {
--- a/internal/process/siteentry/site_test.go
+++ b/internal/process/siteentry/site_test.go
@@ -93,10 +93,19 @@
 	if !holds() {
 		t.Error("what was told before the announcement is lost")
 	}
-	s.setRelay("another")
+	s.takeHints(relayStart{"another", 1}, nil, nil)
 	if holds() {
 		t.Error("the word of a relay that is no more counts for ever")
 	}
+	s.takeHints(relayStart{"another", 1}, []board.Row{row(3)}, nil)
+	s.takeHints(relayStart{"another", 1}, nil, nil)
+	if !holds() {
+		t.Error("an answer without news undid what the relay told before")
+	}
+	s.takeHints(relayStart{"another", 2}, nil, nil)
+	if holds() {
+		t.Error("the word of an earlier start of the relay counts for ever")
+	}
 	take(row(3))
 	take(board.Row{Topic: topic.Caches, Key: "a"})
 	if holds() {
