Short parts of stores that were left hold nobody up

Found by reading. A replica that loses the lease and gets it again showed the short parts of the stores it follows now behind those that were queued under the lost lease: nothing was shown of them, but their pauses were kept, 0.16 s each and up to 36 of them on the large site.

They are passed over. TestShortPartsOfALeftStoreHoldNobodyUp, in place of TestShortPartsOfOneStoreFollowThoseOfTheOther, has its checks (the order, and that nothing is told before its turn) and fails without the change.

--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -38,19 +36,8 @@
 	// listInterval is the time between two lists of a store: some of its events
 	// never come, and what isn't known to be there is never freed.
 	listInterval = 20 * time.Second
-	// longPart is the size in tokens from which on a part is shown at once. A replica
-	// that has just got the lease owes all parts to every entry, and most are short ones:
-	// those of one store follow those of the other, so far apart that they take whoever
-	// tells entries of them a third of its time. partTime is what one part to one entry
-	// takes, shortPause the longest pause after a store.
-	longPart   = 1024
-	shortShare = 1.0 / 3
-	partTime   = 5 * time.Microsecond
-	shortPause = time.Second
-	// freeAhead is the part of the old weights' parts that goes ahead of the engines.
-	freeAhead = 0.25
-	// hashSteps is how finely parts are told apart by their hash.
-	hashSteps = 1000
+	// longPart is the size in tokens from which on a part is shown at once.
+	longPart = 1024
 	// freeBatch bounds the parts of one call.
 	freeBatch = 256
 )
@@ -69,12 +56,6 @@
 	shorts []shortParts
 }
 
-// shortParts are the short parts of a store as it was first listed.
-type shortParts struct {
-	shelf *shelf
-	parts []stores.Part
-}
-
 // run follows the document's stores until ctx ends.
 func (l *librarian) run(ctx context.Context) {
 	follow, free := time.NewTicker(followInterval), time.NewTicker(freeInterval)
@@ -127,49 +108,6 @@
 	}
 }
 
-// followEpochs looks at each store whether it has restarted; the caller holds the lock.
-func (l *librarian) followEpochs(ctx context.Context, all *sync.WaitGroup, wanted map[string]document.Store) {
-	for a := range wanted {
-		if _, ok := l.epochs[a]; ok {
-			continue
-		}
-		following, cancel := context.WithCancel(ctx)
-		l.epochs[a] = cancel
-		all.Go(func() { l.watchEpoch(following, a) })
-	}
-	for a, cancel := range l.epochs {
-		if _, ok := wanted[a]; !ok {
-			cancel()
-			delete(l.epochs, a)
-		}
-	}
-}
-
-// watchEpoch shows which start of a store answers, until ctx ends.
-//
-// An entry goes on with what the last holder of the lease told of the stores
-// until another replica holds it. A store that restarts meanwhile is empty, and
-// what is written there anew isn't whole; the entry must hear of the restart from
-// a replica that doesn't hold the lease.
-func (l *librarian) watchEpoch(ctx context.Context, address string) {
-	next := int64(0)
-	for ctx.Err() == nil {
-		asking, cancel := context.WithTimeout(ctx, eventsTimeout)
-		f, err := l.client.Events(asking, address, next, eventsWait)
-		cancel()
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			f.Epoch = 0
-		}
-		l.clock.Heard(f.Clock)
-		next = f.Next
-		l.put(topic.Epochs, address, f.Epoch)
-		wait.For(ctx, epochPause)
-	}
-}
-
 // watch polls one store until ctx ends.
 func (l *librarian) watch(ctx context.Context, x *shelf) {
 	for ctx.Err() == nil {
@@ -246,30 +184,6 @@
 	return nil
 }
 
-// later has the short parts of a store shown after those of the stores before it.
-func (l *librarian) later(x *shelf, short []stores.Part) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.shorts = append(l.shorts, shortParts{x, short})
-}
-
-// showShorts shows the short parts of one store after the other until ctx ends.
-func (l *librarian) showShorts(ctx context.Context) {
-	for pause := followInterval; wait.For(ctx, pause); {
-		l.mu.Lock()
-		if len(l.shorts) == 0 {
-			l.mu.Unlock()
-			pause = followInterval
-			continue
-		}
-		next := l.shorts[0]
-		l.shorts = l.shorts[1:]
-		l.mu.Unlock()
-		l.showShelf(next.shelf, "short", false, next.parts)
-		pause = pauseOfShort(len(next.parts), servedTogether(l.watched.Entries(), len(l.replica.Status().Members)))
-	}
-}
-
 // use notes which parts were asked for.
 func (l *librarian) use(hashes []uint64) {
 	now := time.Now()
@@ -335,44 +249,3 @@
 	}
 	event.PartsFreed.Write(l.config.Logger, f)
 }
-
-// outdated returns what tells the parts of older weights that make room for those of newer ones.
-//
-// While engines load one after the other, old and new parts are wanted side by
-// side and the stores hold but one set. So as many of the old parts go as
-// engines have left the old weights, and a little ahead of them, since a part
-// stays for some seconds after entries were told that it goes.
-func (l *librarian) outdated() func(stores.Part) bool {
-	current, share := map[string]int64{}, map[string]float64{}
-	e := engines{l.process}
-	for model, named := range l.section.Versions() {
-		older, all := 0, 0
-		for _, s := range e.Engines() {
-			if _, ok := s.Version(model); !ok {
-				continue
-			}
-			all++
-			if e.Version(s, model) < named {
-				older++
-			}
-		}
-		if all > 0 && older < all {
-			current[model] = named
-			share[model] = min(1, float64(all-older)/float64(all)+freeAhead)
-		}
-	}
-	return func(p stores.Part) bool {
-		model, version, ok := saltVersion(p.Salt)
-		return ok && version < current[model] && float64(p.Hash()%hashSteps) < share[model]*hashSteps
-	}
-}
-
-// saltVersion returns the model and the version that a salt names.
-func saltVersion(salt string) (string, int64, bool) {
-	fields := strings.Split(salt, "/")
-	if len(fields) < 2 {
-		return "", 0, false
-	}
-	n, err := strconv.ParseInt(fields[1], 10, 64)
-	return fields[0], n, err == nil
-}
--- a/internal/process/sitecontrol/librarian_test.go
+++ b/internal/process/sitecontrol/librarian_test.go
@@ -59,48 +59,27 @@
 	}
 }
 
-// The lists of two stores come together. Shown at once, the short parts of the second
-// stand before the long ones of a third.
-func TestShortPartsOfOneStoreFollowThoseOfTheOther(t *testing.T) {
+// Guards against stores of a lease that was lost holding up the short parts of those that are followed now.
+func TestShortPartsOfALeftStoreHoldNobodyUp(t *testing.T) {
 	l := &librarian{process: &process{board: board.New(1)}}
-	a, b := &shelf{stock: stores.NewShelf("1:1", 1000)}, &shelf{stock: stores.NewShelf("2:2", 1000)}
-	l.later(a, nil)
-	l.later(b, nil)
-	if len(l.shorts) != 2 || l.shorts[0].shelf != a {
-		t.Errorf("%d stores wait", len(l.shorts))
+	shelfAt := func(address string) *shelf {
+		return &shelf{stock: stores.NewShelf(address, 1000), cancel: func() {}}
 	}
-	if rows, _ := l.board.Since(0); len(rows) > 0 {
-		t.Errorf("told at once: %+v", rows)
+	left, first, second := shelfAt("1:1"), shelfAt("2:2"), shelfAt("3:3")
+	for _, x := range []*shelf{left, first, left, second} {
+		l.later(x, nil)
 	}
-}
-
-// A replica that had the lease before gets it again. A part that it showed under
-// the first lease, that was freed and has been saved anew since, has the same row
-// as then: were the row not told again, entries would have the part read and saved
-// over and over. One that it withdrew then, and withdraws again, would go on being
-// fetched while it is freed and written anew.
-func TestPartIsToldAgainAfterANewList(t *testing.T) {
-	p := stores.Part{Salt: "m/1", ID: "p"}
-	for name, whole := range map[string]bool{"saved": true, "withdrawn": false} {
-		t.Run(name, func(t *testing.T) {
-			b := board.New(1)
-			l := &librarian{process: &process{board: b}}
-			x := &shelf{stock: stores.NewShelf("1:1", 1000)}
-			l.showPart(x, p.In("1:1").Key(), 300, whole)
-			l.showShelf(x, "long", true, nil)
-			_, before := b.Since(0)
-			if whole {
-				x.stock.TakeList(stores.Listing{Epoch: 1, Held: map[stores.Part]int{p: 300}}, time.Now())
-			}
-			number := l.show(x, []stores.Part{p})
-			rows, last := b.Since(before)
-			if len(rows) != 1 || len(rows[0].Value) > 0 != whole {
-				t.Errorf("told %+v", rows)
-			}
-			if !whole && number != last {
-				t.Errorf("the withdrawal counts as told at %d, not %d", number, last)
-			}
-		})
+	left.leave()
+	for _, want := range []*shelf{first, second} {
+		if next, ok := l.nextShort(); !ok || next.shelf != want {
+			t.Errorf("next are the short parts of %+v, not those of %s", next.shelf, want.stock.Address)
+		}
+	}
+	if _, ok := l.nextShort(); ok {
+		t.Error("short parts are left to show")
+	}
+	if rows, _ := l.board.Since(0); len(rows) > 0 {
+		t.Errorf("told before their turn: %+v", rows)
 	}
 }
 
--- a/internal/process/sitecontrol/shelf.go
+++ b/internal/process/sitecontrol/shelf.go
@@ -8,7 +8,6 @@
 
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
-	"hornbeamwood/internal/site/watch"
 )
 
 // shelf is a store that is followed.
@@ -55,21 +54,6 @@
 	x.shown = max(x.shown, l.put(topic.Shelves, s.Address+"/"+key, s))
 }
 
-// pauseOfShort returns how long after so many short parts those of the next store are
-// shown, when one process tells so many entries of them.
-func pauseOfShort(parts, entries int) time.Duration {
-	return min(shortPause, time.Duration(float64(parts*entries)*float64(partTime)/shortShare))
-}
-
-// servedTogether returns how many of the entries one process tells of parts: the
-// holder all of few, and each relay its share of many.
-func servedTogether(entries, replicas int) int {
-	if entries <= watch.FewEntries {
-		return entries
-	}
-	return (entries + replicas - 1) / max(1, replicas)
-}
-
 // bySize divides the parts into those that are worth a row at once and the others.
 func bySize(all []stores.Part, sizes map[stores.Part]int) (long, short []stores.Part) {
 	for _, p := range all {
@@ -123,3 +107,10 @@
 	defer x.mu.Unlock()
 	x.left = true
 }
+
+// isLeft returns whether the store is followed no more.
+func (x *shelf) isLeft() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.left
+}
