--- a/internal/cli/explain/readings_test.go
+++ b/internal/cli/explain/readings_test.go
@@ -8,9 +8,7 @@
 	"time"
 )
 
-// An operator sees that engines read shared parts again and wants to know why: the
-// remedies for news that come late, for stores that are full and for engines that are
-// lost differ.
+// Guards against causes of readings, whose remedies differ, being counted as one.
 func TestReadings(t *testing.T) {
 	f, err := os.Open(filepath.Join("testdata", "readings.log"))
 	if err != nil {
--- a/internal/control/admission/keeper_test.go
+++ b/internal/control/admission/keeper_test.go
@@ -49,9 +49,7 @@
 	return nil
 }
 
-// A replica loses its disk while one leads that isn't a seed. It knows the seeds
-// alone, and must find the leader through them, or it stays out for as long as that
-// one leads and the next loss counts double.
+// Guards against a replica that lost its disk staying out while no seed leads.
 func TestBlankReplicaFindsALeaderThatIsNoSeed(t *testing.T) {
 	members := []raft.Member{
 		{Identity: "1", Address: "seed-1", Voter: true},
@@ -81,9 +79,7 @@
 	})
 }
 
-// A seed was cut off and still names the leader that it followed then, which leads no
-// more. A replica that lost its disk must not ask that one to be taken in, but the one
-// that leads now.
+// Guards against a replica that lost its disk asking a former leader, which a seed that was cut off still names.
 func TestBlankReplicaPassesOverAFormerLeader(t *testing.T) {
 	stale := replica.Status{Role: raft.Follower.String(), Term: 2, LeaderAddress: "former"}
 	fresh := replica.Status{Role: raft.Follower.String(), Term: 3, LeaderAddress: "leader"}
@@ -100,8 +96,7 @@
 	}
 }
 
-// Replicas name each a leader of their own. A replica that lost its disk asks a few of
-// them, those of the latest terms, and not whomever it is told of.
+// Guards against a replica that lost its disk asking whomever others name.
 func TestBlankReplicaAsksFewOfTheNamedLeaders(t *testing.T) {
 	p := &fakePeers{statuses: map[string]replica.Status{}}
 	var known []string
--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -52,10 +52,7 @@
 	c.until("caught up", func() bool { return down.replica.Status().CaughtUp })
 }
 
-// All VMs lost power, and a replica is back before the others. It is asked at once by
-// hundreds of entries that know the seeds alone. It must tell them of all replicas that
-// its log names, also while no leader is heard, or they wait behind each other at the
-// seeds while the others are idle.
+// Guards against entries that know the seeds alone finding no other replica until a leader is heard.
 func TestReplicaNamesTheOthersBeforeALeaderIsHeard(t *testing.T) {
 	c := newCluster(t, 3, nil)
 	c.write("one")
--- a/internal/process/sitecontrol/librarian_test.go
+++ b/internal/process/sitecontrol/librarian_test.go
@@ -37,10 +37,7 @@
 	}
 }
 
-// After a loss of all processes the short parts come behind the long ones. On a small
-// site all rows are through in a moment, and a wait of a large site's length would
-// have engines read the short parts again meanwhile. On a large one those of 36 stores
-// at once kept the control VMs from everything else for seconds.
+// Guards against short parts of all stores keeping who tells of them from everything else, and against long waits on a small site.
 func TestShortPartsComeByTheirNumber(t *testing.T) {
 	if p := pauseOfShort(300, servedTogether(7, 5)); p > 50*time.Millisecond {
 		t.Errorf("on a small site the next store's short parts come after %s", p)
@@ -83,9 +80,7 @@
 	}
 }
 
-// A store is down while the lease changes hands. If nothing were told of it, the new
-// holder would never have told of every store: entries would go by the word of the one
-// before until it is too old, and after a loss of all processes wait for nothing.
+// Guards against a new holder of the lease never counting as complete because a store is down.
 func TestStoreThatIsDownAtFirstIsToldOf(t *testing.T) {
 	b := board.New(1)
 	l := &librarian{process: &process{board: b}}
--- a/internal/process/siteentry/copies_test.go
+++ b/internal/process/siteentry/copies_test.go
@@ -31,8 +31,7 @@
 
 func holdsPart(s *site, id string) bool { return len(s.Copies("m/1", id, 300)) == 1 }
 
-// An entry of a large site gets the word on stores and orders from its relay. It must
-// fetch what the holder shows, and spare engines that carry out an order.
+// Guards against an entry behind a relay fetching nothing from stores or sending to engines that load weights.
 func TestRelayedWordCounts(t *testing.T) {
 	s := relayedSite(t)
 	if !holdsPart(s, "q") || !s.Busy("engine") {
@@ -46,9 +45,7 @@
 	}
 }
 
-// A relay is cut off from the holder, and answers. What it told can have been freed
-// since: an entry that believes it has an engine fetch a part that is being written
-// anew, and a caller gets an answer made from half of it.
+// Guards against fetches of parts that were freed since, by the word of a relay that is cut off from the holder.
 func TestOldRelayedWordIsNotBelieved(t *testing.T) {
 	s := relayedSite(t)
 	s.takeLead(relayedLead(t, watch.Position{Epoch: 7, Number: 3}, stores.StaleAfter), time.Now(), nil)
@@ -61,8 +58,7 @@
 	}
 }
 
-// An entry goes over to another relay, or a relay has begun a copy anew. Parts that the
-// earlier copy had and the new one lacks were freed meanwhile.
+// Guards against parts of an earlier copy being fetched after another relay has begun a new one.
 func TestNewCopyReplacesTheEarlierOne(t *testing.T) {
 	s := relayedSite(t)
 	l := relayedLead(t, watch.Position{Epoch: 8, Number: 2}, 0)
@@ -73,9 +69,7 @@
 	}
 }
 
-// A site shrinks, and entries hear of stores and orders from the holder again. Nobody
-// tells them any more what has changed of the relay's word, so that it must not count;
-// and while it counts, what replicas tell directly must not.
+// Guards against rows that came by one way counting once the other is used, when nobody tells of their changes.
 func TestOneWayCountsAtATime(t *testing.T) {
 	s := relayedSite(t)
 	direct := watch.Answer{Epoch: 1, Fencing: 5, Rows: []board.Row{
--- a/internal/process/siteentry/site_test.go
+++ b/internal/process/siteentry/site_test.go
@@ -59,9 +59,7 @@
 	}
 }
 
-// An engine that is started anew has nothing of what the one before it had. What its
-// relay tells may come before the announcement of the start and must not be lost, and
-// without a relay nobody says any more that the engine still has it.
+// Guards against what an engine keeps being believed after its restart, lost before its announcement, or kept without anybody's word.
 func TestEngineIsToldOfByTheRelay(t *testing.T) {
 	s := quietSite()
 	now := time.Now()
--- a/internal/site/watch/copies_test.go
+++ b/internal/site/watch/copies_test.go
@@ -43,10 +43,7 @@
 	asked time.Duration
 }
 
-// A part is freed once all entries were told that it goes. With entries behind relays,
-// whose answers are late or lost, a relay must never say that its entries know more
-// than the one that knows least, or an engine fetches a part that is being written anew
-// and a caller gets an answer made from half of it.
+// Guards against a part being freed while an entry whose relay claims otherwise still has it fetched.
 func TestRelayNeverClaimsMoreThanItsEntriesKnow(t *testing.T) {
 	p := gopter.NewProperties(nil)
 	p.Property("known is what all have", prop.ForAll(func(seed uint64) bool {
@@ -114,9 +111,7 @@
 	return count(rows) > count(later)
 }
 
-// A relay asked the holder, and the answer came a second later. What it passes on is as
-// old as the question: an entry that takes it for fresh goes on fetching parts that the
-// holder has freed since.
+// Guards against the word of a relay passing for fresher than it is.
 func TestRelayedWordIsAsOldAsItsQuestion(t *testing.T) {
 	x, now := testCopies()
 	x.Asking("holder")
@@ -134,9 +129,7 @@
 	}
 }
 
-// The lease goes from hand to hand. Entries need the present holder's word and, until
-// it has told of every store, that of the one before; the lists of all that ever held
-// it would fill their links.
+// Guards against links filled with the lists of all that ever held the lease.
 func TestEntriesAreToldOfTheLatestHolders(t *testing.T) {
 	x, _ := testCopies()
 	for i, name := range []string{"b", "c", "a", "never"} {
@@ -153,10 +146,7 @@
 	}
 }
 
-// A replica has just got the lease and owes thousands of rows on parts. To three hundred
-// entries directly they were more than its processor bore: heartbeats of the control
-// log came late, it lost the lease, and the next one began anew. It owes them to eight
-// relays only.
+// Guards against a new holder of the lease losing it over what it owes every entry of a large site.
 func TestNewHolderOwesItsListsToRelays(t *testing.T) {
 	b := board.New(1)
 	b.Put(directTopic, "server", []byte{1})
--- a/internal/site/watch/watch_test.go
+++ b/internal/site/watch/watch_test.go
@@ -43,10 +43,7 @@
 	return n, s
 }
 
-// Three hundred entries watch a replica, and an operator's document comes after a quiet
-// time. If it were gathered like continual changes, it would be in force nearly half a
-// second later for nothing; and continual changes must not be answered more often than
-// the replica's processor bears.
+// Guards against a single change waiting as long as continual ones, and continual ones being answered too often.
 func TestChangeAfterAQuietTimeIsAnsweredAtOnce(t *testing.T) {
 	var r rounds
 	next := func(now time.Time) time.Time { return r.next(now, pauseFor(300)) }
@@ -72,8 +69,7 @@
 	}
 }
 
-// Eight relays ask each other for hints, which change all the time. Answered at each
-// change, they would do little else; the leader's word to other replicas must not wait.
+// Guards against relays answering each other at each change of their hints.
 func TestHintsBetweenRelaysComeInRounds(t *testing.T) {
 	// In 0.4 s there are two rounds, one before them and one that ends later.
 	const changes, pause, rounds = 40, 200 * time.Millisecond, 4
@@ -172,10 +168,7 @@
 	f.Wait()
 }
 
-// Three hundred entries come back together after a loss of power and each knows three
-// seeds. A handshake costs a replica a millisecond: asked by all at once it answers
-// nobody for over a second, and callers are refused meanwhile. Each entry asks one, and
-// the next when that one has answered or is slow.
+// Guards against hundreds of entries that come back together asking all replicas at once.
 func TestReplicasAreAskedOneByOne(t *testing.T) {
 	const silent = 3
 	asked := make(chan string, 1000)
