--- a/internal/process/sitecontrol/relay.go
+++ b/internal/process/sitecontrol/relay.go
@@ -35,15 +35,13 @@
 	leadsPause = 250 * time.Millisecond
 )
 
-// relay passes on what makes the entries' choices better: what they have at each
-// engine, which engines read which parts, and what lies in engines' memory.
+// relay exchanges hints between entries: what they have at each engine, which engines
+// read which parts, and what lies in engines' memory. To the entries of a large site it
+// also passes on what holders of the lease tell of stores and orders.
 //
-// Were each entry told by every replica, or all by one, the work of a replica would
-// grow with entries times news, and the news would have to be gathered for longer the
-// more entries there are: they would all choose by one old picture and meet at the
-// same engines. Each entry has one relay instead, relays tell each other, and a relay's
-// work grows with the entries that it serves. Hints may be late or missing; nothing
-// that must hold depends on them.
+// Each entry has one relay and relays ask each other, so that no replica's work grows
+// with entries times news. Hints may be late or missing: nothing that must hold depends
+// on them.
 type relay struct {
 	node   rpc.Node
 	self   string
--- a/internal/process/siteentry/copies.go
+++ b/internal/process/siteentry/copies.go
@@ -15,8 +15,8 @@
 const (
 	// leadsWait is how long a relay may hold a poll.
 	leadsWait = time.Second
-	// leadsPause is the time until a poll that got no answer is sent again.
-	leadsPause = 50 * time.Millisecond
+	// leadsRetry is the time until a poll that got no answer is sent again.
+	leadsRetry = 50 * time.Millisecond
 )
 
 // followLeads asks the relay what holders of the lease tell of stores and orders, on
@@ -31,7 +31,7 @@
 		sent := time.Now()
 		all, err := h.askLeads(ctx, relay, catching)
 		if err != nil {
-			wait.For(ctx, leadsPause)
+			wait.For(ctx, leadsRetry)
 			continue
 		}
 		catching = false
--- a/internal/site/watch/copies.go
+++ b/internal/site/watch/copies.go
@@ -28,9 +28,8 @@
 // Copies are a relay's copies of what replicas show of stores and orders, which it
 // passes on to the entries that it serves.
 //
-// A replica that has just got the lease owes every entry all that lies in all stores.
-// On a large site that is more than its processor bears beside the heartbeats of the
-// control log: it loses the lease over it, and the next one begins anew.
+// A replica that has just got the lease owes every entry all that lies in all stores:
+// on a large site more than its processor bears beside the heartbeats of the control log.
 type Copies interface {
 	// Asking notes that the replica at address is about to be asked.
 	Asking(address string)
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -133,6 +133,7 @@
 		time.Sleep(batchPause)
 		return
 	}
+	// Rounds are mostPause or Pause apart at most, and the poll's caller waits for longer.
 	time.Sleep(time.Until(s.nextRound(time.Now())))
 }
 
