A word that comes in pieces is fresh with its last piece

What a caller may get: an answer made from a part that wasn't whole in its store (MIXED).

Cause, inferred: the holder listed all stores three times from 8.0 to 11.6 s and owed each entry the lists; polls for them broke off after 28 KB (log of the control VMs). An entry counted the holder's word as fresh with each piece of an answer, so that it went on for seconds by rows from before the crash, where it would have asked other replicas which start of the store they see. Ruled out: early frees (none had happened).

The word is fresh when nothing more is to come: at entries, and at relays for what they pass on. TestWordThatComesInPiecesIsNotFresh failed before in both packages.

--- a/internal/process/siteentry/copies.go
+++ b/internal/process/siteentry/copies.go
@@ -100,9 +100,9 @@
 		l = newLead(told.Epoch)
 		s.copies[told.Address] = l
 	}
-	l.copied, l.fencing = told.Copy, told.Fencing
+	l.copied = told.Copy
 	// The relay's word is no fresher than its own poll, and its answer may have waited.
-	l.heard = sent.Add(-told.Age)
+	l.hear(told.Fencing, sent.Add(-told.Age), told.More)
 	for _, r := range told.Rows {
 		if err := l.take(r); err != nil {
 			event.NoticeRefused.Write(logger, log.Fields{"peer": told.Address, "notice": "relayed row", "topic": r.Topic, "key": r.Key, "error": err.Error()})
--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -69,7 +69,17 @@
 	}
 	l.polled, l.zone = time.Now(), a.Zone
 	if a.Fencing != 0 {
-		l.fencing, l.heard = a.Fencing, l.polled
+		l.hear(a.Fencing, l.polled, a.More)
+	}
+}
+
+// hear notes a word of the replica while it holds the lease, as of that time. One that
+// comes in pieces makes nothing fresh before the last of them: the others may hold
+// that a store is down.
+func (l *lead) hear(fencing uint64, at time.Time, more bool) {
+	l.fencing = fencing
+	if !more {
+		l.heard = at
 	}
 }
 
--- a/internal/process/siteentry/lead_test.go
+++ b/internal/process/siteentry/lead_test.go
@@ -160,6 +160,23 @@
 	}
 }
 
+// Guards against a part being fetched from a store that has restarted, by a word that is fresh only in its first pieces.
+func TestWordThatComesInPiecesIsNotFresh(t *testing.T) {
+	s := siteWithStore(t)
+	whole := func() bool { return len(s.Copies("m/1", "p", 300)) == 1 }
+	s.mu.Lock()
+	s.leads["old"].heard = time.Now().Add(-tellsFor - time.Second)
+	s.mu.Unlock()
+	s.take("old", watch.Answer{Epoch: 1, Fencing: 4, More: true})
+	if whole() {
+		t.Error("the store's state of some seconds ago counts as fresh")
+	}
+	s.take("old", watch.Answer{Epoch: 1, Fencing: 4})
+	if !whole() {
+		t.Error("the whole word doesn't count")
+	}
+}
+
 // A site has engines and no store. Entries that don't hear of each other there
 // all send to the same engine, and send to engines that load new weights.
 func TestSiteWithoutStores(t *testing.T) {
--- a/internal/site/watch/copies.go
+++ b/internal/site/watch/copies.go
@@ -103,7 +103,10 @@
 	c.note(a.Number)
 	if a.Fencing != 0 {
 		changed = changed || a.Fencing != c.fencing
-		c.fencing, c.asked = a.Fencing, x.asking[address]
+		c.fencing = a.Fencing
+	}
+	if a.Fencing != 0 && !a.More {
+		c.asked = x.asking[address]
 	}
 	if changed {
 		close(x.signal)
--- a/internal/site/watch/copies_test.go
+++ b/internal/site/watch/copies_test.go
@@ -129,6 +129,23 @@
 	}
 }
 
+// Guards against a relay whose poll catches up in pieces passing on what it has as fresh.
+func TestWordThatComesInPiecesIsNotFresh(t *testing.T) {
+	x, now := testCopies()
+	x.Asking("holder")
+	x.Take("holder", Answer{Epoch: 1, Fencing: 1, Number: 1})
+	*now += 3 * time.Second
+	x.Asking("holder")
+	x.Take("holder", Answer{Epoch: 1, Fencing: 1, Number: 2, More: true})
+	if all := x.asks("e", nil); all[0].Age != 3*time.Second {
+		t.Errorf("a word of which more is to come is %s old", all[0].Age)
+	}
+	x.Take("holder", Answer{Epoch: 1, Fencing: 1, Number: 3})
+	if all := x.asks("e", nil); all[0].Age != 0 {
+		t.Errorf("the whole word is %s old", all[0].Age)
+	}
+}
+
 // Guards against links filled with the lists of all that ever held the lease.
 func TestEntriesAreToldOfTheLatestHolders(t *testing.T) {
 	x, _ := testCopies()
--- a/internal/site/watch/replica_copy.go
+++ b/internal/site/watch/replica_copy.go
@@ -24,8 +24,9 @@
 type replicaCopy struct {
 	// epoch is the replica's, fencing the number of the lease that it told last.
 	epoch, fencing uint64
-	// asked is when it was asked to which it told so, by the boot clock: a relay that
-	// has stood still must not pass on what it was told before as if it were fresh.
+	// asked is when it was asked to which it told so, and all that it showed had come, by
+	// the boot clock: a relay that has stood still must not pass on what it was told
+	// before as if it were fresh.
 	asked   time.Duration
 	board   board.Board
 	last    uint64
