What an entry was told ages while it stands still

Found by reading, after the part that was fetched from a store that wasn't whole there. An entry believes the holder of the lease for 10 s, and a store's state for 2 s, by a clock that leaves out the time for which its VM was suspended. A part is freed 14.3 s after it was withdrawn; an entry that was suspended for 6 s of them and heard nothing afterwards had it fetched.

A process that finds that it has stood still counts that time to the age of what it was told, before it serves on. TestWordAgesWhileTheProcessStandsStill failed before: the part was believed.

--- a/internal/process/siteentry/lead.go
+++ b/internal/process/siteentry/lead.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// age counts the time in which this process has stood still, which its clock leaves
+// out: what it was told before is older by that.
+func (s *site) age(stood time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, told := range []map[string]*lead{s.leads, s.copies} {
+		for _, l := range told {
+			l.heard, l.polled = l.heard.Add(-stood), l.polled.Add(-stood)
+		}
+	}
+}
+
 // holder returns what the present holder of the lease shows, nil when none was heard lately.
 func (s *site) holder() *lead {
 	return s.best(func(*lead) bool { return true })
--- a/internal/process/siteentry/lead_test.go
+++ b/internal/process/siteentry/lead_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/node/boottime"
 	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/board"
 	"hornbeamwood/internal/site/document"
@@ -177,6 +178,21 @@
 	}
 }
 
+// Guards against an entry that was suspended having parts fetched that were freed meanwhile.
+func TestWordAgesWhileTheProcessStandsStill(t *testing.T) {
+	s := siteWithStore(t)
+	whole := func() bool { return len(s.Copies("m/1", "p", 300)) == 1 }
+	s.thaw.ran.Store(int64(boottime.Now() - stores.StaleAfter))
+	s.Settle(t.Context())
+	if whole() {
+		t.Error("a word from before the standstill counts as fresh")
+	}
+	s.take("old", watch.Answer{Epoch: 1, Fencing: 4})
+	if !whole() {
+		t.Error("the word after it doesn't count")
+	}
+}
+
 // A site has engines and no store. Entries that don't hear of each other there
 // all send to the same engine, and send to engines that load new weights.
 func TestSiteWithoutStores(t *testing.T) {
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -82,7 +82,6 @@
 		directory: directory.New(),
 		first:     make(chan struct{}),
 		informed:  make(chan struct{}),
-		thaw:      newThaw(),
 		began:     time.Now(),
 		members:   memberLists{},
 		newest:    map[string]int64{},
@@ -98,6 +97,7 @@
 		copies: map[string]*lead{},
 		uses:   map[uint64]struct{}{},
 	}
+	s.thaw = newThaw(s.age)
 	time.AfterFunc(uninformed, func() { s.inform.Do(func() { close(s.informed) }) })
 	return s
 }
--- a/internal/process/siteentry/thaw.go
+++ b/internal/process/siteentry/thaw.go
@@ -29,6 +29,8 @@
 // acknowledged. The requests that lay in this process's sockets would be sent
 // there as its first deed, seconds too late, and be cut off with the server.
 type thaw struct {
+	// woke is called with how long the process has stood still, before it serves on.
+	woke func(stood time.Duration)
 	// ran is when the process last noted that it runs, by the boot clock.
 	ran atomic.Int64
 
@@ -39,8 +41,8 @@
 	news    chan struct{}
 }
 
-func newThaw() *thaw {
-	t := &thaw{news: make(chan struct{})}
+func newThaw(woke func(stood time.Duration)) *thaw {
+	t := &thaw{woke: woke, news: make(chan struct{})}
 	t.ran.Store(int64(boottime.Now()))
 	return t
 }
@@ -57,7 +59,8 @@
 // look finds out whether the process has stood still.
 func (t *thaw) look() {
 	last := time.Duration(t.ran.Load())
-	if boottime.Now()-last < thawAfter {
+	stood := boottime.Now() - last
+	if stood < thawAfter {
 		return
 	}
 	t.mu.Lock()
@@ -65,6 +68,7 @@
 	if time.Duration(t.ran.Load()) != last {
 		return
 	}
+	t.woke(stood)
 	t.woken = time.Now()
 	t.ran.Store(int64(boottime.Now()))
 }
--- a/internal/process/siteentry/thaw_test.go
+++ b/internal/process/siteentry/thaw_test.go
@@ -12,7 +12,7 @@
 // reach the server after it was promised no more. They must wait for news that
 // were asked for after the entry woke, and not for ever if none come.
 func TestWokenEntryWaitsForNews(t *testing.T) {
-	w := newThaw()
+	w := newThaw(func(time.Duration) {})
 	began := time.Now()
 	w.settle(t.Context())
 	if took := time.Since(began); took > thawWait/4 {
