A store that has restarted rests until all entries have heard of it

Found while looking for how a request can take a part from a store that isn't whole there (MIXED). A store comes back empty. Entries hear of it within some tenths of a second of each other, or, where they hear nothing, two to four seconds later; whoever has heard has parts written there anew, and whoever hasn't has the same parts fetched meanwhile.

Every replica notes restarts, also without the lease.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -146,7 +146,7 @@
 		name: p.config.Host.Internal, turn: turn,
 		propose: p.leader.Propose, leads: p.leads, current: func() (controllease.Lease, bool) { return p.currentLease(m) }, logger: p.config.Logger,
 	}
-	p.librarian = &librarian{process: p, client: p.config.Stores, clock: stores.NewClock(), shelves: map[string]*shelf{}, epochs: map[string]context.CancelFunc{}}
+	p.librarian = &librarian{process: p, client: p.config.Stores, clock: stores.NewClock(), starts: newStarts(), shelves: map[string]*shelf{}, epochs: map[string]context.CancelFunc{}}
 }
 
 func (p *process) watchers() {
--- a/internal/process/sitecontrol/epochs.go
+++ b/internal/process/sitecontrol/epochs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/site/document"
@@ -44,6 +45,8 @@
 		}
 		if err != nil {
 			f.Epoch = 0
+		} else {
+			l.starts.note(address, f.Epoch, time.Now())
 		}
 		l.clock.Heard(f.Clock)
 		next = f.Next
--- a/internal/process/sitecontrol/librarian.go
+++ b/internal/process/sitecontrol/librarian.go
@@ -52,6 +52,7 @@
 	shelves map[string]*shelf
 	// epochs ends the looks at each store whether it has restarted.
 	epochs map[string]context.CancelFunc
+	starts *starts
 	// shorts are the short parts of stores that are still to be shown.
 	shorts []shortParts
 }
@@ -115,13 +116,21 @@
 		if ctx.Err() != nil {
 			return
 		}
-		l.showUp(x, err)
+		l.showUp(x, l.usable(x, err))
 		if err != nil {
 			wait.For(ctx, storePause)
 		}
 	}
 }
 
+// usable returns err, or why a store that answers isn't used.
+func (l *librarian) usable(x *shelf, err error) error {
+	if err == nil && !l.starts.settled(x.stock.Address, time.Now()) {
+		return errRestarted
+	}
+	return err
+}
+
 // showUp shows whether the store answers when that has changed, or was never shown.
 //
 // Entries go by a new holder's word once it has told of every store. One that is down
@@ -152,6 +161,11 @@
 		return err
 	}
 	l.clock.Heard(f.Clock)
+	l.starts.note(x.stock.Address, f.Epoch, time.Now())
+	if err := l.usable(x, nil); err != nil {
+		// Entries must hear that it isn't used before they hear that it is empty.
+		l.showUp(x, err)
+	}
 	x.mu.Lock()
 	changed, list := x.stock.Take(f, time.Now())
 	x.mu.Unlock()
--- a/internal/process/sitecontrol/librarian_test.go
+++ b/internal/process/sitecontrol/librarian_test.go
@@ -1,6 +1,7 @@
 package sitecontrol
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -97,6 +98,72 @@
 	}
 }
 
+// fakeStore is a store in its present start.
+type fakeStore struct {
+	stores.Client
+	epoch int64
+	held  map[stores.Part]int
+}
+
+// Events implements stores.Client.
+func (f *fakeStore) Events(context.Context, string, int64, time.Duration) (stores.Feed, error) {
+	return stores.Feed{Epoch: f.epoch}, nil
+}
+
+// List implements stores.Client.
+func (f *fakeStore) List(context.Context, string) (stores.Listing, error) {
+	return stores.Listing{Epoch: f.epoch, Held: f.held}, nil
+}
+
+// Guards against a part being fetched by entries that haven't heard of a store's restart while others write it there anew.
+func TestRestartedStoreRests(t *testing.T) {
+	b := board.New(1)
+	f := &fakeStore{epoch: 1, held: map[stores.Part]int{{Salt: "m/1", ID: "p"}: 2000}}
+	l := &librarian{process: &process{board: b}, client: f, clock: stores.NewClock(), starts: newStarts()}
+	x := &shelf{stock: stores.NewShelf("1:1", 5000)}
+	poll := func() []board.Row {
+		_, before := b.Since(0)
+		err := l.poll(t.Context(), x)
+		l.showUp(x, l.usable(x, err))
+		rows, _ := b.Since(before)
+		return rows
+	}
+	poll()
+	if !x.up {
+		t.Fatal("a store that was running isn't used")
+	}
+	f.epoch, f.held = 2, nil
+	rows := poll()
+	if x.up {
+		t.Error("a store that has restarted is used at once")
+	}
+	if len(rows) < 2 || rows[0].Topic != topic.StoresUp {
+		t.Errorf("told %+v; that the store isn't used must come first", rows)
+	}
+	l.starts.seen["1:1"] = storeStart{epoch: 2, since: time.Now().Add(-restartQuiet)}
+	poll()
+	if !x.up {
+		t.Error("the store isn't used again")
+	}
+}
+
+// Guards against a replica that gets the lease right after a store's restart using the store at once.
+func TestRestartIsNotedWithoutTheLease(t *testing.T) {
+	s, now := newStarts(), time.Unix(100, 0)
+	for _, x := range []struct {
+		epoch   int64
+		settled bool
+	}{{1, true}, {1, true}, {2, false}, {2, false}} {
+		s.note("1:1", x.epoch, now)
+		if s.settled("1:1", now) != x.settled {
+			t.Errorf("start %d: settled %v", x.epoch, !x.settled)
+		}
+	}
+	if s.settled("1:1", now.Add(restartQuiet-1)) || !s.settled("1:1", now.Add(restartQuiet)) {
+		t.Error("the store must rest for the quiet time, no longer")
+	}
+}
+
 // A store is listed, and the lease is lost before its short parts are shown. Shown
 // all the same they would stand beside what the next list says.
 func TestNothingIsShownOfAStoreThatIsLeft(t *testing.T) {
