A replaced voter is removed before its successor votes

With three VMs that makes four voters, one of them gone; when the successor's disk is lost too, two of four are gone for good, though only one VM ever lost a disk. No change of a site is accepted after that.

Change: the order of the membership rules. A voter also counts as replaced when a learner has joined from its address, so that a failed probe can't reverse the order.

--- a/internal/control/admission/view.go
+++ b/internal/control/admission/view.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"hornbeamwood/internal/control/raft"
@@ -24,7 +25,15 @@
 
 // alive returns whether the member answered recently under its identity.
 func (v View) alive(m raft.Member) bool {
-	return m.Identity == v.Self || !v.Replaced[m.Identity] && v.Silent[m.Identity] < SilentAfter
+	return m.Identity == v.Self || !v.replaced(m) && v.Silent[m.Identity] < SilentAfter
+}
+
+// replaced returns whether another identity has answered at the member's address
+// or has joined from there. A probe of the new process may fail after it has joined.
+func (v View) replaced(m raft.Member) bool {
+	return v.Replaced[m.Identity] || m.Voter && slices.ContainsFunc(v.Members, func(o raft.Member) bool {
+		return !o.Voter && o.Address != "" && o.Address == m.Address
+	})
 }
 
 func (v View) voters() int {
@@ -37,6 +46,26 @@
 	return n
 }
 
+func (v View) aliveVoters() int {
+	n := 0
+	for _, m := range v.Members {
+		if m.Voter && v.alive(m) {
+			n++
+		}
+	}
+	return n
+}
+
+// promotable returns a learner that could become a voter, and whether there is one.
+func (v View) promotable() (raft.Member, bool) {
+	for _, m := range v.Members {
+		if !m.Voter && v.alive(m) && v.caughtUp(m) {
+			return m, true
+		}
+	}
+	return raft.Member{}, false
+}
+
 // caughtUp returns whether the member's disk holds any entries and lacks at most maxLag committed ones.
 func (v View) caughtUp(m raft.Member) bool {
 	return v.Matches[m.Identity]+maxLag >= v.Commit && v.Matches[m.Identity] > 0
--- a/internal/control/members/change.go
+++ b/internal/control/members/change.go
@@ -24,18 +24,18 @@
 }
 
 // nextStep returns the next change that lets the admitted replica c replace the member of its name.
+//
+// The earlier member is removed before its successor votes. Counted together, the
+// two would need a larger quorum, and the loss of the successor would leave too few.
 func nextStep(current []raft.Member, c raft.Member) (protocol.Change, bool) {
 	i := slices.IndexFunc(current, func(m raft.Member) bool { return m.Identity == c.Identity })
 	if i < 0 {
 		return protocol.Change{Kind: protocol.AddLearner, Member: c}, true
 	}
-	if !current[i].Voter {
-		return protocol.Change{Kind: protocol.Promote, Member: c}, true
-	}
 	for _, m := range current {
 		if m.Name == c.Name && m.Identity != c.Identity {
 			return protocol.Change{Kind: protocol.Remove, Member: m}, true
 		}
 	}
-	return protocol.Change{}, false
+	return protocol.Change{Kind: protocol.Promote, Member: c}, !current[i].Voter
 }
