rpc: a probe on a silent connection brings the reset of a restarted peer

Cause: quic-go answers packets of up to 42 bytes with no stateless reset, and a keep-alive is smaller. Once the probes of the MTU after the handshake are sent, an idle connection to a process that was killed and restarted looked sound for the idle timeout of 5 s.

Change: every 1.5 s each outgoing connection that received nothing since the check before gets one datagram of 48 bytes. A connection in rest receives the ack of a keep-alive in each second, so nothing is sent on it.

Test: TestPeersFindARestartedProcessAtOnce gained a case that rests 3 s before the kill; its bound is unchanged.

--- a/internal/node/rpc/node.go
+++ b/internal/node/rpc/node.go
@@ -102,6 +102,7 @@
 		HandshakeIdleTimeout:  handshakeTimeout,
 		MaxIncomingStreams:    maxStreams,
 		MaxIncomingUniStreams: maxStreams,
+		EnableDatagrams:       true,
 	}
 }
 
--- a/internal/node/rpc/pool.go
+++ b/internal/node/rpc/pool.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/quic-go/quic-go"
 )
@@ -13,6 +15,7 @@
 type pool struct {
 	transport *quic.Transport
 	tls       *tls.Config
+	closed    chan struct{}
 	mu        sync.Mutex
 	slots     map[string]*slot
 }
@@ -21,7 +24,7 @@
 // deadline. A mutex would block them for the full handshake timeout of a dead peer.
 type slot struct {
 	sem  chan struct{}
-	conn *quic.Conn
+	conn atomic.Pointer[quic.Conn]
 }
 
 func (s *slot) lock(ctx context.Context) error {
@@ -38,7 +41,34 @@
 }
 
 func newPool(t *quic.Transport, c *tls.Config) *pool {
-	return &pool{transport: t, tls: c, slots: make(map[string]*slot)}
+	p := &pool{transport: t, tls: c, closed: make(chan struct{}), slots: make(map[string]*slot)}
+	go func() {
+		w := newSilenceWatch()
+		ticker := time.NewTicker(silenceInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-p.closed:
+				return
+			case <-ticker.C:
+				w.check(p.connections())
+			}
+		}
+	}()
+	return p
+}
+
+// connections returns the outgoing connections that are not being dialed.
+func (p *pool) connections() []*quic.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []*quic.Conn
+	for _, s := range p.slots {
+		if c := s.conn.Load(); c != nil && c.Context().Err() == nil {
+			all = append(all, c)
+		}
+	}
+	return all
 }
 
 func (p *pool) slot(address string) *slot {
@@ -58,8 +88,8 @@
 		return nil, err
 	}
 	defer s.unlock()
-	if s.conn != nil && s.conn.Context().Err() == nil {
-		return s.conn, nil
+	if c := s.conn.Load(); c != nil && c.Context().Err() == nil {
+		return c, nil
 	}
 	a, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
@@ -71,17 +101,18 @@
 	if err != nil {
 		return nil, err
 	}
-	s.conn = c
+	s.conn.Store(c)
 	return c, nil
 }
 
 func (p *pool) close() {
+	close(p.closed)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.slots {
 		_ = s.lock(context.Background())
-		if s.conn != nil {
-			_ = s.conn.CloseWithError(0, "closing")
+		if c := s.conn.Load(); c != nil {
+			_ = c.CloseWithError(0, "closing")
 		}
 		s.unlock()
 	}
--- a/internal/node/rpc/restart_test.go
+++ b/internal/node/rpc/restart_test.go
@@ -47,8 +47,14 @@
 // still hold connections to the old process. Messages on them would be lost, and
 // for seconds the new process would appear unresponsive.
 func TestPeersFindARestartedProcessAtOnce(t *testing.T) {
-	for name, graceful := range map[string]bool{"killed": false, "stopped": true} {
+	// After a rest quic-go has sent all its probes of the MTU, which are large enough for a reset.
+	const rest = 3 * time.Second
+	for name, c := range map[string]struct {
+		graceful bool
+		rest     time.Duration
+	}{"killed": {}, "stopped": {graceful: true}, "killed after a rest": {rest: rest}} {
 		t.Run(name, func(t *testing.T) {
+			graceful := c.graceful
 			folder := newAuthority(t)
 			a, err := keys.LoadAuthority(folder)
 			if err != nil {
@@ -58,8 +64,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			c := keys.Config{CertificateFile: i.CertificateFile, KeyFile: i.KeyFile, AuthorityFile: folder + "/" + keys.AuthorityCertificate}
-			first, end := restarted(t, c, "127.0.0.1:0", graceful)
+			ring := keys.Config{CertificateFile: i.CertificateFile, KeyFile: i.KeyFile, AuthorityFile: folder + "/" + keys.AuthorityCertificate}
+			first, end := restarted(t, ring, "127.0.0.1:0", graceful)
 			address := first.Address()
 			client := newNode(t, folder, "entry-2")
 			if _, err := Call(t.Context(), client, address, echo, ping{}); err != nil {
@@ -69,10 +75,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			time.Sleep(c.rest)
 			end()
-			_, endSecond := restarted(t, c, address, true)
+			_, endSecond := restarted(t, ring, address, true)
 			defer endSecond()
-			// One of the client's keep-alives triggers the reset of the old connection.
+			// A keep-alive or a probe of the client triggers the reset of the old connection.
 			<-old.Context().Done()
 			var idle *quic.IdleTimeoutError
 			if cause := context.Cause(old.Context()); errors.As(cause, &idle) {
