entry/service: a refused resend is no open call

Cause: OpenCalls counted each call from before its claim until its goroutine had ended, so a resend that the ledger refused was "open" for a moment after its caller had the refusal, and an answered call after its answer. An operator sees the number in status; a caller who is told to come back could be counted twice.

Change: a call counts from the grant of its claim until its outcome is recorded, which is before its caller is answered. Drain still waits for all goroutines.

--- a/internal/entry/service/client.go
+++ b/internal/entry/service/client.go
@@ -23,7 +23,7 @@
 	Abandon(ctx context.Context, entry string, incarnation uint64) (int, error)
 	// OpenCalls returns the number of claimed calls whose outcome has not been recorded yet.
 	OpenCalls() int
-	// Drain waits until no claimed call is open; it returns an error when ctx ends first.
+	// Drain waits until no call is claimed any more and none is open; it returns an error when ctx ends first.
 	Drain(ctx context.Context) error
 }
 
@@ -32,9 +32,10 @@
 	transport http.RoundTripper
 	// incarnation is Config.Incarnation until the ledger refuses it as stale.
 	incarnation atomic.Uint64
-	open        sync.WaitGroup
-	mu          sync.Mutex
-	openCalls   int
+	// running are the goroutines that claim, dispatch and record calls.
+	running   sync.WaitGroup
+	mu        sync.Mutex
+	openCalls int
 }
 
 // New returns a Client; missing values of c get their defaults.
@@ -78,7 +79,7 @@
 func (c *client) Drain(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
-		c.open.Wait()
+		c.running.Wait()
 		close(done)
 	}()
 	select {
@@ -89,18 +90,16 @@
 	}
 }
 
-func (c *client) begin() {
-	c.open.Add(1)
+// trackOpen counts a claimed call as open until the returned function is called for the first time.
+func (c *client) trackOpen() (settled func()) {
 	c.mu.Lock()
 	c.openCalls++
 	c.mu.Unlock()
-}
-
-func (c *client) end() {
-	c.mu.Lock()
-	c.openCalls--
-	c.mu.Unlock()
-	c.open.Done()
+	return sync.OnceFunc(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.openCalls--
+	})
 }
 
 // write logs one event about r.
--- a/internal/entry/service/once.go
+++ b/internal/entry/service/once.go
@@ -20,6 +20,8 @@
 	digest  ledger.Digest
 	attempt string
 	started time.Time
+	// settled ends the count of this call as open; nil before its claim is granted.
+	settled func()
 }
 
 // reply is the result of a flow.
@@ -41,11 +43,7 @@
 	}
 	replies := make(chan reply, 1)
 	detached := context.WithoutCancel(ctx)
-	c.begin()
-	go func() {
-		defer c.end()
-		f.run(detached, replies)
-	}()
+	c.running.Go(func() { f.run(detached, replies) })
 	ctx, cancel := context.WithTimeout(ctx, c.deadline(r))
 	defer cancel()
 	select {
@@ -70,6 +68,8 @@
 		replies <- reply{answer: a, err: err}
 		return
 	}
+	f.settled = f.client.trackOpen()
+	defer f.settled()
 	f.client.write(event.CallClaimed, f.request, log.Fields{"attempt": f.attempt})
 	a, err := f.dispatch(ctx)
 	if err != nil {
--- a/internal/entry/service/settle.go
+++ b/internal/entry/service/settle.go
@@ -92,6 +92,10 @@
 	if err == nil && command.Release != nil && result.Kind == ledger.Stale {
 		p.err = outcomeUnknown()
 	}
+	if err == nil {
+		// A caller that has its answer must not find its call open.
+		f.settled()
+	}
 	replies <- p
 	if err != nil {
 		f.persistWithTimeout(ctx, command)
@@ -100,11 +104,11 @@
 
 // releaseLater releases the claim in the background, so that the caller need not wait for it.
 func (f *flow) releaseLater(ctx context.Context) {
-	f.client.begin()
-	go func() {
-		defer f.client.end()
+	settled := f.client.trackOpen()
+	f.client.running.Go(func() {
+		defer settled()
 		f.persistWithTimeout(ctx, ledger.Command{Release: &ledger.Release{Scope: f.scope, Attempt: f.attempt}})
-	}()
+	})
 }
 
 func (f *flow) persistWithTimeout(ctx context.Context, command ledger.Command) {
