--- a/deploy/soak/operator.go
+++ b/deploy/soak/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -25,6 +26,9 @@
 	extraRoutes int
 }
 
+// changeBound is how long a change may take until it is acknowledged, whatever single fault the replicas have.
+const changeBound = recoveryBound
+
 const (
 	// maxGrowth bounds the routes that one change adds, maxExtraRoutes those of a document.
 	maxGrowth      = 1400
@@ -57,8 +61,10 @@
 "services":[{"name":"desk","max_connections":200},{"name":"writer","max_connections":200,"engine":{"slots":8,"kv_capacity_tokens":90000,"kv_token_bytes":35136,"link_mbps":100000,"managed":true,"stride":1,"max_concurrent":12,"models":[{"name":"m"}]}}],"limits":{},"tenants":[{"name":"t1","api_keys":["k1"]},{"name":"t2","api_keys":["k2"]}]}`, revision, extras.String(), revision)
 }
 
-// putDocument sends the next document until a replica acknowledges it, or ctx ends.
+// putDocument sends the next document until a replica acknowledges it, or changeBound has passed.
 func (o *operator) putDocument(ctx context.Context, r *rand.Rand) bool {
+	ctx, cancel := context.WithTimeout(ctx, changeBound)
+	defer cancel()
 	revision, extraRoutes := o.nextDocument(r)
 	body := o.document(revision, extraRoutes)
 	for ctx.Err() == nil {
@@ -75,11 +81,21 @@
 		}
 		sleep(ctx, 100*time.Millisecond)
 	}
+	o.reportUnacknowledged(ctx, fmt.Sprint("document ", revision))
 	return false
 }
 
-// setVersion sends a new weight version until a replica acknowledges it, or ctx ends.
+// reportUnacknowledged reports a change that was not acknowledged in time, unless the run was ended.
+func (o *operator) reportUnacknowledged(ctx context.Context, change string) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		o.record.reportViolation("%s was not acknowledged for %s", change, changeBound)
+	}
+}
+
+// setVersion sends a new weight version until a replica acknowledges it, or changeBound has passed.
 func (o *operator) setVersion(ctx context.Context, r *rand.Rand) {
+	ctx, cancel := context.WithTimeout(ctx, changeBound)
+	defer cancel()
 	version := o.orders.newestVersion() + 1
 	for ctx.Err() == nil {
 		control := o.controls[r.IntN(len(o.controls))]
@@ -92,6 +108,7 @@
 		}
 		sleep(ctx, 100*time.Millisecond)
 	}
+	o.reportUnacknowledged(ctx, fmt.Sprint("weight version ", version))
 }
 
 // readDocument reads the document from one replica. It must not be older than what was acknowledged before.
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -71,11 +71,7 @@
 
 // exercise starts the clients, injects faults, and checks the recovery after the last fault.
 func exercise(ctx context.Context, c runConfig, s *site, res *result) {
-	startup, cancel := context.WithTimeout(ctx, recoveryBound)
-	ok := s.operator.putDocument(startup, s.newRandom())
-	cancel()
-	if !ok {
-		s.record.reportViolation("the first document was not acknowledged")
+	if !s.operator.putDocument(ctx, s.newRandom()) {
 		return
 	}
 	running, stop := context.WithCancel(ctx)
