Zones are evacuated by an operator's order

Cause: the calls that start and end the evacuation of an availability zone got 404, so that they were never acknowledged and servers of the zone got requests.

Change: an order is an entry of the control log with the zone, its state and the number of the zone's last order when it was received. Replicas show the state of each zone to all entries; an entry uses the highest number, and sends nothing to any server until it has all rows of a replica that had caught up. Servers of an evacuated zone are in no view: first tries, retries, waiting requests and engine copies leave them out. A service without any other server is refused at once with zones-evacuated.

Before, the platform's calls got 404.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -14,6 +14,10 @@
 	DocumentInForce = define(903, log.InfoLevel, "document-in-force", "The process applies the document with the given number; the fields give the previous number, the replica and the bytes that it came from, how long ago it was first shown, and how long reading it took.")
 	// DocumentTaken is written when a replica answers a document that an operator sent.
 	DocumentTaken = define(904, log.InfoLevel, "document-taken", "An operator's document was answered; changed says whether it differs from the previous one, error why it wasn't accepted.")
+	// EvacuationOrdered is written when a replica answers an order to evacuate a zone or to end that.
+	EvacuationOrdered = define(919, log.InfoLevel, "evacuation-ordered", "An operator's order to evacuate an availability zone, or to end that, was answered; number counts the orders for the zone, error says why it wasn't accepted.")
+	// EvacuationInForce is written when an entry learns that a zone is evacuated or no longer is.
+	EvacuationInForce = define(923, log.InfoLevel, "evacuation-in-force", "The entry sends no requests to servers of the availability zone any more, or does so again; the fields give the number of the order and the replica that it came from.")
 	// VersionNamed is written when a replica answers an order for new weights.
 	VersionNamed = define(905, log.InfoLevel, "version-named", "An operator's order for new weights was answered; error says why it wasn't accepted.")
 	// ServerAnnounced is written when the recorded state of a backend server changes.
@@ -40,6 +44,8 @@
 	RelayChosen = define(916, log.InfoLevel, "relay-chosen", "The entry exchanges hints on engines with another replica than before; relay is empty when none answers.")
 	// LimitNamed is written when a server announces a first limit, a different one, or no limit any more.
 	LimitNamed = define(918, log.InfoLevel, "limit-named", "A backend server announced the number of requests per second that it accepts from all entries together: a first number, a different one, or no limit any more (zero); entries says how many entries share it.")
+	// ColdServerLimited is written when an entry begins or ends to limit its requests to a cold server.
+	ColdServerLimited = define(924, log.InfoLevel, "cold-server-limited", "The entry limits its requests to a server that may be cold, or does so no longer; most is the number of requests that all entries may send to it in a second, entries how many share it.")
 	// LeaderNotFound is written once when a replica searches for the leader without success.
 	LeaderNotFound = define(917, log.WarnLevel, "leader-not-found", "A replica without contact to a leader asked the others for it without success, and remains without a vote if it has none; asked counts the replicas that it knows.")
 	// WeightsOrdered is written for each order to an engine.
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -209,6 +209,9 @@
 	for model, at := range p.section.TargetVersionTimes() {
 		p.put(topic.TargetVersionTimes, model, at)
 	}
+	for zone, e := range p.section.Evacuations() {
+		p.put(topic.Evacuations, zone, e)
+	}
 }
 
 // put sets a row and returns the table's revision of its last change, zero when the value can't be encoded.
--- a/internal/process/sitecontrol/service.go
+++ b/internal/process/sitecontrol/service.go
@@ -20,6 +20,8 @@
 	Document(ctx context.Context) (section.ActiveDocument, error)
 	// SetTargetVersion sets the version of weights that the engines are to load.
 	SetTargetVersion(ctx context.Context, model string, version int64) error
+	// SetEvacuation starts or ends the evacuation of an availability zone; nil acknowledges the order.
+	SetEvacuation(ctx context.Context, zone string, active bool) error
 	// Address is the replica's address for operators and servers.
 	Address() string
 }
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -19,6 +19,7 @@
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/parts"
 	"hornbeamwood/internal/site/rowtable"
+	"hornbeamwood/internal/site/section"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
 	"hornbeamwood/internal/site/watch"
@@ -77,7 +78,8 @@
 	peerLoads   share.PeerLoads
 	onPeerLoads func()
 	// usedParts holds the hashes of the parts that were requested.
-	usedParts map[uint64]struct{}
+	usedParts   map[uint64]struct{}
+	evacuations *evacuations
 }
 
 func newSite(logger log.Interface, residency parts.Residency, peerLoads share.PeerLoads, onPeerLoads func()) *site {
@@ -103,6 +105,7 @@
 		engineCaches:   map[string]topic.EngineCache{},
 		mirroredStates: map[string]*holderState{},
 		usedParts:      map[uint64]struct{}{},
+		evacuations:    newEvacuations(),
 	}
 	s.suspension = newSuspensionGuard(s.ageStates)
 	time.AfterFunc(startupWait, func() { s.storesKnownOnce.Do(func() { close(s.storesKnown) }) })
@@ -117,6 +120,9 @@
 			event.NoticeRefused.Write(s.logger, log.Fields{"peer": address, "notice": "row", "topic": r.Topic, "key": r.Key, "error": err.Error()})
 		}
 	}
+	if a.CaughtUp && !a.More {
+		s.evacuations.setKnown()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reportedEntries[address] = a.Entries
@@ -156,6 +162,8 @@
 		return decodeRow(r, func(v int64) { s.applyTargetVersion(r.Key, v) })
 	case topic.TargetVersionTimes:
 		return decodeRow(r, func(at int64) { s.applyTargetVersionTime(r.Key, at) })
+	case topic.Evacuations:
+		return decodeRow(r, func(e section.Evacuation) { s.applyEvacuation(address, r.Key, e) })
 	}
 	// The topic comes from a newer replica version.
 	return nil
@@ -289,12 +297,16 @@
 // startupWait is how long after its start a process waits for the state of the stores and for the first server.
 const startupWait = 4 * time.Second
 
+// announcementDelay is the time after which an entry has the first announcement of a server that has become
+// cold: two intervals of announcements.
+const announcementDelay = 2400 * time.Millisecond
+
 // serversPollInterval is the interval of the check whether a server has announced itself.
 const serversPollInterval = 10 * time.Millisecond
 
 // AwaitServers implements caller.Site.
 func (s *site) AwaitServers(ctx context.Context, service string) {
-	for time.Since(s.startedAt) < startupWait && len(s.Servers(service)) == 0 {
+	for time.Since(s.startedAt) < startupWait && len(s.Servers(service)) == 0 && !s.Withdrawn(service) {
 		if !wait.For(ctx, serversPollInterval) {
 			return
 		}
@@ -311,13 +323,34 @@
 
 // Servers implements caller.Site.
 func (s *site) Servers(service string) []directory.Server {
+	if !s.evacuations.known() {
+		return nil
+	}
 	return s.directory.View().Service(service)
 }
 
+// Withdrawn implements caller.Site.
+func (s *site) Withdrawn(service string) bool {
+	return s.evacuations.known() && s.directory.View().Withdrawn(service)
+}
+
+// Cold implements caller.Site.
+//
+// The servers of an evacuated zone may have become cold just before the evacuation ended, and
+// their announcements tell it only later.
+func (s *site) Cold(v directory.Server, coldTime time.Duration, now time.Time) bool {
+	if v.WarmUp > 0 {
+		return true
+	}
+	ago, ok := s.evacuations.sinceEnd(v.Zone, now)
+	return ok && ago < coldTime+announcementDelay
+}
+
 // Server implements caller.Site.
 func (s *site) Server(id string) (directory.Server, bool) {
-	v, ok := s.directory.View().Server(id)
-	return v, ok && v.State == directory.Ready
+	view := s.directory.View()
+	v, ok := view.Server(id)
+	return v, ok && view.Usable(v)
 }
 
 // Version implements caller.Site.
--- a/internal/process/siteentry/site_test.go
+++ b/internal/process/siteentry/site_test.go
@@ -15,6 +15,7 @@
 	"hornbeamwood/internal/site/rowtable"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/watch"
 )
 
 func newDiscardSite() *site {
@@ -26,6 +27,7 @@
 // returns.
 func TestNewProcessWaitsForTheFirstServer(t *testing.T) {
 	s := newDiscardSite()
+	s.apply("r", watch.Answer{CaughtUp: true})
 	announced := time.AfterFunc(30*time.Millisecond, func() {
 		s.applyServer(directory.Server{ID: "a", StartedAt: 1, Service: "x", Address: "a:1"})
 	})
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -48,7 +48,11 @@
 	AwaitStores(ctx context.Context)
 	// Servers returns the ready servers of a service.
 	Servers(service string) []directory.Server
-	// Server returns the newest incarnation of id while it is ready.
+	// Withdrawn returns whether all ready servers of a service are in evacuated zones.
+	Withdrawn(service string) bool
+	// Cold returns whether the server may be cold. Servers of its service stay cold for coldTime.
+	Cold(s directory.Server, coldTime time.Duration, now time.Time) bool
+	// Server returns the newest incarnation of id while it is ready outside evacuated zones.
 	Server(id string) (directory.Server, bool)
 	// ReportPrefill reports to the other entries that the engine prefills a part that was
 	// available nowhere else.
@@ -99,8 +103,11 @@
 	Queue waitqueue.Queue
 	// Budget grants retries.
 	Budget retry.Budget
-	// Limits are the limits that servers announce.
+	// Limits are the limits that servers announce, and those of cold servers.
 	Limits limit.Limits
+	// ColdFactor and ColdSlack bound the requests that a cold server may get in any second:
+	// ColdFactor times its rate, and ColdSlack more. Zero for no bound.
+	ColdFactor, ColdSlack float64
 	// Stopping returns whether the process is about to end, so that connections are closed after
 	// their response.
 	Stopping func() bool
--- a/internal/serve/caller/engine_wait.go
+++ b/internal/serve/caller/engine_wait.go
@@ -31,6 +31,7 @@
 const (
 	noServer   = "no-server"
 	overloaded = "overloaded"
+	evacuated  = "zones-evacuated"
 )
 
 // awaitEngine waits in the queue until an engine has capacity for the request.
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -62,10 +62,10 @@
 type fakeSite struct {
 	table   document.Table
 	servers []directory.Server
-	// mu guards what changes while requests run: whether the engines carry out orders, and whether
-	// the servers are gone.
-	mu         sync.Mutex
-	busy, gone bool
+	// mu guards what changes while requests run: whether the engines carry out orders, whether the
+	// servers are gone, and whether that is because their zones are evacuated.
+	mu                    sync.Mutex
+	busy, gone, withdrawn bool
 	// version is the version of the engines' weights, target the target version. outdated is
 	// set if no request may start on older weights.
 	version, target int64
@@ -111,12 +111,16 @@
 	return s.outdated
 }
 
-func (s *fakeSite) Table() document.Table                     { return s.table }
-func (s *fakeSite) AwaitDocument(context.Context)             {}
-func (s *fakeSite) AwaitFreshState(context.Context)           {}
-func (s *fakeSite) AwaitStores(context.Context)               {}
-func (s *fakeSite) StoreStateAge() time.Duration              { return 0 }
-func (s *fakeSite) AwaitServers(context.Context, string)      {}
+func (s *fakeSite) Table() document.Table                { return s.table }
+func (s *fakeSite) AwaitDocument(context.Context)        {}
+func (s *fakeSite) AwaitFreshState(context.Context)      {}
+func (s *fakeSite) AwaitStores(context.Context)          {}
+func (s *fakeSite) StoreStateAge() time.Duration         { return 0 }
+func (s *fakeSite) AwaitServers(context.Context, string) {}
+func (s *fakeSite) Withdrawn(string) bool                { return s.withdrawn }
+func (s *fakeSite) Cold(directory.Server, time.Duration, time.Time) bool {
+	return false
+}
 func (s *fakeSite) Server(string) (directory.Server, bool)    { return directory.Server{}, false }
 func (s *fakeSite) ReportPrefill(string, string, int, string) {}
 func (s *fakeSite) ObserveVersion(string, string, int64)      {}
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -25,6 +25,9 @@
 	// retrySoon is the retry time after a refusal for a short-lived reason, such as a start or a
 	// full connection pool.
 	retrySoon = 250 * time.Millisecond
+	// evacuationRetry is the retry time while all servers of a service are in evacuated zones. An
+	// operator ends an evacuation; nothing tells when.
+	evacuationRetry = 2 * time.Second
 	// maxTries bounds the servers that a request is sent to, including those that refused it.
 	maxTries = 4
 	// minRemaining is the least remaining time for which another attempt is worthwhile: a round
@@ -96,6 +99,9 @@
 			return
 		}
 		if !ok {
+			if j.Site.Withdrawn(j.service.Name) {
+				j.refusal, j.clearAfter = evacuated, evacuationRetry
+			}
 			j.giveUp(cmp.Or(j.refusal, noServer))
 			return
 		}
--- a/internal/site/directory/directory.go
+++ b/internal/site/directory/directory.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -15,20 +16,23 @@
 	All() []Server
 	// Forget removes a row.
 	Forget(id string)
+	// Evacuate sets the availability zones whose servers get no requests.
+	Evacuate(zones []string)
 	// View returns the current view.
 	View() *View
 }
 
 type directory struct {
-	mu   sync.Mutex
-	rows map[string]Server
-	view atomic.Pointer[View]
+	mu        sync.Mutex
+	rows      map[string]Server
+	evacuated []string
+	view      atomic.Pointer[View]
 }
 
 // New returns an empty Directory.
 func New() Directory {
 	d := &directory{rows: map[string]Server{}}
-	d.view.Store(newView(nil))
+	d.view.Store(newView(nil, nil))
 	return d
 }
 
@@ -44,7 +48,7 @@
 	if known && s.SameRouting(other) {
 		return true, false
 	}
-	d.view.Store(newView(d.rows))
+	d.view.Store(newView(d.rows, d.evacuated))
 	return true, true
 }
 
@@ -72,7 +76,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.rows, id)
-	d.view.Store(newView(d.rows))
+	d.view.Store(newView(d.rows, d.evacuated))
+}
+
+// Evacuate implements Directory.
+func (d *directory) Evacuate(zones []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.evacuated = slices.Clone(zones)
+	d.view.Store(newView(d.rows, d.evacuated))
 }
 
 // View implements Directory.
--- a/internal/site/host/host.go
+++ b/internal/site/host/host.go
@@ -8,6 +8,8 @@
 	Name string
 	// Zone is its availability zone.
 	Zone string
+	// Zones are all availability zones of the site, sorted; empty if they are unknown.
+	Zones []string
 	// Listen is the IP and port that a control replica serves operators and backend servers on, and an entry serves callers on.
 	Listen string
 	// Ready is the IP and port on which an entry answers readiness checks.
@@ -44,4 +46,7 @@
 	RetryWindow time.Duration
 	// RetrySlack is how many retries beyond that ratio the whole fleet may make in RetryWindow.
 	RetrySlack float64
+	// ColdFactor and ColdSlack bound the requests that all entries send to a cold server in any second: ColdFactor
+	// times the rate that it accepts, and ColdSlack more. Zero for no bound.
+	ColdFactor, ColdSlack float64
 }
--- a/internal/site/section/command.go
+++ b/internal/site/section/command.go
@@ -16,6 +16,8 @@
 	PutChunks *PutChunks `cbor:"put-chunks,omitempty"`
 	// SetTargetVersion sets the target version of a model's weights.
 	SetTargetVersion *SetTargetVersion `cbor:"name-version,omitempty"`
+	// SetEvacuation starts or ends the evacuation of an availability zone.
+	SetEvacuation *SetEvacuation `cbor:"set-evacuation,omitempty"`
 }
 
 // Put activates a document unless one with the same or a higher revision is active.
@@ -50,12 +52,40 @@
 	At int64 `cbor:"at,omitempty"`
 }
 
+// SetEvacuation starts or ends the evacuation of an availability zone, whose servers get no requests meanwhile.
+//
+// It takes effect only if no other order for the zone was accepted since it was received. An
+// order that one replica delivers late, after the operator has sent it again elsewhere and then
+// the opposite, would otherwise undo the later one.
+type SetEvacuation struct {
+	// Zone is the availability zone.
+	Zone string `cbor:"zone"`
+	// Active is true for a start and false for an end.
+	Active bool `cbor:"active"`
+	// After is the number of the zone's last accepted order when this one was received.
+	After uint64 `cbor:"after"`
+	// At is when the order was received, in Unix milliseconds, for operators.
+	At int64 `cbor:"at"`
+}
+
+// Evacuation is the state of an availability zone.
+type Evacuation struct {
+	// Number counts the accepted orders for the zone.
+	Number uint64 `cbor:"number"`
+	// Active is set while the zone is evacuated.
+	Active bool `cbor:"active"`
+	// ChangedAt is when Active last changed, in Unix milliseconds.
+	ChangedAt int64 `cbor:"changed-at"`
+}
+
 // Result is the result of a Command.
 type Result struct {
 	// Accepted is set if the command was valid, even if it changed nothing.
 	Accepted bool `cbor:"taken"`
 	// MissingChunks is set if the command left out chunks that are no longer stored. It has changed nothing, and the caller sends it again with all chunks.
 	MissingChunks bool `cbor:"lacking,omitempty"`
+	// Overtaken is set if another order for the zone was accepted since the command was created. It has changed nothing.
+	Overtaken bool `cbor:"overtaken,omitempty"`
 	// Changed is set if the command changed the state.
 	Changed bool `cbor:"changed"`
 	// Revision is the revision of the active document.
--- a/internal/site/section/section.go
+++ b/internal/site/section/section.go
@@ -21,6 +21,8 @@
 	TargetVersions() map[string]int64
 	// TargetVersionTimes returns when each model's target was set, by the servers' clock in Unix milliseconds, if that is known.
 	TargetVersionTimes() map[string]int64
+	// Evacuations returns the state of each availability zone for which an order was accepted.
+	Evacuations() map[string]Evacuation
 }
 
 // Config configures a Section.
@@ -36,6 +38,7 @@
 	active       *ActiveDocument
 	versions     map[string]int64
 	versionTimes map[string]int64
+	evacuations  map[string]Evacuation
 }
 
 // snapshot is the encoded state of the section.
@@ -45,11 +48,13 @@
 	PutChunks    *PutChunks       `cbor:"chunks,omitempty"`
 	Versions     map[string]int64 `cbor:"versions"`
 	VersionTimes map[string]int64 `cbor:"named-at,omitempty"`
+	// Evacuations is missing in snapshots of earlier releases.
+	Evacuations map[string]Evacuation `cbor:"evacuations,omitempty"`
 }
 
 // New returns the empty section.
 func New(c Config) Section {
-	return &section{config: c, versions: map[string]int64{}, versionTimes: map[string]int64{}}
+	return &section{config: c, versions: map[string]int64{}, versionTimes: map[string]int64{}, evacuations: map[string]Evacuation{}}
 }
 
 // Name implements state.Section.
@@ -84,6 +89,8 @@
 		r = s.applyPutChunks(*c.PutChunks)
 	case c.SetTargetVersion != nil:
 		r = s.setTargetVersion(*c.SetTargetVersion)
+	case c.SetEvacuation != nil:
+		r = s.setEvacuation(*c.SetEvacuation)
 	}
 	if s.active != nil {
 		r.Revision = s.active.Document.Revision
@@ -138,6 +145,23 @@
 	return Result{Accepted: true, Changed: true}
 }
 
+// setEvacuation accepts an order for a zone unless another one has overtaken it.
+//
+// An order that changes nothing is counted too: the end of an evacuation whose start is
+// still on its way must overtake that start.
+func (s *section) setEvacuation(o SetEvacuation) Result {
+	before := s.evacuations[o.Zone]
+	if o.Zone == "" || o.After != before.Number {
+		return Result{Accepted: o.Zone != "", Overtaken: true}
+	}
+	after := Evacuation{Number: before.Number + 1, Active: o.Active, ChangedAt: before.ChangedAt}
+	if o.Active != before.Active {
+		after.ChangedAt = o.At
+	}
+	s.evacuations[o.Zone] = after
+	return Result{Accepted: true, Changed: true}
+}
+
 func (s *section) changed() {
 	if s.config.Changed != nil {
 		s.config.Changed()
@@ -168,6 +192,13 @@
 	return maps.Clone(s.versionTimes)
 }
 
+// Evacuations implements Section.
+func (s *section) Evacuations() map[string]Evacuation {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return maps.Clone(s.evacuations)
+}
+
 // Query implements state.Section.
 func (s *section) Query([]byte) ([]byte, error) {
 	return nil, errNoQueries
@@ -177,7 +208,7 @@
 func (s *section) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	snap := snapshot{Versions: s.versions, VersionTimes: s.versionTimes}
+	snap := snapshot{Versions: s.versions, VersionTimes: s.versionTimes, Evacuations: s.evacuations}
 	if s.active != nil {
 		snap.PutChunks = &PutChunks{Revision: s.active.Document.Revision, Document: s.active.Chunks, Source: s.active.source}
 	}
@@ -200,8 +231,11 @@
 	if snap.VersionTimes == nil {
 		snap.VersionTimes = map[string]int64{}
 	}
+	if snap.Evacuations == nil {
+		snap.Evacuations = map[string]Evacuation{}
+	}
 	s.mu.Lock()
-	s.active, s.versions, s.versionTimes = active, snap.Versions, snap.VersionTimes
+	s.active, s.versions, s.versionTimes, s.evacuations = active, snap.Versions, snap.VersionTimes, snap.Evacuations
 	s.mu.Unlock()
 	s.changed()
 	return nil
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -37,6 +37,8 @@
 	TargetVersionTimes rowtable.Topic = 13
 	// StoreSummaries holds the parts of a store when it was listed, as a StoreSummary under the store's address and the size class of the parts; only the rows of the lease holder are used, and later rows of Parts take precedence.
 	StoreSummaries rowtable.Topic = 14
+	// Evacuations holds the state of each availability zone as a section.Evacuation under its name.
+	Evacuations rowtable.Topic = 18
 )
 
 // Document identifies the operator's document and its chunks.
--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -101,7 +101,9 @@
 	ctx, cancel := context.WithTimeout(ctx, min(max(p.Wait, 0), maxWait))
 	defer cancel()
 	rows, revision := s.await(ctx, p)
-	a := Answer{Epoch: s.Table.Epoch(), Revision: revision, Rows: rows, More: s.Table.ChangedAfter(revision), CaughtUp: s.CaughtUp(), Entries: s.Entries(), Zone: s.Zone}
+	a := Answer{Epoch: s.Table.Epoch(), Revision: revision, Rows: rows, CaughtUp: s.CaughtUp(), Entries: s.Entries(), Zone: s.Zone}
+	// Determined after CaughtUp, so that an answer with CaughtUp and without More has all rows that the replica had when it had caught up.
+	a.More = s.Table.ChangedAfter(revision)
 	a.Fencing, a.Clock = s.Holder()
 	return a, nil
 }
