Cold servers get no more than their stated rate from all entries

Cause: nothing limited the requests to a server that has just started. Its idle slots look best to every entry; in the model of a site (internal/load/site, 77 entries, a zone of 15 of 60 engines cold, 2,300 requests a second) an engine got 62 in a second where 41 are allowed.

Change: package limit holds a second bucket for each server while it may be cold: as announced, after the end of an evacuation of its zone, and after it refused connections here or at others. An entry's share is its part of a total that, with the requests kept from before, stays four standard deviations below what is allowed.

The rest goes to warm engines, which have room for it.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -132,7 +132,7 @@
 	p.limits = limit.New(limit.Config{Random: rand.Float64, OnCapacity: queue.LocalCapacityFreed, Logger: c.Logger})
 	p.handler = caller.New(caller.Config{
 		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: p.tracker, Residency: residency, PeerLoads: peerLoads, Queue: queue,
-		Budget: p.budget, Limits: p.limits, Stopping: p.stopping, Refusing: p.refusing, Metrics: p.metrics, Logger: c.Logger,
+		Budget: p.budget, Limits: p.limits, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Stopping: p.stopping, Refusing: p.refusing, Metrics: p.metrics, Logger: c.Logger,
 	})
 	p.registerMetrics()
 	return p, nil
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -53,20 +53,33 @@
 func (j *job) candidates(now time.Time) []choose.Candidate {
 	all := make([]choose.Candidate, 0, len(j.Site.Servers(j.service.Name)))
 	for s := range j.untried() {
+		stats := j.Tracker.Stats(s.ID)
+		peers := j.PeerLoads.Load(s.ID, now)
+		stats.RefusedBy = peers.RefusedEntries
+		j.observeCold(s, stats, now)
 		if j.Limits.Wait(s.ID, now) > 0 {
 			continue
 		}
-		stats := j.Tracker.Stats(s.ID)
-		peers := j.PeerLoads.Load(s.ID, now)
 		stats.InFlight += peers.InFlight
 		stats.PrefillTokens += peers.PrefillTokens
 		stats.ReservedTokens += peers.ReservedTokens
-		stats.RefusedBy = peers.RefusedEntries
 		all = append(all, choose.Candidate{Server: s, Stats: stats})
 	}
 	return all
 }
 
+// observeCold updates the limit of a server that may be cold.
+//
+// A server that refused a connection has not been running. Once it accepts connections again, it
+// is cold, and its announcement may arrive later than the next request.
+func (j *job) observeCold(s directory.Server, stats observe.ServerStats, now time.Time) {
+	if j.service.ColdRate <= 0 || j.ColdFactor <= 0 {
+		return
+	}
+	refused := stats.RefusedBy >= choose.MinRefusals || !stats.RefusedAt.IsZero() && now.Sub(stats.RefusedAt) < j.service.ColdTime
+	j.Limits.SetCold(s.ID, refused || j.Site.Cold(s, j.service.ColdTime, now), j.ColdFactor*j.service.ColdRate+j.ColdSlack, now)
+}
+
 func (j *job) choosePlain(ctx context.Context) (choice, bool) {
 	now := time.Now()
 	all := j.candidates(now)
--- a/internal/serve/choose/candidate.go
+++ b/internal/serve/choose/candidate.go
@@ -19,9 +19,9 @@
 	// fullWeightAge is the maximum age of a server's load report that counts in full. Its weight
 	// falls linearly to zero at twice that age.
 	fullWeightAge = 500 * time.Millisecond
-	// minRefusals is how many other entries must have been refused by a server before this entry
+	// MinRefusals is how many other entries must have been refused by a server before this entry
 	// treats it as ejected.
-	minRefusals = 2
+	MinRefusals = 2
 	// recentAnswer is how long a response to this entry outweighs refusals seen by other entries.
 	recentAnswer = 300 * time.Millisecond
 	// livenessWindow is how long a response proves that a server is alive although its
@@ -59,7 +59,7 @@
 // announcements reveal the crash only seconds later. A single refused entry may have a network
 // problem of its own, so at least two must report a refusal.
 func (c Candidate) refusedByOthers(now time.Time) bool {
-	return c.Stats.RefusedBy >= minRefusals && now.Sub(c.Stats.RespondedAt) > recentAnswer
+	return c.Stats.RefusedBy >= MinRefusals && now.Sub(c.Stats.RespondedAt) > recentAnswer
 }
 
 // load returns the estimated number of requests at the server.
--- a/internal/serve/limit/bucket.go
+++ b/internal/serve/limit/bucket.go
@@ -6,18 +6,6 @@
 )
 
 const (
-	// usableShare is the part of a limit that the counted entries use. The rest is for entries
-	// that have just started, and for the chance that many send at once.
-	usableShare = 0.75
-	// burstWindow is for how long an entry may still send a request that it could have sent
-	// earlier. minBurst is how many such requests all entries together may keep in any case.
-	burstWindow = 500 * time.Millisecond
-	minBurst    = 1.0
-	// A server tolerates toleranceRequests more than toleranceFactor times its limit in
-	// toleranceWindow.
-	toleranceWindow   = 4 * time.Second
-	toleranceFactor   = 1.5
-	toleranceRequests = 5.0
 	// minRate is the lowest limit in requests per second. A server that never gets a request could
 	// not announce the end of its limit.
 	minRate = 0.1
@@ -25,8 +13,17 @@
 	logChangeFactor = 1.25
 )
 
+// quota is how many requests a server accepts from all entries, divided among them.
+type quota interface {
+	// entryRate returns the requests per second of one of the entries.
+	entryRate(entries int) float64
+	// burst returns how many requests beyond one, including fractions, an entry may keep.
+	burst(entries int) float64
+}
+
 // bucket is an entry's share of one server's limit.
 type bucket struct {
+	quota
 	// rate is the requests per second that the server accepts from all entries, logged the rate
 	// that was logged last.
 	rate, logged float64
@@ -41,7 +38,12 @@
 // limit at the same moment, and one request of each would exceed it.
 func newBucket(rate, random float64, now time.Time) *bucket {
 	rate = max(minRate, rate)
-	return &bucket{rate: rate, logged: rate, available: random, filled: now, observed: now}
+	return &bucket{quota: announcedQuota(rate), rate: rate, logged: rate, available: random, filled: now, observed: now}
+}
+
+// newColdBucket returns the bucket of a cold server that accepts up to most requests in any second.
+func newColdBucket(most, random float64, now time.Time) *bucket {
+	return &bucket{quota: coldQuota(most), available: random, filled: now, observed: now}
 }
 
 // update sets the limit announced in a further response and returns whether it differs much
@@ -49,6 +51,7 @@
 func (b *bucket) update(rate float64, entries int, now time.Time) bool {
 	b.fill(entries, now)
 	b.rate, b.observed = max(minRate, rate), now
+	b.quota = announcedQuota(b.rate)
 	if b.rate < b.logged*logChangeFactor && b.logged < b.rate*logChangeFactor {
 		return false
 	}
@@ -56,26 +59,11 @@
 	return true
 }
 
-// entryRate returns the requests per second of one entry.
-func (b *bucket) entryRate(entries int) float64 {
-	return usableShare * b.rate / float64(max(1, entries))
-}
-
 // interval returns how long it takes an entry to gain a request.
 func (b *bucket) interval(entries int) time.Duration {
 	return time.Duration(float64(time.Second) / b.entryRate(entries))
 }
 
-// burst returns how many requests beyond one, including fractions, an entry may keep.
-//
-// Few entries may keep what a server tolerates even if all of them send it at once. With many
-// entries, each of which seldom has a request to send, the total is limited to a few requests.
-func (b *bucket) burst(entries int) float64 {
-	n := float64(max(1, entries))
-	tolerated := toleranceRequests + (toleranceFactor-usableShare)*b.rate*toleranceWindow.Seconds()
-	return max(b.entryRate(entries)*burstWindow.Seconds(), minBurst/n, tolerated/n-1)
-}
-
 // fill adds the requests gained since the last call and drops whole requests that were kept
 // for too long. Otherwise entries that seldom have a request to send would each keep one
 // ready, and send all of them in the same burst.
--- a/internal/serve/limit/limits.go
+++ b/internal/serve/limit/limits.go
@@ -26,6 +26,9 @@
 	// of requests per second that the server accepts from all entries, nil if it announces no
 	// limit.
 	Observe(server string, perSecond *float64, sent, now time.Time)
+	// SetCold sets whether the server is cold, and how many requests all entries may send to it in any
+	// second while it is.
+	SetCold(server string, cold bool, most float64, now time.Time)
 	// Wait returns how long it is until a request may be sent to the server.
 	Wait(server string, now time.Time) time.Duration
 	// Reserve reserves a request to the server that may be sent after the returned time. It returns
@@ -35,7 +38,7 @@
 	Release(server string, now time.Time)
 	// SetEntries sets how many entries share the limits.
 	SetEntries(n int)
-	// Len returns how many servers announce a limit.
+	// Len returns how many limits there are.
 	Len() int
 }
 
@@ -50,16 +53,43 @@
 	Logger log.Interface
 }
 
+// kind is the reason of a limit.
+type kind int
+
+const (
+	// announced limits come with a server's responses.
+	announced kind = iota
+	// cold limits hold while a server is cold.
+	cold
+)
+
+// key identifies a bucket.
+type key struct {
+	server string
+	kind   kind
+}
+
 type shard struct {
 	mu      sync.Mutex
-	buckets map[string]*bucket
+	buckets map[key]*bucket
+}
+
+// of returns the server's buckets.
+func (s *shard) of(server string) []*bucket {
+	var all []*bucket
+	for _, k := range []kind{announced, cold} {
+		if b, ok := s.buckets[key{server, k}]; ok {
+			all = append(all, b)
+		}
+	}
+	return all
 }
 
 type limits struct {
 	Config
 	shards  [shards]shard
 	entries atomic.Int64
-	// limited is how many servers announce a limit; while none does, no lock is taken.
+	// limited is how many limits there are; while there is none, no lock is taken.
 	limited atomic.Int64
 }
 
@@ -68,7 +98,7 @@
 	l := &limits{Config: c}
 	l.entries.Store(assumedEntries)
 	for i := range l.shards {
-		l.shards[i].buckets = map[string]*bucket{}
+		l.shards[i].buckets = map[key]*bucket{}
 	}
 	return l
 }
@@ -101,16 +131,17 @@
 	s := l.shard(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.buckets[server]
+	k := key{server, announced}
+	b, ok := s.buckets[k]
 	switch {
 	case perSecond == nil && ok && sent.After(b.observed):
-		l.forget(s, server)
+		l.forget(s, k)
 		l.logLimit(server, 0, entries)
 	case perSecond != nil && !ok:
 		b = newBucket(*perSecond, l.Random(), now)
-		s.buckets[server] = b
+		s.buckets[k] = b
 		l.limited.Add(1)
-		l.scheduleCapacity(server, b, b.wait(entries))
+		l.scheduleCapacity(k, b, b.wait(entries))
 		l.logLimit(server, *perSecond, entries)
 	case perSecond != nil:
 		if b.update(*perSecond, entries, now) {
@@ -119,9 +150,37 @@
 	}
 }
 
+// SetCold implements Limits.
+func (l *limits) SetCold(server string, isCold bool, most float64, now time.Time) {
+	if !isCold && l.limited.Load() == 0 {
+		return
+	}
+	s, k := l.shard(server), key{server, cold}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.buckets[k]
+	switch {
+	case ok && !isCold:
+		l.forget(s, k)
+		l.logCold(server, false, most)
+	case ok:
+		b.observed = now
+	case isCold:
+		b = newColdBucket(most, l.Random(), now)
+		s.buckets[k] = b
+		l.limited.Add(1)
+		l.scheduleCapacity(k, b, b.wait(l.entryCount()))
+		l.logCold(server, true, most)
+	}
+}
+
+func (l *limits) logCold(server string, isCold bool, most float64) {
+	event.ColdServerLimited.Write(l.Logger, log.Fields{"server": server, "cold": isCold, "most": most, "entries": l.entryCount()})
+}
+
 // forget removes a limit; the caller holds the lock.
-func (l *limits) forget(s *shard, server string) {
-	delete(s.buckets, server)
+func (l *limits) forget(s *shard, k key) {
+	delete(s.buckets, k)
 	l.limited.Add(-1)
 }
 
@@ -132,30 +191,30 @@
 // scheduleCapacity calls OnCapacity after the given time, and from then on each time that the
 // bucket gains a request, for as long as the server announces a limit. It removes the limit of
 // a server that has not responded for forgetAfter.
-func (l *limits) scheduleCapacity(server string, b *bucket, after time.Duration) {
+func (l *limits) scheduleCapacity(k key, b *bucket, after time.Duration) {
 	if l.OnCapacity == nil {
 		return
 	}
 	time.AfterFunc(after, func() {
 		entries := l.entryCount()
-		s := l.shard(server)
+		s := l.shard(k.server)
 		s.mu.Lock()
-		current := s.buckets[server] == b
+		current := s.buckets[k] == b
 		if current && time.Since(b.observed) > forgetAfter {
-			l.forget(s, server)
+			l.forget(s, k)
 			current = false
 		}
 		next := b.interval(entries)
 		s.mu.Unlock()
 		if current {
 			l.OnCapacity()
-			l.scheduleCapacity(server, b, next)
+			l.scheduleCapacity(k, b, next)
 		}
 	})
 }
 
-// withBucket calls use with the server's filled bucket if the server announces a limit.
-func (l *limits) withBucket(server string, now time.Time, use func(b *bucket, entries int)) {
+// withBuckets calls use with the server's filled buckets, if it has any.
+func (l *limits) withBuckets(server string, now time.Time, use func(all []*bucket, entries int)) {
 	if l.limited.Load() == 0 {
 		return
 	}
@@ -163,24 +222,37 @@
 	s := l.shard(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b, ok := s.buckets[server]; ok {
+	all := s.of(server)
+	for _, b := range all {
 		b.fill(entries, now)
-		use(b, entries)
 	}
+	use(all, entries)
+}
+
+// longestWait returns how long it is until all buckets have a request.
+func longestWait(all []*bucket, entries int) time.Duration {
+	wait := time.Duration(0)
+	for _, b := range all {
+		wait = max(wait, b.wait(entries))
+	}
+	return wait
 }
 
 // Wait implements Limits.
 func (l *limits) Wait(server string, now time.Time) time.Duration {
 	wait := time.Duration(0)
-	l.withBucket(server, now, func(b *bucket, entries int) { wait = b.wait(entries) })
+	l.withBuckets(server, now, func(all []*bucket, entries int) { wait = longestWait(all, entries) })
 	return wait
 }
 
 // Reserve implements Limits.
 func (l *limits) Reserve(server string, maxWait time.Duration, now time.Time) (time.Duration, bool) {
 	wait := time.Duration(0)
-	l.withBucket(server, now, func(b *bucket, entries int) {
-		if wait = b.wait(entries); wait <= maxWait {
+	l.withBuckets(server, now, func(all []*bucket, entries int) {
+		if wait = longestWait(all, entries); wait > maxWait {
+			return
+		}
+		for _, b := range all {
 			b.available--
 		}
 	})
@@ -192,7 +264,11 @@
 
 // Release implements Limits.
 func (l *limits) Release(server string, now time.Time) {
-	l.withBucket(server, now, func(b *bucket, _ int) { b.available++ })
+	l.withBuckets(server, now, func(all []*bucket, _ int) {
+		for _, b := range all {
+			b.available++
+		}
+	})
 }
 
 // Len implements Limits.
--- a/internal/serve/limit/limits_test.go
+++ b/internal/serve/limit/limits_test.go
@@ -188,3 +188,32 @@
 		t.Errorf("%d lines, wanted those of 3, 6 and none", len(logged.Entries))
 	}
 }
+
+// Guards against a cold server that gets its whole limit for each of two reasons at once, and
+// against a limit that stays when the server is warm.
+func TestColdServerIsLimitedUntilItIsWarm(t *testing.T) {
+	l := newLimits(1)
+	l.SetEntries(50)
+	l.SetCold(server, false, 41, start)
+	if l.Len() != 0 {
+		t.Error("a warm server is limited")
+	}
+	l.SetCold(server, true, 41, start)
+	l.SetCold(server, true, 41, start)
+	if _, ok := l.Reserve(server, 0, start); !ok || l.Wait(server, start) <= 0 {
+		t.Error("an entry that has one request for a cold server may not send just that one")
+	}
+	l.Release(server, start)
+	l.Observe(server, number(0.5), start, start)
+	if _, ok := l.Reserve(server, 0, start); !ok {
+		t.Error("the released request may not be sent")
+	}
+	if a, b := l.Wait(server, start), l.Wait(server, start.Add(time.Minute)); a < time.Minute || b >= a {
+		t.Errorf("the longer of two limits does not count: %s, then %s", a, b)
+	}
+	l.Observe(server, nil, start.Add(time.Second), start.Add(time.Second))
+	l.SetCold(server, false, 41, start)
+	if l.Len() != 0 || l.Wait(server, start) != 0 {
+		t.Errorf("%d limits of a warm server", l.Len())
+	}
+}
