soak: evacuations and cold servers

Servers stand in two zones that are evacuated in series of their own, which overlap with each other and with all faults; a request that reaches a zone later than 5 s after the acknowledgment is a broken guarantee, and so is an order that isn't acknowledged within 12 s. Servers announce that they are cold for 2 s after their start and count what they get in each second.

--- a/deploy/soak/operator.go
+++ b/deploy/soak/operator.go
@@ -58,7 +58,7 @@
 {"name":"stream","host":"soak","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,"service":"desk","max_attempts":2,"resumable":true,"gap_target_ms":300},
 {"name":"prompt","host":"soak","path_prefix":"/prompt/","kind":"streaming","timeout_ms":5000,"target_latency_ms":1000,"service":"writer","max_attempts":2,"resumable":true,"sticky":true,"gap_target_ms":500},
 {"name":"n","host":"soak","path_prefix":"/n%d/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,"service":"desk","max_attempts":1}],
-"services":[{"name":"desk","max_connections":200},{"name":"writer","max_connections":200,"engine":{"slots":8,"kv_capacity_tokens":90000,"kv_token_bytes":35136,"link_mbps":100000,"managed":true,"stride":1,"max_concurrent":12,"models":[{"name":"m"}]}}],"limits":{},"tenants":[{"name":"t1","api_keys":["k1"]},{"name":"t2","api_keys":["k2"]}]}`, revision, extras.String(), revision)
+"services":[{"name":"desk","max_connections":200,"cold_start_s":%d,"cold_per_s":%d},{"name":"writer","max_connections":200,"cold_start_s":%d,"cold_per_s":%d,"engine":{"slots":8,"kv_capacity_tokens":90000,"kv_token_bytes":35136,"link_mbps":100000,"managed":true,"stride":1,"max_concurrent":12,"models":[{"name":"m"}]}}],"limits":{},"tenants":[{"name":"t1","api_keys":["k1"]},{"name":"t2","api_keys":["k2"]}]}`, revision, extras.String(), revision, coldTime/time.Second, coldRate, coldTime/time.Second, coldRate)
 }
 
 // putDocument sends the next document until a replica acknowledges it, or changeBound has passed.
--- a/deploy/soak/process.go
+++ b/deploy/soak/process.go
@@ -158,9 +158,11 @@
 retry_budget_ratio = 0.2
 budget_window_s = 10
 retry_budget_slack = 50
+cold_overshoot = %.1f
+cold_slack = %d
 version_ms = 15000
 fencing_enforced = true
-`, p.name, p.ip, quoted(seeds), firstStart, p.dataDir, p.ip, p.ip, p.ip)
+`, p.name, p.ip, quoted(seeds), firstStart, p.dataDir, p.ip, p.ip, p.ip, coldFactor, coldSlack)
 	temporary := filepath.Join(folder, p.name+".tmp")
 	if err := os.WriteFile(temporary, []byte(text), 0o644); err != nil {
 		return err
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -97,6 +97,7 @@
 	var all sync.WaitGroup
 	all.Go(func() { changeWeights(ctx, end, s) })
 	all.Go(func() { changeLimits(ctx, end, s) })
+	all.Go(func() { evacuateZones(ctx, end, s) })
 	n := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults[s.newRandom().IntN(len(faults))]
--- a/deploy/soak/server.go
+++ b/deploy/soak/server.go
@@ -18,8 +18,9 @@
 
 // executions counts what the servers executed of each attempt.
 type executions struct {
-	mu   sync.Mutex
-	runs map[string]int
+	record *record
+	mu     sync.Mutex
+	runs   map[string]int
 	// tenants is the workspace of each attempt.
 	tenants map[string]string
 	// late counts requests that arrived more than drainBound after a server's leave was acknowledged.
@@ -45,9 +46,12 @@
 	service    string
 	executions *executions
 	limits     *limits
-	http       *httptest.Server
-	proxy      *proxy
-	stop       context.CancelFunc
+	// evacuations checks that the server gets no requests while its zone is evacuated.
+	evacuations *evacuations
+	zone        string
+	http        *httptest.Server
+	proxy       *proxy
+	stop        context.CancelFunc
 	// engine is nil for servers of the plain service.
 	engine *engine
 
@@ -58,13 +62,26 @@
 	leaveAcknowledged time.Time
 	dead              bool
 	startedAt         int64
+	// coldArrivals are the times of the requests in the last second while the server is cold.
+	coldArrivals []time.Time
 }
 
 // drainBound is how long after the acknowledgment a leaving server may still get requests.
 const drainBound = 2 * time.Second
 
-func newServer(ex *executions, serverLimits *limits, id, service string, controls []string, e *engine) (*server, error) {
-	s := &server{id: id, service: service, executions: ex, limits: serverLimits, state: "ready", startedAt: time.Now().UnixMilli(), engine: e}
+// serverConfig holds what a server needs.
+type serverConfig struct {
+	id, service, zone string
+	executions        *executions
+	limits            *limits
+	evacuations       *evacuations
+	controls          []string
+	// engine is nil for servers of the plain service.
+	engine *engine
+}
+
+func newServer(c serverConfig) (*server, error) {
+	s := &server{id: c.id, service: c.service, zone: c.zone, executions: c.executions, limits: c.limits, evacuations: c.evacuations, state: "ready", startedAt: time.Now().UnixMilli(), engine: c.engine}
 	s.http = httptest.NewServer(s)
 	p, err := newProxy(strings.TrimPrefix(s.http.URL, "http://"))
 	if err != nil {
@@ -73,7 +90,7 @@
 	s.proxy = p
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
-	go s.announce(ctx, controls)
+	go s.announce(ctx, c.controls)
 	return s, nil
 }
 
@@ -98,6 +115,8 @@
 		s.executions.mu.Unlock()
 	}
 	s.mu.Unlock()
+	s.evacuations.recordRequest(id, s)
+	s.recordWhileCold(time.Now())
 	s.limits.recordRequest(id, s, w.Header())
 	if s.engine != nil && !s.engine.admits(w, q) {
 		return
@@ -154,8 +173,8 @@
 		s.mu.Lock()
 		s.sequence++
 		state := s.state
-		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":8,"state":%q,"sequence":%d,"born":%d,"models":%s}`,
-			s.service, s.proxy.address(), state, s.sequence, s.startedAt, s.models())
+		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"sequence":%d,"born":%d,"cold_remaining_ms":%d,"models":%s}`,
+			s.service, s.proxy.address(), s.zone, state, s.sequence, s.startedAt, s.coldRemaining(time.Now()).Milliseconds(), s.models())
 		s.mu.Unlock()
 		if status := post(ctx, "http://"+controls[at%len(controls)]+":8000/v1/Instances.Heartbeat/"+s.id, body, time.Second); status != http.StatusOK {
 			at++
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -20,16 +20,17 @@
 
 // site holds the processes, servers and clients of one run.
 type site struct {
-	folder     string
-	record     *record
-	executions *executions
-	replicas   []*process
-	entries    []*process
-	fronts     []*proxy
-	operator   *operator
-	orders     *orders
-	limits     *limits
-	seeds      []string
+	folder      string
+	record      *record
+	executions  *executions
+	replicas    []*process
+	entries     []*process
+	fronts      []*proxy
+	operator    *operator
+	orders      *orders
+	limits      *limits
+	evacuations *evacuations
+	seeds       []string
 
 	seed           uint64
 	mu             sync.Mutex
@@ -43,7 +44,7 @@
 func newSite(c runConfig, folder string, r *record) (*site, error) {
 	s := &site{
 		folder: folder, record: r, seed: c.seed, random: rand.New(rand.NewPCG(c.seed, 1)),
-		executions: &executions{runs: map[string]int{}, tenants: map[string]string{}},
+		executions: &executions{record: r, runs: map[string]int{}, tenants: map[string]string{}},
 	}
 	network := fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, c.seed%250)
 	var controls []string
@@ -51,7 +52,7 @@
 		controls = append(controls, fmt.Sprint(network, 10+i))
 	}
 	s.seeds = controls[:min(len(controls), seedReplicas)]
-	s.orders, s.limits = newOrders(r), newLimits(r)
+	s.orders, s.limits, s.evacuations = newOrders(r), newLimits(r), newEvacuations(r)
 	s.operator = &operator{controls: controls, record: r, orders: s.orders, growth: rand.New(rand.NewPCG(c.seed, 13))}
 	for i, ip := range controls {
 		s.replicas = append(s.replicas, s.newProcess(c, fmt.Sprint("control-", i), "control", ip))
@@ -146,7 +147,10 @@
 	if service == engineService {
 		e = &engine{orders: s.orders, version: s.orders.newestVersion()}
 	}
-	x, err := newServer(s.executions, s.limits, fmt.Sprint("i-", s.serversStarted), service, s.seeds, e)
+	x, err := newServer(serverConfig{
+		id: fmt.Sprint("i-", s.serversStarted), service: service, zone: zones[s.serversStarted%len(zones)],
+		executions: s.executions, limits: s.limits, evacuations: s.evacuations, controls: s.seeds, engine: e,
+	})
 	if err != nil {
 		return err
 	}
