Operators evacuate zones of a deployment: setting evacuated-zones, hornbeamwood zones

Cause: only a site on a provider could be evacuated; a deployment with the settings tree had no word for it.

Change: the setting evacuated-zones of /fleet, read by the picker of plain services and by the router of completions; a server of such a zone has the reason evacuated.

--- a/cmd/hornbeamwood/main.go
+++ b/cmd/hornbeamwood/main.go
@@ -31,7 +31,7 @@
 	flaggy.SetVersion("")
 	flaggy.DefaultParser.ShowHelpOnUnexpected = true
 	var commands []command
-	for _, newCommands := range []func() []command{entryCommand, controlCommand, keysCommands, settingsCommands, checkCommands, statusCommand, demoCommand, loadCommand, explainCommand, lossesCommand, readingsCommand} {
+	for _, newCommands := range []func() []command{entryCommand, controlCommand, keysCommands, settingsCommands, zonesCommands, checkCommands, statusCommand, demoCommand, loadCommand, explainCommand, lossesCommand, readingsCommand} {
 		commands = append(commands, newCommands()...)
 	}
 	flaggy.Parse()
--- a/internal/entry/completion/view.go
+++ b/internal/entry/completion/view.go
@@ -46,6 +46,8 @@
 		Model:         j.Model.Name,
 		WeightVersion: j.Model.WeightVersion,
 		Age:           j.Snapshot.Fleet.AnnouncementAge,
+
+		EvacuatedZones: j.Snapshot.Fleet.EvacuatedZones,
 	}
 }
 
--- a/internal/entry/picker/picker.go
+++ b/internal/entry/picker/picker.go
@@ -34,6 +34,8 @@
 	Work membership.Work
 	// MaxAnnouncementAge returns the maximum age of a server's last announcement.
 	MaxAnnouncementAge func() time.Duration
+	// EvacuatedZones returns the availability zones whose servers get no calls.
+	EvacuatedZones func() []string
 	// Zone is this entry's availability zone.
 	Zone string
 	// Now returns the local time with its monotonic reading.
@@ -81,7 +83,7 @@
 
 func (p *picker) candidates(now time.Time, name string, excluded []string) []candidate {
 	var all []candidate
-	need := membership.Need{Kind: announcement.Service, Service: name, Age: p.MaxAnnouncementAge()}
+	need := membership.Need{Kind: announcement.Service, Service: name, Age: p.MaxAnnouncementAge(), EvacuatedZones: p.EvacuatedZones()}
 	view := p.Servers.View()
 	for s := range view.All() {
 		a := s.Announcement()
--- a/internal/fleet/membership/need.go
+++ b/internal/fleet/membership/need.go
@@ -26,6 +26,8 @@
 	Service string
 	// Age is the largest age of the server's last announcement, at most MaxAge; zero means DefaultAge.
 	Age time.Duration
+	// EvacuatedZones are the availability zones whose servers get no requests.
+	EvacuatedZones []string
 }
 
 func (n Need) age() time.Duration {
--- a/internal/fleet/membership/reason.go
+++ b/internal/fleet/membership/reason.go
@@ -10,6 +10,8 @@
 	IsLeaving Reason = "leaving"
 	// IsSilent means that the server's last announcement is too old.
 	IsSilent Reason = "silent"
+	// IsEvacuated means that the server's availability zone is evacuated.
+	IsEvacuated Reason = "evacuated"
 	// HasMoved means that the server's address has changed since it was chosen.
 	HasMoved Reason = "moved"
 	// OtherKind means that the server is of another kind.
--- a/internal/fleet/membership/server.go
+++ b/internal/fleet/membership/server.go
@@ -62,6 +62,9 @@
 	if s.Age(now) >= n.age() {
 		return IsSilent
 	}
+	if slices.Contains(n.EvacuatedZones, a.Zone) {
+		return IsEvacuated
+	}
 	switch a.Kind {
 	case announcement.Engine:
 		return holdingReason(a.Holdings, n)
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -146,10 +146,11 @@
 
 func (p *process) buildServices(x *components, retries retry.Policy) service.Client {
 	age := func() time.Duration { return x.settings.View().Rules.Fleet.AnnouncementAge }
+	evacuated := func() []string { return x.settings.View().Rules.Fleet.EvacuatedZones }
 	return service.New(service.Config{
 		Log: x.control,
 		Picker: picker.New(picker.Config{
-			Servers: x.table, Work: x.work, MaxAnnouncementAge: age, Zone: p.config.File.Zone,
+			Servers: x.table, Work: x.work, MaxAnnouncementAge: age, EvacuatedZones: evacuated, Zone: p.config.File.Zone,
 			Now: time.Now, Random: newRandom(), Logger: p.config.Logger,
 		}),
 		Budget:      newBudget(retries, x.settings),
--- a/internal/settings/rules/fleet.go
+++ b/internal/settings/rules/fleet.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// EvacuatedZonesSetting is the name of the setting that holds Fleet.EvacuatedZones.
+const EvacuatedZonesSetting = "evacuated-zones"
+
 // Fleet contains the effective settings that belong to no workspace.
 type Fleet struct {
 	// SettingsLease is how long an entry accepts new work after its last proof that its settings are in force; read by entry/settings.
@@ -22,6 +25,8 @@
 	QuarantineWindow time.Duration `cbor:"quarantine-window"`
 	// AdmittedReplicas are the identities of control replicas that operators have admitted to replace the members of the same name.
 	AdmittedReplicas []string `cbor:"admitted-replicas"`
+	// EvacuatedZones are the availability zones whose backend servers get no new requests; read by entry/completion and process/entry.
+	EvacuatedZones []string `cbor:"evacuated-zones,omitempty"`
 	// AnnounceKeyDigests are the SHA-256 digests of the keys with which backend servers announce themselves; read by process/entry.
 	AnnounceKeyDigests [][32]byte `cbor:"announce-key-digests"`
 }
--- a/internal/settings/tree/schema.go
+++ b/internal/settings/tree/schema.go
@@ -152,6 +152,11 @@
 		Meaning: "The identities, separated by spaces, of control replicas that come in place of the members of the same name; for VMs that lost their disk.",
 		fleet:   func(f *rules.Fleet, v Value) { f.AdmittedReplicas = strings.Fields(v.Text) },
 	},
+	{
+		Name: rules.EvacuatedZonesSetting, Default: TextValue(""), Kinds: fleetKinds,
+		Meaning: "The availability zones, separated by spaces, whose backend servers get no new requests.",
+		fleet:   func(f *rules.Fleet, v Value) { f.EvacuatedZones = strings.Fields(v.Text) },
+	},
 	{
 		Name: "announce-key-digests", Default: DigestsValue(), Kinds: fleetKinds,
 		Meaning: "The SHA-256 digests of the keys with which backend servers announce themselves.",
