--- a/internal/control/admission/replacement_test.go
+++ b/internal/control/admission/replacement_test.go
@@ -244,7 +244,7 @@
 
 // Guards against a control log that stays without a quorum: a disk is lost again
 // right after the replica on it got a vote beside the identity that it replaces.
-func TestDisksLostInTurnLeaveAQuorum(t *testing.T) {
+func TestReplacementsInAnyOrderLeaveAQuorum(t *testing.T) {
 	for _, c := range []struct{ vms, borne, depth int }{{3, 1, 8}, {5, 1, 5}, {5, 2, 5}} {
 		t.Run(fmt.Sprintf("%d VMs, %d borne", c.vms, c.borne), func(t *testing.T) {
 			visited := map[string]bool{}
