Entries learn how slow each engine is, from the gaps between events

Cause: the estimate of an engine's cost took all engines for equally fast. On the shifted deployment a third of them takes 1.3 times as long.

Change: the tracker keeps the last 16 gaps between events for each server; their lower quartile, against the median of all candidates, is the engine's slowness (0.5 to 4, 1 while unknown). It multiplies the time of the prefill, of the queue and of events in the cost. The gap is in the line of each attempt.

Tests: TestLongPromptsAvoidSlowEngines in the model of a site (a third of the engines slow: 0.11 of long prompts go there, before 0.33 by number), TestEventGapEstimate.

--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -242,6 +242,7 @@
 		fields: log.Fields{
 			"kind": "engine", "cost-ms": p.CostMillis, "missing": p.PrefillTokens, "from": p.Sources, "tokens": prompt.Tokens, "version": version,
 			"in-flight": c.Stats.InFlight, "reading": c.Stats.PrefillTokens, "held": c.Stats.ReservedTokens, "load-age-ms": reportAgeMillis(c.Stats, now),
+			"event-gap-ms": c.Stats.EventGap.Milliseconds(),
 		},
 	}
 }
--- a/internal/serve/caller/stream.go
+++ b/internal/serve/caller/stream.go
@@ -31,14 +31,16 @@
 	longestGap time.Duration
 }
 
-// recordEvent records the arrival of an event.
-func (s *streamState) recordEvent(now time.Time) {
-	if s.first.IsZero() {
+// recordEvent records the arrival of an event and returns the time since the last one, and false for the first.
+func (s *streamState) recordEvent(now time.Time) (time.Duration, bool) {
+	first, gap := s.first.IsZero(), now.Sub(s.lastAt)
+	s.lastAt = now
+	if first {
 		s.first = now
-	} else {
-		s.longestGap = max(s.longestGap, now.Sub(s.lastAt))
+		return 0, false
 	}
-	s.lastAt = now
+	s.longestGap = max(s.longestGap, gap)
+	return gap, true
 }
 
 func (s streamState) firstMillis(since time.Time) int64 {
@@ -95,7 +97,9 @@
 		j.forwardHead(x.Response)
 	}
 	now := time.Now()
-	j.streamed.recordEvent(now)
+	if gap, ok := j.streamed.recordEvent(now); ok && a.Started() {
+		j.Tracker.EventGap(a, gap)
+	}
 	j.Tracker.Started(a, now)
 	if e.HasID {
 		j.streamed.last = e.ID
--- a/internal/serve/choose/cost.go
+++ b/internal/serve/choose/cost.go
@@ -56,7 +56,7 @@
 }
 
 func (e EnginePicker) prefillMillis(c Candidate, part Part, rendezvous string) float64 {
-	millis := float64(part.Tokens) / prefillRate
+	millis := e.slowness(c) * float64(part.Tokens) / prefillRate
 	if !part.Shared {
 		return millis
 	}
@@ -88,7 +88,7 @@
 
 // queueMillis returns how long the prefill of the prompts already queued takes.
 func (e EnginePicker) queueMillis(c Candidate) float64 {
-	return float64(c.Stats.PrefillTokens) / prefillRate
+	return e.slowness(c) * float64(c.Stats.PrefillTokens) / prefillRate
 }
 
 // loadMillis returns the cost of sharing the engine with its other requests.
@@ -111,7 +111,8 @@
 		return 0
 	}
 	limit := eventGapMargin * float64(e.EventGap.Milliseconds())
-	before, after := e.eventMillis(c.Stats.PrefillTokens), e.eventMillis(c.Stats.PrefillTokens+missing)
+	slowness := e.slowness(c)
+	before, after := slowness*e.eventMillis(c.Stats.PrefillTokens), slowness*e.eventMillis(c.Stats.PrefillTokens+missing)
 	switch {
 	case before > limit:
 		return lateStreamMillis
--- a/internal/serve/choose/engine.go
+++ b/internal/serve/choose/engine.go
@@ -128,6 +128,8 @@
 	// crossZoneFactor is the average duration of the transfers queued at a link, relative to a
 	// transfer within one zone.
 	crossZoneFactor float64
+	// medianGap is the median event gap of the engines.
+	medianGap time.Duration
 }
 
 // crossZoneFactor returns the average duration of the transfers queued at a store's link,
@@ -164,7 +166,7 @@
 
 // Pick returns the plan with the lowest cost.
 func (e EnginePicker) Pick(all []Candidate) Plan {
-	e.crossZoneFactor = crossZoneFactor(all)
+	e.crossZoneFactor, e.medianGap = crossZoneFactor(all), medianEventGap(all)
 	rendezvous := e.rendezvousEngines(all)
 	sample := e.sample(all, rendezvous)
 	plans := make([]Plan, len(sample))
--- a/internal/serve/observe/tracker.go
+++ b/internal/serve/observe/tracker.go
@@ -45,12 +45,19 @@
 	started, fetched bool
 }
 
+// Started returns whether the first event of the attempt has arrived.
+func (a *Attempt) Started() bool {
+	return a.started
+}
+
 // Tracker tracks attempts.
 type Tracker interface {
 	// Begin records a request that is sent.
 	Begin(a Attempt) *Attempt
 	// Started records the first event of a stream.
 	Started(a *Attempt, now time.Time)
+	// EventGap records the time between two consecutive events of a stream.
+	EventGap(a *Attempt, gap time.Duration)
 	// End records how the attempt ended.
 	End(a *Attempt, o Outcome, now time.Time)
 	// Report records a server's own load report.
@@ -68,6 +75,7 @@
 	ServerStats
 	lastUsed time.Time
 	ejection time.Duration
+	gaps     eventGaps
 }
 
 type shard struct {
@@ -162,6 +170,16 @@
 	t.countFetch(a, -1)
 }
 
+// EventGap implements Tracker.
+func (t *tracker) EventGap(a *Attempt, gap time.Duration) {
+	s := t.shard(a.Server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.state(a.Server, a.SentAt)
+	x.gaps.record(gap)
+	x.ServerStats.EventGap = x.gaps.estimate
+}
+
 func (x *state) recordStart(a *Attempt, now time.Time) {
 	if a.started {
 		return
