siteentry: cold servers of an evacuated zone by the site's heartbeat, and after an entry's start

Cause, found on reading the diff: how long servers count as cold after an evacuation had the heartbeat of one site in it; and an entry that starts right after the end learns of the evacuation by its end only, and took the servers for warm. Change: two heartbeats of the site, and an end that comes first counts as just ordered. TestServersAreColdAfterAnEvacuation covers both; its case for the second failed before.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -103,7 +103,7 @@
 	watcher := fmt.Sprintf("%s/%d", c.Host.Internal, time.Now().UnixNano())
 	peerLoads := share.NewPeerLoads(watcher)
 	p := &process{config: c, site: newSite(c.Logger, residency, peerLoads, queue.SharedCapacityFreed), tracker: observe.New(), conns: newConns(), queue: queue, metrics: metrics.NewSet()}
-	p.site.weightsDeadline = c.Host.Bounds.WeightsDeadline
+	p.site.weightsDeadline, p.site.heartbeat = c.Host.Bounds.WeightsDeadline, c.Host.Bounds.Heartbeat
 	p.seeds.Store(&c.Host.Seeds)
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Entry)
 	if err != nil {
--- a/internal/process/siteentry/evacuations.go
+++ b/internal/process/siteentry/evacuations.go
@@ -20,7 +20,8 @@
 	complete atomic.Bool
 	mu       sync.Mutex
 	zones    map[string]section.Evacuation
-	// endedAt is when this entry learned of the end of each zone's evacuation.
+	// endedAt is when this entry learned of the end of each zone's evacuation. One that it learns of first by
+	// its end may have ended just before.
 	endedAt map[string]time.Time
 }
 
@@ -48,12 +49,12 @@
 		return
 	}
 	e.zones[zone] = state
+	if !state.Active && (before.Active || before.Number == 0) {
+		e.endedAt[zone] = now
+	}
 	if state.Active == before.Active {
 		return
 	}
-	if !state.Active {
-		e.endedAt[zone] = now
-	}
 	var evacuated []string
 	for z, s := range e.zones {
 		if s.Active {
--- a/internal/process/siteentry/evacuations_test.go
+++ b/internal/process/siteentry/evacuations_test.go
@@ -85,6 +85,8 @@
 	s.show(t, "za", section.Evacuation{Number: 1, Active: true})
 	s.show(t, "za", section.Evacuation{Number: 2})
 	const coldTime = 3 * time.Second
+	s.heartbeat = time.Second
+	s.show(t, "zc", section.Evacuation{Number: 2})
 	now := time.Now()
 	for _, x := range []struct {
 		server directory.Server
@@ -92,8 +94,9 @@
 		cold   bool
 	}{
 		{directory.Server{Zone: "za"}, 0, true},
-		{directory.Server{Zone: "za"}, coldTime + announcementDelay/2, true},
-		{directory.Server{Zone: "za"}, coldTime + announcementDelay + time.Second, false},
+		{directory.Server{Zone: "za"}, coldTime + s.heartbeat, true},
+		{directory.Server{Zone: "za"}, coldTime + 3*s.heartbeat, false},
+		{directory.Server{Zone: "zc"}, 0, true},
 		{directory.Server{Zone: "zb"}, 0, false},
 		{directory.Server{Zone: "zb", WarmUp: time.Second}, time.Hour, true},
 	} {
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -42,6 +42,8 @@
 
 	suspension *suspensionGuard
 	startedAt  time.Time
+	// heartbeat is the interval at which servers announce themselves.
+	heartbeat time.Duration
 
 	mu             sync.Mutex
 	targetVersions map[string]int64
@@ -297,9 +299,8 @@
 // startupWait is how long after its start a process waits for the state of the stores and for the first server.
 const startupWait = 4 * time.Second
 
-// announcementDelay is the time after which an entry has the first announcement of a server that has become
-// cold: two intervals of announcements.
-const announcementDelay = 2400 * time.Millisecond
+// coldNewsHeartbeats is how many intervals of announcements after it has become cold a server is known to be so.
+const coldNewsHeartbeats = 2
 
 // serversPollInterval is the interval of the check whether a server has announced itself.
 const serversPollInterval = 10 * time.Millisecond
@@ -343,7 +344,7 @@
 		return true
 	}
 	ago, ok := s.evacuations.sinceEnd(v.Zone, now)
-	return ok && ago < coldTime+announcementDelay
+	return ok && ago < coldTime+coldNewsHeartbeats*s.heartbeat
 }
 
 // Server implements caller.Site.
