TestFollowerCutOffDoesNotMoveTheTerm waits until all replicas have the first entry

The follower had not yet processed the leader's first message when its term was taken, and processed it after the cut. The test now waits for the entry at all replicas first. 300 runs, three at once beside plays, race detector: none failed.

--- a/internal/control/replica/partition_test.go
+++ b/internal/control/replica/partition_test.go
@@ -157,6 +157,7 @@
 func TestFollowerCutOffDoesNotMoveTheTerm(t *testing.T) {
 	c := newCluster(t, 3, nil)
 	c.commit("one")
+	c.waitForState("one", c.nodes...)
 	leader := c.waitForLeader()
 	follower := c.others(leader)[0]
 	c.isolate(follower, true, true)
