--- a/internal/control/admission/next.go
+++ b/internal/control/admission/next.go
@@ -42,7 +42,7 @@
 
 // removeReplaced removes an identity whose disk is lost, as shown by another identity at its address.
 //
-// The old identity can never vote again, and no quorum gets smaller without it.
+// The old identity can never vote again, and the group tolerates no fewer losses without it.
 func removeReplaced(v View) (protocol.Change, bool) {
 	return first(v, protocol.Remove, func(m raft.Member) bool {
 		return v.replaced(m) && (!m.Voter || v.safeWithout(m, minReplacedVoters))
