Requests that crash their servers are quarantined on sites

Callers saw: a short request that ends each server that begins to run it came again at any entry, and ended up to 15 engines within 40 s, each with some twelve streams of other callers. Cause: the quarantine (policy/suspicion, control/quarantine) was wired to the product's own interface only; an entry of a site neither told such a request apart nor shared what it saw.

The log section and the classification are shared now. An entry of a site reports each run whose server closed the connection, unless that server answers again within 60 ms; the control log decides, and replicas show quarantined requests as rows, so that an entry that has just started knows them before it sends anything. The check comes before each attempt: first ones, retries, resumed streams and requests that have waited, to servers of all kinds. The fingerprint is workspace, method, host, target and body.

What keeps others safe: losses of runs that overlapped count once, so that servers that fail together quarantine nothing; an entry that has answered the request since the first loss takes the quarantine back, as does an answer that comes later; after an hour without a loss the request is released, since a site has no operator's command for it.

Ruled out: that one request of a caller costs several servers by retries (the reported ones had one try); that suspects run one at a time as on the own interface, which needs a commit of the log in the path of a request.

--- a/hornbeamwood.go
+++ b/hornbeamwood.go
@@ -43,7 +43,7 @@
 	settings := section.New()
 	return control.New(control.Config{
 		File:     c.File,
-		Sections: []state.Section{settings, ledger.New(), lease.New(), quarantine.New()},
+		Sections: []state.Section{settings, ledger.New(), lease.New(), quarantine.New(quarantine.Config{})},
 		Settings: settings,
 		Logger:   c.Logger,
 	})
--- a/internal/control/quarantine/changes.go
+++ b/internal/control/quarantine/changes.go
@@ -11,6 +11,9 @@
 
 // changesSince returns the standings that changed after version, including those that became clear.
 func (q *quarantine) changesSince(version uint64) []suspicion.Change {
+	if version == q.version {
+		return nil
+	}
 	changes := q.recordsSince(version)
 	for _, r := range q.removals {
 		if _, exists := q.records[r.Fingerprint]; r.Version > version && !exists {
--- a/internal/control/quarantine/command.go
+++ b/internal/control/quarantine/command.go
@@ -8,10 +8,12 @@
 
 // Command is the body of one log command; exactly one field is set.
 type Command struct {
-	Lost   *Lost   `cbor:"lost,omitempty"`
-	Begin  *Begin  `cbor:"begin,omitempty"`
-	Finish *Finish `cbor:"finish,omitempty"`
-	Clear  *Clear  `cbor:"clear,omitempty"`
+	Lost     *Lost     `cbor:"lost,omitempty"`
+	Losses   []Lost    `cbor:"losses,omitempty"`
+	Begin    *Begin    `cbor:"begin,omitempty"`
+	Finish   *Finish   `cbor:"finish,omitempty"`
+	Clear    *Clear    `cbor:"clear,omitempty"`
+	Answered *Answered `cbor:"answered,omitempty"`
 }
 
 // Lost reports a lost server and the requests that the reporting entry ran on it. Each entry reports its own requests.
@@ -26,6 +28,10 @@
 	Servers int `cbor:"servers"`
 	// Window is how long a loss counts, from the fleet's rules.
 	Window time.Duration `cbor:"window"`
+	// Ago is how long before the report the server was lost.
+	Ago time.Duration `cbor:"ago,omitempty"`
+	// Hold is how long after its last loss a quarantined request is released; zero if only an operator clears it.
+	Hold time.Duration `cbor:"hold,omitempty"`
 }
 
 // Running is one request on a lost server.
@@ -36,6 +42,8 @@
 	Workspace string `cbor:"workspace"`
 	// Model is the requested model.
 	Model string `cbor:"model"`
+	// Age is how long before the report the run began; zero if the run counts whenever it began.
+	Age time.Duration `cbor:"age,omitempty"`
 }
 
 // Begin requests a server's probe slot for a suspect.
@@ -69,3 +77,9 @@
 	// Operator is the operator who cleared it.
 	Operator string `cbor:"operator"`
 }
+
+// Answered reports requests that servers have answered completely, which clears them.
+type Answered struct {
+	// Fingerprints are the fingerprints of the requests.
+	Fingerprints []suspicion.Fingerprint `cbor:"fingerprints"`
+}
--- a/internal/control/quarantine/lost.go
+++ b/internal/control/quarantine/lost.go
@@ -9,48 +9,85 @@
 	"hornbeamwood/internal/policy/suspicion"
 )
 
-// lost records the loss for each request that ran on the server.
-func (q *quarantine) lost(at time.Time, c *Lost) Result {
-	if c.Server == "" || len(c.Running) > maxRunning {
-		return Result{}
+// lost records the losses for each request that ran on the servers.
+func (q *quarantine) lost(at time.Time, losses ...Lost) Result {
+	valid := false
+	for i := range losses {
+		c := &losses[i]
+		if c.Server == "" || len(c.Running) > maxRunning {
+			continue
+		}
+		valid = true
+		delete(q.slots, c.Server)
+		loss := suspicion.Loss{Server: c.Server, Incarnation: c.Incarnation, At: at.Add(-max(0, c.Ago)).UnixNano()}
+		for _, r := range c.Running {
+			q.add(at, loss, r, c)
+		}
+		q.limit = c.Servers
 	}
-	delete(q.slots, c.Server)
-	loss := suspicion.Loss{Server: c.Server, Incarnation: c.Incarnation, At: at.UnixNano()}
-	for _, r := range c.Running {
-		q.add(loss, r, c)
+	if valid {
+		q.updateStandings()
 	}
-	q.limit = c.Servers
-	q.updateStandings()
-	return Result{Valid: true}
+	return Result{Valid: valid}
 }
 
-// add records one loss of a request. When the section holds maxRecords, a new request isn't recorded and stays clear.
-func (q *quarantine) add(loss suspicion.Loss, r Running, c *Lost) {
+// add records one loss of a request.
+func (q *quarantine) add(at time.Time, loss suspicion.Loss, r Running, c *Lost) {
 	found, ok := q.records[r.Fingerprint]
 	if !ok {
-		if len(q.records) >= maxRecords {
+		if len(q.records) >= maxRecords && !q.dropOldestSuspect() {
 			return
 		}
 		found = &record{Fingerprint: r.Fingerprint, Workspace: r.Workspace, Model: r.Model, Standing: suspicion.Clear}
 		q.records[r.Fingerprint] = found
 	}
-	found.Window = c.Window
-	if suspicion.Has(found.Losses, loss) || len(found.Losses) >= maxLosses {
+	found.Window, found.Hold = c.Window, c.Hold
+	if suspicion.Has(found.Losses, loss) || len(found.Losses) >= maxLosses || r.Age > 0 && found.overlaps(at.Add(-r.Age)) {
 		return
 	}
 	found.Losses = append(found.Losses, loss)
 }
 
-// updateStandings computes the standing of each record.
+// dropOldestSuspect makes room for another record. It returns false if all are quarantined.
+func (q *quarantine) dropOldestSuspect() bool {
+	var oldest *record
+	for _, r := range q.records {
+		if r.Standing != suspicion.Quarantined && (oldest == nil || r.before(oldest)) {
+			oldest = r
+		}
+	}
+	if oldest != nil {
+		q.remove(oldest.Fingerprint)
+	}
+	return oldest != nil
+}
+
+// updateStandings computes the standing of each record. Only records with several losses depend on each other,
+// and only those that change get a version, so that the others need no order.
 func (q *quarantine) updateStandings() {
-	order := q.order()
-	losses := make([]*suspicion.FingerprintLosses, len(order))
-	for i, f := range order {
+	var single, several []suspicion.Fingerprint
+	for f, r := range q.records {
+		if len(r.Losses) < q.limit {
+			single = append(single, f)
+		} else {
+			several = append(several, f)
+		}
+	}
+	slices.SortFunc(several, compare)
+	all := slices.Concat(several, single)
+	losses := make([]*suspicion.FingerprintLosses, len(all))
+	for i, f := range all {
 		losses[i] = &suspicion.FingerprintLosses{Losses: q.records[f].Losses}
 	}
 	suspicion.Classify(losses, q.limit)
-	for i, f := range order {
-		q.setStanding(q.records[f], losses[i].Standing)
+	changed := map[suspicion.Fingerprint]suspicion.Standing{}
+	for i, f := range all {
+		if q.records[f].Standing != losses[i].Standing {
+			changed[f] = losses[i].Standing
+		}
+	}
+	for _, f := range slices.SortedFunc(maps.Keys(changed), compare) {
+		q.setStanding(q.records[f], changed[f])
 	}
 }
 
@@ -84,8 +121,8 @@
 }
 
 // expire drops expired leases and old losses. A quarantined request keeps its
-// losses: passing time doesn't show that it is harmless, and each retry would
-// cost servers again.
+// losses, unless it is released some time after the last one: passing time doesn't
+// show that it is harmless, and each retry would cost servers again.
 func (q *quarantine) expire(at time.Time) {
 	for server, s := range q.slots {
 		if s.Until <= at.UnixNano() {
@@ -95,6 +132,9 @@
 	changed := false
 	for _, r := range q.records {
 		if r.Standing == suspicion.Quarantined {
+			if r.released(at) {
+				r.Losses, changed = nil, true
+			}
 			continue
 		}
 		recent := suspicion.Recent(r.Losses, at, r.Window)
@@ -115,5 +155,9 @@
 // order returns the fingerprints in the same order on all replicas, because
 // versions and snapshots depend on the order.
 func (q *quarantine) order() []suspicion.Fingerprint {
-	return slices.SortedFunc(maps.Keys(q.records), func(a, b suspicion.Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return slices.SortedFunc(maps.Keys(q.records), compare)
+}
+
+func compare(a, b suspicion.Fingerprint) int {
+	return bytes.Compare(a[:], b[:])
 }
--- a/internal/control/quarantine/quarantine.go
+++ b/internal/control/quarantine/quarantine.go
@@ -23,8 +23,24 @@
 	minLease    = time.Second
 )
 
+// Section records the requests that crash servers.
+type Section interface {
+	state.Section
+	// Periods returns the quarantine of each quarantined request.
+	Periods() map[suspicion.Fingerprint]Period
+	// Version returns a number that grows with each change of a standing.
+	Version() uint64
+}
+
+// Config configures a Section.
+type Config struct {
+	// Changed, if set, is called after each change of a standing.
+	Changed func()
+}
+
 // quarantine is the section's state. It is small and rarely changes, so one lock is enough.
 type quarantine struct {
+	Config
 	mu       sync.RWMutex
 	version  uint64
 	limit    int
@@ -36,8 +52,8 @@
 }
 
 // New returns an empty quarantine section.
-func New() state.Section {
-	return &quarantine{records: map[suspicion.Fingerprint]*record{}, slots: map[string]slot{}}
+func New(c Config) Section {
+	return &quarantine{Config: c, records: map[suspicion.Fingerprint]*record{}, slots: map[string]slot{}}
 }
 
 // Name implements state.Section.
@@ -49,6 +65,14 @@
 	if err != nil {
 		return encode(Result{})
 	}
+	r, changed := q.applyLocked(at, c)
+	if changed {
+		q.changed()
+	}
+	return encode(r)
+}
+
+func (q *quarantine) applyLocked(at time.Time, c Command) (Result, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	before := q.version
@@ -56,13 +80,41 @@
 	r := q.apply(at, c)
 	r.Version = q.version
 	r.Changes = q.changesSince(before)
-	return encode(r)
+	return r, q.version != before
+}
+
+func (q *quarantine) changed() {
+	if q.Changed != nil {
+		q.Changed()
+	}
+}
+
+// Version implements Section.
+func (q *quarantine) Version() uint64 {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	return q.version
+}
+
+// Periods implements Section.
+func (q *quarantine) Periods() map[suspicion.Fingerprint]Period {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	all := map[suspicion.Fingerprint]Period{}
+	for f, r := range q.records {
+		if r.Standing == suspicion.Quarantined {
+			all[f] = r.period()
+		}
+	}
+	return all
 }
 
 func (q *quarantine) apply(at time.Time, c Command) Result {
 	switch {
 	case c.Lost != nil:
-		return q.lost(at, c.Lost)
+		return q.lost(at, *c.Lost)
+	case len(c.Losses) > 0:
+		return q.lost(at, c.Losses...)
 	case c.Begin != nil:
 		return q.begin(at, c.Begin)
 	case c.Finish != nil:
@@ -70,6 +122,11 @@
 	case c.Clear != nil:
 		q.remove(c.Clear.Fingerprint)
 		return Result{Valid: true, Standing: suspicion.Clear}
+	case c.Answered != nil:
+		for _, f := range c.Answered.Fingerprints {
+			q.remove(f)
+		}
+		return Result{Valid: true}
 	default:
 		return Result{}
 	}
--- a/internal/control/quarantine/quarantine_test.go
+++ b/internal/control/quarantine/quarantine_test.go
@@ -76,7 +76,7 @@
 // is resent. It must be quarantined after the second server. The other twenty
 // may become suspects at most, and the next complete answer of each clears it.
 func TestCulpritIsCondemnedAndInnocentsAreNot(t *testing.T) {
-	s := New()
+	s := New(Config{})
 	others := make([]string, 20)
 	for i := range others {
 		others[i] = fmt.Sprint("innocent ", i)
@@ -110,7 +110,7 @@
 // A server with a hardware fault crashes every minute, whatever it runs. No
 // request that ran there may be quarantined for it.
 func TestOneServerLostAgainAndAgainCondemnsNothing(t *testing.T) {
-	s := New()
+	s := New(Config{})
 	for n := range 5 {
 		apply(t, s, start.Add(time.Duration(n)*time.Minute), lostWith("a", uint64(n+1), "x"))
 	}
@@ -126,7 +126,7 @@
 // An operator clears a prompt after the engines were fixed. Each entry must
 // learn of it and serve the prompt again. Time alone must not clear it.
 func TestOperatorClears(t *testing.T) {
-	s := New()
+	s := New(Config{})
 	apply(t, s, start, lostWith("a", 1, "x"))
 	apply(t, s, start, lostWith("b", 1, "x"))
 	v := view(t, s, suspicion.View{})
@@ -170,7 +170,7 @@
 
 // crash simulates random losses of servers and returns a description of the first violation, or "".
 func crash(t *testing.T, r *rand.Rand) string {
-	s := New()
+	s := New(Config{})
 	at := start
 	culprits := 1 + r.IntN(3)
 	losses := map[int]int{}
@@ -229,13 +229,13 @@
 }
 
 // restored returns a new section restored from a snapshot of s and checks that its own snapshot is the same.
-func restored(t testing.TB, s state.Section) state.Section {
+func restored(t testing.TB, s state.Section) Section {
 	t.Helper()
 	b, err := s.Snapshot()
 	if err != nil {
 		t.Fatal(err)
 	}
-	fresh := New()
+	fresh := New(Config{})
 	if err := fresh.Restore(b); err != nil {
 		t.Fatal(err)
 	}
@@ -255,8 +255,88 @@
 		f.Add(b)
 	}
 	f.Fuzz(func(t *testing.T, command []byte) {
-		s := New()
+		s := New(Config{})
 		s.Apply(start, command)
 		restored(t, s)
 	})
 }
+
+// lostRun returns a command as entries of a site send it: the server was lost ago before the report, under a
+// run of the prompt that had begun age before the report.
+func lostRun(server, prompt string, age, ago time.Duration) Command {
+	c := lostWith(server, 1, prompt)
+	c.Lost.Running[0].Age, c.Lost.Ago, c.Lost.Hold = age, ago, time.Hour
+	return Command{Losses: []Lost{*c.Lost}}
+}
+
+// Guards against the quarantine of a request that many callers send when several servers fail together, and
+// against a crashing one whose runs follow each other closely and which isn't recognized.
+func TestServersThatFailTogetherAreOneLoss(t *testing.T) {
+	s := New(Config{})
+	apply(t, s, start, lostRun("a", "popular", time.Second, 0))
+	apply(t, s, start.Add(50*time.Millisecond), lostRun("b", "popular", time.Second, 0))
+	if got := standing(t, s, "popular"); got != suspicion.Suspect {
+		t.Errorf("two runs at a time: %s", got)
+	}
+	// The second run began 10 ms after the end of the first one, and both are reported 60 ms later.
+	apply(t, s, start.Add(time.Second), lostRun("a", "crashing", 170*time.Millisecond, 100*time.Millisecond))
+	apply(t, s, start.Add(time.Second), lostRun("b", "crashing", 90*time.Millisecond, 60*time.Millisecond))
+	if got := standing(t, s, "crashing"); got != suspicion.Quarantined {
+		t.Errorf("one run after the other: %s", got)
+	}
+}
+
+// Guards against a request that stays quarantined although a server has answered it, or for ever where no operator
+// can clear it.
+func TestQuarantineEnds(t *testing.T) {
+	changes := 0
+	s := New(Config{Changed: func() { changes++ }})
+	for _, p := range []string{"x", "y"} {
+		apply(t, s, start, lostRun("a", p, 0, 0))
+		apply(t, s, start.Add(time.Second), lostRun("b", p, 0, 0))
+	}
+	if n := len(s.Periods()); n != 2 || changes != 4 {
+		t.Fatalf("%d requests are quarantined after %d changes", n, changes)
+	}
+	apply(t, s, start.Add(time.Second), Command{Answered: &Answered{Fingerprints: []suspicion.Fingerprint{fingerprint("x")}}})
+	if got := standing(t, s, "x"); got != suspicion.Clear {
+		t.Errorf("answered: %s", got)
+	}
+	if p := s.Periods()[fingerprint("y")]; p.Release != start.Add(time.Hour+time.Second).UnixMilli() || p.FirstLoss != start.UnixMilli() {
+		t.Errorf("period %+v", p)
+	}
+	apply(t, s, start.Add(time.Hour), Command{Finish: &Finish{}})
+	if got := standing(t, s, "y"); got != suspicion.Quarantined {
+		t.Errorf("before the end of its hold: %s", got)
+	}
+	apply(t, s, start.Add(time.Hour+time.Second), Command{Finish: &Finish{}})
+	if got := standing(t, s, "y"); got != suspicion.Clear {
+		t.Errorf("after its hold: %s", got)
+	}
+}
+
+// Guards against a crashing request that isn't recorded because thousands of others have filled the section.
+func TestFullSectionDropsTheOldestSuspect(t *testing.T) {
+	s := New(Config{})
+	for i := range maxRecords / maxRunning {
+		var prompts []string
+		for n := range maxRunning {
+			prompts = append(prompts, fmt.Sprint(i*maxRunning+n))
+		}
+		apply(t, s, start.Add(time.Duration(i)*time.Millisecond), lostWith("a", 1, prompts...))
+	}
+	apply(t, s, start.Add(time.Second), lostWith("a", 1, "crashing"))
+	apply(t, s, start.Add(time.Second), lostWith("b", 1, "crashing"))
+	if got := standing(t, s, "crashing"); got != suspicion.Quarantined {
+		t.Errorf("got %s", got)
+	}
+	kept, v := 0, view(t, s, suspicion.View{})
+	for i := range maxRunning {
+		if v.Decide(fingerprint(fmt.Sprint(i))).Standing == suspicion.Suspect {
+			kept++
+		}
+	}
+	if kept != maxRunning-1 {
+		t.Errorf("%d of the %d oldest suspects are left", kept, maxRunning)
+	}
+}
--- a/internal/control/quarantine/record.go
+++ b/internal/control/quarantine/record.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,9 +16,48 @@
 	Losses      []suspicion.Loss      `cbor:"losses"`
 	Standing    suspicion.Standing    `cbor:"standing"`
 	Window      time.Duration         `cbor:"window"`
+	Hold        time.Duration         `cbor:"hold,omitempty"`
 	Version     uint64                `cbor:"version"`
 }
 
+// overlaps returns whether a run that began at that time had already begun when a server was lost under the
+// request. When several servers fail together, the losses after the first are no evidence against a request that
+// many callers send.
+func (r *record) overlaps(began time.Time) bool {
+	return began.UnixNano() <= r.lastLoss()
+}
+
+// lastLoss returns when the last server was lost, in nanoseconds since 1970, zero if none was.
+func (r *record) lastLoss() int64 {
+	var at int64
+	for _, l := range r.Losses {
+		at = max(at, l.At)
+	}
+	return at
+}
+
+// before returns whether the last loss of r is older than that of x. All replicas order equal ones alike.
+func (r *record) before(x *record) bool {
+	return cmp.Or(cmp.Compare(r.lastLoss(), x.lastLoss()), compare(r.Fingerprint, x.Fingerprint)) < 0
+}
+
+// released returns whether the request has been quarantined for as long as it is held.
+func (r *record) released(at time.Time) bool {
+	return r.Hold > 0 && at.UnixNano() >= r.lastLoss()+int64(r.Hold)
+}
+
+// period returns for how long the request is quarantined.
+func (r *record) period() Period {
+	p := Period{Version: r.Version, Quarantined: r.Standing == suspicion.Quarantined}
+	if len(r.Losses) > 0 {
+		p.FirstLoss = time.Unix(0, r.Losses[0].At).UnixMilli()
+	}
+	if r.Hold > 0 {
+		p.Release = time.Unix(0, r.lastLoss()).Add(r.Hold).UnixMilli()
+	}
+	return p
+}
+
 func (r *record) item() Item {
 	i := Item{
 		Fingerprint: r.Fingerprint.String(),
--- a/internal/control/quarantine/snapshot.go
+++ b/internal/control/quarantine/snapshot.go
@@ -32,6 +32,12 @@
 	if err != nil {
 		return err
 	}
+	q.restore(i)
+	q.changed()
+	return nil
+}
+
+func (q *quarantine) restore(i image) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.version, q.forgotten, q.limit, q.removals = i.Version, i.Forgotten, i.Limit, i.Removals
@@ -43,5 +49,4 @@
 	if q.slots == nil {
 		q.slots = map[string]slot{}
 	}
-	return nil
 }
--- a/internal/entry/quarantine/config.go
+++ b/internal/entry/quarantine/config.go
@@ -9,13 +9,12 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/entry/completion"
+	"hornbeamwood/internal/policy/suspicion"
 )
 
 const (
 	defaultInterval = time.Second
 	defaultLease    = 2 * time.Minute
-	defaultServers  = 2
-	defaultWindow   = 10 * time.Minute
 	logTimeout      = 2 * time.Second
 	attemptBytes    = 16
 	// maxOwners bounds the number of recorded request owners.
@@ -84,10 +83,10 @@
 func (c Config) limits() Limits {
 	l := c.Limits()
 	if l.Servers <= 0 {
-		l.Servers = defaultServers
+		l.Servers = suspicion.DefaultServers
 	}
 	if l.Window <= 0 {
-		l.Window = defaultWindow
+		l.Window = suspicion.DefaultWindow
 	}
 	return l
 }
--- a/internal/entry/quarantine/guard_test.go
+++ b/internal/entry/quarantine/guard_test.go
@@ -26,7 +26,7 @@
 }
 
 func newSectionLog() *sectionLog {
-	return &sectionLog{section: section.New(), at: time.Unix(1_800_000_000, 0)}
+	return &sectionLog{section: section.New(section.Config{}), at: time.Unix(1_800_000_000, 0)}
 }
 
 func (l *sectionLog) Propose(_ context.Context, _ string, body []byte) ([]byte, error) {
--- a/internal/policy/suspicion/fingerprint.go
+++ b/internal/policy/suspicion/fingerprint.go
@@ -6,20 +6,21 @@
 	"encoding/hex"
 )
 
-// Fingerprint identifies a prompt within one workspace and model.
+// Fingerprint identifies the content of a request within one workspace and target.
 type Fingerprint [sha256.Size]byte
 
-// FingerprintOf returns the fingerprint of a prompt; equal prompts of different workspaces or models have
-// different fingerprints.
-func FingerprintOf(workspace, model string, prompt []byte) Fingerprint {
+// FingerprintOf returns the fingerprint of a request; equal requests of different workspaces or to different
+// targets have different fingerprints. The target is the model of a completion, or the resource that a request
+// names.
+func FingerprintOf(workspace, target string, content []byte) Fingerprint {
 	h := sha256.New()
 	var length [8]byte
-	for _, part := range []string{workspace, model} {
+	for _, part := range []string{workspace, target} {
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
 		h.Write(length[:])
 		h.Write([]byte(part))
 	}
-	digest := sha256.Sum256(prompt)
+	digest := sha256.Sum256(content)
 	h.Write(digest[:])
 	var f Fingerprint
 	h.Sum(f[:0])
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -16,6 +16,7 @@
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/control/admission"
 	controllease "hornbeamwood/internal/control/lease"
+	"hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/control/quic"
 	"hornbeamwood/internal/control/raft"
 	"hornbeamwood/internal/control/replica"
@@ -61,24 +62,26 @@
 }
 
 type process struct {
-	config        Config
-	host          atomic.Pointer[host.Host]
-	node          rpc.Node
-	transport     quic.Transport
-	replica       replica.Replica
-	leader        quic.Leader
-	section       section.Section
-	table         rowtable.Table
-	follower      watch.Follower
-	servers       *announcements
-	admission     admission.Reconciler
-	metrics       *metrics.Set
-	loops         sync.WaitGroup
-	peers         atomic.Pointer[[]string]
-	leaseHolder   *leaseHolder
-	relay         *relay
-	watchServer   watch.Server
-	storeFollower *storeFollower
+	config         Config
+	host           atomic.Pointer[host.Host]
+	node           rpc.Node
+	transport      quic.Transport
+	replica        replica.Replica
+	leader         quic.Leader
+	section        section.Section
+	quarantine     quarantine.Section
+	quarantineRows quarantineRows
+	table          rowtable.Table
+	follower       watch.Follower
+	servers        *announcements
+	admission      admission.Reconciler
+	metrics        *metrics.Set
+	loops          sync.WaitGroup
+	peers          atomic.Pointer[[]string]
+	leaseHolder    *leaseHolder
+	relay          *relay
+	watchServer    watch.Server
+	storeFollower  *storeFollower
 	// shownRevision is the revision of the document in the row table.
 	shownRevision atomic.Int64
 	mu            sync.Mutex
@@ -100,7 +103,8 @@
 		return nil, err
 	}
 	p.section = section.New(section.Config{Changed: p.showState})
-	m, err := state.New(p.section, controllease.New())
+	p.quarantine = quarantine.New(quarantine.Config{Changed: p.showQuarantine})
+	m, err := state.New(p.section, controllease.New(), p.quarantine)
 	if err != nil {
 		return nil, errors.Join(err, p.node.Close())
 	}
@@ -115,6 +119,7 @@
 	p.admission = admission.NewReconciler(admission.Config{Replica: p.replica, Peers: peers{p.node, p.transport}, Addresses: p.addresses, Logger: c.Logger})
 	p.registerMetrics()
 	p.showState()
+	p.showQuarantine()
 	return p, nil
 }
 
@@ -195,6 +200,7 @@
 		active, _ := p.section.Active()
 		return float64(active.Document.Revision)
 	})
+	p.metrics.NewGauge("hornbeamwood_site_quarantined", func() float64 { return float64(len(p.quarantine.Periods())) })
 	p.metrics.NewGauge("hornbeamwood_quic_sent_bytes", func() float64 { return float64(p.node.BytesSent()) })
 }
 
--- /dev/null
+++ b/internal/process/siteentry/losses.go
@@ -0,0 +1,50 @@
+package siteentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"hornbeamwood/internal/base/codec"
+	"hornbeamwood/internal/base/wait"
+	"hornbeamwood/internal/control/protocol"
+	"hornbeamwood/internal/control/quarantine"
+	"hornbeamwood/internal/node/rpc"
+)
+
+const (
+	// lossesInterval is the interval of reports on lost servers while there are few entries.
+	lossesInterval = 30 * time.Millisecond
+	// lossesTimeout bounds one report, which is a commit to the control log.
+	lossesTimeout = 1500 * time.Millisecond
+)
+
+// reportLosses reports the requests under which servers were lost to the control log until ctx ends.
+//
+// A report is repeated until it is committed, through another replica each time. One that was committed without
+// an answer is counted once.
+func (p *process) reportLosses(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.For(ctx, p.scaledInterval(lossesInterval))
+		c, ok := p.guard.Pending(time.Now())
+		if !ok {
+			continue
+		}
+		if p.proposeLosses(ctx, c) {
+			p.guard.Reported()
+		}
+	}
+}
+
+func (p *process) proposeLosses(ctx context.Context, c quarantine.Command) bool {
+	body, err := codec.Marshal(c)
+	all := p.addresses()
+	if err != nil || len(all) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, lossesTimeout)
+	defer cancel()
+	address := all[rand.IntN(len(all))]
+	_, err = rpc.Call(ctx, p.node, address, protocol.Propose, protocol.Proposal{Section: quarantine.Name, Body: body})
+	return err == nil
+}
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math"
 	"slices"
@@ -14,6 +15,8 @@
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/wait"
+	"hornbeamwood/internal/control/quarantine"
+	"hornbeamwood/internal/policy/suspicion"
 	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
@@ -40,6 +43,9 @@
 	storesKnown     chan struct{}
 	storesKnownOnce sync.Once
 
+	// applyQuarantine applies the quarantine of a request.
+	applyQuarantine func(f suspicion.Fingerprint, p quarantine.Period)
+
 	suspension *suspensionGuard
 	startedAt  time.Time
 	// heartbeat is the interval at which servers announce themselves.
@@ -164,6 +170,12 @@
 		return decodeRow(r, func(v int64) { s.applyTargetVersion(r.Key, v) })
 	case topic.TargetVersionTimes:
 		return decodeRow(r, func(at int64) { s.applyTargetVersionTime(r.Key, at) })
+	case topic.Quarantine:
+		f, ok := suspicion.Parse(r.Key)
+		if !ok {
+			return errFingerprint
+		}
+		return decodeRow(r, func(p quarantine.Period) { s.applyQuarantine(f, p) })
 	case topic.Evacuations:
 		return decodeRow(r, func(e section.Evacuation) { s.applyEvacuation(address, r.Key, e) })
 	}
@@ -171,6 +183,8 @@
 	return nil
 }
 
+var errFingerprint = errors.New("the key of a quarantine row is not a fingerprint")
+
 // forgetServer removes a server that is gone for good.
 func (s *site) forgetServer(id string) {
 	s.directory.Forget(id)
--- a/internal/serve/backend/conn.go
+++ b/internal/serve/backend/conn.go
@@ -81,6 +81,11 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// Disconnected returns whether an attempt failed because the server closed the connection.
+func Disconnected(err error) bool {
+	return !timedOut(err) && disconnected(err)
+}
+
 // disconnected returns whether err means that the server closed the connection.
 func disconnected(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -12,6 +12,7 @@
 	"hornbeamwood/internal/serve/choose"
 	"hornbeamwood/internal/serve/limit"
 	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/serve/quarantine"
 	"hornbeamwood/internal/serve/request"
 	"hornbeamwood/internal/serve/retry"
 	"hornbeamwood/internal/serve/share"
@@ -105,6 +106,8 @@
 	Budget retry.Budget
 	// Limits are the limits that servers announce, and those of cold servers.
 	Limits limit.Limits
+	// Guard keeps requests that crash servers from being sent.
+	Guard quarantine.Guard
 	// ColdFactor and ColdSlack bound the requests that a cold server may get in any second:
 	// ColdFactor times its rate, and ColdSlack more. Zero for no bound.
 	ColdFactor, ColdSlack float64
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -19,6 +19,7 @@
 	"hornbeamwood/internal/serve/choose"
 	"hornbeamwood/internal/serve/limit"
 	"hornbeamwood/internal/serve/observe"
+	"hornbeamwood/internal/serve/quarantine"
 	"hornbeamwood/internal/serve/request"
 	"hornbeamwood/internal/serve/retry"
 	"hornbeamwood/internal/serve/share"
@@ -226,6 +227,7 @@
 		PeerLoads: share.NewPeerLoads("e"), Queue: f.queue,
 		Budget:   retry.NewBudget(retry.Terms{Ratio: 1, Window: time.Second, Slack: 100}),
 		Limits:   limit.New(limit.Config{Random: func() float64 { return 0 }, OnCapacity: f.queue.LocalCapacityFreed}),
+		Guard:    quarantine.New(quarantine.Config{RespondedAt: func(string) time.Time { return time.Time{} }}),
 		Stopping: never, Refusing: never, Metrics: metrics.NewSet(),
 	}
 	f.front = httptest.NewServer(New(f.config))
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -14,6 +14,7 @@
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/policy/suspicion"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/serve/request"
@@ -64,6 +65,10 @@
 	// streamed is the state of a stream that is forwarded.
 	streamed streamState
 
+	// content is the fingerprint of the request once fingerprinted is set.
+	content       suspicion.Fingerprint
+	fingerprinted bool
+
 	// refusal is the reason why no server was tried, and clearAfter when capacity is expected;
 	// both are for callers that are refused.
 	refusal    string
@@ -90,14 +95,22 @@
 			return
 		}
 		j.Site.AwaitFreshState(ctx)
+		if j.quarantined() {
+			j.giveUp(j.refusal)
+			return
+		}
 		c, ok := j.choose(ctx)
 		if callerCtx.Err() != nil {
-			if c.reserved {
-				j.Limits.Release(c.server.ID, time.Now())
-			}
+			j.release(c)
 			j.abandon()
 			return
 		}
+		if ok && j.quarantined() {
+			// It was quarantined while it waited.
+			j.release(c)
+			j.giveUp(j.refusal)
+			return
+		}
 		if !ok {
 			if j.Site.Withdrawn(j.service.Name) {
 				j.refusal, j.clearAfter = evacuated, evacuationRetry
@@ -123,6 +136,13 @@
 	}
 }
 
+// release cancels the reservation of a choice that is not sent.
+func (j *job) release(c choice) {
+	if c.reserved {
+		j.Limits.Release(c.server.ID, time.Now())
+	}
+}
+
 // reserveLimit reserves the request in the server's limit. Another request may have reserved
 // the last one since the server was chosen.
 func (j *job) reserveLimit(server string) bool {
@@ -203,7 +223,7 @@
 		c.describe(c.fields)
 	}
 	event.AttemptRouted.Write(j.Logger, c.fields)
-	c.attempt.Server, c.attempt.SentAt = c.server.ID, now
+	c.attempt.Server, c.attempt.Incarnation, c.attempt.SentAt = c.server.ID, c.server.StartedAt, now
 	a := j.Tracker.Begin(c.attempt)
 	if c.prepare != nil {
 		c.prepare(&c.dispatch)
@@ -256,6 +276,9 @@
 		j.sends++
 		j.recordRun()
 	}
+	if o == observe.Lost {
+		j.recordLostServer(a, err)
+	}
 	j.logFailure(a.Server, reason, v, err)
 	return reason
 }
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -107,6 +107,7 @@
 func (j *job) recordBroken(a *observe.Attempt, x *backend.Exchange, reason string, err error) string {
 	x.Abort()
 	j.Tracker.End(a, observe.Lost, time.Now())
+	j.recordLostServer(a, err)
 	j.logFailure(a.Server, reason, j.verdict, err)
 	return reason
 }
@@ -125,6 +126,7 @@
 		return j.forwardLarge(a, x, body.Bytes())
 	}
 	x.Close()
+	j.recordAnswered()
 	got := &response{status: x.Response.StatusCode, header: x.Response.Header, body: body.Bytes()}
 	if got.status >= http.StatusInternalServerError {
 		j.Tracker.End(a, observe.Failed, time.Now())
@@ -163,6 +165,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.Close()
+	j.recordAnswered()
 	j.Tracker.End(a, observe.Served, time.Now())
 	return true, ""
 }
--- a/internal/serve/caller/stream.go
+++ b/internal/serve/caller/stream.go
@@ -135,6 +135,7 @@
 		j.forwardHead(x.Response)
 	}
 	x.Close()
+	j.recordAnswered()
 	j.Tracker.End(a, observe.Served, time.Now())
 }
 
--- a/internal/serve/observe/tracker.go
+++ b/internal/serve/observe/tracker.go
@@ -32,8 +32,9 @@
 
 // Attempt is one request at a server.
 type Attempt struct {
-	// Server is the server's ID.
-	Server string
+	// Server is the server's ID, Incarnation when it started.
+	Server      string
+	Incarnation int64
 	// PrefillTokens and ReservedTokens are the prompt tokens to prefill and the maximum number of
 	// tokens that the request needs.
 	PrefillTokens, ReservedTokens int
--- /dev/null
+++ b/internal/serve/quarantine/doc.go
@@ -0,0 +1,5 @@
+// Package quarantine keeps an entry from sending requests that crash their servers.
+//
+// Each entry reports the servers that were lost while they ran its requests to the control log,
+// which decides for the whole site which requests are quarantined.
+package quarantine
--- /dev/null
+++ b/internal/serve/quarantine/guard_test.go
@@ -0,0 +1,96 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	section "hornbeamwood/internal/control/quarantine"
+	"hornbeamwood/internal/policy/suspicion"
+)
+
+var (
+	now = time.UnixMilli(1_800_000_000_000)
+	x   = suspicion.FingerprintOf("w", "POST h/x", nil)
+)
+
+func period(version uint64, quarantined bool, firstLoss time.Time) section.Period {
+	return section.Period{Version: version, Quarantined: quarantined, FirstLoss: firstLoss.UnixMilli(), Release: now.Add(time.Hour).UnixMilli()}
+}
+
+func newGuard(responded map[string]time.Time) Guard {
+	return New(Config{RespondedAt: func(server string) time.Time { return responded[server] }})
+}
+
+// Guards against a row of a replica that lags behind, which would undo a newer one.
+func TestOlderRowsChangeNothing(t *testing.T) {
+	g := newGuard(nil)
+	g.Apply(x, period(5, true, now), now)
+	if d := g.Quarantined(x, now); d != time.Hour {
+		t.Fatalf("quarantined for %s", d)
+	}
+	g.Apply(x, period(6, false, now), now)
+	g.Apply(x, period(5, true, now), now)
+	if d := g.Quarantined(x, now); d != 0 || g.Len() != 0 {
+		t.Errorf("quarantined for %s, %d in all", d, g.Len())
+	}
+	g.Apply(x, period(7, true, now), now)
+	if d := g.Quarantined(x, now.Add(2*time.Hour)); d != 0 {
+		t.Errorf("after its release quarantined for %s", d)
+	}
+}
+
+// Guards against the refusal of a request that servers have answered between their losses, and against a request
+// that stays quarantined because it was answered long before them.
+func TestAnsweredRequestIsRefuted(t *testing.T) {
+	for _, c := range []struct {
+		answered time.Duration
+		want     bool
+	}{{-time.Second, false}, {time.Second, true}} {
+		g := newGuard(nil)
+		g.Answered(x, now.Add(c.answered))
+		for i := range maxAnswers {
+			g.Answered(suspicion.FingerprintOf("w", fmt.Sprint(i), nil), now)
+		}
+		g.Apply(x, period(1, true, now), now.Add(2*time.Second))
+		if p, ok := g.Pending(now.Add(2 * time.Second)); ok != c.want || ok && p.Answered == nil {
+			t.Errorf("answered %s after the first loss: pending %+v", c.answered, p)
+		}
+	}
+	g := newGuard(nil)
+	g.Apply(x, period(1, true, now), now)
+	g.Answered(x, now.Add(time.Second))
+	if _, ok := g.Pending(now.Add(time.Second)); !ok {
+		t.Error("an answer that arrived during the quarantine is not reported")
+	}
+	g.Reported()
+	if _, ok := g.Pending(now.Add(time.Second)); ok {
+		t.Error("the answer is reported twice")
+	}
+}
+
+// Guards against suspicion of requests whose server broke off one response and goes on, and against reports that
+// are lost with their replica.
+func TestRunsAreReportedOnceTheirServerIsLost(t *testing.T) {
+	responded := map[string]time.Time{"faulty": now.Add(50 * time.Millisecond), "lost": now.Add(5 * time.Millisecond)}
+	g := newGuard(responded)
+	for _, server := range []string{"faulty", "lost", "lost"} {
+		g.Lost(Run{Fingerprint: x, Server: server, Incarnation: 3, SentAt: now.Add(-time.Second), LostAt: now})
+	}
+	if _, ok := g.Pending(now.Add(confirmAfter / 2)); ok {
+		t.Fatal("reported at once")
+	}
+	for range 2 {
+		c, ok := g.Pending(now.Add(confirmAfter))
+		if !ok || len(c.Losses) != 1 || c.Losses[0].Server != "lost" || len(c.Losses[0].Running) != 2 {
+			t.Fatalf("pending %+v", c)
+		}
+		if l := c.Losses[0]; l.Incarnation != 3 || l.Ago != confirmAfter || l.Running[0].Age != time.Second+confirmAfter {
+			t.Errorf("reported %+v", l)
+		}
+	}
+	g.Reported()
+	if _, ok := g.Pending(now.Add(confirmAfter)); ok {
+		t.Error("reported twice")
+	}
+}
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -39,6 +39,8 @@
 	StoreSummaries rowtable.Topic = 14
 	// Evacuations holds the state of each availability zone as a section.Evacuation under its name.
 	Evacuations rowtable.Topic = 18
+	// Quarantine holds the quarantine of a request as a quarantine.Period under its fingerprint.
+	Quarantine rowtable.Topic = 19
 )
 
 // Document identifies the operator's document and its chunks.
