soak: requests that crash their servers

One such request at a time is repeated through all entries, on routes of each kind, also for a while after the last fault, when processes get no signals.

--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -84,6 +84,8 @@
 	sleep(ctx, time.Second)
 	res.faults = injectFaults(ctx, c.length, s)
 	s.checkRecovery(ctx)
+	// While replicas get signals all the time, hardly any of the requests that crash servers count.
+	sendCrashing(ctx, time.Now().Add(crashSpell), s)
 	stop()
 	all.Wait()
 	s.checkGuarantees()
@@ -98,6 +100,7 @@
 	all.Go(func() { changeWeights(ctx, end, s) })
 	all.Go(func() { changeLimits(ctx, end, s) })
 	all.Go(func() { evacuateZones(ctx, end, s) })
+	all.Go(func() { sendCrashing(ctx, end, s) })
 	n := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults[s.newRandom().IntN(len(faults))]
--- a/deploy/soak/server.go
+++ b/deploy/soak/server.go
@@ -54,6 +54,9 @@
 	stop        context.CancelFunc
 	// engine is nil for servers of the plain service.
 	engine *engine
+	// crashing records the requests that crash servers, onCrash ends this one.
+	crashing *crashing
+	onCrash  func(s *server)
 
 	mu       sync.Mutex
 	sequence int
@@ -77,11 +80,13 @@
 	evacuations       *evacuations
 	controls          []string
 	// engine is nil for servers of the plain service.
-	engine *engine
+	engine   *engine
+	crashing *crashing
+	onCrash  func(s *server)
 }
 
 func newServer(c serverConfig) (*server, error) {
-	s := &server{id: c.id, service: c.service, zone: c.zone, executions: c.executions, limits: c.limits, evacuations: c.evacuations, state: "ready", startedAt: time.Now().UnixMilli(), engine: c.engine}
+	s := &server{id: c.id, service: c.service, zone: c.zone, executions: c.executions, limits: c.limits, evacuations: c.evacuations, state: "ready", startedAt: time.Now().UnixMilli(), engine: c.engine, crashing: c.crashing, onCrash: c.onCrash}
 	s.http = httptest.NewServer(s)
 	p, err := newProxy(strings.TrimPrefix(s.http.URL, "http://"))
 	if err != nil {
@@ -121,6 +126,12 @@
 	if s.engine != nil && !s.engine.admits(w, q) {
 		return
 	}
+	if strings.HasPrefix(string(body), crashPrefix) {
+		s.crashing.recordArrival(string(body), s.limits.entry(id))
+		go s.onCrash(s)
+		<-q.Context().Done()
+		return
+	}
 	s.executions.recordRun(id, q.Header.Get("Tenant"))
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Response-Stamp", "mark")
@@ -199,8 +210,12 @@
 // crash ends the server without an announcement.
 func (s *server) crash() {
 	s.mu.Lock()
+	crashed := s.dead
 	s.dead = true
 	s.mu.Unlock()
+	if crashed {
+		return
+	}
 	s.stop()
 	s.proxy.close()
 	s.http.CloseClientConnections()
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -30,6 +30,7 @@
 	orders      *orders
 	limits      *limits
 	evacuations *evacuations
+	crashing    *crashing
 	seeds       []string
 
 	seed           uint64
@@ -52,11 +53,12 @@
 		controls = append(controls, fmt.Sprint(network, 10+i))
 	}
 	s.seeds = controls[:min(len(controls), seedReplicas)]
-	s.orders, s.limits, s.evacuations = newOrders(r), newLimits(r), newEvacuations(r)
+	s.orders, s.limits, s.evacuations, s.crashing = newOrders(r), newLimits(r), newEvacuations(r), newCrashing(r)
 	s.operator = &operator{controls: controls, record: r, orders: s.orders, growth: rand.New(rand.NewPCG(c.seed, 13))}
 	for i, ip := range controls {
 		s.replicas = append(s.replicas, s.newProcess(c, fmt.Sprint("control-", i), "control", ip))
 	}
+	s.crashing.replicas = s.replicas
 	for i := range c.entries {
 		p := s.newProcess(c, fmt.Sprint("entry-", i), "entry", fmt.Sprint(network, 50+i))
 		s.entries = append(s.entries, p)
@@ -149,7 +151,7 @@
 	}
 	x, err := newServer(serverConfig{
 		id: fmt.Sprint("i-", s.serversStarted), service: service, zone: zones[s.serversStarted%len(zones)],
-		executions: s.executions, limits: s.limits, evacuations: s.evacuations, controls: s.seeds, engine: e,
+		executions: s.executions, limits: s.limits, evacuations: s.evacuations, controls: s.seeds, engine: e, crashing: s.crashing, onCrash: s.crashServer,
 	})
 	if err != nil {
 		return err
