Servers that ask for rest get none of an entry's requests

Callers saw: three of nine engines turned everything away for nine seconds, and a half to two thirds of the short requests were refused although the six other engines had room. An engine that rejects at once has no load, so it looked best, and got twice the requests of all others together; the second attempt often went to another such engine.

Plain requests and prompts, first attempts, retries, resumed streams and requests that wait ask it in the one place where limits are asked. A request that no server can get in time for its caller is refused at once, with the time until the first rest ends.

--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// candidates returns the servers of the service that were not tried yet and whose limits allow
-// a request, with the load of all entries.
+// candidates returns the servers of the service that were not tried yet, don't rest and whose limits
+// allow a request, with the load of all entries.
 func (j *job) candidates(now time.Time) []choose.Candidate {
 	all := make([]choose.Candidate, 0, len(j.Site.Servers(j.service.Name)))
 	for s := range j.untried() {
@@ -57,7 +57,7 @@
 		peers := j.PeerLoads.Load(s.ID, now)
 		stats.RefusedBy = peers.RefusedEntries
 		j.observeCold(s, stats, now)
-		if j.Limits.Wait(s.ID, now) > 0 {
+		if j.serverWait(s.ID, now) > 0 {
 			continue
 		}
 		stats.InFlight += peers.InFlight
@@ -106,12 +106,12 @@
 }
 
 // engineExpected returns whether an engine that was not tried yet is expected to accept
-// requests again soon: it carries out an order, needs newer weights, or its limit allows no
+// requests again soon: it carries out an order, needs newer weights, rests, or its limit allows no
 // request now.
 func (j *job) engineExpected() bool {
 	now := time.Now()
 	for s := range j.untried() {
-		if j.Site.Busy(s.ID) || j.outdated(j.Site.Version(s, j.request.Prompt.Model)) || j.Limits.Wait(s.ID, now) > 0 {
+		if j.Site.Busy(s.ID) || j.outdated(j.Site.Version(s, j.request.Prompt.Model)) || j.serverWait(s.ID, now) > 0 {
 			return true
 		}
 	}
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"hornbeamwood/internal/policy/rest"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/choose"
 	"hornbeamwood/internal/serve/limit"
@@ -106,6 +107,8 @@
 	Budget retry.Budget
 	// Limits are the limits that servers announce, and those of cold servers.
 	Limits limit.Limits
+	// Rests are the servers that asked this entry for rest.
+	Rests rest.Rests
 	// Guard keeps requests that crash servers from being sent.
 	Guard quarantine.Guard
 	// ColdFactor and ColdSlack bound the requests that a cold server may get in any second:
--- a/internal/serve/caller/engine_wait.go
+++ b/internal/serve/caller/engine_wait.go
@@ -48,6 +48,9 @@
 		j.Queue.RecordImmediate(j.queueItem())
 		return c, ok
 	}
+	if !ok && j.refuseUnservable() {
+		return c, false
+	}
 	w := j.Queue.Enter(j.queueItem())
 	c, ok = j.waitInQueue(ctx, e, w)
 	j.Queue.Leave(w, ok)
@@ -84,12 +87,29 @@
 		case ok && c.fits:
 			c.fields["waited-ms"] = time.Since(j.arrived).Milliseconds()
 			return c, true
-		case !ok && !j.engineExpected():
+		case !ok && (!j.engineExpected() || j.refuseUnservable()):
 			return c, false
 		}
 	}
 }
 
+// refuseUnservable returns whether no engine may get the request in time for its caller, because all
+// rest or have limits, and then sets the refusal.
+func (j *job) refuseUnservable() bool {
+	now := time.Now()
+	for s := range j.untried() {
+		if j.Site.Busy(s.ID) || j.outdated(j.Site.Version(s, j.request.Prompt.Model)) {
+			return false
+		}
+	}
+	_, soonest, ok := j.soonest(now)
+	if !ok || !now.Add(soonest).After(j.queueItem().SendBy) {
+		return false
+	}
+	j.refusal, j.clearAfter = limitReached, soonest
+	return true
+}
+
 // admitted returns whether the request takes capacity that other entries see too. since is the
 // time since its last attempt.
 func (j *job) admitted(e document.Engine, c choice, since time.Duration) bool {
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -118,7 +118,7 @@
 			j.giveUp(cmp.Or(j.refusal, noServer))
 			return
 		}
-		if !c.reserved && !j.reserveLimit(c.server.ID) {
+		if !c.reserved && !j.reserveNow(c.server.ID) {
 			continue
 		}
 		done, reason := j.try(ctx, c)
@@ -139,14 +139,14 @@
 // release cancels the reservation of a choice that is not sent.
 func (j *job) release(c choice) {
 	if c.reserved {
-		j.Limits.Release(c.server.ID, time.Now())
+		j.releaseServer(c.server.ID)
 	}
 }
 
-// reserveLimit reserves the request in the server's limit. Another request may have reserved
-// the last one since the server was chosen.
-func (j *job) reserveLimit(server string) bool {
-	_, ok := j.Limits.Reserve(server, 0, time.Now())
+// reserveNow reserves a request to the server. Another request may have reserved the last one since
+// the server was chosen.
+func (j *job) reserveNow(server string) bool {
+	_, ok := j.reserveServer(server, 0, time.Now())
 	return ok
 }
 
--- a/internal/serve/caller/refusal.go
+++ b/internal/serve/caller/refusal.go
@@ -43,6 +43,7 @@
 		j.reason = reason
 		j.deliver(j.serverFailure)
 	case j.verdict == verdict.NotRun:
+		j.clearAfter = max(j.clearAfter, j.clearTime(time.Now()))
 		j.refuse(http.StatusServiceUnavailable, reason, j.retryAfter())
 	case !time.Now().Before(j.deadline):
 		j.refuse(http.StatusGatewayTimeout, reason, 0)
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -9,6 +9,9 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/observe"
@@ -58,13 +61,30 @@
 	}
 }
 
-// recordLimit records the limit that a response announces, or that it announces none. A
-// response without the server's stamp may come from another server.
+// recordLimit records the limit that a response announces and the rest that it asks for, or that it
+// has none. A response without the server's stamp may come from another server.
 func (j *job) recordLimit(a *observe.Attempt, status int, answer request.Answer) {
 	if status == http.StatusMisdirectedRequest || !answer.Stamped && !answer.NotRun {
 		return
 	}
-	j.Limits.Observe(a.Server, answer.Limit, a.SentAt, time.Now())
+	now := time.Now()
+	j.Limits.Observe(a.Server, answer.Limit, a.SentAt, now)
+	if status == http.StatusServiceUnavailable && answer.NotRun && answer.Rest > 0 {
+		j.recordRest(a.Server, answer.Rest, now)
+		return
+	}
+	if j.Rests.Accept(a.Server, a.SentAt) {
+		event.ServerRests.Write(j.Logger, log.Fields{"server": a.Server, "rest-ms": 0})
+		j.Queue.LocalCapacityFreed()
+	}
+}
+
+// recordRest records that the server asked for rest, and wakes requests that wait for it afterwards.
+func (j *job) recordRest(server string, d time.Duration, now time.Time) {
+	if j.Rests.Ask(server, d, now) {
+		event.ServerRests.Write(j.Logger, log.Fields{"server": server, "rest-ms": d.Milliseconds()})
+	}
+	time.AfterFunc(j.Rests.Wait(server, now), j.Queue.LocalCapacityFreed)
 }
 
 // invalidReason returns why a successful response cannot be forwarded, empty if it can.
--- /dev/null
+++ b/internal/serve/caller/rest_test.go
@@ -0,0 +1,83 @@
+package caller
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// askForRest rejects the first n requests and asks for rest, and answers the others.
+func askForRest(n int64, rest string, answer script) script {
+	var count atomic.Int64
+	reject := answerStatus(http.StatusServiceUnavailable, "A-Not-Run: 1\r\nA-Rest: "+rest+"\r\n")
+	return func(s *scriptedServer, c net.Conn, q *http.Request) bool {
+		if count.Add(1) <= n {
+			return reject(s, c, q)
+		}
+		return answer(s, c, q)
+	}
+}
+
+// streamOne streams one event.
+func streamOne(_ *scriptedServer, c net.Conn, q *http.Request) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nA-Id: %s\r\nA-Stamp: x\r\nContent-Type: text/event-stream\r\nContent-Length: 17\r\n\r\nid: 1\ndata: abc\n\n", q.Header.Get("A-Id"))
+	return err == nil
+}
+
+// Guards against requests that reach a resting server while another one is free, also when the request was
+// rejected there first.
+func TestRestingServerGetsNothing(t *testing.T) {
+	f := newFixture(t, askForRest(1, "1m", answerOK("rested")), answerOK("second"))
+	for i := range 10 {
+		if g := f.request(t, strconv.Itoa(i), http.MethodPost, "/once/x"); g.status != http.StatusOK {
+			t.Fatalf("request %d got %+v", i, g)
+		}
+	}
+	if n := f.servers[0].count(); n != 1 {
+		t.Errorf("the resting server got %d requests", n)
+	}
+}
+
+// Guards against requests that are held although no server rests short enough, and against refusals that send
+// callers back too early.
+func TestRequestIsRefusedAtOnceWhileAllServersRest(t *testing.T) {
+	for _, kind := range []string{"read", "once", "stream"} {
+		f := newFixture(t, askForRest(1, "1m", answerOK("rested")))
+		for _, id := range []string{"rejected", "refused"} {
+			began := time.Now()
+			g := f.request(t, id, http.MethodPost, "/"+kind+"/x")
+			after, err := strconv.ParseFloat(g.header.Get("Retry-After"), 64)
+			if took := time.Since(began); g.status != http.StatusServiceUnavailable || took > 500*time.Millisecond || err != nil || after < 59 {
+				t.Errorf("%s: %d after %s, Retry-After %q", kind, g.status, took, g.header.Get("Retry-After"))
+			}
+		}
+		if n := f.servers[0].count(); n != 1 {
+			t.Errorf("%s: the resting server got %d requests", kind, n)
+		}
+	}
+}
+
+// Guards against prompts that are refused although an engine's short rest ends in time for them, and against
+// prompts that wait in vain for a long one.
+func TestPromptWaitsForShortRestOnly(t *testing.T) {
+	f := newFixture(t, askForRest(1, "300ms", streamOne))
+	if status := <-f.prompt(t); status != http.StatusServiceUnavailable {
+		t.Fatalf("the rejected prompt got %d", status)
+	}
+	waiting := []<-chan int{f.prompt(t), f.prompt(t), f.prompt(t)}
+	for _, w := range waiting {
+		if status := <-w; status != http.StatusOK {
+			t.Errorf("a prompt that could wait for the rest got %d", status)
+		}
+	}
+	f = newFixture(t, askForRest(1, "1m", streamOne))
+	<-f.prompt(t)
+	began := time.Now()
+	if status := <-f.prompt(t); status != http.StatusServiceUnavailable || time.Since(began) > 500*time.Millisecond {
+		t.Errorf("a prompt got %d after %s", status, time.Since(began))
+	}
+}
--- a/internal/serve/request/answer.go
+++ b/internal/serve/request/answer.go
@@ -1,5 +1,7 @@
 package request
 
+import "time"
+
 // Answer is the content of a server's response headers.
 type Answer struct {
 	// Attempt is the attempt that the server responds to.
@@ -16,6 +18,9 @@
 	// Limit is how many requests per second the server accepts from all entries together, nil if
 	// it announces no limit.
 	Limit *float64
+	// Rest is for how long a server that rejects the request wants no further ones from this entry,
+	// zero if not stated.
+	Rest time.Duration
 	// Version is the version of the weights; zero if not stated.
 	Version int64
 }
