A server that says in its responses that it leaves gets nothing more

Cause: only announcements told an entry that a server leaves. One whose announcements are lost, or that deregisters first and is believed later, kept getting requests, which were cut when it ended. Responses of other servers (421, no stamp) don't count. All choices use the directory, so the rule holds for first attempts, retries, resumed streams, requests that wait, engines and plain servers.

--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -382,6 +382,16 @@
 	return server + "\x00" + model
 }
 
+// ObserveLeaving implements caller.Site. Leaving is final for an incarnation, whatever it announces afterwards.
+func (s *site) ObserveLeaving(server string, startedAt int64) {
+	v, ok := s.directory.Get(server)
+	if !ok || v.StartedAt != startedAt || v.State != directory.Ready {
+		return
+	}
+	v.State = directory.Leaving
+	s.applyServer(v)
+}
+
 // ObserveVersion implements caller.Site.
 func (s *site) ObserveVersion(server, model string, version int64) {
 	s.mu.Lock()
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -61,6 +61,9 @@
 	ReportPrefill(salt, part string, tokens int, server string)
 	// Version returns the version of the model that the server has, zero if unknown.
 	Version(s directory.Server, model string) int64
+	// ObserveLeaving records that an incarnation of a server states that it leaves. It is not among
+	// the ready servers any more.
+	ObserveLeaving(server string, startedAt int64)
 	// ObserveVersion records the version stated in a server's response.
 	ObserveVersion(server, model string, version int64)
 	// TargetVersion returns the target version of the model's weights, zero for none.
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -129,6 +129,7 @@
 func (s *fakeSite) Server(string) (directory.Server, bool)    { return directory.Server{}, false }
 func (s *fakeSite) ReportPrefill(string, string, int, string) {}
 func (s *fakeSite) ObserveVersion(string, string, int64)      {}
+func (s *fakeSite) ObserveLeaving(string, int64)              {}
 func (s *fakeSite) Copies(string, string, int) []choose.Copy  { return nil }
 func (s *fakeSite) SaveTarget(string, string, int) string     { return "" }
 func (s *fakeSite) FetchDeadline() int64                      { return 0 }
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -36,7 +36,9 @@
 func (j *job) forwardResponse(ctx context.Context, c choice, a *observe.Attempt, x *backend.Exchange) (bool, string) {
 	answer := j.Codec.Answer(x.Response.Header)
 	j.recordServerState(c, answer)
-	j.recordLimit(a, x.Response.StatusCode, answer)
+	if ownResponse(x.Response.StatusCode, answer) {
+		j.recordAvailability(a, x.Response.StatusCode, answer)
+	}
 	if answer.NotRun || x.Response.StatusCode == http.StatusMisdirectedRequest {
 		return false, j.recordRejection(a, x, answer)
 	}
@@ -61,11 +63,17 @@
 	}
 }
 
-// recordLimit records the limit that a response announces and the rest that it asks for, or that it
-// has none. A response without the server's stamp may come from another server.
-func (j *job) recordLimit(a *observe.Attempt, status int, answer request.Answer) {
-	if status == http.StatusMisdirectedRequest || !answer.Stamped && !answer.NotRun {
-		return
+// ownResponse returns whether a response comes from the server that the request was sent to: one
+// without its stamp may come from another server.
+func ownResponse(status int, answer request.Answer) bool {
+	return status != http.StatusMisdirectedRequest && (answer.Stamped || answer.NotRun)
+}
+
+// recordAvailability records whether the server leaves, the limit that it announces and the rest that
+// it asks for, or that it has none.
+func (j *job) recordAvailability(a *observe.Attempt, status int, answer request.Answer) {
+	if answer.Leaving {
+		j.Site.ObserveLeaving(a.Server, a.Incarnation)
 	}
 	now := time.Now()
 	j.Limits.Observe(a.Server, answer.Limit, a.SentAt, now)
--- a/internal/serve/request/answer.go
+++ b/internal/serve/request/answer.go
@@ -18,6 +18,8 @@
 	// Limit is how many requests per second the server accepts from all entries together, nil if
 	// it announces no limit.
 	Limit *float64
+	// Leaving is set if the server states that it leaves.
+	Leaving bool
 	// Rest is for how long a server that rejects the request wants no further ones from this entry,
 	// zero if not stated.
 	Rest time.Duration
