Own interface: engines and services that ask for rest get no work

The same cause at the other door: the product's own clients read Retry-After of an engine's or service's refusal and passed it to the caller, but went on choosing that server, which looked idle. The router of completions and the picker of services ask the shared policy/rest now, leave resting servers out, send one request after a rest, and refuse with the time until the first rest ends when all rest. The stand-ins of engines and services refuse work in given intervals and count what reaches them then.

TestRestingEngineGetsNothing needs no processes.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -48,8 +48,6 @@
 	ColdServerLimited = define(924, log.InfoLevel, "cold-server-limited", "The entry limits its requests to a server that may be cold, or does so no longer; most is the number of requests that all entries may send to it in a second, entries how many share it.")
 	// QuarantineChanged is written by an entry when a request is quarantined or cleared.
 	QuarantineChanged = define(925, log.WarnLevel, "quarantine-changed", "A request that crashes servers is quarantined or cleared; refuted says that this entry answered it after the first loss, since-ms is the time since that loss.")
-	// ServerRests is written when a server asks an entry for rest, and when it accepts requests again.
-	ServerRests = define(926, log.InfoLevel, "server-rests", "A backend server asked this entry to send it nothing for rest-ms, or accepts its requests again (zero).")
 	// LeaderNotFound is written once when a replica searches for the leader without success.
 	LeaderNotFound = define(917, log.WarnLevel, "leader-not-found", "A replica without contact to a leader asked the others for it without success, and remains without a vote if it has none; asked counts the replicas that it knows.")
 	// WeightsOrdered is written for each order to an engine.
--- a/internal/entry/completion/evaluation.go
+++ b/internal/entry/completion/evaluation.go
@@ -60,6 +60,9 @@
 	if v.Admit {
 		return nil
 	}
+	if !ev.found() {
+		v.RetryAfter = max(v.RetryAfter, ev.view.resting)
+	}
 	r.logRefused(j, ev.decision, v)
 	return v.Err()
 }
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -8,6 +8,7 @@
 
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/entry/caller"
+	"hornbeamwood/internal/policy/rest"
 )
 
 // Router runs completions.
@@ -32,6 +33,9 @@
 // New returns a Router.
 func New(c Config) Router {
 	c.Random = rand.New(&lockedSource{source: c.Random})
+	if c.Rests == nil {
+		c.Rests = rest.New()
+	}
 	m := newRouterMetrics(c.Metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &router{
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -324,3 +324,39 @@
 	a.Load.QueuedTokens = 0
 	f.table.Announce(time.Now(), a)
 }
+
+// An engine refuses a prompt and asks for rest. Until its end the engine must get nothing; callers are served by the
+// other engine, and are refused with the time of the rest once both have asked for it.
+func TestRestingEngineGetsNothing(t *testing.T) {
+	f := newFixture(t, 2, 0)
+	for _, e := range []string{"engine-1", "engine-2"} {
+		f.engines.scripts[address(e)] = script{events: []string{"whole"}}
+	}
+	tired := script{refuse: verdict.New(verdict.NotRun, 503, codeEngineRefused, "resting").WithRetryAfter(40 * time.Second)}
+	complete := func() error {
+		s, err := f.router.Complete(context.Background(), newRequest("short question", 7))
+		if err == nil {
+			_, err = drain(s)
+		}
+		return err
+	}
+	f.engines.scripts[address("engine-1")] = tired
+	for n := range 10 {
+		if err := complete(); err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+	}
+	f.engines.scripts[address("engine-2")] = tired
+	_ = complete()
+	e, ok := verdict.As(complete())
+	if !ok || e.Verdict != verdict.NotRun || e.RetryAfter < 39*time.Second {
+		t.Errorf("while both engines rest: %+v", e)
+	}
+	count := map[string]int{}
+	for _, a := range f.engines.ran() {
+		count[a]++
+	}
+	if count[address("engine-1")] != 1 || count[address("engine-2")] != 11 {
+		t.Errorf("the engines got %v", count)
+	}
+}
--- a/internal/entry/completion/view.go
+++ b/internal/entry/completion/view.go
@@ -15,6 +15,8 @@
 	cell    route.Cell
 	servers []*membership.Server
 	stores  []*membership.Server
+	// resting is how long the engines that have asked for rest do so at least, zero if none has.
+	resting time.Duration
 }
 
 // view returns the engines that may get the request and the stores of the cell.
@@ -27,6 +29,10 @@
 			continue
 		}
 		if s.Eligible(now, need) == membership.Eligible {
+			if w := r.Rests.Wait(s.Announcement().Identity, now); w > 0 {
+				v.addResting(w)
+				continue
+			}
 			v.servers = append(v.servers, s)
 			v.cell.Candidates = append(v.cell.Candidates, r.candidate(now, s))
 			continue
@@ -39,6 +45,12 @@
 	return v
 }
 
+func (v *view) addResting(wait time.Duration) {
+	if v.resting == 0 || wait < v.resting {
+		v.resting = wait
+	}
+}
+
 // need returns the requirements of the request on an engine.
 func (j *job) need() membership.Need {
 	return membership.Need{
--- a/internal/entry/picker/picker.go
+++ b/internal/entry/picker/picker.go
@@ -15,6 +15,7 @@
 	"hornbeamwood/internal/entry/service"
 	"hornbeamwood/internal/fleet/announcement"
 	"hornbeamwood/internal/fleet/membership"
+	"hornbeamwood/internal/policy/rest"
 )
 
 // retryAfter is the Retry-After when no server runs the service, about the duration of a restart.
@@ -34,6 +35,8 @@
 	Work membership.Work
 	// MaxAnnouncementAge returns the maximum age of a server's last announcement.
 	MaxAnnouncementAge func() time.Duration
+	// Rests are the servers that asked this entry for rest; nil for none.
+	Rests rest.Rests
 	// EvacuatedZones returns the availability zones whose servers get no calls.
 	EvacuatedZones func() []string
 	// Zone is this entry's availability zone.
@@ -53,6 +56,9 @@
 
 // New returns a service.Picker that picks the server with the fewest calls and, among equals, prefers its own availability zone.
 func New(c Config) service.Picker {
+	if c.Rests == nil {
+		c.Rests = rest.New()
+	}
 	return &picker{Config: c}
 }
 
@@ -66,7 +72,11 @@
 // Pick implements service.Picker.
 func (p *picker) Pick(_ context.Context, r service.Request, excluded []string) (service.Server, error) {
 	now := p.Now()
-	all := p.candidates(now, r.Service, excluded)
+	all, resting := p.candidates(now, r.Service, excluded)
+	if len(all) == 0 && resting > 0 {
+		return service.Server{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "servers-rest",
+			"all backend servers of the service have asked for rest").WithRetryAfter(resting)
+	}
 	if len(all) == 0 {
 		return service.Server{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no-server",
 			"no backend server runs the service now").WithRetryAfter(retryAfter)
@@ -74,6 +84,7 @@
 	c := p.choose(all)
 	a := c.server.Announcement()
 	p.Work.Sent(now, c.server.Key(), 0)
+	p.Rests.Reserve(a.Identity, 0, now)
 	event.CallRouted.Write(p.Logger, log.Fields{
 		"request": r.ID, "workspace": r.Workspace, "service": r.Service,
 		"server": a.Identity, "calls": c.calls, "candidates": len(all), "excluded": len(excluded),
@@ -81,8 +92,8 @@
 	return service.Server{Identity: a.Identity, Address: a.Address}, nil
 }
 
-func (p *picker) candidates(now time.Time, name string, excluded []string) []candidate {
-	var all []candidate
+// candidates returns the servers that may get a call, and how long the others rest at least, zero if none does.
+func (p *picker) candidates(now time.Time, name string, excluded []string) (all []candidate, resting time.Duration) {
 	need := membership.Need{Kind: announcement.Service, Service: name, Age: p.MaxAnnouncementAge(), EvacuatedZones: p.EvacuatedZones()}
 	view := p.Servers.View()
 	for s := range view.All() {
@@ -90,6 +101,12 @@
 		if slices.Contains(excluded, a.Identity) || s.Eligible(now, need) != membership.Eligible {
 			continue
 		}
+		if w := p.Rests.Wait(a.Identity, now); w > 0 {
+			if resting == 0 || w < resting {
+				resting = w
+			}
+			continue
+		}
 		load, _ := s.Load()
 		w := p.Work.Pending(now, s.Key(), s.LoadMeasuredAt())
 		all = append(all, candidate{
@@ -98,7 +115,7 @@
 			remote: a.Zone != p.Zone,
 		})
 	}
-	return all
+	return all, resting
 }
 
 // choose returns one of the best candidates at random. Otherwise, entries with the
--- a/internal/entry/service/config.go
+++ b/internal/entry/service/config.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"hornbeamwood/internal/policy/rest"
 )
 
 const (
@@ -22,6 +24,8 @@
 	Log Log
 	// Picker chooses servers.
 	Picker Picker
+	// Rests are the servers that asked this entry for rest; default none.
+	Rests rest.Rests
 	// Budget limits retries on other servers; nil allows none.
 	Budget Budget
 	// Entry is this entry's identity.
@@ -65,6 +69,9 @@
 	c.OutcomeWait = orDefault(c.OutcomeWait, 5*time.Second)
 	c.LogTimeout = orDefault(c.LogTimeout, 2*time.Second)
 	c.MaxAnswer = orDefault(c.MaxAnswer, 8<<20)
+	if c.Rests == nil {
+		c.Rests = rest.New()
+	}
 	if c.NewAttempt == nil {
 		c.NewAttempt = newAttempt
 	}
--- a/internal/entry/service/idempotent.go
+++ b/internal/entry/service/idempotent.go
@@ -32,7 +32,9 @@
 			return Answer{}, withVerdict(err, proved)
 		}
 		c.write(event.CallDispatched, r, log.Fields{"attempt": "", "server": s.Identity})
+		sent := c.Now()
 		a, err := c.send(ctx, s, r, c.NewAttempt())
+		c.recordRest(s, sent, err)
 		if err == nil {
 			return a, nil
 		}
--- a/internal/entry/service/settle.go
+++ b/internal/entry/service/settle.go
@@ -30,7 +30,9 @@
 				"the call was not dispatched in time").WithRetryAfter(time.Second)
 		}
 		f.client.write(event.CallDispatched, f.request, log.Fields{"attempt": f.attempt, "server": s.Identity})
+		sent := f.client.Now()
 		a, err := f.client.sendOnce(ctx, s, f.request, f.attempt)
+		f.client.recordRest(s, sent, err)
 		if err == nil || verdict.Of(err) != verdict.NotRun {
 			return a, err
 		}
--- a/internal/entry/service/wire.go
+++ b/internal/entry/service/wire.go
@@ -81,13 +81,16 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
+// codeRefused is the code of a refusal by the service.
+const codeRefused = "refused-by-service"
+
 // refused returns the service's refusal, which states that the call did not run.
 func refused(response *http.Response) verdict.Error {
 	status := response.StatusCode
 	if status < http.StatusBadRequest {
 		status = http.StatusServiceUnavailable
 	}
-	e := verdict.New(verdict.NotRun, status, "refused-by-service", "the service refused the call before it ran")
+	e := verdict.New(verdict.NotRun, status, codeRefused, "the service refused the call before it ran")
 	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
 	if err != nil || seconds < 0 {
 		return e
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -28,6 +28,7 @@
 	fleetquic "hornbeamwood/internal/fleet/quic"
 	"hornbeamwood/internal/policy/admission"
 	"hornbeamwood/internal/policy/placement"
+	"hornbeamwood/internal/policy/rest"
 	"hornbeamwood/internal/policy/retry"
 	"hornbeamwood/internal/policy/route"
 	"hornbeamwood/internal/process/platform"
@@ -61,6 +62,7 @@
 	if err := p.buildGuard(&x); err != nil {
 		return x, err
 	}
+	x.rests = rest.New()
 	x.engines = engine.New(engine.Config{Logger: logger})
 	retries := retry.New(retry.Config{})
 	x.services = p.buildServices(&x, retries)
@@ -150,9 +152,10 @@
 	return service.New(service.Config{
 		Log: x.control,
 		Picker: picker.New(picker.Config{
-			Servers: x.table, Work: x.work, MaxAnnouncementAge: age, EvacuatedZones: evacuated, Zone: p.config.File.Zone,
+			Servers: x.table, Work: x.work, MaxAnnouncementAge: age, EvacuatedZones: evacuated, Rests: x.rests, Zone: p.config.File.Zone,
 			Now: time.Now, Random: newRandom(), Logger: p.config.Logger,
 		}),
+		Rests:       x.rests,
 		Budget:      newBudget(retries, x.settings),
 		Entry:       p.config.File.Name,
 		Incarnation: p.incarnation,
@@ -173,6 +176,7 @@
 		Retry:          retries,
 		ReuseEstimator: placement.NewReuseEstimator(reusePrior),
 		Guard:          x.guard,
+		Rests:          x.rests,
 		Entries:        max(1, len(p.config.File.Entries)),
 		Metrics:        p.metrics,
 		Logger:         p.config.Logger,
--- a/internal/process/entry/components.go
+++ b/internal/process/entry/components.go
@@ -21,6 +21,7 @@
 	"hornbeamwood/internal/entry/settings"
 	"hornbeamwood/internal/fleet/membership"
 	fleetquic "hornbeamwood/internal/fleet/quic"
+	"hornbeamwood/internal/policy/rest"
 )
 
 const (
@@ -47,6 +48,7 @@
 	// directory is this entry's share of the cache directory.
 	directory   directory.Directory
 	guard       quarantine.Guard
+	rests       rest.Rests
 	orderIssuer backend.OrderIssuer
 	exports     completion.Exports
 }
--- a/internal/standin/process/file.go
+++ b/internal/standin/process/file.go
@@ -38,6 +38,8 @@
 	// StartDelay delays the first announcement.
 	StartDelay Duration `toml:"start-delay"`
 
+	// Rest makes the server refuse work at times and ask for rest.
+	Rest RestFile `toml:"rest"`
 	// Engine holds the settings of engines.
 	Engine EngineFile `toml:"engine"`
 	// Service holds the settings of plain services.
@@ -48,6 +50,12 @@
 	Weights WeightsFile `toml:"weights"`
 }
 
+// RestFile is the rest table of a File: a rest of Time at the end of each Interval.
+type RestFile struct {
+	Interval Duration `toml:"interval"`
+	Time     Duration `toml:"time"`
+}
+
 // EngineFile is the engine table of a File. Rates are in tokens a second, sizes in pieces and bytes.
 type EngineFile struct {
 	Models        []string `toml:"models"`
