soak: servers that ask for rest, and that leave in their responses

Servers refuse all requests for a while with Retry-After, some with values that mean no rest; a server that leaves says so in its responses three seconds before it announces it. Checked are the requests of each entry that was told, unless it got a signal or the connections to the server were disturbed.

--- a/deploy/soak/client.go
+++ b/deploy/soak/client.go
@@ -19,12 +19,13 @@
 	record     *record
 	executions *executions
 	limits     *limits
+	leaving    *leaving
 	random     *rand.Rand
 }
 
-func newClient(name, address string, r *record, e *executions, serverLimits *limits, seed uint64) *client {
+func newClient(name, address string, r *record, e *executions, serverLimits *limits, l *leaving, seed uint64) *client {
 	return &client{
-		name: name, address: address, record: r, executions: e, limits: serverLimits, random: rand.New(rand.NewPCG(seed, 7)),
+		name: name, address: address, record: r, executions: e, limits: serverLimits, leaving: l, random: rand.New(rand.NewPCG(seed, 7)),
 		// net/http would retry a request on its own after a connection error, and the
 		// soak would attribute the second execution to the site. sendRequest therefore sends a
 		// body that can't be rewound.
@@ -84,6 +85,9 @@
 	if r.Header.Get("Server-Limit") != "" {
 		c.limits.recordPassedOn(attempt, r.Header.Get("Instance-Id"))
 	}
+	if r.Header.Get("Server-Leaving") == "1" {
+		c.leaving.recordPassedOn(attempt, r.Header.Get("Instance-Id"))
+	}
 	c.checkAnswer(kind, attempt, fmt.Sprint("t", tenant), body, r.StatusCode, string(b))
 }
 
--- a/deploy/soak/proxy.go
+++ b/deploy/soak/proxy.go
@@ -30,7 +30,9 @@
 	target   string
 	mu       sync.Mutex
 	mode     mode
-	conns    map[net.Conn]struct{}
+	// changedAt is when the mode was last changed or the connections were reset.
+	changedAt time.Time
+	conns     map[net.Conn]struct{}
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -58,7 +60,14 @@
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = m
+	p.mode, p.changedAt = m, time.Now()
+}
+
+// undisturbedSince returns whether the proxy has only passed bytes through since the given time.
+func (p *proxy) undisturbedSince(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode == passThrough && p.changedAt.Before(at)
 }
 
 func (p *proxy) currentMode() mode {
@@ -71,6 +80,7 @@
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.changedAt = time.Now()
 	for c := range p.conns {
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -77,7 +77,7 @@
 	running, stop := context.WithCancel(ctx)
 	var all sync.WaitGroup
 	for i := range clientsPerSite {
-		x := newClient(fmt.Sprintf("%d-%d", c.seed, i), s.fronts[i%len(s.fronts)].address(), s.record, s.executions, s.limits, c.seed*100+uint64(i))
+		x := newClient(fmt.Sprintf("%d-%d", c.seed, i), s.fronts[i%len(s.fronts)].address(), s.record, s.executions, s.limits, s.leaving, c.seed*100+uint64(i))
 		all.Go(func() { x.run(running) })
 	}
 	all.Go(func() { s.operator.pollDocuments(running) })
@@ -101,6 +101,7 @@
 	all.Go(func() { changeLimits(ctx, end, s) })
 	all.Go(func() { evacuateZones(ctx, end, s) })
 	all.Go(func() { sendCrashing(ctx, end, s) })
+	all.Go(func() { changeRests(ctx, end, s) })
 	n := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults[s.newRandom().IntN(len(faults))]
--- a/deploy/soak/server.go
+++ b/deploy/soak/server.go
@@ -54,6 +54,9 @@
 	stop        context.CancelFunc
 	// engine is nil for servers of the plain service.
 	engine *engine
+	// rests holds the rests that it asks for, leaving the entries that know by its responses that it leaves.
+	rests   *rests
+	leaving *leaving
 	// crashing records the requests that crash servers, onCrash ends this one.
 	crashing *crashing
 	onCrash  func(s *server)
@@ -61,6 +64,8 @@
 	mu       sync.Mutex
 	sequence int
 	state    string
+	// leaves is set once the server says in its responses that it leaves.
+	leaves bool
 	// leaveAcknowledged is when its leave was acknowledged.
 	leaveAcknowledged time.Time
 	dead              bool
@@ -81,12 +86,14 @@
 	controls          []string
 	// engine is nil for servers of the plain service.
 	engine   *engine
+	rests    *rests
+	leaving  *leaving
 	crashing *crashing
 	onCrash  func(s *server)
 }
 
 func newServer(c serverConfig) (*server, error) {
-	s := &server{id: c.id, service: c.service, zone: c.zone, executions: c.executions, limits: c.limits, evacuations: c.evacuations, state: "ready", startedAt: time.Now().UnixMilli(), engine: c.engine, crashing: c.crashing, onCrash: c.onCrash}
+	s := &server{id: c.id, service: c.service, zone: c.zone, executions: c.executions, limits: c.limits, evacuations: c.evacuations, state: "ready", startedAt: time.Now().UnixMilli(), engine: c.engine, rests: c.rests, leaving: c.leaving, crashing: c.crashing, onCrash: c.onCrash}
 	s.http = httptest.NewServer(s)
 	p, err := newProxy(strings.TrimPrefix(s.http.URL, "http://"))
 	if err != nil {
@@ -123,6 +130,14 @@
 	s.evacuations.recordRequest(id, s)
 	s.recordWhileCold(time.Now())
 	s.limits.recordRequest(id, s, w.Header())
+	w.Header().Set("Attempt-Id", id)
+	if s.rests.refuse(id, s, w) {
+		return
+	}
+	if s.leaving.recordRequest(id, s) {
+		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set("Instance-Id", s.id)
+	}
 	if s.engine != nil && !s.engine.admits(w, q) {
 		return
 	}
@@ -200,11 +215,20 @@
 	}
 }
 
-// leave makes the server announce that it leaves; it keeps serving until it is stopped.
+// announceAfter is how long a server says only in its responses that it leaves.
+const announceAfter = 3 * time.Second
+
+// leave makes the server say that it leaves, in its responses at once and in its announcements after a while.
+// It keeps serving until it is stopped.
 func (s *server) leave() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.state = "draining"
+	s.leaves = true
+	s.mu.Unlock()
+	time.AfterFunc(announceAfter, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.state = "draining"
+	})
 }
 
 // crash ends the server without an announcement.
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -31,6 +31,8 @@
 	limits      *limits
 	evacuations *evacuations
 	crashing    *crashing
+	rests       *rests
+	leaving     *leaving
 	seeds       []string
 
 	seed           uint64
@@ -54,6 +56,7 @@
 	}
 	s.seeds = controls[:min(len(controls), seedReplicas)]
 	s.orders, s.limits, s.evacuations, s.crashing = newOrders(r), newLimits(r), newEvacuations(r), newCrashing(r)
+	s.rests, s.leaving = newRests(r, s.limits), newLeaving(r, s.limits)
 	s.operator = &operator{controls: controls, record: r, orders: s.orders, growth: rand.New(rand.NewPCG(c.seed, 13))}
 	for i, ip := range controls {
 		s.replicas = append(s.replicas, s.newProcess(c, fmt.Sprint("control-", i), "control", ip))
@@ -151,7 +154,8 @@
 	}
 	x, err := newServer(serverConfig{
 		id: fmt.Sprint("i-", s.serversStarted), service: service, zone: zones[s.serversStarted%len(zones)],
-		executions: s.executions, limits: s.limits, evacuations: s.evacuations, controls: s.seeds, engine: e, crashing: s.crashing, onCrash: s.crashServer,
+		executions: s.executions, limits: s.limits, evacuations: s.evacuations, controls: s.seeds, engine: e,
+		rests: s.rests, leaving: s.leaving, crashing: s.crashing, onCrash: s.crashServer,
 	})
 	if err != nil {
 		return err
@@ -175,7 +179,7 @@
 		return
 	}
 	old.leave()
-	time.AfterFunc(6*time.Second, old.crash)
+	time.AfterFunc(announceAfter+6*time.Second, old.crash)
 }
 
 // newRandom returns a separate random source for one use.
