Rests: 429 as well; reports of lost servers hold no text of callers

A report of a lost server held the request's target, of any length and perhaps no valid text, so that a caller could have made it undecodable and stay unknown to the quarantine; found by reading. The fingerprint and the workspace suffice: the log has the rest.

--- a/internal/entry/completion/rest.go
+++ b/internal/entry/completion/rest.go
@@ -1,12 +1,11 @@
 package completion
 
 import (
-	"net/http"
-
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/policy/rest"
 )
 
 // codeEngineRefused is set by the engine client when an engine refuses a request.
@@ -21,7 +20,7 @@
 		if r.Rests.Accept(identity, a.sent) {
 			event.ServerRests.Write(r.Logger, log.Fields{"server": identity, "rest-ms": 0})
 		}
-	case e.Code == codeEngineRefused && e.Verdict == verdict.NotRun && e.Status == http.StatusServiceUnavailable:
+	case e.Code == codeEngineRefused && e.Verdict == verdict.NotRun && rest.Refuses(e.Status):
 		if r.Rests.Ask(identity, e.RetryAfter, r.Now()) {
 			event.ServerRests.Write(r.Logger, log.Fields{"server": identity, "rest-ms": e.RetryAfter.Milliseconds()})
 		}
--- /dev/null
+++ b/internal/policy/rest/status.go
@@ -0,0 +1,8 @@
+package rest
+
+import "net/http"
+
+// Refuses returns whether a response with that status may ask for rest by a time to come back.
+func Refuses(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -15,7 +15,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
-	control "hornbeamwood/internal/control/quarantine"
+	section "hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/node/tcp"
@@ -138,7 +138,7 @@
 	p.limits = limit.New(limit.Config{Random: rand.Float64, OnCapacity: queue.LocalCapacityFreed, Logger: c.Logger})
 	p.rests = rest.New()
 	p.guard = quarantine.New(quarantine.Config{RespondedAt: func(server string) time.Time { return p.tracker.Stats(server).RespondedAt }, Logger: c.Logger})
-	p.site.applyQuarantine = func(f suspicion.Fingerprint, period control.Period) { p.guard.Apply(f, period, time.Now()) }
+	p.site.applyQuarantine = func(f suspicion.Fingerprint, period section.Period) { p.guard.Apply(f, period, time.Now()) }
 	p.handler = caller.New(caller.Config{
 		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: p.tracker, Residency: residency, PeerLoads: peerLoads, Queue: queue,
 		Budget: p.budget, Limits: p.limits, Guard: p.guard, Rests: p.rests, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Stopping: p.stopping, Refusing: p.refusing, Metrics: p.metrics, Logger: c.Logger,
--- a/internal/process/siteentry/losses.go
+++ b/internal/process/siteentry/losses.go
@@ -8,7 +8,7 @@
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/base/wait"
 	"hornbeamwood/internal/control/protocol"
-	"hornbeamwood/internal/control/quarantine"
+	section "hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/node/rpc"
 )
 
@@ -36,7 +36,7 @@
 	}
 }
 
-func (p *process) proposeLosses(ctx context.Context, c quarantine.Command) bool {
+func (p *process) proposeLosses(ctx context.Context, c section.Command) bool {
 	body, err := codec.Marshal(c)
 	all := p.addresses()
 	if err != nil || len(all) == 0 {
@@ -45,6 +45,6 @@
 	ctx, cancel := context.WithTimeout(ctx, lossesTimeout)
 	defer cancel()
 	address := all[rand.IntN(len(all))]
-	_, err = rpc.Call(ctx, p.node, address, protocol.Propose, protocol.Proposal{Section: quarantine.Name, Body: body})
+	_, err = rpc.Call(ctx, p.node, address, protocol.Propose, protocol.Proposal{Section: section.Name, Body: body})
 	return err == nil
 }
--- a/internal/serve/caller/quarantine.go
+++ b/internal/serve/caller/quarantine.go
@@ -45,7 +45,7 @@
 		return
 	}
 	j.Guard.Lost(quarantine.Run{
-		Fingerprint: j.fingerprint(), Attempt: j.request.Attempt, Workspace: j.workspace.Name, Target: j.resource(),
+		Fingerprint: j.fingerprint(), Attempt: j.request.Attempt, Workspace: j.workspace.Name,
 		Server: a.Server, Incarnation: uint64(a.Incarnation), SentAt: a.SentAt, LostAt: time.Now(),
 	})
 }
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -13,6 +13,7 @@
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/policy/rest"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/serve/request"
@@ -77,7 +78,7 @@
 	}
 	now := time.Now()
 	j.Limits.Observe(a.Server, answer.Limit, a.SentAt, now)
-	if status == http.StatusServiceUnavailable && answer.NotRun && answer.Rest > 0 {
+	if rest.Refuses(status) && answer.NotRun && answer.Rest > 0 {
 		j.recordRest(a.Server, answer.Rest, now)
 		return
 	}
--- a/internal/serve/quarantine/answers.go
+++ b/internal/serve/quarantine/answers.go
@@ -7,7 +7,7 @@
 )
 
 // maxAnswers is how many answered requests are remembered at least.
-const maxAnswers = 4096
+const maxAnswers = 1024
 
 // answers remembers when requests were last answered. It forgets the older half of them at a time.
 type answers struct {
--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -31,8 +31,8 @@
 	Fingerprint suspicion.Fingerprint
 	// Attempt is the attempt's ID, for the log.
 	Attempt string
-	// Workspace and Target are those of the request.
-	Workspace, Target string
+	// Workspace is the caller's workspace.
+	Workspace string
 	// Server and Incarnation identify the server.
 	Server      string
 	Incarnation uint64
@@ -184,7 +184,7 @@
 			})
 		}
 		all[i].Running = append(all[i].Running, section.Running{
-			Fingerprint: r.Fingerprint, Workspace: r.Workspace, Model: r.Target, Age: max(time.Nanosecond, now.Sub(r.SentAt)),
+			Fingerprint: r.Fingerprint, Workspace: r.Workspace, Age: max(time.Nanosecond, now.Sub(r.SentAt)),
 		})
 	}
 	return all
