--- a/internal/policy/rest/rests.go
+++ b/internal/policy/rest/rests.go
@@ -27,6 +27,8 @@
 	Accept(server string, sent time.Time) bool
 	// Wait returns how long it is until a request may be sent to the server.
 	Wait(server string, now time.Time) time.Duration
+	// Resting returns whether the server rests. Unlike Wait it doesn't count a request that is reserved.
+	Resting(server string, now time.Time) bool
 	// Reserve reserves the next request to the server, which may be sent after the returned time. It
 	// returns false if that is more than maxWait from now.
 	Reserve(server string, maxWait time.Duration, now time.Time) (time.Duration, bool)
@@ -125,6 +127,17 @@
 	return max(0, s.next().Sub(now))
 }
 
+// Resting implements Rests.
+func (r *rests) Resting(server string, now time.Time) bool {
+	if r.count.Load() == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.servers[server]
+	return ok && now.Before(s.until)
+}
+
 // Reserve implements Rests.
 func (r *rests) Reserve(server string, maxWait time.Duration, now time.Time) (time.Duration, bool) {
 	if r.count.Load() == 0 {
--- a/internal/policy/rest/rests_test.go
+++ b/internal/policy/rest/rests_test.go
@@ -25,6 +25,9 @@
 	if w, ok := r.Reserve("s", time.Second, at(2*time.Second)); !ok || w != time.Second {
 		t.Errorf("the first request waits %s", w)
 	}
+	if !r.Resting("s", at(2*time.Second)) || r.Resting("s", at(3*time.Second)) {
+		t.Error("the reserved request counts as rest")
+	}
 	if w, ok := r.Reserve("s", time.Second, at(2*time.Second)); ok {
 		t.Errorf("the second one may wait for a second, and is to wait for %s", w)
 	}
--- a/internal/serve/caller/rest_test.go
+++ b/internal/serve/caller/rest_test.go
@@ -81,3 +81,21 @@
 		t.Errorf("a prompt got %d after %s", status, time.Since(began))
 	}
 }
+
+// Guards against a request that reached its server in a rest that began while the request waited for the server's limit.
+func TestRequestThatWaitsForLimitHonorsRest(t *testing.T) {
+	f := newFixture(t, respondWithLimit("2"))
+	f.config.Limits.SetEntries(1)
+	f.request(t, "first", http.MethodPost, "/once/x")
+	answered := make(chan result, 1)
+	go func() { answered <- f.request(t, "second", http.MethodPost, "/once/x") }()
+	time.Sleep(100 * time.Millisecond)
+	f.config.Rests.Ask("s0", time.Minute, time.Now())
+	g := <-answered
+	if after, err := strconv.ParseFloat(g.header.Get("Retry-After"), 64); g.status != http.StatusServiceUnavailable || err != nil || after < 59 {
+		t.Errorf("status %d, Retry-After %q", g.status, g.header.Get("Retry-After"))
+	}
+	if n := f.servers[0].count(); n != 1 {
+		t.Errorf("%d requests reached the server", n)
+	}
+}
