--- a/deploy/soak/rests.go
+++ b/deploy/soak/rests.go
@@ -43,9 +43,9 @@
 	limits *limits
 
 	mu sync.Mutex
-	// tired maps the ID of a server that refuses requests to its value in restTexts.
-	tired map[string]int
-	asked map[entryLimit]*askedRest
+	// refusing maps the ID of a server that refuses requests to its value in restTexts.
+	refusing map[string]int
+	asked    map[entryLimit]*askedRest
 }
 
 // askedRest is the rest that an entry was asked for.
@@ -55,23 +55,23 @@
 }
 
 func newRests(r *record, l *limits) *rests {
-	return &rests{record: r, limits: l, tired: map[string]int{}, asked: map[entryLimit]*askedRest{}}
+	return &rests{record: r, limits: l, refusing: map[string]int{}, asked: map[entryLimit]*askedRest{}}
 }
 
 func (r *rests) set(server string, text int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tired[server] = text
+	r.refusing[server] = text
 }
 
 func (r *rests) end(server string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.tired, server)
+	delete(r.refusing, server)
 }
 
 // refuse checks that the entry of the attempt wasn't asked for rest before, and refuses the request
-// if the server is tired.
+// if the server refuses requests.
 func (r *rests) refuse(attempt string, s *server, w http.ResponseWriter) bool {
 	e, now := r.limits.entry(attempt), time.Now()
 	r.mu.Lock()
@@ -83,8 +83,8 @@
 			r.record.reportViolation("%s asked %s for rest, and got %d requests in that time", s.id, e.name, a.requests)
 		}
 	}
-	text, tired := r.tired[s.id]
-	if !tired {
+	text, refusing := r.refusing[s.id]
+	if !refusing {
 		return false
 	}
 	x := restTexts[text]
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -338,7 +338,7 @@
 	for _, e := range []string{"engine-1", "engine-2"} {
 		f.engines.scripts[address(e)] = script{events: []string{"whole"}}
 	}
-	tired := script{refuse: verdict.New(verdict.NotRun, status, codeEngineRefused, "resting").WithRetryAfter(40 * time.Second)}
+	resting := script{refuse: verdict.New(verdict.NotRun, status, codeEngineRefused, "resting").WithRetryAfter(40 * time.Second)}
 	complete := func() error {
 		s, err := f.router.Complete(context.Background(), newRequest("short question", 7))
 		if err == nil {
@@ -346,13 +346,13 @@
 		}
 		return err
 	}
-	f.engines.scripts[address("engine-1")] = tired
+	f.engines.scripts[address("engine-1")] = resting
 	for n := range 10 {
 		if err := complete(); err != nil {
 			t.Fatalf("request %d: %v", n, err)
 		}
 	}
-	f.engines.scripts[address("engine-2")] = tired
+	f.engines.scripts[address("engine-2")] = resting
 	_ = complete()
 	e, ok := verdict.As(complete())
 	if !ok || e.Verdict != verdict.NotRun || e.RetryAfter < 39*time.Second {
