--- a/internal/policy/rest/rests.go
+++ b/internal/policy/rest/rests.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// MaxRest bounds one rest. A server that asks for longer is tried again after it.
+	// MaxRest bounds one rest, so that one wrong response doesn't take a server out for good. A
+	// server that asks for longer is tried again after it.
 	MaxRest = 5 * time.Minute
 	// probeTimeout is how long after the end of a rest the first request may take to be answered
 	// before the next one is sent. A server that turns requests away does so at once.
@@ -19,8 +20,7 @@
 // Rests holds the rests of servers. After its rest a server gets one request at a time until it
 // accepts one, because it may ask for rest again.
 type Rests interface {
-	// Ask records that the server asked for rest in its response to a request sent at sent. It
-	// returns true if the server didn't rest before.
+	// Ask records that the server asked for rest. It returns true if the server didn't rest before.
 	Ask(server string, d time.Duration, now time.Time) bool
 	// Accept records that the server accepted a request sent at sent. It returns true if that ends
 	// its rest.
--- /dev/null
+++ b/internal/serve/caller/availability.go
@@ -0,0 +1,60 @@
+package caller
+
+import (
+	"time"
+
+	"hornbeamwood/internal/site/directory"
+)
+
+// serverWait returns how long it is until a request may be sent to the server, which may rest or have
+// a limit.
+func (j *job) serverWait(server string, now time.Time) time.Duration {
+	return max(j.Rests.Wait(server, now), j.Limits.Wait(server, now))
+}
+
+// reserveServer reserves a request to the server that may be sent after the returned time. It returns
+// false if that is more than maxWait from now.
+func (j *job) reserveServer(server string, maxWait time.Duration, now time.Time) (time.Duration, bool) {
+	rest, ok := j.Rests.Reserve(server, maxWait, now)
+	if !ok {
+		return 0, false
+	}
+	limit, ok := j.Limits.Reserve(server, maxWait, now)
+	if !ok {
+		j.Rests.Release(server)
+		return 0, false
+	}
+	return max(rest, limit), true
+}
+
+// releaseServer cancels a reservation.
+func (j *job) releaseServer(server string) {
+	j.Rests.Release(server)
+	j.Limits.Release(server, time.Now())
+}
+
+// clearTime returns how long it is until any server of the service may get a request, zero if one may
+// get it now.
+func (j *job) clearTime(now time.Time) time.Duration {
+	var least time.Duration
+	for i, s := range j.Site.Servers(j.service.Name) {
+		if w := j.serverWait(s.ID, now); i == 0 || w < least {
+			least = w
+		}
+	}
+	return least
+}
+
+// soonest returns the untried server whose limit first allows a request, and how long that is
+// from now.
+func (j *job) soonest(now time.Time) (directory.Server, time.Duration, bool) {
+	var found directory.Server
+	var delay time.Duration
+	ok := false
+	for s := range j.untried() {
+		if w := j.serverWait(s.ID, now); !ok || w < delay {
+			found, delay, ok = s, w, true
+		}
+	}
+	return found, delay, ok
+}
--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -17,9 +17,10 @@
 	confirmAfter = 60 * time.Millisecond
 	// responseSlack is how long after a server was lost a response that it sent before may be read.
 	responseSlack = 20 * time.Millisecond
-	// maxPending bounds the runs that wait to be reported.
+	// maxPending bounds the runs that wait to be reported; the control log takes as many at once.
 	maxPending = 1024
-	// hold is how long after its last loss a quarantined request is released.
+	// hold is how long after its last loss a quarantined request is released. Each release of one that
+	// still crashes servers costs two of them.
 	hold = time.Hour
 	// untilCleared is the retry time of a request that only an operator clears.
 	untilCleared = 10 * time.Minute
