choose: latencies of plain servers are compared from 15 ms on

Cause: the choice of a plain server compares its mean latency with that of the fastest one, by their ratio, however small both are. The first response after a pause includes the set-up of a connection; against 0.3 ms of an idle server, a millisecond more counted like three requests in flight. The mean changes with the server's own responses only, so the server got no further request while the others were idle.

Change: the ratio is taken to 15 ms at least, a round trip between availability zones. Servers of tens of milliseconds are compared as before.

TestLatenciesAreComparedFromMillisecondsOn failed before: "the idle server was left out for a latency of 2 ms".

--- a/internal/serve/choose/plain.go
+++ b/internal/serve/choose/plain.go
@@ -16,6 +16,9 @@
 	// slowCost weights the ratio of the server's latency to that of the fastest server, beyond a
 	// factor of two.
 	slowCost = 0.25
+	// minCompared is the least latency that others are compared with: a round trip between
+	// availability zones. Below it connection set-up and scheduling decide, not the server.
+	minCompared = 15 * time.Millisecond
 	// coldCost is added for a server that is still warming up.
 	coldCost = 0.4
 	// jitter spreads equal choices of many entries.
@@ -57,7 +60,7 @@
 		x += coldCost
 	}
 	if fastest > 0 {
-		x += slowCost * max(0, float64(c.Stats.Latency)/float64(fastest)-2)
+		x += slowCost * max(0, float64(c.Stats.Latency)/float64(max(fastest, minCompared))-2)
 	}
 	if p.Random != nil {
 		x += jitter * p.Random.Float64()
--- a/internal/serve/choose/plain_test.go
+++ b/internal/serve/choose/plain_test.go
@@ -66,3 +66,19 @@
 		t.Error("an hour-old load report still counts")
 	}
 }
+
+// Guards against a server that gets no request because its last response, over a new connection, took a
+// millisecond longer than those of an idle one, and against requests to a server that is slow.
+func TestLatenciesAreComparedFromMillisecondsOn(t *testing.T) {
+	all := []Candidate{plainServer("a", "z1"), plainServer("b", "z1")}
+	all[0].Stats = observe.ServerStats{Latency: 300 * time.Microsecond, InFlight: 1}
+	all[1].Stats = observe.ServerStats{Latency: 2 * time.Millisecond}
+	p := PlainPicker{Now: now, Zone: "z1"}
+	if at, _ := p.Pick(all); at != 1 {
+		t.Error("the idle server was left out for a latency of 2 ms")
+	}
+	all[0].Stats.Latency, all[1].Stats.Latency = 100*time.Millisecond, 500*time.Millisecond
+	if at, _ := p.Pick(all); at != 0 {
+		t.Error("a server five times as slow was chosen")
+	}
+}
