caller: every response of a server tells that it leaves

Cause: an entry took Server-Leaving, limits and rests only from responses with the server's stamp or with the promise that the request did not run. A server that leaves says so in all of its responses; a failure of it, forwarded without a stamp, was passed by, and the server got further requests until an announcement came.

A response that names the attempt comes from the server that the request was meant for: another one at its address answers as misdirected, which still counts for nothing, as do bytes that name no attempt.

--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -53,7 +53,7 @@
 }
 
 func (fakeCodec) Answer(h http.Header) request.Answer {
-	a := request.Answer{Attempt: h.Get("A-Id"), Stamped: h.Get("A-Stamp") != "", NotRun: h.Get("A-Not-Run") != ""}
+	a := request.Answer{Attempt: h.Get("A-Id"), Stamped: h.Get("A-Stamp") != "", NotRun: h.Get("A-Not-Run") != "", Leaving: h.Get("A-Leaving") != ""}
 	if v, err := strconv.ParseFloat(h.Get("A-Limit"), 64); err == nil {
 		a.Limit = &v
 	}
@@ -75,6 +75,8 @@
 	// set if no request may start on older weights.
 	version, target int64
 	outdated        bool
+	// leaving holds the IDs of the servers that stated in a response that they leave.
+	leaving sync.Map
 }
 
 func (s *fakeSite) set(busy, gone bool) {
@@ -129,7 +131,7 @@
 func (s *fakeSite) Server(string) (directory.Server, bool)    { return directory.Server{}, false }
 func (s *fakeSite) ReportPrefill(string, string, int, string) {}
 func (s *fakeSite) ObserveVersion(string, string, int64)      {}
-func (s *fakeSite) ObserveLeaving(string, int64)              {}
+func (s *fakeSite) ObserveLeaving(server string, _ int64)     { s.leaving.Store(server, true) }
 func (s *fakeSite) Copies(string, string, int) []choose.Copy  { return nil }
 func (s *fakeSite) SaveTarget(string, string, int) string     { return "" }
 func (s *fakeSite) FetchDeadline() int64                      { return 0 }
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -64,10 +64,11 @@
 	}
 }
 
-// ownResponse returns whether a response comes from the server that the request was sent to: one
-// without its stamp may come from another server.
+// ownResponse returns whether a response comes from the server that the request was sent to. Any
+// other server that has the address by now answers as misdirected, and bytes that are no response to
+// the attempt don't name it.
 func ownResponse(status int, answer request.Answer) bool {
-	return status != http.StatusMisdirectedRequest && (answer.Stamped || answer.NotRun)
+	return status != http.StatusMisdirectedRequest && (answer.Stamped || answer.NotRun || answer.Attempt != "")
 }
 
 // recordAvailability records whether the server leaves, the limit that it announces and the rest that
