Own interface: calls of plain services that crash their servers are quarantined

The guard against requests that crash servers was wired to completions only. A call of a plain service that ends each server which runs it was sent on for as long as its caller resent it under new keys; an idempotent one cost up to two servers a send by the entry's own retry.

Change: the service client asks the same guard before each dispatch (first tries and retries; after the claim, so that a refusal as not run is true and frees the key) and reports how each run ended. Record, classification, slots of suspects and the operators' commands are those of completions. Two points differ, because equal calls of many callers run at the same time: a server counts as lost only if it accepts no connection 60 ms after it broke off the call, and losses of runs that overlapped count once. completion.Fingerprint is suspicion.Fingerprint now, an alias.

--- a/crashing_request_test.go
+++ b/crashing_request_test.go
@@ -9,14 +9,15 @@
 	"testing"
 
 	"hornbeamwood/internal/standin/engine"
+	"hornbeamwood/internal/standin/service"
 )
 
 var crashingEngine = engineTable + "crashes = true\n"
 
-// runningEngines counts the engines that still run.
-func (f *fleet) runningEngines() int {
+// running counts the servers that still run.
+func (f *fleet) running(servers []*host) int {
 	n := 0
-	for _, h := range f.engines {
+	for _, h := range servers {
 		select {
 		case <-f.processes[h.name].ended:
 		default:
@@ -75,7 +76,7 @@
 	}
 	close(stop)
 	innocents.Wait()
-	if n := f.runningEngines(); n < servers-2 {
+	if n := f.running(f.engines); n < servers-2 {
 		t.Errorf("%d of %d servers still run; at most two may be lost", n, servers)
 	}
 	for i, e := range f.entries {
@@ -86,6 +87,50 @@
 	f.operatorClears(t, f.entries[1])
 }
 
+// Guards against a call of a plain service that crashes each server that runs it, resent under new keys through
+// every entry, and against the refusal of other calls.
+func TestCrashingCallIsQuarantined(t *testing.T) {
+	const servers = 5
+	f := newFleet(t, 3, 3)
+	f.startNodes()
+	var services []*host
+	for i := range servers {
+		services = append(services, f.startStandin(fmt.Sprint("stamp-", i+1), "service", "[service]\nnames = [\"stamp\"]\ncrashes = true\n"))
+	}
+	f.applyTree(f.entries[0], smallTree())
+	n := 0
+	send := func(e *host, body string) answer {
+		n++
+		return call{
+			method: http.MethodPost, url: e.url() + "/services/stamp/issue", key: gateKey, body: body,
+			header: map[string]string{"Idempotency-Key": fmt.Sprint("key-", n)},
+		}.do()
+	}
+	for _, e := range f.entries {
+		eventually(t, "the service is served by "+e.name, func() bool { return send(e, "harmless").status == http.StatusCreated })
+	}
+	for _, e := range f.entries {
+		eventually(t, "the call is quarantined at "+e.name, func() bool {
+			return strings.Contains(send(e, service.CrashMarker).body, "request-quarantined")
+		})
+	}
+	for range 5 {
+		for _, e := range f.entries {
+			a := send(e, service.CrashMarker)
+			if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || a.header.Get("Hornbeamwood-Verdict") != "not-run" {
+				t.Errorf("%s: status %d, Retry-After %q, verdict %q", e.name, a.status, a.header.Get("Retry-After"), a.header.Get("Hornbeamwood-Verdict"))
+			}
+			if a := send(e, "harmless"); a.status != http.StatusCreated {
+				t.Errorf("%s: another call got %d %s", e.name, a.status, a.body)
+			}
+		}
+	}
+	if n := f.running(services); n < servers-2 {
+		t.Errorf("%d of %d servers still run; at most two may be lost", n, servers)
+	}
+	f.operatorClears(t, f.entries[1])
+}
+
 // operatorClears removes the request from quarantine and checks that every entry removes it.
 func (f *fleet) operatorClears(t *testing.T, e *host) {
 	list := func(e *host) []string {
--- a/internal/entry/completion/guard.go
+++ b/internal/entry/completion/guard.go
@@ -5,10 +5,12 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"time"
+
+	"hornbeamwood/internal/policy/suspicion"
 )
 
 // Fingerprint identifies requests that have the same effect on a backend server: same workspace, model and prompt.
-type Fingerprint [sha256.Size]byte
+type Fingerprint = suspicion.Fingerprint
 
 // FingerprintOf returns the fingerprint of a prompt.
 func FingerprintOf(workspace, model string, prompt []byte) Fingerprint {
--- a/internal/entry/quarantine/guard.go
+++ b/internal/entry/quarantine/guard.go
@@ -12,12 +12,15 @@
 	"hornbeamwood/internal/base/verdict"
 	section "hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/entry/completion"
+	"hornbeamwood/internal/entry/service"
 	"hornbeamwood/internal/policy/suspicion"
 )
 
 // Guard is a completion.Guard that follows the fleet-wide quarantine record.
 type Guard interface {
 	completion.Guard
+	// Calls returns the guard of plain services' calls, which share the record.
+	Calls() service.Guard
 	// RecordOwner records the workspace and model of a fingerprint, for the list shown to operators.
 	RecordOwner(f completion.Fingerprint, workspace, model string)
 	// MarkSuspect marks a fingerprint as suspect that another entry reported.
@@ -68,7 +71,7 @@
 	if len(g.owners) >= maxOwners {
 		clear(g.owners)
 	}
-	g.owners[f] = section.Running{Fingerprint: suspicion.Fingerprint(f), Workspace: workspace, Model: model}
+	g.owners[f] = section.Running{Fingerprint: f, Workspace: workspace, Model: model}
 }
 
 // Quarantined implements Guard.
@@ -82,7 +85,7 @@
 // whose request is delayed would send it a second time through another entry.
 func (g *guard) Check(now time.Time, f completion.Fingerprint) error {
 	g.mu.Lock()
-	d := g.view.Decide(suspicion.Fingerprint(f))
+	d := g.view.Decide(f)
 	attempt, free := g.local.claimSlot(now, f, d.Standing, g.NewAttempt)
 	g.mu.Unlock()
 	switch {
@@ -98,7 +101,7 @@
 }
 
 func (g *guard) quarantineRefusal(f completion.Fingerprint, after time.Duration) error {
-	event.RequestQuarantined.Write(g.Logger, log.Fields{"fingerprint": suspicion.Fingerprint(f).String()})
+	event.RequestQuarantined.Write(g.Logger, log.Fields{"fingerprint": f.String()})
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "request-quarantined",
 		"servers were lost while they ran this request; it is not run until an operator clears it").WithRetryAfter(after)
 }
@@ -121,7 +124,7 @@
 func (g *guard) MarkSuspect(f completion.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.view = g.view.WithSuspect(suspicion.Fingerprint(f))
+	g.view = g.view.WithSuspect(f)
 }
 
 // Ended implements completion.Guard.
@@ -132,12 +135,18 @@
 // entries are therefore notified before the caller receives its answer, and they
 // acquire a slot from the log before they run the request.
 func (g *guard) Ended(ctx context.Context, _ time.Time, f completion.Fingerprint, server string, lost bool) {
+	g.endRun(ctx, f, server, lost, 0)
+}
+
+// endRun is Ended for a run of that age, which counts beside overlapping ones only if the age is zero.
+func (g *guard) endRun(ctx context.Context, f completion.Fingerprint, server string, lost bool, age time.Duration) {
 	g.mu.Lock()
 	attempt, held := g.local.endRun(f, server)
 	if lost {
-		g.view = g.view.WithSuspect(suspicion.Fingerprint(f))
+		g.view = g.view.WithSuspect(f)
 	}
 	owner := g.ownerOf(f)
+	owner.Age = age
 	g.mu.Unlock()
 	if lost {
 		g.ReportSuspect(ctx, f)
@@ -153,5 +162,5 @@
 	if r, ok := g.owners[f]; ok {
 		return r
 	}
-	return section.Running{Fingerprint: suspicion.Fingerprint(f)}
+	return section.Running{Fingerprint: f}
 }
--- a/internal/entry/quarantine/guard_test.go
+++ b/internal/entry/quarantine/guard_test.go
@@ -16,6 +16,8 @@
 
 	section "hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/entry/completion"
+	"hornbeamwood/internal/entry/service"
+	"hornbeamwood/internal/policy/suspicion"
 )
 
 // sectionLog is a control log with a single replica that commits immediately.
@@ -129,6 +131,38 @@
 	}
 }
 
+// Guards against the quarantine of a call that many callers send because several servers were lost together, and
+// against a call that crashes servers one after the other through several entries.
+func TestCallsThatRanTogetherCountOnce(t *testing.T) {
+	all := newGuards(t, newSectionLog(), 2)
+	began := time.Unix(1_800_000_000, 0)
+	popular := suspicion.FingerprintOf("w", "status GET /", nil)
+	first, second := all[0].Calls(), all[1].Calls()
+	for i, s := range []string{"a", "b"} {
+		first.Started(began, popular, s)
+		first.Started(began.Add(time.Duration(i)), popular, s)
+	}
+	for _, s := range []string{"a", "a", "b", "b"} {
+		first.Ended(context.Background(), began.Add(time.Second), popular, s, true)
+	}
+	all[0].refresh(context.Background())
+	if all[0].Quarantined() != 0 {
+		t.Error("servers that were lost together quarantine a call")
+	}
+	culprit := suspicion.FingerprintOf("w", "status POST /", []byte("x"))
+	for i, g := range []service.Guard{first, second} {
+		if err := g.Check(began, culprit); err != nil {
+			t.Fatal(err)
+		}
+		g.Started(began, culprit, fmt.Sprint("c", i))
+		g.Ended(context.Background(), began, culprit, fmt.Sprint("c", i), true)
+		all[1].refresh(context.Background())
+	}
+	if e, ok := verdict.As(second.Check(began, culprit)); !ok || e.Code != "request-quarantined" {
+		t.Error("a call under which two servers were lost in turn is not quarantined")
+	}
+}
+
 // An operator lists the quarantined requests of a workspace and clears one.
 func TestOperatorListsAndClears(t *testing.T) {
 	log := newSectionLog()
--- a/internal/entry/quarantine/log.go
+++ b/internal/entry/quarantine/log.go
@@ -74,7 +74,7 @@
 // it: two entries that ran the suspect concurrently would lose two servers for one probe.
 func (g *guard) acquireSlot(f completion.Fingerprint, attempt string) error {
 	r, err := g.propose(context.Background(), section.Command{Begin: &section.Begin{
-		Fingerprint: suspicion.Fingerprint(f), Server: slotName(f), Attempt: attempt, Lease: g.Lease,
+		Fingerprint: f, Server: slotName(f), Attempt: attempt, Lease: g.Lease,
 	}})
 	if err == nil && r.Granted {
 		return nil
@@ -92,13 +92,13 @@
 func (g *guard) retryAfter(f completion.Fingerprint) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(g.view.Decide(suspicion.Fingerprint(f)).RetryAfter, time.Second)
+	return max(g.view.Decide(f).RetryAfter, time.Second)
 }
 
 // slotName returns the name of a suspect's own slot. The server is chosen later,
 // and this entry sends no other work to that server.
 func slotName(f completion.Fingerprint) string {
-	return "request/" + suspicion.Fingerprint(f).String()
+	return "request/" + f.String()
 }
 
 func suspectRefusal(after time.Duration, cause error) error {
@@ -128,13 +128,13 @@
 // also clears a suspect that only this entry knows of, because its loss report failed.
 func (g *guard) releaseSlot(ctx context.Context, f completion.Fingerprint, attempt string, whole bool) {
 	r, err := g.propose(ctx, section.Command{Finish: &section.Finish{
-		Fingerprint: suspicion.Fingerprint(f), Attempt: attempt, Whole: whole,
+		Fingerprint: f, Attempt: attempt, Whole: whole,
 	}})
 	if err != nil {
 		return
 	}
 	g.mu.Lock()
-	now := suspicion.Change{Fingerprint: suspicion.Fingerprint(f), Standing: r.Standing}
+	now := suspicion.Change{Fingerprint: f, Standing: r.Standing}
 	g.view = g.view.With(g.view.Version(), []suspicion.Change{now}, false)
 	g.mu.Unlock()
 	g.refresh(ctx)
--- a/internal/entry/service/config.go
+++ b/internal/entry/service/config.go
@@ -26,6 +26,8 @@
 	Picker Picker
 	// Rests are the servers that asked this entry for rest; default none.
 	Rests rest.Rests
+	// Guard refuses calls that crash their servers; nil refuses none.
+	Guard Guard
 	// Budget limits retries on other servers; nil allows none.
 	Budget Budget
 	// Entry is this entry's identity.
@@ -72,6 +74,9 @@
 	if c.Rests == nil {
 		c.Rests = rest.New()
 	}
+	if c.Guard == nil {
+		c.Guard = noGuard{}
+	}
 	if c.NewAttempt == nil {
 		c.NewAttempt = newAttempt
 	}
--- /dev/null
+++ b/internal/entry/service/guard.go
@@ -0,0 +1,78 @@
+package service
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/policy/suspicion"
+)
+
+const (
+	// confirmAfter is how long after its connection broke a server is asked for another one. A
+	// process that ends closes its connections and its listener one after the other.
+	confirmAfter = 60 * time.Millisecond
+	// confirmTimeout bounds the set-up of that connection.
+	confirmTimeout = 250 * time.Millisecond
+)
+
+// Guard refuses calls that crash the servers that run them.
+type Guard interface {
+	// RecordOwner records the workspace and service of a fingerprint for the list that operators see.
+	RecordOwner(f suspicion.Fingerprint, workspace, service string)
+	// Check returns nil when the call may run and otherwise its final refusal.
+	Check(now time.Time, f suspicion.Fingerprint) error
+	// Started records that a server runs the call.
+	Started(now time.Time, f suspicion.Fingerprint, server string)
+	// Ended records that the call has ended at a server; lost says whether the server was lost with it.
+	Ended(ctx context.Context, now time.Time, f suspicion.Fingerprint, server string, lost bool)
+}
+
+// noGuard is a Guard that refuses nothing.
+type noGuard struct{}
+
+func (noGuard) RecordOwner(suspicion.Fingerprint, string, string) {}
+
+func (noGuard) Check(time.Time, suspicion.Fingerprint) error { return nil }
+
+func (noGuard) Started(time.Time, suspicion.Fingerprint, string) {}
+
+func (noGuard) Ended(context.Context, time.Time, suspicion.Fingerprint, string, bool) {}
+
+// fingerprint returns the fingerprint of r, which is the same under any Idempotency-Key.
+func (r Request) fingerprint() suspicion.Fingerprint {
+	return suspicion.FingerprintOf(r.Workspace, r.Service+" "+r.Method+" "+r.Path, r.Body)
+}
+
+// check returns the guard's refusal of a call, nil when it may run.
+func (c *client) check(r Request, f suspicion.Fingerprint) error {
+	c.Guard.RecordOwner(f, r.Workspace, r.Service)
+	return c.Guard.Check(c.Now(), f)
+}
+
+// guarded sends a call and tells the guard how it ended.
+func (c *client) guarded(ctx context.Context, s Server, f suspicion.Fingerprint, send func() (Answer, error)) (Answer, error) {
+	c.Guard.Started(c.Now(), f, s.Identity)
+	a, err := send()
+	c.Guard.Ended(context.WithoutCancel(ctx), c.Now(), f, s.Identity, c.serverLost(ctx, s, err))
+	return a, err
+}
+
+// serverLost reports whether a call ended as it does when its server is lost: the connection broke,
+// and the server accepts no other one. Faulty servers break off single responses; counted as lost,
+// they would put a harmless call into quarantine.
+func (c *client) serverLost(ctx context.Context, s Server, err error) bool {
+	if e, ok := verdict.As(err); !ok || e.Code != codeLost || ctx.Err() != nil {
+		return false
+	}
+	if c.Wait(ctx, confirmAfter) != nil {
+		return false
+	}
+	conn, err := net.DialTimeout("tcp", s.Address, min(confirmTimeout, c.DialTimeout))
+	if err != nil {
+		return true
+	}
+	_ = conn.Close()
+	return false
+}
--- a/internal/entry/service/wire.go
+++ b/internal/entry/service/wire.go
@@ -81,8 +81,11 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// codeRefused is the code of a refusal by the service.
-const codeRefused = "refused-by-service"
+// Codes of errors that the client itself tells apart: a refusal by the service, and a broken connection.
+const (
+	codeRefused = "refused-by-service"
+	codeLost    = "connection-lost"
+)
 
 // refused returns the service's refusal, which states that the call did not run.
 func refused(response *http.Response) verdict.Error {
@@ -106,6 +109,6 @@
 
 // connectionLost is the error for a connection that failed after the call may have been sent.
 func connectionLost(err error) verdict.Error {
-	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "connection-lost",
+	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeLost,
 		"the connection to the service was lost; the call may have run").WithCause(err)
 }
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -119,7 +119,7 @@
 	suspects := fleetquic.NewSuspects(fleetquic.SuspectsConfig{
 		Node:      p.node,
 		Addresses: p.peers(),
-		OnReport:  func(f [32]byte) { x.guard.MarkSuspect(completion.Fingerprint(f)) },
+		OnReport:  func(f [32]byte) { x.guard.MarkSuspect(f) },
 	})
 	x.guard = quarantine.New(quarantine.Config{
 		Log:           x.control,
@@ -156,6 +156,7 @@
 			Now: time.Now, Random: newRandom(), Logger: p.config.Logger,
 		}),
 		Rests:       x.rests,
+		Guard:       x.guard.Calls(),
 		Budget:      newBudget(retries, x.settings),
 		Entry:       p.config.File.Name,
 		Incarnation: p.incarnation,
--- a/internal/standin/process/builders.go
+++ b/internal/standin/process/builders.go
@@ -13,7 +13,7 @@
 	"hornbeamwood/internal/standin/weights"
 )
 
-// crashExitCode is the exit code of an engine that a request has crashed.
+// crashExitCode is the exit code of a stand-in that a request has crashed.
 const crashExitCode = 70
 
 var builders = map[Kind]func(f File, address string) server{
@@ -104,7 +104,11 @@
 }
 
 func buildService(f File, address string) server {
-	s := service.New(service.Config{Name: f.Identity, Delay: time.Duration(f.Service.Delay)})
+	c := service.Config{Name: f.Identity, Delay: time.Duration(f.Service.Delay)}
+	if f.Service.Crashes {
+		c.Crash = func() { os.Exit(crashExitCode) }
+	}
+	s := service.New(c)
 	started, leaving := time.Now(), &atomic.Bool{}
 	return server{
 		handler: s,
--- a/internal/standin/process/file.go
+++ b/internal/standin/process/file.go
@@ -77,8 +77,9 @@
 
 // ServiceFile is the service table of a File.
 type ServiceFile struct {
-	Names []string `toml:"names"`
-	Delay Duration `toml:"delay"`
+	Names   []string `toml:"names"`
+	Delay   Duration `toml:"delay"`
+	Crashes bool     `toml:"crashes"`
 }
 
 // StoreFile is the store table of a File.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"maps"
@@ -20,8 +21,13 @@
 	Name string
 	// Delay is how long a call takes.
 	Delay time.Duration
+	// Crash is called when a call whose body holds CrashMarker runs; nil ignores the marker.
+	Crash func()
 }
 
+// CrashMarker in the body of a call crashes the service that runs it.
+const CrashMarker = "CRASH-THE-SERVER"
+
 // Service serves calls and counts executions.
 type Service interface {
 	http.Handler
@@ -94,6 +100,9 @@
 	}
 	number := s.begin(q)
 	defer s.end()
+	if s.config.Crash != nil && bytes.Contains(b, []byte(CrashMarker)) {
+		s.config.Crash()
+	}
 	time.Sleep(s.config.Delay)
 	w.Header().Set("Location", fmt.Sprintf("%s/%d", q.URL.Path, number))
 	backend.WriteJSON(w, http.StatusCreated, response{Server: s.config.Name, Number: number, Path: q.URL.Path, Bytes: len(b)})
