caller: a rest counts also without the promise that the request has not run

Cause: an entry read Retry-After of a 503 or 429 only beside the header by which a server promises that it has not run the request.

TestRestCountsWithoutThePromiseOfARejection failed before: ten requests in turn reached the server twice after a 503 and ten times after a 429, with another server free; now once.

--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -79,7 +79,7 @@
 	}
 	now := time.Now()
 	j.Limits.Observe(a.Server, answer.Limit, a.SentAt, now)
-	if rest.Refuses(status) && answer.NotRun && answer.Rest > 0 {
+	if rest.Refuses(status) && answer.Rest > 0 {
 		j.recordRest(a.Server, answer.Rest, now)
 		return
 	}
--- a/internal/serve/caller/rest_test.go
+++ b/internal/serve/caller/rest_test.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// Guards against requests to a resting server that didn't promise that the request has not run.
+func TestRestCountsWithoutThePromiseOfARejection(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+		f := newFixture(t, answerStatus(status, "A-Stamp: x\r\nA-Rest: 1m\r\n"), answerOK("second"))
+		for i := range 10 {
+			f.request(t, strconv.Itoa(i), http.MethodPost, "/once/x")
+		}
+		if n := f.servers[0].count(); n != 1 {
+			t.Errorf("%d: the resting server got %d requests", status, n)
+		}
+	}
+}
+
 // Guards against requests that are held although no server rests short enough, and against refusals that send
 // callers back too early.
 func TestRequestIsRefusedAtOnceWhileAllServersRest(t *testing.T) {
--- a/internal/serve/request/answer.go
+++ b/internal/serve/request/answer.go
@@ -20,8 +20,8 @@
 	Limit *float64
 	// Leaving is set if the server states that it leaves.
 	Leaving bool
-	// Rest is for how long a server that rejects the request wants no further ones from this entry,
-	// zero if not stated.
+	// Rest is for how long a server that answers 503 or 429 wants no further requests from this
+	// entry, zero if not stated.
 	Rest time.Duration
 	// Version is the version of the weights; zero if not stated.
 	Version int64
