service: the owner of a call is recorded once its server was lost

The guard keeps 8,192 owners of fingerprints for the operators' list and then forgets all. Calls were recorded at each send, so that many of them would have removed the owners of running completions, and the list would have shown no workspace for those. Found by reading the diff; not seen.

--- a/internal/entry/service/guard.go
+++ b/internal/entry/service/guard.go
@@ -45,17 +45,15 @@
 	return suspicion.FingerprintOf(r.Workspace, r.Service+" "+r.Method+" "+r.Path, r.Body)
 }
 
-// check returns the guard's refusal of a call, nil when it may run.
-func (c *client) check(r Request, f suspicion.Fingerprint) error {
-	c.Guard.RecordOwner(f, r.Workspace, r.Service)
-	return c.Guard.Check(c.Now(), f)
-}
-
 // guarded sends a call and tells the guard how it ended.
-func (c *client) guarded(ctx context.Context, s Server, f suspicion.Fingerprint, send func() (Answer, error)) (Answer, error) {
+func (c *client) guarded(ctx context.Context, s Server, r Request, f suspicion.Fingerprint, send func() (Answer, error)) (Answer, error) {
 	c.Guard.Started(c.Now(), f, s.Identity)
 	a, err := send()
-	c.Guard.Ended(context.WithoutCancel(ctx), c.Now(), f, s.Identity, c.serverLost(ctx, s, err))
+	lost := c.serverLost(ctx, s, err)
+	if lost {
+		c.Guard.RecordOwner(f, r.Workspace, r.Service)
+	}
+	c.Guard.Ended(context.WithoutCancel(ctx), c.Now(), f, s.Identity, lost)
 	return a, err
 }
 
--- a/internal/entry/service/idempotent.go
+++ b/internal/entry/service/idempotent.go
@@ -25,7 +25,7 @@
 	var last error
 	content := r.fingerprint()
 	for {
-		if err := c.check(r, content); err != nil {
+		if err := c.Guard.Check(c.Now(), content); err != nil {
 			return Answer{}, withVerdict(err, proved)
 		}
 		s, err := c.Picker.Pick(ctx, r, excluded)
@@ -37,7 +37,7 @@
 		}
 		c.write(event.CallDispatched, r, log.Fields{"attempt": "", "server": s.Identity})
 		sent := c.Now()
-		a, err := c.guarded(ctx, s, content, func() (Answer, error) { return c.send(ctx, s, r, c.NewAttempt()) })
+		a, err := c.guarded(ctx, s, r, content, func() (Answer, error) { return c.send(ctx, s, r, c.NewAttempt()) })
 		c.recordRest(s, sent, err)
 		if err == nil {
 			return a, nil
--- a/internal/entry/service/settle.go
+++ b/internal/entry/service/settle.go
@@ -19,7 +19,7 @@
 	var excluded []string
 	content := f.request.fingerprint()
 	for {
-		if err := f.client.check(f.request, content); err != nil {
+		if err := f.client.Guard.Check(f.client.Now(), content); err != nil {
 			return Answer{}, asNotRun(err)
 		}
 		s, err := f.client.Picker.Pick(ctx, f.request, excluded)
@@ -35,7 +35,7 @@
 		}
 		f.client.write(event.CallDispatched, f.request, log.Fields{"attempt": f.attempt, "server": s.Identity})
 		sent := f.client.Now()
-		a, err := f.client.guarded(ctx, s, content, func() (Answer, error) { return f.client.sendOnce(ctx, s, f.request, f.attempt) })
+		a, err := f.client.guarded(ctx, s, f.request, content, func() (Answer, error) { return f.client.sendOnce(ctx, s, f.request, f.attempt) })
 		f.client.recordRest(s, sent, err)
 		if err == nil || verdict.Of(err) != verdict.NotRun {
 			return a, err
