weights: a drain is as long as a load at least

Cause: the drain timeout of an engine was the time that is left, spread over the rounds of loads, as if drains and loads followed each other. They overlap: others load while an engine is drained. When time was short, drains shrank to 0.4 s, the requests ended in the load slot instead, each slot was held for up to 6 s in place of 2.5, and the last engines got their weights too late.

In the log of the holder, 15 orders of 2.5 s at 6.9 s, and from 13 s on the same orders take 3 to 6 s at 11 to 16 at once.

Ruled out: the holder (one, no change), refused or repeated orders (each repetition is the engine's late report), crashed engines in slots (12 refused connections in all). Weighed: more engines drained at once, which takes up to half of the capacity from callers; a drain that is as long as a load takes no engine out for longer.

TestLongRequestsDontOccupyLoadSlots failed before (64 of 89 engines in time).

--- a/internal/site/weights/drain.go
+++ b/internal/site/weights/drain.go
@@ -13,13 +13,16 @@
 // When engines load quickly and the deadline is short, draining takes most of the
 // time, and the last engines would still begin requests on old weights after the
 // deadline. The estimate reserves time for these engines to load after their drain.
+//
+// A drain that is as long as a load delays no engine, because others load meanwhile. A
+// shorter one would leave the rest of the requests to end in the engine's load slot.
 func (r *rollout) drainTime(model string, engines, limit int) time.Duration {
 	if r.Deadline <= 0 {
 		return maxDrain
 	}
 	left := time.Duration(finishShare*float64(r.Deadline)) - time.Since(r.targets[model].at) - r.measuredLoadTime()
 	rounds := (engines + limit - 1) / limit
-	return max(minDrain, min(maxDrain, left/time.Duration(rounds)))
+	return max(minDrain, min(maxDrain, left/time.Duration(rounds)), r.measuredLoadTime())
 }
 
 // tooEarly returns whether the current loads have started so recently that the next engines
--- a/internal/site/weights/rollout_test.go
+++ b/internal/site/weights/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,10 +21,12 @@
 	engines         []directory.Server
 	loaded          map[string]int64
 	busy            map[string]bool
+	// busySince is when each engine was last reported to take no requests.
+	busySince map[string]time.Time
 }
 
 func newFakeSite(versions ...int64) *fakeSite {
-	s := &fakeSite{target: 2, fencing: 7, loaded: map[string]int64{}, busy: map[string]bool{}}
+	s := &fakeSite{target: 2, fencing: 7, loaded: map[string]int64{}, busy: map[string]bool{}, busySince: map[string]time.Time{}}
 	for i, v := range versions {
 		s.engines = append(s.engines, directory.Server{ID: string(rune('a' + i)), StartedAt: 1, Models: []directory.Weights{{Model: "m", Version: v}}})
 	}
@@ -52,6 +55,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy[server] = busy
+	if busy {
+		s.busySince[server] = time.Now()
+	}
 }
 
 func (s *fakeSite) ReportLoaded(x directory.Server, _ string, version int64) {
@@ -85,6 +91,25 @@
 	// crashed are engines that refuse connections; neverIdle has all others report a running request forever.
 	crashed   map[string]bool
 	neverIdle bool
+	// runs is how long the requests of an engine last at which no new ones begin, and site tells since when.
+	// restarted is when the crashed engines are back.
+	runs      time.Duration
+	site      *fakeSite
+	restarted time.Time
+}
+
+// runsUntil returns when the engine's requests have ended.
+func (e *fakeEngines) runsUntil(server string) time.Time {
+	if e.site == nil {
+		return time.Time{}
+	}
+	e.site.mu.Lock()
+	defer e.site.mu.Unlock()
+	return e.site.busySince[server].Add(e.runs)
+}
+
+func (e *fakeEngines) isCrashed(server string) bool {
+	return e.crashed[server] && (e.restarted.IsZero() || time.Now().Before(e.restarted))
 }
 
 func newFakeEngines(s *fakeSite) *fakeEngines {
@@ -98,11 +123,11 @@
 func (e *fakeEngines) Report(_ context.Context, s directory.Server) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.crashed[s.ID] {
+	if e.isCrashed(s.ID) {
 		return Report{}, errors.New("connection refused")
 	}
 	running := 0
-	if e.neverIdle {
+	if e.neverIdle || time.Now().Before(e.runsUntil(s.ID)) {
 		running = 1
 	}
 	busy := time.Now().Before(e.loadingUntil[s.ID])
@@ -129,6 +154,9 @@
 	if e.load > 0 {
 		load = e.load
 	}
+	if end := e.runsUntil(s.ID); end.After(now) {
+		load += end.Sub(now)
+	}
 	e.versions[s.ID], e.loadingUntil[s.ID] = o.Version, now.Add(load)
 	e.loads[s.ID]++
 	loading := 0
@@ -259,3 +287,26 @@
 		}
 	})
 }
+
+// Guards against engines that wait for their requests in a load slot while time is short. A third of 89 engines
+// crash for five seconds, the requests of the others last for 2.5 s, and the last engines must have the weights in
+// time, or requests begin on old ones after the deadline.
+func TestLongRequestsDontOccupyLoadSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const engines, deadline = 89, 20 * time.Second
+		s := newFakeSite(slices.Repeat([]int64{1}, engines)...)
+		e := newFakeEngines(s)
+		e.load, e.runs, e.site = 2500*time.Millisecond, 2500*time.Millisecond, s
+		e.crashed, e.restarted = map[string]bool{}, time.Now().Add(5*time.Second)
+		for _, x := range s.engines[:engines*3/10] {
+			e.crashed[x.ID] = true
+		}
+		runRolloutWithDeadline(t, s, e, deadline, deadline)
+		if len(s.loaded) != engines {
+			t.Errorf("%d of %d engines have the weights after %s", len(s.loaded), engines, deadline)
+		}
+		if share := float64(e.maxLoading) / engines; share > concurrentShare {
+			t.Errorf("%d of %d engines loaded at once", e.maxLoading, engines)
+		}
+	})
+}
