--- a/internal/control/quarantine/changes.go
+++ b/internal/control/quarantine/changes.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "hornbeamwood/internal/policy/suspicion"
+import (
+	"slices"
+
+	"hornbeamwood/internal/policy/suspicion"
+)
 
 func (q *quarantine) since(version uint64) Changes {
 	if version < q.forgotten || version > q.version {
@@ -25,11 +29,12 @@
 
 func (q *quarantine) recordsSince(version uint64) []suspicion.Change {
 	var changes []suspicion.Change
-	for _, f := range q.order() {
-		if r := q.records[f]; r.Version > version {
+	for f, r := range q.records {
+		if r.Version > version {
 			changes = append(changes, suspicion.Change{Fingerprint: f, Standing: r.Standing})
 		}
 	}
+	slices.SortFunc(changes, func(a, b suspicion.Change) int { return compare(a.Fingerprint, b.Fingerprint) })
 	return changes
 }
 
--- a/internal/control/quarantine/lost.go
+++ b/internal/control/quarantine/lost.go
@@ -62,33 +62,40 @@
 	return oldest != nil
 }
 
-// updateStandings computes the standing of each record. Only records with several losses depend on each other,
-// and only those that change get a version, so that the others need no order.
+// updateStandings computes the standing of each record. Thousands of requests have one loss each; they
+// depend on no other and mostly stay what they are, so only those with several are classified.
 func (q *quarantine) updateStandings() {
-	var single, several []suspicion.Fingerprint
+	changed := map[suspicion.Fingerprint]suspicion.Standing{}
+	var several []suspicion.Fingerprint
 	for f, r := range q.records {
-		if len(r.Losses) < q.limit {
-			single = append(single, f)
-		} else {
+		switch {
+		case len(r.Losses) >= q.limit:
 			several = append(several, f)
+		case len(r.Losses) > 0 && r.Standing != suspicion.Suspect:
+			changed[f] = suspicion.Suspect
+		case len(r.Losses) == 0 && r.Standing != suspicion.Clear:
+			changed[f] = suspicion.Clear
 		}
 	}
-	slices.SortFunc(several, compare)
-	all := slices.Concat(several, single)
-	losses := make([]*suspicion.FingerprintLosses, len(all))
-	for i, f := range all {
+	q.classify(several, changed)
+	for _, f := range slices.SortedFunc(maps.Keys(changed), compare) {
+		q.setStanding(q.records[f], changed[f])
+	}
+}
+
+// classify adds to changed those of the fingerprints whose standing changes.
+func (q *quarantine) classify(fingerprints []suspicion.Fingerprint, changed map[suspicion.Fingerprint]suspicion.Standing) {
+	slices.SortFunc(fingerprints, compare)
+	losses := make([]*suspicion.FingerprintLosses, len(fingerprints))
+	for i, f := range fingerprints {
 		losses[i] = &suspicion.FingerprintLosses{Losses: q.records[f].Losses}
 	}
 	suspicion.Classify(losses, q.limit)
-	changed := map[suspicion.Fingerprint]suspicion.Standing{}
-	for i, f := range all {
+	for i, f := range fingerprints {
 		if q.records[f].Standing != losses[i].Standing {
 			changed[f] = losses[i].Standing
 		}
 	}
-	for _, f := range slices.SortedFunc(maps.Keys(changed), compare) {
-		q.setStanding(q.records[f], changed[f])
-	}
 }
 
 // setStanding changes the standing of r and assigns a new version to the change.
@@ -137,9 +144,9 @@
 			}
 			continue
 		}
-		recent := suspicion.Recent(r.Losses, at, r.Window)
-		changed = changed || len(recent) < len(r.Losses)
-		r.Losses = recent
+		if r.expired(at) {
+			r.Losses, changed = suspicion.Recent(r.Losses, at, r.Window), true
+		}
 	}
 	if !changed {
 		return
--- a/internal/control/quarantine/record.go
+++ b/internal/control/quarantine/record.go
@@ -41,6 +41,12 @@
 	return cmp.Or(cmp.Compare(r.lastLoss(), x.lastLoss()), compare(r.Fingerprint, x.Fingerprint)) < 0
 }
 
+// expired returns whether a loss is older than the window.
+func (r *record) expired(at time.Time) bool {
+	oldest := at.Add(-r.Window).UnixNano()
+	return slices.ContainsFunc(r.Losses, func(l suspicion.Loss) bool { return l.At <= oldest })
+}
+
 // released returns whether the request has been quarantined for as long as it is held.
 func (r *record) released(at time.Time) bool {
 	return r.Hold > 0 && at.UnixNano() >= r.lastLoss()+int64(r.Hold)
