Own interface: plain services that are lost are left out

Cause: an entry chose the server of a call by announcements alone. The last one of a server stays valid for seconds after its VM is lost; each call in that time went there half of the time, failed without a connection, and was refused once the retry budget was spent. Completions have left such engines out from the start.

Change: what completions used stands in policy/outage now, for both; the picker of calls puts a server last at which a call has found no connection, or was lost, since its last announcement. Silent servers are not covered for calls, whose time limits are long.

--- a/internal/entry/completion/ending.go
+++ b/internal/entry/completion/ending.go
@@ -40,7 +40,7 @@
 	identity := a.server.Announcement().Identity
 	lost := lostServer(cause)
 	if lost || unresponsive(cause) {
-		r.losses.add(r.Now(), identity)
+		r.outages.Add(r.Now(), identity)
 	}
 	r.Guard.Ended(ctx, r.Now(), j.fingerprint, identity, lost)
 	if errors.Is(cause, io.EOF) {
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -8,6 +8,7 @@
 
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/entry/caller"
+	"hornbeamwood/internal/policy/outage"
 	"hornbeamwood/internal/policy/rest"
 )
 
@@ -23,7 +24,7 @@
 	inFlight *inFlight
 	exporter *exporter
 	visits   *visits
-	losses   *losses
+	outages  outage.Outages
 	metrics  *routerMetrics
 	queues   *waitQueues
 	running  sync.WaitGroup
@@ -45,7 +46,7 @@
 		inFlight: newInFlight(),
 		exporter: newExporter(c, m),
 		visits:   newVisits(),
-		losses:   newLosses(),
+		outages:  outage.New(),
 	}
 	r.queues = newWaitQueues(r)
 	r.running.Go(func() { r.queues.run(ctx) })
--- a/internal/entry/completion/view.go
+++ b/internal/entry/completion/view.go
@@ -80,7 +80,7 @@
 		InFlight:        r.inFlight.of(a.Identity).With(peerBand, int32(p.PeerRequests), p.PeerTokens),
 		PriorityAware:   true,
 		Reserve:         a.Role == reserveRole,
-		Suspect:         r.Guard.RequiresIsolation(now, a.Identity) || r.losses.lostAfter(now.Add(-s.Age(now)), a.Identity),
+		Suspect:         r.Guard.RequiresIsolation(now, a.Identity) || r.outages.LostAfter(now.Add(-s.Age(now)), a.Identity),
 	}
 	if c.Load.PrefillRate <= 0 {
 		c.Load.PrefillRate = assumedPrefillRate
--- a/internal/entry/picker/picker.go
+++ b/internal/entry/picker/picker.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -15,6 +16,7 @@
 	"hornbeamwood/internal/entry/service"
 	"hornbeamwood/internal/fleet/announcement"
 	"hornbeamwood/internal/fleet/membership"
+	"hornbeamwood/internal/policy/outage"
 	"hornbeamwood/internal/policy/rest"
 )
 
@@ -37,6 +39,8 @@
 	MaxAnnouncementAge func() time.Duration
 	// Rests are the servers that asked this entry for rest; nil for none.
 	Rests rest.Rests
+	// Outages are the servers at which this entry's calls have failed; nil for none.
+	Outages outage.Outages
 	// EvacuatedZones returns the availability zones whose servers get no calls.
 	EvacuatedZones func() []string
 	// Zone is this entry's availability zone.
@@ -54,11 +58,15 @@
 	mu sync.Mutex
 }
 
-// New returns a service.Picker that picks the server with the fewest calls and, among equals, prefers its own availability zone.
+// New returns a service.Picker that picks the server with the fewest calls and, among equals, prefers its own
+// availability zone. A server at which a call has failed since its last announcement comes last.
 func New(c Config) service.Picker {
 	if c.Rests == nil {
 		c.Rests = rest.New()
 	}
+	if c.Outages == nil {
+		c.Outages = outage.New()
+	}
 	return &picker{Config: c}
 }
 
@@ -67,6 +75,8 @@
 	server *membership.Server
 	calls  int
 	remote bool
+	// lost is set if a call failed there since the server was last seen.
+	lost bool
 }
 
 // Pick implements service.Picker.
@@ -113,6 +123,7 @@
 			server: s,
 			calls:  load.Running + w.Requests + w.PeerRequests,
 			remote: a.Zone != p.Zone,
+			lost:   p.Outages.LostAfter(now.Add(-s.Age(now)), a.Identity),
 		})
 	}
 	return all, resting
@@ -125,15 +136,13 @@
 	defer p.mu.Unlock()
 	p.Random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return slices.MinFunc(all, func(a, b candidate) int {
-		if a.calls != b.calls {
-			return a.calls - b.calls
-		}
-		return zoneRank(a) - zoneRank(b)
+		return cmp.Or(rank(a.lost)-rank(b.lost), a.calls-b.calls, rank(a.remote)-rank(b.remote))
 	})
 }
 
-func zoneRank(c candidate) int {
-	if c.remote {
+// rank returns 1 for what is preferred less.
+func rank(worse bool) int {
+	if worse {
 		return 1
 	}
 	return 0
--- a/internal/entry/service/config.go
+++ b/internal/entry/service/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"hornbeamwood/internal/policy/outage"
 	"hornbeamwood/internal/policy/rest"
 )
 
@@ -26,6 +27,8 @@
 	Picker Picker
 	// Rests are the servers that asked this entry for rest; default none.
 	Rests rest.Rests
+	// Outages are the servers at which this entry's calls have failed; default none.
+	Outages outage.Outages
 	// Guard refuses calls that crash their servers; nil refuses none.
 	Guard Guard
 	// Budget limits retries on other servers; nil allows none.
@@ -74,6 +77,9 @@
 	if c.Rests == nil {
 		c.Rests = rest.New()
 	}
+	if c.Outages == nil {
+		c.Outages = outage.New()
+	}
 	if c.Guard == nil {
 		c.Guard = noGuard{}
 	}
--- a/internal/entry/service/guard.go
+++ b/internal/entry/service/guard.go
@@ -45,11 +45,14 @@
 	return suspicion.FingerprintOf(r.Workspace, r.Service+" "+r.Method+" "+r.Path, r.Body)
 }
 
-// guarded sends a call and tells the guard how it ended.
+// guarded sends a call and records how it ended.
 func (c *client) guarded(ctx context.Context, s Server, r Request, f suspicion.Fingerprint, send func() (Answer, error)) (Answer, error) {
 	c.Guard.Started(c.Now(), f, s.Identity)
 	a, err := send()
 	lost := c.serverLost(ctx, s, err)
+	if lost || unreachableServer(err) {
+		c.Outages.Add(c.Now(), s.Identity)
+	}
 	if lost {
 		c.Guard.RecordOwner(f, r.Workspace, r.Service)
 	}
@@ -57,6 +60,12 @@
 	return a, err
 }
 
+// unreachableServer reports whether no connection to the server could be made.
+func unreachableServer(err error) bool {
+	e, ok := verdict.As(err)
+	return ok && e.Code == codeUnreachable
+}
+
 // serverLost reports whether a call ended as it does when its server is lost: the connection broke,
 // and the server accepts no other one. Faulty servers break off single responses; counted as lost,
 // they would put a harmless call into quarantine.
--- a/internal/entry/service/wire.go
+++ b/internal/entry/service/wire.go
@@ -81,10 +81,11 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// Codes of errors that the client itself tells apart: a refusal by the service, and a broken connection.
+// Codes of errors that the client itself tells apart: a refusal by the service, no connection, and a broken one.
 const (
-	codeRefused = "refused-by-service"
-	codeLost    = "connection-lost"
+	codeRefused     = "refused-by-service"
+	codeUnreachable = "service-unreachable"
+	codeLost        = "connection-lost"
 )
 
 // refused returns the service's refusal, which states that the call did not run.
@@ -103,7 +104,7 @@
 
 // unreachable is the error for a failure to connect, before any byte of the call was sent.
 func unreachable(err error) verdict.Error {
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "service-unreachable",
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeUnreachable,
 		"no connection to the service could be made").WithRetryAfter(time.Second).WithCause(err)
 }
 
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -28,6 +28,7 @@
 	fleetquic "hornbeamwood/internal/fleet/quic"
 	"hornbeamwood/internal/policy/admission"
 	"hornbeamwood/internal/policy/placement"
+	"hornbeamwood/internal/policy/outage"
 	"hornbeamwood/internal/policy/rest"
 	"hornbeamwood/internal/policy/retry"
 	"hornbeamwood/internal/policy/route"
@@ -149,13 +150,15 @@
 func (p *process) buildServices(x *components, retries retry.Policy) service.Client {
 	age := func() time.Duration { return x.settings.View().Rules.Fleet.AnnouncementAge }
 	evacuated := func() []string { return x.settings.View().Rules.Fleet.EvacuatedZones }
+	outages := outage.New()
 	return service.New(service.Config{
 		Log: x.control,
 		Picker: picker.New(picker.Config{
-			Servers: x.table, Work: x.work, MaxAnnouncementAge: age, EvacuatedZones: evacuated, Rests: x.rests, Zone: p.config.File.Zone,
+			Servers: x.table, Work: x.work, MaxAnnouncementAge: age, EvacuatedZones: evacuated, Rests: x.rests, Outages: outages, Zone: p.config.File.Zone,
 			Now: time.Now, Random: newRandom(), Logger: p.config.Logger,
 		}),
 		Rests:       x.rests,
+		Outages:     outages,
 		Guard:       x.guard.Calls(),
 		Budget:      newBudget(retries, x.settings),
 		Entry:       p.config.File.Name,
