weights: drains start as early as those seen ask for

Cause: with drains as long as loads, the next engines were drained as early as if each drain took as long as it may. Engines that were idle sooner waited for a load slot without serving.

Change: the duration of drains is learned as that of loads is; a drain starts by what drains take, plus the scan and the poll by which its start and end are seen.

--- a/internal/site/weights/drain.go
+++ b/internal/site/weights/drain.go
@@ -27,11 +27,11 @@
 
 // tooEarly returns whether the current loads have started so recently that the next engines
 // would be drained long before a slot is free. A drained engine that waits for a slot
-// serves no requests.
-func (r *rollout) tooEarly(limit int, drain time.Duration) bool {
+// serves no requests, so what counts is how long drains take, not how long they may.
+func (r *rollout) tooEarly(limit int, timeout time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	leadTime, recent := r.loadEstimate.mean-drain, 0
+	leadTime, recent := r.loadEstimate.mean-r.drainEstimate.expected(timeout)-startDelay, 0
 	for _, at := range r.loadStarted {
 		if time.Since(at) < leadTime {
 			recent++
@@ -52,6 +52,7 @@
 		}
 		took := time.Since(started)
 		if took >= minDrain && (p.Running+p.Waiting == 0 || took >= timeout) {
+			r.recordDrain(took)
 			return true
 		}
 		wait.For(ctx, max(pollInterval, minDrain-took))
--- a/internal/site/weights/rollout.go
+++ b/internal/site/weights/rollout.go
@@ -42,6 +42,9 @@
 	loadTimeout = 12 * time.Second
 	// scanInterval is the time between two scans for engines with outdated weights.
 	scanInterval = 100 * time.Millisecond
+	// startDelay is how much later than possible an engine starts to load at most: its drain starts
+	// at a scan, and its end is seen at a poll.
+	startDelay = scanInterval + pollInterval
 )
 
 // Site gives a Rollout the state of the site and takes its updates.
@@ -93,7 +96,9 @@
 	// targets are the target versions and when this process first saw them, by model.
 	targets      map[string]target
 	loadEstimate loadEstimate
-	ended        sync.WaitGroup
+	// drainEstimate estimates how long drains take until the engine is idle or their timeout ends.
+	drainEstimate drainEstimate
+	ended         sync.WaitGroup
 }
 
 // target is a target version and when this process first saw it.
