service: a call that finds its server unreachable goes to another one

Cause: each retry of a call was charged to the workspace's retry budget, also after a server to which no connection could be made. A workspace with few calls has no budget, so an entry's first call to a server that was just lost was refused beside free ones. A site's entry charges only attempts that reached a server.

The quarantine itself worked.

Change: after an unreachable server the call goes to another one, four at most, and the budget isn't charged, since the server got nothing.

--- a/internal/entry/service/idempotent.go
+++ b/internal/entry/service/idempotent.go
@@ -14,7 +14,11 @@
 	"hornbeamwood/internal/base/verdict"
 )
 
-const retryWait = 20 * time.Millisecond
+const (
+	retryWait = 20 * time.Millisecond
+	// maxUnreachable bounds the servers that a call finds unreachable before its retries are charged to the budget.
+	maxUnreachable = 4
+)
 
 // callIdempotent sends r and retries it on other servers while the budget and the deadline allow it.
 func (c *client) callIdempotent(ctx context.Context, r Request) (Answer, error) {
@@ -47,7 +51,7 @@
 			proved = verdict.MayHaveRun
 		}
 		excluded = append(excluded, s.Identity)
-		if !c.mayRetry(ctx, r) {
+		if !c.mayRetry(ctx, r, err, len(excluded)) {
 			return Answer{}, withVerdict(err, proved)
 		}
 		c.write(event.CallRetried, r, log.Fields{"server": s.Identity, "cause": err.Error()})
@@ -55,13 +59,22 @@
 }
 
 // mayRetry waits for a backoff, jittered to spread the retries of many callers, and reports whether one more attempt is allowed.
-func (c *client) mayRetry(ctx context.Context, r Request) bool {
-	if c.Budget == nil || !c.Budget.Retry(r.Workspace) {
+func (c *client) mayRetry(ctx context.Context, r Request, cause error, tried int) bool {
+	if !c.mayTryAnother(r.Workspace, cause, tried) {
 		return false
 	}
 	return c.Wait(ctx, retryWait+rand.N(retryWait)) == nil
 }
 
+// mayTryAnother reports whether a call that failed at its tried servers may be sent to another one. A server to
+// which no connection could be made has got nothing, so it costs nothing of the budget, which bounds the load of retries.
+func (c *client) mayTryAnother(workspace string, cause error, tried int) bool {
+	if unreachableServer(cause) && tried < maxUnreachable {
+		return true
+	}
+	return c.Budget != nil && c.Budget.Retry(workspace)
+}
+
 // withVerdict returns err with the verdict that holds for all attempts together.
 func withVerdict(err error, proved verdict.Verdict) verdict.Error {
 	e, ok := verdict.As(err)
--- a/internal/entry/service/settle.go
+++ b/internal/entry/service/settle.go
@@ -41,7 +41,7 @@
 			return a, err
 		}
 		excluded = append(excluded, s.Identity)
-		if f.client.Budget == nil || !f.client.Budget.Retry(f.request.Workspace) {
+		if !f.client.mayTryAnother(f.request.Workspace, err, len(excluded)) {
 			return Answer{}, err
 		}
 	}
--- a/lost_service_test.go
+++ b/lost_service_test.go
@@ -35,6 +35,7 @@
 			refused++
 		}
 	}
+	// The call that runs when the server is killed may fail.
 	if refused > 1 {
 		t.Errorf("%d of %d calls were not served beside a free server", refused, all)
 	}
