--- a/deploy/soak/crashing.go
+++ b/deploy/soak/crashing.go
@@ -24,9 +24,9 @@
 const (
 	// crashPrefix begins the body of a request that crashes servers.
 	crashPrefix = "crash-"
-	// crashSpell is how long one such request is repeated, crashPause the longest time between two repetitions.
-	crashSpell = 8 * time.Second
-	crashPause = 600 * time.Millisecond
+	// crashDuration is how long one such request is repeated, crashPause the longest time between two repetitions.
+	crashDuration = 8 * time.Second
+	crashPause    = 600 * time.Millisecond
 	// replaceDelay is how long it takes until a crashed server is replaced.
 	replaceDelay = 500 * time.Millisecond
 )
@@ -121,7 +121,7 @@
 		n := s.crashing.next()
 		kind, body := kinds[n%len(kinds)], fmt.Sprint(crashPrefix, s.seed, "-", n)
 		s.record.note("%s is repeated as %s", body, kind)
-		for i, until := 0, time.Now().Add(crashSpell); time.Now().Before(until) && time.Now().Before(end) && ctx.Err() == nil; i++ {
+		for i, until := 0, time.Now().Add(crashDuration); time.Now().Before(until) && time.Now().Before(end) && ctx.Err() == nil; i++ {
 			entry := r.IntN(len(s.fronts))
 			attempt := fmt.Sprintf("crash%d-%d-%d", n, entry, i)
 			go s.sendCrashingRequest(ctx, entry, kind, attempt, body)
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -85,7 +85,7 @@
 	res.faults = injectFaults(ctx, c.length, s)
 	s.checkRecovery(ctx)
 	// While replicas get signals all the time, hardly any of the requests that crash servers count.
-	sendCrashing(ctx, time.Now().Add(crashSpell), s)
+	sendCrashing(ctx, time.Now().Add(crashDuration), s)
 	stop()
 	all.Wait()
 	s.checkGuarantees()
@@ -101,7 +101,7 @@
 	all.Go(func() { changeLimits(ctx, end, s) })
 	all.Go(func() { evacuateZones(ctx, end, s) })
 	all.Go(func() { sendCrashing(ctx, end, s) })
-	all.Go(func() { changeRests(ctx, end, s) })
+	all.Go(func() { changeBackoffs(ctx, end, s) })
 	n := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults[s.newRandom().IntN(len(faults))]
--- a/deploy/soak/server.go
+++ b/deploy/soak/server.go
@@ -54,9 +54,9 @@
 	stop        context.CancelFunc
 	// engine is nil for servers of the plain service.
 	engine *engine
-	// rests holds the rests that it asks for, leaving the entries that know by its responses that it leaves.
-	rests   *rests
-	leaving *leaving
+	// backoffs holds the backoffs that it requests, leaving the entries that know by its responses that it leaves.
+	backoffs *backoffs
+	leaving  *leaving
 	// crashing records the requests that crash servers, onCrash ends this one.
 	crashing *crashing
 	onCrash  func(s *server)
@@ -86,14 +86,14 @@
 	controls          []string
 	// engine is nil for servers of the plain service.
 	engine   *engine
-	rests    *rests
+	backoffs *backoffs
 	leaving  *leaving
 	crashing *crashing
 	onCrash  func(s *server)
 }
 
 func newServer(c serverConfig) (*server, error) {
-	s := &server{id: c.id, service: c.service, zone: c.zone, executions: c.executions, limits: c.limits, evacuations: c.evacuations, state: "ready", startedAt: time.Now().UnixMilli(), engine: c.engine, rests: c.rests, leaving: c.leaving, crashing: c.crashing, onCrash: c.onCrash}
+	s := &server{id: c.id, service: c.service, zone: c.zone, executions: c.executions, limits: c.limits, evacuations: c.evacuations, state: "ready", startedAt: time.Now().UnixMilli(), engine: c.engine, backoffs: c.backoffs, leaving: c.leaving, crashing: c.crashing, onCrash: c.onCrash}
 	s.http = httptest.NewServer(s)
 	p, err := newProxy(strings.TrimPrefix(s.http.URL, "http://"))
 	if err != nil {
@@ -131,7 +131,7 @@
 	s.recordWhileCold(time.Now())
 	s.limits.recordRequest(id, s, w.Header())
 	w.Header().Set("Attempt-Id", id)
-	if s.rests.refuse(id, s, w) {
+	if s.backoffs.refuse(id, s, w) {
 		return
 	}
 	if s.leaving.recordRequest(id, s) {
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -31,7 +31,7 @@
 	limits      *limits
 	evacuations *evacuations
 	crashing    *crashing
-	rests       *rests
+	backoffs    *backoffs
 	leaving     *leaving
 	seeds       []string
 
@@ -56,7 +56,7 @@
 	}
 	s.seeds = controls[:min(len(controls), seedReplicas)]
 	s.orders, s.limits, s.evacuations, s.crashing = newOrders(r), newLimits(r), newEvacuations(r), newCrashing(r)
-	s.rests, s.leaving = newRests(r, s.limits), newLeaving(r, s.limits)
+	s.backoffs, s.leaving = newBackoffs(r, s.limits), newLeaving(r, s.limits)
 	s.operator = &operator{controls: controls, record: r, orders: s.orders, growth: rand.New(rand.NewPCG(c.seed, 13))}
 	for i, ip := range controls {
 		s.replicas = append(s.replicas, s.newProcess(c, fmt.Sprint("control-", i), "control", ip))
@@ -155,7 +155,7 @@
 	x, err := newServer(serverConfig{
 		id: fmt.Sprint("i-", s.serversStarted), service: service, zone: zones[s.serversStarted%len(zones)],
 		executions: s.executions, limits: s.limits, evacuations: s.evacuations, controls: s.seeds, engine: e,
-		rests: s.rests, leaving: s.leaving, crashing: s.crashing, onCrash: s.crashServer,
+		backoffs: s.backoffs, leaving: s.leaving, crashing: s.crashing, onCrash: s.crashServer,
 	})
 	if err != nil {
 		return err
--- a/internal/base/event/fleet.go
+++ b/internal/base/event/fleet.go
@@ -12,8 +12,8 @@
 	AnnouncementRefused = define(602, log.WarnLevel, "announcement-refused", "An announcement or cache event was refused; the fields code and message say why.")
 	// ServerForgotten is written when a silent backend server is removed.
 	ServerForgotten = define(603, log.InfoLevel, "server-forgotten", "A backend server was silent for a long time and was removed from the table of backend servers.")
-	// ServerRests is written when a server asks a process for rest, and when it accepts requests again.
-	ServerRests = define(604, log.InfoLevel, "server-rests", "A backend server or store asked this process to send it nothing for rest-ms, or accepts its requests again (zero). A control process names it by its address.")
+	// ServerBackoff is written when a server requests a backoff of a process, and when it accepts requests again.
+	ServerBackoff = define(604, log.InfoLevel, "server-backoff", "A backend server or store told this process by Retry-After to send it nothing for backoff-ms, or accepts its requests again (zero). A control process names it by its address.")
 	// OrderGiven is written for each order that is sent to an engine.
 	OrderGiven = define(610, log.InfoLevel, "order-given", "An order was sent to an engine; the fields name it, its fencing number and the reason.")
 	// OrderEnded is written when an order has completed or failed.
--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -105,7 +105,7 @@
 			WeightVersion: j.Model.WeightVersion,
 		})
 	}
-	r.recordRest(a, err)
+	r.recordBackoff(a, err)
 	if err == nil {
 		return nil
 	}
@@ -129,13 +129,13 @@
 		"the chosen model engine takes no new work any more").WithCause(errors.New(string(eligibility)))
 }
 
-// reserve reserves the attempt at an engine that may have asked for rest since it was chosen.
+// reserve reserves the attempt at an engine that may have requested a backoff since it was chosen.
 func (r *router) reserve(a *attempt) error {
-	if _, ok := r.Rests.Reserve(a.server.Announcement().Identity, 0, r.Now()); ok {
+	if _, ok := r.Backoffs.Reserve(a.server.Announcement().Identity, 0, r.Now()); ok {
 		return nil
 	}
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "server-rests", "the chosen model engine has asked for rest").
-		WithRetryAfter(r.Rests.Wait(a.server.Announcement().Identity, r.Now()))
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "server-backoff", "the chosen model engine has requested a backoff").
+		WithRetryAfter(r.Backoffs.Wait(a.server.Announcement().Identity, r.Now()))
 }
 
 // recordLinkBytes records the bytes that the imports add to the stores' links; other entries receive these counts.
--- a/internal/entry/completion/config.go
+++ b/internal/entry/completion/config.go
@@ -14,8 +14,8 @@
 	"hornbeamwood/internal/entry/engine"
 	"hornbeamwood/internal/fleet/membership"
 	"hornbeamwood/internal/policy/admission"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/policy/placement"
-	"hornbeamwood/internal/policy/rest"
 	"hornbeamwood/internal/policy/retry"
 	"hornbeamwood/internal/policy/route"
 )
@@ -75,8 +75,8 @@
 	ReuseEstimator placement.ReuseEstimator
 	// Guard refuses requests that crash their servers.
 	Guard Guard
-	// Rests are the servers that asked this entry for rest; nil for none.
-	Rests rest.Rests
+	// Backoffs are the servers that requested a backoff of this entry; nil for none.
+	Backoffs backoff.Backoffs
 	// Entries is the number of entries of the cell.
 	Entries int
 	// Metrics is the set in which the counters are registered; nil for none.
--- a/internal/entry/completion/evaluation.go
+++ b/internal/entry/completion/evaluation.go
@@ -61,7 +61,7 @@
 		return nil
 	}
 	if !ev.found() {
-		v.RetryAfter = max(v.RetryAfter, ev.view.resting)
+		v.RetryAfter = max(v.RetryAfter, ev.view.backoff)
 	}
 	r.logRefused(j, ev.decision, v)
 	return v.Err()
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -8,8 +8,8 @@
 
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/entry/caller"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/policy/outage"
-	"hornbeamwood/internal/policy/rest"
 )
 
 // Router runs completions.
@@ -34,8 +34,8 @@
 // New returns a Router.
 func New(c Config) Router {
 	c.Random = rand.New(&lockedSource{source: c.Random})
-	if c.Rests == nil {
-		c.Rests = rest.New()
+	if c.Backoffs == nil {
+		c.Backoffs = backoff.New()
 	}
 	m := newRouterMetrics(c.Metrics)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/completion/router_test.go
+++ b/internal/entry/completion/router_test.go
@@ -325,20 +325,20 @@
 	f.table.Announce(time.Now(), a)
 }
 
-// An engine refuses a prompt and asks for rest. Until its end the engine must get nothing; callers are served by the
-// other engine, and are refused with the time of the rest once both have asked for it.
-func TestRestingEngineGetsNothing(t *testing.T) {
+// An engine refuses a prompt and requests a backoff. Until its end the engine must get nothing; callers are served by the
+// other engine, and are refused with the time of the backoff once both have requested it.
+func TestEngineInBackoffGetsNothing(t *testing.T) {
 	for _, status := range []int{429, 503} {
-		testRestingEngine(t, status)
+		testEngineInBackoff(t, status)
 	}
 }
 
-func testRestingEngine(t *testing.T, status int) {
+func testEngineInBackoff(t *testing.T, status int) {
 	f := newFixture(t, 2, 0)
 	for _, e := range []string{"engine-1", "engine-2"} {
 		f.engines.scripts[address(e)] = script{events: []string{"whole"}}
 	}
-	resting := script{refuse: verdict.New(verdict.NotRun, status, codeEngineRefused, "resting").WithRetryAfter(40 * time.Second)}
+	refusing := script{refuse: verdict.New(verdict.NotRun, status, codeEngineRefused, "backoff").WithRetryAfter(40 * time.Second)}
 	complete := func() error {
 		s, err := f.router.Complete(context.Background(), newRequest("short question", 7))
 		if err == nil {
@@ -346,17 +346,17 @@
 		}
 		return err
 	}
-	f.engines.scripts[address("engine-1")] = resting
+	f.engines.scripts[address("engine-1")] = refusing
 	for n := range 10 {
 		if err := complete(); err != nil {
 			t.Fatalf("request %d: %v", n, err)
 		}
 	}
-	f.engines.scripts[address("engine-2")] = resting
+	f.engines.scripts[address("engine-2")] = refusing
 	_ = complete()
 	e, ok := verdict.As(complete())
 	if !ok || e.Verdict != verdict.NotRun || e.RetryAfter < 39*time.Second {
-		t.Errorf("while both engines rest: %+v", e)
+		t.Errorf("while both engines are in backoff: %+v", e)
 	}
 	count := map[string]int{}
 	for _, a := range f.engines.ran() {
--- a/internal/entry/completion/view.go
+++ b/internal/entry/completion/view.go
@@ -15,8 +15,8 @@
 	cell    route.Cell
 	servers []*membership.Server
 	stores  []*membership.Server
-	// resting is how long the engines that have asked for rest do so at least, zero if none has.
-	resting time.Duration
+	// backoff is how long the engines that have requested a backoff are in it at least, zero if none has.
+	backoff time.Duration
 }
 
 // view returns the engines that may get the request and the stores of the cell.
@@ -29,8 +29,8 @@
 			continue
 		}
 		if s.Eligible(now, need) == membership.Eligible {
-			if w := r.Rests.Wait(s.Announcement().Identity, now); w > 0 {
-				v.addResting(w)
+			if w := r.Backoffs.Wait(s.Announcement().Identity, now); w > 0 {
+				v.addBackoff(w)
 				continue
 			}
 			v.servers = append(v.servers, s)
@@ -45,9 +45,9 @@
 	return v
 }
 
-func (v *view) addResting(wait time.Duration) {
-	if v.resting == 0 || wait < v.resting {
-		v.resting = wait
+func (v *view) addBackoff(wait time.Duration) {
+	if v.backoff == 0 || wait < v.backoff {
+		v.backoff = wait
 	}
 }
 
--- a/internal/entry/picker/picker.go
+++ b/internal/entry/picker/picker.go
@@ -16,8 +16,8 @@
 	"hornbeamwood/internal/entry/service"
 	"hornbeamwood/internal/fleet/announcement"
 	"hornbeamwood/internal/fleet/membership"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/policy/outage"
-	"hornbeamwood/internal/policy/rest"
 )
 
 // retryAfter is the Retry-After when no server runs the service, about the duration of a restart.
@@ -37,8 +37,8 @@
 	Work membership.Work
 	// MaxAnnouncementAge returns the maximum age of a server's last announcement.
 	MaxAnnouncementAge func() time.Duration
-	// Rests are the servers that asked this entry for rest; nil for none.
-	Rests rest.Rests
+	// Backoffs are the servers that requested a backoff of this entry; nil for none.
+	Backoffs backoff.Backoffs
 	// Outages are the servers at which this entry's calls have failed; nil for none.
 	Outages outage.Outages
 	// EvacuatedZones returns the availability zones whose servers get no calls.
@@ -61,8 +61,8 @@
 // New returns a service.Picker that picks the server with the fewest calls and, among equals, prefers its own
 // availability zone. A server at which a call has failed since its last announcement comes last.
 func New(c Config) service.Picker {
-	if c.Rests == nil {
-		c.Rests = rest.New()
+	if c.Backoffs == nil {
+		c.Backoffs = backoff.New()
 	}
 	if c.Outages == nil {
 		c.Outages = outage.New()
@@ -82,10 +82,10 @@
 // Pick implements service.Picker.
 func (p *picker) Pick(_ context.Context, r service.Request, excluded []string) (service.Server, error) {
 	now := p.Now()
-	all, resting := p.candidates(now, r.Service, excluded)
-	if len(all) == 0 && resting > 0 {
-		return service.Server{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "servers-rest",
-			"all backend servers of the service have asked for rest").WithRetryAfter(resting)
+	all, inBackoff := p.candidates(now, r.Service, excluded)
+	if len(all) == 0 && inBackoff > 0 {
+		return service.Server{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "servers-backoff",
+			"all backend servers of the service have requested a backoff").WithRetryAfter(inBackoff)
 	}
 	if len(all) == 0 {
 		return service.Server{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no-server",
@@ -94,7 +94,7 @@
 	c := p.choose(all)
 	a := c.server.Announcement()
 	p.Work.Sent(now, c.server.Key(), 0)
-	p.Rests.Reserve(a.Identity, 0, now)
+	p.Backoffs.Reserve(a.Identity, 0, now)
 	event.CallRouted.Write(p.Logger, log.Fields{
 		"request": r.ID, "workspace": r.Workspace, "service": r.Service,
 		"server": a.Identity, "calls": c.calls, "candidates": len(all), "excluded": len(excluded),
@@ -102,8 +102,8 @@
 	return service.Server{Identity: a.Identity, Address: a.Address}, nil
 }
 
-// candidates returns the servers that may get a call, and how long the others rest at least, zero if none does.
-func (p *picker) candidates(now time.Time, name string, excluded []string) (all []candidate, resting time.Duration) {
+// candidates returns the servers that may get a call, and how long the others are in backoff at least, zero if none does.
+func (p *picker) candidates(now time.Time, name string, excluded []string) (all []candidate, inBackoff time.Duration) {
 	need := membership.Need{Kind: announcement.Service, Service: name, Age: p.MaxAnnouncementAge(), EvacuatedZones: p.EvacuatedZones()}
 	view := p.Servers.View()
 	for s := range view.All() {
@@ -111,9 +111,9 @@
 		if slices.Contains(excluded, a.Identity) || s.Eligible(now, need) != membership.Eligible {
 			continue
 		}
-		if w := p.Rests.Wait(a.Identity, now); w > 0 {
-			if resting == 0 || w < resting {
-				resting = w
+		if w := p.Backoffs.Wait(a.Identity, now); w > 0 {
+			if inBackoff == 0 || w < inBackoff {
+				inBackoff = w
 			}
 			continue
 		}
@@ -126,7 +126,7 @@
 			lost:   p.Outages.LostAfter(now.Add(-s.Age(now)), a.Identity),
 		})
 	}
-	return all, resting
+	return all, inBackoff
 }
 
 // choose returns one of the best candidates at random. Otherwise, entries with the
--- a/internal/entry/service/config.go
+++ b/internal/entry/service/config.go
@@ -8,8 +8,8 @@
 
 	"github.com/apex/log"
 
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/policy/outage"
-	"hornbeamwood/internal/policy/rest"
 )
 
 const (
@@ -25,8 +25,8 @@
 	Log Log
 	// Picker chooses servers.
 	Picker Picker
-	// Rests are the servers that asked this entry for rest; default none.
-	Rests rest.Rests
+	// Backoffs are the servers that requested a backoff of this entry; default none.
+	Backoffs backoff.Backoffs
 	// Outages are the servers at which this entry's calls have failed; default none.
 	Outages outage.Outages
 	// Guard refuses calls that crash their servers; nil refuses none.
@@ -74,8 +74,8 @@
 	c.OutcomeWait = orDefault(c.OutcomeWait, 5*time.Second)
 	c.LogTimeout = orDefault(c.LogTimeout, 2*time.Second)
 	c.MaxAnswer = orDefault(c.MaxAnswer, 8<<20)
-	if c.Rests == nil {
-		c.Rests = rest.New()
+	if c.Backoffs == nil {
+		c.Backoffs = backoff.New()
 	}
 	if c.Outages == nil {
 		c.Outages = outage.New()
--- a/internal/entry/service/idempotent.go
+++ b/internal/entry/service/idempotent.go
@@ -42,7 +42,7 @@
 		c.write(event.CallDispatched, r, log.Fields{"attempt": "", "server": s.Identity})
 		sent := c.Now()
 		a, err := c.guarded(ctx, s, r, content, func() (Answer, error) { return c.send(ctx, s, r, c.NewAttempt()) })
-		c.recordRest(s, sent, err)
+		c.recordBackoff(s, sent, err)
 		if err == nil {
 			return a, nil
 		}
--- a/internal/entry/service/settle.go
+++ b/internal/entry/service/settle.go
@@ -36,7 +36,7 @@
 		f.client.write(event.CallDispatched, f.request, log.Fields{"attempt": f.attempt, "server": s.Identity})
 		sent := f.client.Now()
 		a, err := f.client.guarded(ctx, s, f.request, content, func() (Answer, error) { return f.client.sendOnce(ctx, s, f.request, f.attempt) })
-		f.client.recordRest(s, sent, err)
+		f.client.recordBackoff(s, sent, err)
 		if err == nil || verdict.Of(err) != verdict.NotRun {
 			return a, err
 		}
--- a/internal/policy/backoff/backoffs.go
+++ b/internal/policy/backoff/backoffs.go
@@ -1,4 +1,4 @@
-package rest
+package backoff
 
 import (
 	"sync"
@@ -7,40 +7,40 @@
 )
 
 const (
-	// MaxRest bounds one rest, so that one wrong response doesn't take a server out for good. A
-	// server that asks for longer is tried again after it.
-	MaxRest = 5 * time.Minute
-	// probeTimeout is how long after the end of a rest the first request may take to be answered
-	// before the next one is sent. A server that turns requests away does so at once.
+	// Max bounds one backoff, so that one wrong response doesn't take a server out for good. A
+	// server that requests a longer one is tried again after it.
+	Max = 5 * time.Minute
+	// probeTimeout is how long after the end of a backoff the first request may take to be answered
+	// before the next one is sent. A server that refuses requests does so at once.
 	probeTimeout = 250 * time.Millisecond
-	// forgetAfter is how long after its end a rest without a further response is kept.
+	// forgetAfter is how long after its end a backoff without a further response is kept.
 	forgetAfter = 2 * time.Minute
 )
 
-// Rests holds the rests of servers. After its rest a server gets one request at a time until it
-// accepts one, because it may ask for rest again.
-type Rests interface {
-	// Ask records that the server asked for rest. It returns true if the server didn't rest before.
-	Ask(server string, d time.Duration, now time.Time) bool
+// Backoffs holds the backoffs of servers. After its backoff a server gets one request at a time until it
+// accepts one, because it may request a backoff again.
+type Backoffs interface {
+	// Request records that the server requested a backoff. It returns true if the server wasn't in backoff before.
+	Request(server string, d time.Duration, now time.Time) bool
 	// Accept records that the server accepted a request sent at sent. It returns true if that ends
-	// its rest.
+	// its backoff.
 	Accept(server string, sent time.Time) bool
 	// Wait returns how long it is until a request may be sent to the server.
 	Wait(server string, now time.Time) time.Duration
-	// Resting returns whether the server rests. Unlike Wait it doesn't count a request that is reserved.
-	Resting(server string, now time.Time) bool
+	// Active returns whether the server is in backoff. Unlike Wait it doesn't count a request that is reserved.
+	Active(server string, now time.Time) bool
 	// Reserve reserves the next request to the server, which may be sent after the returned time. It
 	// returns false if that is more than maxWait from now.
 	Reserve(server string, maxWait time.Duration, now time.Time) (time.Duration, bool)
 	// Release cancels the last reservation.
 	Release(server string)
-	// Len returns how many servers rest, or have not accepted a request since.
+	// Len returns how many servers are in backoff, or have not accepted a request since.
 	Len() int
 }
 
-// state is one server's rest.
+// state is one server's backoff.
 type state struct {
-	askedAt, until time.Time
+	requestedAt, until time.Time
 	// probeUntil is until when the server gets no request besides the reserved one.
 	probeUntil time.Time
 }
@@ -53,99 +53,99 @@
 	return s.until
 }
 
-type rests struct {
+type backoffs struct {
 	mu      sync.Mutex
 	servers map[string]*state
 	// count is the number of servers; while it is zero, no lock is taken.
 	count atomic.Int64
 }
 
-// New returns Rests of no server.
-func New() Rests {
-	return &rests{servers: map[string]*state{}}
+// New returns Backoffs of no server.
+func New() Backoffs {
+	return &backoffs{servers: map[string]*state{}}
 }
 
-// Ask implements Rests.
-func (r *rests) Ask(server string, d time.Duration, now time.Time) bool {
+// Request implements Backoffs.
+func (b *backoffs) Request(server string, d time.Duration, now time.Time) bool {
 	if d <= 0 {
 		return false
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.sweep(now)
-	s, ok := r.servers[server]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sweep(now)
+	s, ok := b.servers[server]
 	if !ok {
 		s = &state{}
-		r.servers[server] = s
+		b.servers[server] = s
 	}
-	r.count.Store(int64(len(r.servers)))
-	resting := ok && now.Before(s.until)
-	s.askedAt = now
-	if until := now.Add(min(d, MaxRest)); until.After(s.until) {
+	b.count.Store(int64(len(b.servers)))
+	before := ok && now.Before(s.until)
+	s.requestedAt = now
+	if until := now.Add(min(d, Max)); until.After(s.until) {
 		s.until = until
 	}
 	s.probeUntil = time.Time{}
-	return !resting
+	return !before
 }
 
-// sweep removes the rests that ended long ago.
-func (r *rests) sweep(now time.Time) {
-	for server, s := range r.servers {
+// sweep removes the backoffs that ended long ago.
+func (b *backoffs) sweep(now time.Time) {
+	for server, s := range b.servers {
 		if now.Sub(s.until) > forgetAfter {
-			delete(r.servers, server)
+			delete(b.servers, server)
 		}
 	}
 }
 
-// Accept implements Rests. Responses to earlier requests may arrive after the one that asked for rest.
-func (r *rests) Accept(server string, sent time.Time) bool {
-	if r.count.Load() == 0 {
+// Accept implements Backoffs. Responses to earlier requests may arrive after the one that requested a backoff.
+func (b *backoffs) Accept(server string, sent time.Time) bool {
+	if b.count.Load() == 0 {
 		return false
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s, ok := r.servers[server]
-	if !ok || !sent.After(s.askedAt) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[server]
+	if !ok || !sent.After(s.requestedAt) {
 		return false
 	}
-	delete(r.servers, server)
-	r.count.Store(int64(len(r.servers)))
+	delete(b.servers, server)
+	b.count.Store(int64(len(b.servers)))
 	return true
 }
 
-// Wait implements Rests.
-func (r *rests) Wait(server string, now time.Time) time.Duration {
-	if r.count.Load() == 0 {
+// Wait implements Backoffs.
+func (b *backoffs) Wait(server string, now time.Time) time.Duration {
+	if b.count.Load() == 0 {
 		return 0
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s, ok := r.servers[server]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[server]
 	if !ok {
 		return 0
 	}
 	return max(0, s.next().Sub(now))
 }
 
-// Resting implements Rests.
-func (r *rests) Resting(server string, now time.Time) bool {
-	if r.count.Load() == 0 {
+// Active implements Backoffs.
+func (b *backoffs) Active(server string, now time.Time) bool {
+	if b.count.Load() == 0 {
 		return false
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s, ok := r.servers[server]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[server]
 	return ok && now.Before(s.until)
 }
 
-// Reserve implements Rests.
-func (r *rests) Reserve(server string, maxWait time.Duration, now time.Time) (time.Duration, bool) {
-	if r.count.Load() == 0 {
+// Reserve implements Backoffs.
+func (b *backoffs) Reserve(server string, maxWait time.Duration, now time.Time) (time.Duration, bool) {
+	if b.count.Load() == 0 {
 		return 0, true
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s, ok := r.servers[server]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[server]
 	if !ok {
 		return 0, true
 	}
@@ -157,19 +157,19 @@
 	return wait, true
 }
 
-// Release implements Rests.
-func (r *rests) Release(server string) {
-	if r.count.Load() == 0 {
+// Release implements Backoffs.
+func (b *backoffs) Release(server string) {
+	if b.count.Load() == 0 {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s, ok := r.servers[server]; ok {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.servers[server]; ok {
 		s.probeUntil = time.Time{}
 	}
 }
 
-// Len implements Rests.
-func (r *rests) Len() int {
-	return int(r.count.Load())
+// Len implements Backoffs.
+func (b *backoffs) Len() int {
+	return int(b.count.Load())
 }
--- a/internal/policy/backoff/backoffs_test.go
+++ b/internal/policy/backoff/backoffs_test.go
@@ -1,4 +1,4 @@
-package rest
+package backoff
 
 import (
 	"testing"
@@ -9,15 +9,15 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-// Guards against requests during a rest, against many of them at its end, and against a server that gets none
+// Guards against requests during a backoff, against many of them at its end, and against a server that gets none
 // any more.
-func TestServerGetsOneRequestAfterItsRest(t *testing.T) {
+func TestServerGetsOneRequestAfterItsBackoff(t *testing.T) {
 	r := New()
-	if !r.Ask("s", 3*time.Second, start) || r.Ask("s", time.Second, at(100*time.Millisecond)) {
-		t.Fatal("only the first response begins a rest")
+	if !r.Request("s", 3*time.Second, start) || r.Request("s", time.Second, at(100*time.Millisecond)) {
+		t.Fatal("only the first response begins a backoff")
 	}
 	if w := r.Wait("s", at(time.Second)); w != 2*time.Second {
-		t.Fatalf("wait %s, the longer rest holds", w)
+		t.Fatalf("wait %s, the longer backoff holds", w)
 	}
 	if w := r.Wait("other", start); w != 0 {
 		t.Errorf("another server waits %s", w)
@@ -25,8 +25,8 @@
 	if w, ok := r.Reserve("s", time.Second, at(2*time.Second)); !ok || w != time.Second {
 		t.Errorf("the first request waits %s", w)
 	}
-	if !r.Resting("s", at(2*time.Second)) || r.Resting("s", at(3*time.Second)) {
-		t.Error("the reserved request counts as rest")
+	if !r.Active("s", at(2*time.Second)) || r.Active("s", at(3*time.Second)) {
+		t.Error("the reserved request counts as backoff")
 	}
 	if w, ok := r.Reserve("s", time.Second, at(2*time.Second)); ok {
 		t.Errorf("the second one may wait for a second, and is to wait for %s", w)
@@ -34,7 +34,7 @@
 	if w := r.Wait("s", at(3*time.Second)); w != probeTimeout {
 		t.Errorf("the second one waits %s while the first is not answered", w)
 	}
-	r.Ask("s", 2*time.Second, at(3*time.Second))
+	r.Request("s", 2*time.Second, at(3*time.Second))
 	if w := r.Wait("s", at(3*time.Second)); w != 2*time.Second {
 		t.Errorf("after another refusal: %s", w)
 	}
@@ -49,22 +49,22 @@
 
 // Guards against a server that is never used again because a request that was to be sent wasn't, or because of a
 // wrong time.
-func TestRestEnds(t *testing.T) {
+func TestBackoffEnds(t *testing.T) {
 	r := New()
-	r.Ask("s", 1<<62, start)
-	if w := r.Wait("s", start); w != MaxRest {
-		t.Errorf("a huge rest: %s", w)
+	r.Request("s", 1<<62, start)
+	if w := r.Wait("s", start); w != Max {
+		t.Errorf("a huge backoff: %s", w)
 	}
-	r.Reserve("s", 0, at(MaxRest))
+	r.Reserve("s", 0, at(Max))
 	r.Release("s")
-	if w := r.Wait("s", at(MaxRest)); w != 0 {
+	if w := r.Wait("s", at(Max)); w != 0 {
 		t.Errorf("after a released request: %s", w)
 	}
-	r.Reserve("s", 0, at(MaxRest))
-	if w := r.Wait("s", at(MaxRest+probeTimeout)); w != 0 {
+	r.Reserve("s", 0, at(Max))
+	if w := r.Wait("s", at(Max+probeTimeout)); w != 0 {
 		t.Errorf("after a request without an answer: %s", w)
 	}
-	if r.Ask("s", -time.Second, start) || r.Ask("t", 0, start) || r.Len() != 1 {
-		t.Error("a rest of no time counts")
+	if r.Request("s", -time.Second, start) || r.Request("t", 0, start) || r.Len() != 1 {
+		t.Error("a backoff of no time counts")
 	}
 }
--- a/internal/policy/backoff/doc.go
+++ b/internal/policy/backoff/doc.go
@@ -1,2 +1,2 @@
-// Package rest tracks the backend servers that have asked an entry to send them nothing for a while.
-package rest
+// Package backoff tracks the backend servers that have told a process by Retry-After to send them nothing for a while.
+package backoff
--- a/internal/policy/backoff/error.go
+++ b/internal/policy/backoff/error.go
@@ -1,11 +1,11 @@
-package rest
+package backoff
 
 import (
 	"fmt"
 	"time"
 )
 
-// Error is a response by which a server refused a call and asked for rest.
+// Error is a response by which a server refused a call and requested a backoff.
 type Error struct {
 	// Status is the response's HTTP status.
 	Status int
@@ -15,5 +15,5 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	return fmt.Sprintf("the server refused with status %d and asks for a rest of %s", e.Status, e.For)
+	return fmt.Sprintf("the server refused with status %d and requests a backoff of %s", e.Status, e.For)
 }
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -27,9 +27,9 @@
 	"hornbeamwood/internal/fleet/orders"
 	fleetquic "hornbeamwood/internal/fleet/quic"
 	"hornbeamwood/internal/policy/admission"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/policy/outage"
 	"hornbeamwood/internal/policy/placement"
-	"hornbeamwood/internal/policy/rest"
 	"hornbeamwood/internal/policy/retry"
 	"hornbeamwood/internal/policy/route"
 	"hornbeamwood/internal/process/platform"
@@ -63,7 +63,7 @@
 	if err := p.buildGuard(&x); err != nil {
 		return x, err
 	}
-	x.rests = rest.New()
+	x.backoffs = backoff.New()
 	x.engines = engine.New(engine.Config{Logger: logger})
 	retries := retry.New(retry.Config{})
 	x.services = p.buildServices(&x, retries)
@@ -154,10 +154,10 @@
 	return service.New(service.Config{
 		Log: x.control,
 		Picker: picker.New(picker.Config{
-			Servers: x.table, Work: x.work, MaxAnnouncementAge: age, EvacuatedZones: evacuated, Rests: x.rests, Outages: outages, Zone: p.config.File.Zone,
+			Servers: x.table, Work: x.work, MaxAnnouncementAge: age, EvacuatedZones: evacuated, Backoffs: x.backoffs, Outages: outages, Zone: p.config.File.Zone,
 			Now: time.Now, Random: newRandom(), Logger: p.config.Logger,
 		}),
-		Rests:       x.rests,
+		Backoffs:    x.backoffs,
 		Outages:     outages,
 		Guard:       x.guard.Calls(),
 		Budget:      newBudget(retries, x.settings),
@@ -180,7 +180,7 @@
 		Retry:          retries,
 		ReuseEstimator: placement.NewReuseEstimator(reusePrior),
 		Guard:          x.guard,
-		Rests:          x.rests,
+		Backoffs:       x.backoffs,
 		Entries:        max(1, len(p.config.File.Entries)),
 		Metrics:        p.metrics,
 		Logger:         p.config.Logger,
--- a/internal/process/entry/components.go
+++ b/internal/process/entry/components.go
@@ -21,7 +21,7 @@
 	"hornbeamwood/internal/entry/settings"
 	"hornbeamwood/internal/fleet/membership"
 	fleetquic "hornbeamwood/internal/fleet/quic"
-	"hornbeamwood/internal/policy/rest"
+	"hornbeamwood/internal/policy/backoff"
 )
 
 const (
@@ -48,7 +48,7 @@
 	// directory is this entry's share of the cache directory.
 	directory   directory.Directory
 	guard       quarantine.Guard
-	rests       rest.Rests
+	backoffs    backoff.Backoffs
 	orderIssuer backend.OrderIssuer
 	exports     completion.Exports
 }
--- a/internal/process/sitecontrol/backoff_clients.go
+++ b/internal/process/sitecontrol/backoff_clients.go
@@ -9,79 +9,79 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
-	"hornbeamwood/internal/policy/rest"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/weights"
 )
 
-var errResting = errors.New("the server rests")
+var errBackoff = errors.New("the server is in backoff")
 
-// rested makes no calls to servers that have asked for rest. It knows them by their addresses, because
+// backoffCaller makes no calls to servers that have requested a backoff. It knows them by their addresses, because
 // stores have no other name.
-type rested struct {
-	rests  rest.Rests
-	logger log.Interface
+type backoffCaller struct {
+	backoffs backoff.Backoffs
+	logger   log.Interface
 }
 
-// call makes a call unless the server rests, and records a rest that the response asks for.
-func call[T any](r *rested, address string, f func() (T, error)) (T, error) {
+// call makes a call unless the server is in backoff, and records a backoff that the response requests.
+func call[T any](r *backoffCaller, address string, f func() (T, error)) (T, error) {
 	sentAt := time.Now()
-	if _, ok := r.rests.Reserve(address, 0, sentAt); !ok {
+	if _, ok := r.backoffs.Reserve(address, 0, sentAt); !ok {
 		var none T
-		return none, fmt.Errorf("%s: %w", address, errResting)
+		return none, fmt.Errorf("%s: %w", address, errBackoff)
 	}
 	v, err := f()
 	r.record(address, err, sentAt)
 	return v, err
 }
 
-func (r *rested) record(address string, err error, sentAt time.Time) {
-	var asked *rest.Error
+func (r *backoffCaller) record(address string, err error, sentAt time.Time) {
+	var requested *backoff.Error
 	now := time.Now()
-	if errors.As(err, &asked) && r.rests.Ask(address, asked.For, now) {
-		event.ServerRests.Write(r.logger, log.Fields{"server": address, "rest-ms": asked.For.Milliseconds()})
+	if errors.As(err, &requested) && r.backoffs.Request(address, requested.For, now) {
+		event.ServerBackoff.Write(r.logger, log.Fields{"server": address, "backoff-ms": requested.For.Milliseconds()})
 	}
-	if err == nil && r.rests.Accept(address, sentAt) {
-		event.ServerRests.Write(r.logger, log.Fields{"server": address, "rest-ms": 0})
+	if err == nil && r.backoffs.Accept(address, sentAt) {
+		event.ServerBackoff.Write(r.logger, log.Fields{"server": address, "backoff-ms": 0})
 	}
 }
 
-// restedEngines is a weights.Client.
-type restedEngines struct {
-	*rested
+// backoffEngines is a weights.Client.
+type backoffEngines struct {
+	*backoffCaller
 	client weights.Client
 }
 
 // Report implements weights.Client.
-func (e restedEngines) Report(ctx context.Context, s directory.Server) (weights.Report, error) {
-	return call(e.rested, s.Address, func() (weights.Report, error) { return e.client.Report(ctx, s) })
+func (e backoffEngines) Report(ctx context.Context, s directory.Server) (weights.Report, error) {
+	return call(e.backoffCaller, s.Address, func() (weights.Report, error) { return e.client.Report(ctx, s) })
 }
 
 // Order implements weights.Client.
-func (e restedEngines) Order(ctx context.Context, s directory.Server, o weights.Order) (weights.Outcome, error) {
-	return call(e.rested, s.Address, func() (weights.Outcome, error) { return e.client.Order(ctx, s, o) })
+func (e backoffEngines) Order(ctx context.Context, s directory.Server, o weights.Order) (weights.Outcome, error) {
+	return call(e.backoffCaller, s.Address, func() (weights.Outcome, error) { return e.client.Order(ctx, s, o) })
 }
 
-// restedStores is a stores.Client.
-type restedStores struct {
-	*rested
+// backoffStores is a stores.Client.
+type backoffStores struct {
+	*backoffCaller
 	client stores.Client
 }
 
 // Events implements stores.Client.
-func (s restedStores) Events(ctx context.Context, address string, next int64, wait time.Duration) (stores.Feed, error) {
-	return call(s.rested, address, func() (stores.Feed, error) { return s.client.Events(ctx, address, next, wait) })
+func (s backoffStores) Events(ctx context.Context, address string, next int64, wait time.Duration) (stores.Feed, error) {
+	return call(s.backoffCaller, address, func() (stores.Feed, error) { return s.client.Events(ctx, address, next, wait) })
 }
 
 // List implements stores.Client.
-func (s restedStores) List(ctx context.Context, address string) (stores.Listing, error) {
-	return call(s.rested, address, func() (stores.Listing, error) { return s.client.List(ctx, address) })
+func (s backoffStores) List(ctx context.Context, address string) (stores.Listing, error) {
+	return call(s.backoffCaller, address, func() (stores.Listing, error) { return s.client.List(ctx, address) })
 }
 
 // Free implements stores.Client.
-func (s restedStores) Free(ctx context.Context, address string, epoch int64, parts []stores.Part, until int64) error {
-	_, err := call(s.rested, address, func() (struct{}, error) {
+func (s backoffStores) Free(ctx context.Context, address string, epoch int64, parts []stores.Part, until int64) error {
+	_, err := call(s.backoffCaller, address, func() (struct{}, error) {
 		return struct{}{}, s.client.Free(ctx, address, epoch, parts, until)
 	})
 	return err
--- a/internal/process/sitecontrol/backoff_clients_test.go
+++ b/internal/process/sitecontrol/backoff_clients_test.go
@@ -10,7 +10,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"hornbeamwood/internal/policy/rest"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/weights"
@@ -47,13 +47,13 @@
 	return r.err
 }
 
-// Guards against calls of any kind to a server that rests, to which calls of another kind may have been refused,
-// and against a server that rests for ever.
-func TestNoCallsDuringARest(t *testing.T) {
+// Guards against calls of any kind to a server that backoffs, to which calls of another kind may have been refused,
+// and against a server that backoffs for ever.
+func TestNoCallsDuringABackoff(t *testing.T) {
 	ctx, engine := context.Background(), directory.Server{ID: "i-1", Address: "a:1"}
-	s := &refusingServer{err: fmt.Errorf("report: %w", &rest.Error{Status: 503, For: 100 * time.Millisecond})}
-	r := &rested{rests: rest.New(), logger: &log.Logger{Handler: discard.New()}}
-	engines, kept := restedEngines{r, s}, restedStores{r, s}
+	s := &refusingServer{err: fmt.Errorf("report: %w", &backoff.Error{Status: 503, For: 100 * time.Millisecond})}
+	r := &backoffCaller{backoffs: backoff.New(), logger: &log.Logger{Handler: discard.New()}}
+	engines, kept := backoffEngines{r, s}, backoffStores{r, s}
 	calls := []func(address string) error{
 		func(a string) error {
 			_, err := engines.Report(ctx, directory.Server{ID: "i-1", Address: a})
@@ -72,14 +72,14 @@
 	if s.calls != 1 {
 		t.Errorf("the server got %d calls", s.calls)
 	}
-	if err := calls[0]("b:1"); errors.Is(err, errResting) {
-		t.Error("another server counts as resting")
+	if err := calls[0]("b:1"); errors.Is(err, errBackoff) {
+		t.Error("another server counts as in backoff")
 	}
 	s.err = nil
 	time.Sleep(100 * time.Millisecond)
 	for i, do := range calls {
 		if err := do(engine.Address); err != nil {
-			t.Errorf("call %d after the rest: %v", i, err)
+			t.Errorf("call %d after the backoff: %v", i, err)
 		}
 	}
 }
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -23,7 +23,7 @@
 	"hornbeamwood/internal/control/state"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
-	"hornbeamwood/internal/policy/rest"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/settings/lease"
 	"hornbeamwood/internal/site/chunk"
 	"hornbeamwood/internal/site/directory"
@@ -92,8 +92,8 @@
 
 // New opens the data folder and the sockets of a control process.
 func New(c Config) (Process, error) {
-	r := &rested{rests: rest.New(), logger: c.Logger}
-	c.Engines, c.Stores = restedEngines{r, c.Engines}, restedStores{r, c.Stores}
+	r := &backoffCaller{backoffs: backoff.New(), logger: c.Logger}
+	c.Engines, c.Stores = backoffEngines{r, c.Engines}, backoffStores{r, c.Stores}
 	p := &process{config: c, metrics: metrics.NewSet(), table: rowtable.New(uint64(time.Now().UnixNano())), loaded: map[string]topic.LoadedWeights{}}
 	p.host.Store(&c.Host)
 	p.shownRevision.Store(noDocument)
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -19,7 +19,7 @@
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/node/tcp"
-	"hornbeamwood/internal/policy/rest"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/policy/suspicion"
 	"hornbeamwood/internal/process/platform"
 	"hornbeamwood/internal/serve/backend"
@@ -90,7 +90,7 @@
 	client   backend.Client
 	budget   retry.Budget
 	limits   limit.Limits
-	rests    rest.Rests
+	backoffs backoff.Backoffs
 	guard    quarantine.Guard
 	handler  http.Handler
 	metrics  *metrics.Set
@@ -136,12 +136,12 @@
 	b := c.Host.Bounds
 	p.budget = retry.NewBudget(retry.Terms{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack})
 	p.limits = limit.New(limit.Config{Random: rand.Float64, OnCapacity: queue.LocalCapacityFreed, Logger: c.Logger})
-	p.rests = rest.New()
+	p.backoffs = backoff.New()
 	p.guard = quarantine.New(quarantine.Config{RespondedAt: func(server string) time.Time { return p.tracker.Stats(server).RespondedAt }, Logger: c.Logger})
 	p.site.applyQuarantine = func(f suspicion.Fingerprint, period section.Period) { p.guard.Apply(f, period, time.Now()) }
 	p.handler = caller.New(caller.Config{
 		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: p.tracker, Residency: residency, PeerLoads: peerLoads, Queue: queue,
-		Budget: p.budget, Limits: p.limits, Guard: p.guard, Rests: p.rests, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Stopping: p.stopping, Refusing: p.refusing, Metrics: p.metrics, Logger: c.Logger,
+		Budget: p.budget, Limits: p.limits, Guard: p.guard, Backoffs: p.backoffs, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Stopping: p.stopping, Refusing: p.refusing, Metrics: p.metrics, Logger: c.Logger,
 	})
 	p.registerMetrics()
 	return p, nil
@@ -152,7 +152,7 @@
 	p.metrics.NewGauge("hornbeamwood_site_waiting", func() float64 { return float64(p.queue.Len()) })
 	p.metrics.NewGauge("hornbeamwood_site_connections", func() float64 { return float64(p.conns.count()) })
 	p.metrics.NewGauge("hornbeamwood_site_limited_servers", func() float64 { return float64(p.limits.Len()) })
-	p.metrics.NewGauge("hornbeamwood_site_resting_servers", func() float64 { return float64(p.rests.Len()) })
+	p.metrics.NewGauge("hornbeamwood_site_backoff_servers", func() float64 { return float64(p.backoffs.Len()) })
 	p.metrics.NewGauge("hornbeamwood_site_quarantined", func() float64 { return float64(p.guard.Len()) })
 	p.metrics.NewGauge("hornbeamwood_site_document", func() float64 {
 		if t := p.site.Table(); t != nil {
--- a/internal/serve/caller/availability.go
+++ b/internal/serve/caller/availability.go
@@ -6,30 +6,30 @@
 	"hornbeamwood/internal/site/directory"
 )
 
-// serverWait returns how long it is until a request may be sent to the server, which may rest or have
+// serverWait returns how long it is until a request may be sent to the server, which may be in backoff or have
 // a limit.
 func (j *job) serverWait(server string, now time.Time) time.Duration {
-	return max(j.Rests.Wait(server, now), j.Limits.Wait(server, now))
+	return max(j.Backoffs.Wait(server, now), j.Limits.Wait(server, now))
 }
 
 // reserveServer reserves a request to the server that may be sent after the returned time. It returns
 // false if that is more than maxWait from now.
 func (j *job) reserveServer(server string, maxWait time.Duration, now time.Time) (time.Duration, bool) {
-	rest, ok := j.Rests.Reserve(server, maxWait, now)
+	wait, ok := j.Backoffs.Reserve(server, maxWait, now)
 	if !ok {
 		return 0, false
 	}
 	limit, ok := j.Limits.Reserve(server, maxWait, now)
 	if !ok {
-		j.Rests.Release(server)
+		j.Backoffs.Release(server)
 		return 0, false
 	}
-	return max(rest, limit), true
+	return max(wait, limit), true
 }
 
 // releaseServer cancels a reservation.
 func (j *job) releaseServer(server string) {
-	j.Rests.Release(server)
+	j.Backoffs.Release(server)
 	j.Limits.Release(server, time.Now())
 }
 
--- a/internal/serve/caller/backoff_test.go
+++ b/internal/serve/caller/backoff_test.go
@@ -10,10 +10,10 @@
 	"time"
 )
 
-// askForRest rejects the first n requests and asks for rest, and answers the others.
-func askForRest(n int64, rest string, answer script) script {
+// requestBackoff rejects the first n requests and requests a backoff, and answers the others.
+func requestBackoff(n int64, retryAfter string, answer script) script {
 	var count atomic.Int64
-	reject := answerStatus(http.StatusServiceUnavailable, "A-Not-Run: 1\r\nA-Rest: "+rest+"\r\n")
+	reject := answerStatus(http.StatusServiceUnavailable, "A-Not-Run: 1\r\nA-Retry-After: "+retryAfter+"\r\n")
 	return func(s *scriptedServer, c net.Conn, q *http.Request) bool {
 		if count.Add(1) <= n {
 			return reject(s, c, q)
@@ -28,38 +28,38 @@
 	return err == nil
 }
 
-// Guards against requests that reach a resting server while another one is free, also when the request was
+// Guards against requests that reach a server in backoff while another one is free, also when the request was
 // rejected there first.
-func TestRestingServerGetsNothing(t *testing.T) {
-	f := newFixture(t, askForRest(1, "1m", answerOK("rested")), answerOK("second"))
+func TestServerInBackoffGetsNothing(t *testing.T) {
+	f := newFixture(t, requestBackoff(1, "1m", answerOK("after the backoff")), answerOK("second"))
 	for i := range 10 {
 		if g := f.request(t, strconv.Itoa(i), http.MethodPost, "/once/x"); g.status != http.StatusOK {
 			t.Fatalf("request %d got %+v", i, g)
 		}
 	}
 	if n := f.servers[0].count(); n != 1 {
-		t.Errorf("the resting server got %d requests", n)
+		t.Errorf("the server in backoff got %d requests", n)
 	}
 }
 
-// Guards against requests to a resting server that didn't promise that the request has not run.
-func TestRestCountsWithoutThePromiseOfARejection(t *testing.T) {
+// Guards against requests to a server in backoff that didn't promise that the request has not run.
+func TestBackoffCountsWithoutThePromiseOfARejection(t *testing.T) {
 	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
-		f := newFixture(t, answerStatus(status, "A-Stamp: x\r\nA-Rest: 1m\r\n"), answerOK("second"))
+		f := newFixture(t, answerStatus(status, "A-Stamp: x\r\nA-Retry-After: 1m\r\n"), answerOK("second"))
 		for i := range 10 {
 			f.request(t, strconv.Itoa(i), http.MethodPost, "/once/x")
 		}
 		if n := f.servers[0].count(); n != 1 {
-			t.Errorf("%d: the resting server got %d requests", status, n)
+			t.Errorf("%d: the server in backoff got %d requests", status, n)
 		}
 	}
 }
 
-// Guards against requests that are held although no server rests short enough, and against refusals that send
+// Guards against requests that are held although no server backoffs short enough, and against refusals that send
 // callers back too early.
-func TestRequestIsRefusedAtOnceWhileAllServersRest(t *testing.T) {
+func TestRequestIsRefusedAtOnceWhileAllServersAreInBackoff(t *testing.T) {
 	for _, kind := range []string{"read", "once", "stream"} {
-		f := newFixture(t, askForRest(1, "1m", answerOK("rested")))
+		f := newFixture(t, requestBackoff(1, "1m", answerOK("after the backoff")))
 		for _, id := range []string{"rejected", "refused"} {
 			began := time.Now()
 			g := f.request(t, id, http.MethodPost, "/"+kind+"/x")
@@ -69,25 +69,25 @@
 			}
 		}
 		if n := f.servers[0].count(); n != 1 {
-			t.Errorf("%s: the resting server got %d requests", kind, n)
+			t.Errorf("%s: the server in backoff got %d requests", kind, n)
 		}
 	}
 }
 
-// Guards against prompts that are refused although an engine's short rest ends in time for them, and against
+// Guards against prompts that are refused although an engine's short backoff ends in time for them, and against
 // prompts that wait in vain for a long one.
-func TestPromptWaitsForShortRestOnly(t *testing.T) {
-	f := newFixture(t, askForRest(1, "300ms", streamOne))
+func TestPromptWaitsForShortBackoffOnly(t *testing.T) {
+	f := newFixture(t, requestBackoff(1, "300ms", streamOne))
 	if status := <-f.prompt(t); status != http.StatusServiceUnavailable {
 		t.Fatalf("the rejected prompt got %d", status)
 	}
 	waiting := []<-chan int{f.prompt(t), f.prompt(t), f.prompt(t)}
 	for _, w := range waiting {
 		if status := <-w; status != http.StatusOK {
-			t.Errorf("a prompt that could wait for the rest got %d", status)
+			t.Errorf("a prompt that could wait for the backoff got %d", status)
 		}
 	}
-	f = newFixture(t, askForRest(1, "1m", streamOne))
+	f = newFixture(t, requestBackoff(1, "1m", streamOne))
 	<-f.prompt(t)
 	began := time.Now()
 	if status := <-f.prompt(t); status != http.StatusServiceUnavailable || time.Since(began) > 500*time.Millisecond {
@@ -95,15 +95,15 @@
 	}
 }
 
-// Guards against a request that reached its server in a rest that began while the request waited for the server's limit.
-func TestRequestThatWaitsForLimitHonorsRest(t *testing.T) {
+// Guards against a request that reached its server in a backoff that began while the request waited for the server's limit.
+func TestRequestThatWaitsForLimitHonorsBackoff(t *testing.T) {
 	f := newFixture(t, respondWithLimit("2"))
 	f.config.Limits.SetEntries(1)
 	f.request(t, "first", http.MethodPost, "/once/x")
 	answered := make(chan result, 1)
 	go func() { answered <- f.request(t, "second", http.MethodPost, "/once/x") }()
 	time.Sleep(100 * time.Millisecond)
-	f.config.Rests.Ask("s0", time.Minute, time.Now())
+	f.config.Backoffs.Request("s0", time.Minute, time.Now())
 	g := <-answered
 	if after, err := strconv.ParseFloat(g.header.Get("Retry-After"), 64); g.status != http.StatusServiceUnavailable || err != nil || after < 59 {
 		t.Errorf("status %d, Retry-After %q", g.status, g.header.Get("Retry-After"))
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// candidates returns the servers of the service that were not tried yet, don't rest and whose limits
+// candidates returns the servers of the service that were not tried yet, aren't in backoff and whose limits
 // allow a request, with the load of all entries.
 func (j *job) candidates(now time.Time) []choose.Candidate {
 	all := make([]choose.Candidate, 0, len(j.Site.Servers(j.service.Name)))
@@ -106,7 +106,7 @@
 }
 
 // engineExpected returns whether an engine that was not tried yet is expected to accept
-// requests again soon: it carries out an order, needs newer weights, rests, or its limit allows no
+// requests again soon: it carries out an order, needs newer weights, backoffs, or its limit allows no
 // request now.
 func (j *job) engineExpected() bool {
 	now := time.Now()
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -8,7 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
-	"hornbeamwood/internal/policy/rest"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/choose"
 	"hornbeamwood/internal/serve/limit"
@@ -110,8 +110,8 @@
 	Budget retry.Budget
 	// Limits are the limits that servers announce, and those of cold servers.
 	Limits limit.Limits
-	// Rests are the servers that asked this entry for rest.
-	Rests rest.Rests
+	// Backoffs are the servers that requested a backoff of this entry.
+	Backoffs backoff.Backoffs
 	// Guard keeps requests that crash servers from being sent.
 	Guard quarantine.Guard
 	// ColdFactor and ColdSlack bound the requests that a cold server may get in any second:
--- a/internal/serve/caller/engine_wait.go
+++ b/internal/serve/caller/engine_wait.go
@@ -94,7 +94,7 @@
 }
 
 // refuseUnservable returns whether no engine may get the request in time for its caller, because all
-// rest or have limits, and then sets the refusal.
+// are in backoff or have limits, and then sets the refusal.
 func (j *job) refuseUnservable() bool {
 	now := time.Now()
 	for s := range j.untried() {
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"hornbeamwood/internal/policy/rest"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/choose"
 	"hornbeamwood/internal/serve/limit"
@@ -57,8 +57,8 @@
 	if v, err := strconv.ParseFloat(h.Get("A-Limit"), 64); err == nil {
 		a.Limit = &v
 	}
-	if d, err := time.ParseDuration(h.Get("A-Rest")); err == nil {
-		a.Rest = d
+	if d, err := time.ParseDuration(h.Get("A-Retry-After")); err == nil {
+		a.RetryAfter = d
 	}
 	return a
 }
@@ -234,7 +234,7 @@
 		PeerLoads: share.NewPeerLoads("e"), Queue: f.queue,
 		Budget:   retry.NewBudget(retry.Terms{Ratio: 1, Window: time.Second, Slack: 100}),
 		Limits:   limit.New(limit.Config{Random: func() float64 { return 0 }, OnCapacity: f.queue.LocalCapacityFreed}),
-		Rests:    rest.New(),
+		Backoffs: backoff.New(),
 		Guard:    quarantine.New(quarantine.Config{RespondedAt: func(string) time.Time { return time.Time{} }}),
 		Stopping: never, Refusing: never, Metrics: metrics.NewSet(),
 	}
--- a/internal/serve/caller/limit.go
+++ b/internal/serve/caller/limit.go
@@ -14,7 +14,7 @@
 	// limitReached is the reason of a refusal when the limits of all servers allow no request.
 	limitReached = "server-limit"
 	// limitWaitShare is the share of a caller's remaining time for which its request waits for a
-	// server's limit; the rest is for the response.
+	// server's limit; the backoff is for the response.
 	limitWaitShare = 0.5
 )
 
@@ -28,9 +28,9 @@
 		if !ok {
 			return choice{}, false
 		}
-		// The process may have been suspended, and the server may have left or asked for rest in the meantime.
+		// The process may have been suspended, and the server may have left or requested a backoff in the meantime.
 		j.Site.AwaitFreshState(ctx)
-		if ctx.Err() == nil && j.stillReady(s) && !j.Rests.Resting(s.ID, time.Now()) {
+		if ctx.Err() == nil && j.stillReady(s) && !j.Backoffs.Active(s.ID, time.Now()) {
 			return choice{
 				server: s, dispatch: j.dispatch(time.Now()), reserved: true,
 				fields: log.Fields{"kind": "limited", "waited-ms": time.Since(began).Milliseconds()},
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -13,7 +13,7 @@
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
-	"hornbeamwood/internal/policy/rest"
+	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/serve/request"
@@ -71,7 +71,7 @@
 	return status != http.StatusMisdirectedRequest && (answer.Stamped || answer.NotRun || answer.Attempt != "")
 }
 
-// recordAvailability records whether the server leaves, the limit that it announces and the rest that
+// recordAvailability records whether the server leaves, the limit that it announces and the backoff that
 // it asks for, or that it has none.
 func (j *job) recordAvailability(a *observe.Attempt, status int, answer request.Answer) {
 	if answer.Leaving {
@@ -79,22 +79,22 @@
 	}
 	now := time.Now()
 	j.Limits.Observe(a.Server, answer.Limit, a.SentAt, now)
-	if rest.Refuses(status) && answer.Rest > 0 {
-		j.recordRest(a.Server, answer.Rest, now)
+	if backoff.Refuses(status) && answer.RetryAfter > 0 {
+		j.recordBackoff(a.Server, answer.RetryAfter, now)
 		return
 	}
-	if j.Rests.Accept(a.Server, a.SentAt) {
-		event.ServerRests.Write(j.Logger, log.Fields{"server": a.Server, "rest-ms": 0})
+	if j.Backoffs.Accept(a.Server, a.SentAt) {
+		event.ServerBackoff.Write(j.Logger, log.Fields{"server": a.Server, "backoff-ms": 0})
 		j.Queue.LocalCapacityFreed()
 	}
 }
 
-// recordRest records that the server asked for rest, and wakes requests that wait for it afterwards.
-func (j *job) recordRest(server string, d time.Duration, now time.Time) {
-	if j.Rests.Ask(server, d, now) {
-		event.ServerRests.Write(j.Logger, log.Fields{"server": server, "rest-ms": d.Milliseconds()})
+// recordBackoff records that the server requested a backoff, and wakes requests that wait for it afterwards.
+func (j *job) recordBackoff(server string, d time.Duration, now time.Time) {
+	if j.Backoffs.Request(server, d, now) {
+		event.ServerBackoff.Write(j.Logger, log.Fields{"server": server, "backoff-ms": d.Milliseconds()})
 	}
-	time.AfterFunc(j.Rests.Wait(server, now), j.Queue.LocalCapacityFreed)
+	time.AfterFunc(j.Backoffs.Wait(server, now), j.Queue.LocalCapacityFreed)
 }
 
 // invalidReason returns why a successful response cannot be forwarded, empty if it can.
@@ -123,7 +123,7 @@
 	return reason
 }
 
-// drain reads the rest of a short response, so that its connection can be reused.
+// drain reads the backoff of a short response, so that its connection can be reused.
 func drain(x *backend.Exchange) {
 	const most = 16 << 10
 	if _, err := io.CopyN(io.Discard, x, most); errors.Is(err, io.EOF) {
--- a/internal/serve/request/answer.go
+++ b/internal/serve/request/answer.go
@@ -20,9 +20,9 @@
 	Limit *float64
 	// Leaving is set if the server states that it leaves.
 	Leaving bool
-	// Rest is for how long a server that answers 503 or 429 wants no further requests from this
+	// RetryAfter is for how long a server that answers 503 or 429 wants no further requests from this
 	// entry, zero if not stated.
-	Rest time.Duration
+	RetryAfter time.Duration
 	// Version is the version of the weights; zero if not stated.
 	Version int64
 }
--- a/internal/standin/backend/backoffs.go
+++ b/internal/standin/backend/backoffs.go
@@ -9,52 +9,52 @@
 	"time"
 )
 
-// RestsPath is where a resting stand-in reports what it has got.
-const RestsPath = "/standin/rests"
+// BackoffsPath is where a stand-in in backoff reports what it has got.
+const BackoffsPath = "/standin/backoffs"
 
-// restGrace is how long after it has asked for rest a server may get further requests, which were on their way.
-const restGrace = 500 * time.Millisecond
+// backoffGrace is how long after it has requested a backoff a server may get further requests, which were on their way.
+const backoffGrace = 500 * time.Millisecond
 
-// RestReport counts the requests that a server has got while it rested.
-type RestReport struct {
+// BackoffReport counts the requests that a server has got in backoff.
+type BackoffReport struct {
 	// Refused are those that it has refused, Late those among them that came more than half a second after the
-	// first of a rest, the first two of each rest left out.
+	// first of a backoff, the first two of each backoff left out.
 	Refused int `json:"refused"`
 	Late    int `json:"late"`
 }
 
-type rests struct {
-	handler        http.Handler
-	interval, rest time.Duration
-	startedAt      time.Time
+type backoffs struct {
+	handler            http.Handler
+	interval, duration time.Duration
+	startedAt          time.Time
 
 	mu     sync.Mutex
-	report RestReport
-	// number is the rest that goes on, askedAt when it was first asked for, late the requests after that.
-	number  int
-	askedAt time.Time
-	late    int
+	report BackoffReport
+	// number is the backoff that goes on, requestedAt when it was first requested, late the requests after that.
+	number      int
+	requestedAt time.Time
+	late        int
 }
 
-// WithRests returns a handler that refuses work for rest at the end of each interval and asks for rest until then.
+// WithBackoffs returns a handler that refuses work for duration at the end of each interval and requests a backoff until then.
 // Other requests than work, such as orders, are served.
-func WithRests(h http.Handler, interval, rest time.Duration) http.Handler {
-	if rest <= 0 || rest >= interval {
+func WithBackoffs(h http.Handler, interval, duration time.Duration) http.Handler {
+	if duration <= 0 || duration >= interval {
 		return h
 	}
-	return &rests{handler: h, interval: interval, rest: rest, startedAt: time.Now()}
+	return &backoffs{handler: h, interval: interval, duration: duration, startedAt: time.Now()}
 }
 
 // ServeHTTP implements http.Handler.
-func (r *rests) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+func (b *backoffs) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	switch {
-	case q.URL.Path == RestsPath:
-		r.mu.Lock()
-		report := r.report
-		r.mu.Unlock()
+	case q.URL.Path == BackoffsPath:
+		b.mu.Lock()
+		report := b.report
+		b.mu.Unlock()
 		WriteJSON(w, http.StatusOK, report)
-	case !isWork(q) || !r.refuse(w, time.Now()):
-		r.handler.ServeHTTP(w, q)
+	case !isWork(q) || !b.refuse(w, time.Now()):
+		b.handler.ServeHTTP(w, q)
 	}
 }
 
@@ -68,30 +68,30 @@
 	return true
 }
 
-func (r *rests) refuse(w http.ResponseWriter, now time.Time) bool {
-	since := now.Sub(r.startedAt)
-	left := r.interval - since%r.interval
-	if left > r.rest {
+func (b *backoffs) refuse(w http.ResponseWriter, now time.Time) bool {
+	since := now.Sub(b.startedAt)
+	left := b.interval - since%b.interval
+	if left > b.duration {
 		return false
 	}
-	r.record(int(since/r.interval), now)
+	b.record(int(since/b.interval), now)
 	w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(left.Seconds()))))
-	WriteError(w, http.StatusServiceUnavailable, true, "resting", "the server has asked for rest")
+	WriteError(w, http.StatusServiceUnavailable, true, "backoff", "the server has requested a backoff")
 	return true
 }
 
-func (r *rests) record(number int, now time.Time) {
+func (b *backoffs) record(number int, now time.Time) {
 	const allowed = 2
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.report.Refused++
-	if r.report.Refused == 1 || number != r.number {
-		r.number, r.askedAt, r.late = number, now, 0
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.report.Refused++
+	if b.report.Refused == 1 || number != b.number {
+		b.number, b.requestedAt, b.late = number, now, 0
 	}
-	if now.Sub(r.askedAt) <= restGrace {
+	if now.Sub(b.requestedAt) <= backoffGrace {
 		return
 	}
-	if r.late++; r.late > allowed {
-		r.report.Late++
+	if b.late++; b.late > allowed {
+		b.report.Late++
 	}
 }
--- a/internal/standin/process/file.go
+++ b/internal/standin/process/file.go
@@ -38,8 +38,8 @@
 	// StartDelay delays the first announcement.
 	StartDelay Duration `toml:"start-delay"`
 
-	// Rest makes the server refuse work at times and ask for rest.
-	Rest RestFile `toml:"rest"`
+	// Backoff makes the server refuse work at times and request a backoff.
+	Backoff BackoffFile `toml:"backoff"`
 	// Engine holds the settings of engines.
 	Engine EngineFile `toml:"engine"`
 	// Service holds the settings of plain services.
@@ -50,8 +50,8 @@
 	Weights WeightsFile `toml:"weights"`
 }
 
-// RestFile is the rest table of a File: a rest of Time at the end of each Interval.
-type RestFile struct {
+// BackoffFile is the backoff table of a File: a backoff of Time at the end of each Interval.
+type BackoffFile struct {
 	Interval Duration `toml:"interval"`
 	Time     Duration `toml:"time"`
 }
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -45,7 +45,7 @@
 		return fmt.Errorf("standin: %w", err)
 	}
 	s := build(f.withDefaults(), l.Addr().String())
-	h := &http.Server{Handler: backend.WithRests(s.handler, time.Duration(f.Rest.Interval), time.Duration(f.Rest.Time)), ReadHeaderTimeout: headerTimeout}
+	h := &http.Server{Handler: backend.WithBackoffs(s.handler, time.Duration(f.Backoff.Interval), time.Duration(f.Backoff.Time)), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- h.Serve(l) }()
 	fmt.Fprintf(w, "ready %s\n", l.Addr())
--- a/server_backoff_test.go
+++ b/server_backoff_test.go
@@ -9,16 +9,16 @@
 	"hornbeamwood/internal/standin/backend"
 )
 
-const restTable = "[rest]\ninterval = \"4s\"\ntime = \"2s\"\n"
+const backoffTable = "[backoff]\ninterval = \"4s\"\ntime = \"2s\"\n"
 
-// Guards against work for engines and services that have asked for rest, and against callers that are refused
+// Guards against work for engines and services that have requested a backoff, and against callers that are refused
 // although another server is free.
-func TestRestingServersGetNoWork(t *testing.T) {
+func TestServersInBackoffGetNoWork(t *testing.T) {
 	f := newFleet(t, 3, 1)
 	f.startNodes()
-	resting := []*host{
-		f.startStandin("engine-1", "engine", restTable+engineTable),
-		f.startStandin("stamp-1", "service", restTable+"[service]\nnames = [\"stamp\"]\n"),
+	inBackoff := []*host{
+		f.startStandin("engine-1", "engine", backoffTable+engineTable),
+		f.startStandin("stamp-1", "service", backoffTable+"[service]\nnames = [\"stamp\"]\n"),
 	}
 	f.startStandin("engine-2", "engine", engineTable)
 	f.startStandin("stamp-2", "service", "[service]\nnames = [\"stamp\"]\n")
@@ -44,8 +44,8 @@
 	if refused > 0 {
 		t.Errorf("%d of %d requests were not served", refused, 2*n)
 	}
-	for _, h := range resting {
-		r := getJSON[backend.RestReport](t, h.url()+backend.RestsPath)
+	for _, h := range inBackoff {
+		r := getJSON[backend.BackoffReport](t, h.url()+backend.BackoffsPath)
 		if r.Refused == 0 || r.Late > 0 {
 			t.Errorf("%s refused %d requests, %d of them too late", h.name, r.Refused, r.Late)
 		}
