outage: failures of servers that never come back are forgotten

Cause: an entry kept the last failure of each server for good; it was dropped only when the same server was seen again. Each start of a server has another identity, so the entry's memory grew with each server that was lost.

Found by reading, not seen on a process. Failures are kept for a minute, far longer than a last announcement is valid. TestOutageEnds failed before: "100 failures are kept".

--- a/internal/policy/outage/outages.go
+++ b/internal/policy/outage/outages.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// forgetAfter is how long a failure is kept. The last announcement of a server is valid for seconds.
+const forgetAfter = time.Minute
+
 // Outages records when a request last failed in a way that suggests that its server is lost.
 type Outages interface {
 	// Add records such a failure.
@@ -32,6 +35,11 @@
 func (o *outages) Add(now time.Time, server string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for s, t := range o.at {
+		if now.Sub(t) > forgetAfter {
+			delete(o.at, s)
+		}
+	}
 	o.at[server] = now
 }
 
