--- a/internal/serve/caller/limit.go
+++ b/internal/serve/caller/limit.go
@@ -14,7 +14,7 @@
 	// limitReached is the reason of a refusal when the limits of all servers allow no request.
 	limitReached = "server-limit"
 	// limitWaitShare is the share of a caller's remaining time for which its request waits for a
-	// server's limit; the backoff is for the response.
+	// server's limit; the rest is for the response.
 	limitWaitShare = 0.5
 )
 
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -123,7 +123,7 @@
 	return reason
 }
 
-// drain reads the backoff of a short response, so that its connection can be reused.
+// drain reads the rest of a short response, so that its connection can be reused.
 func drain(x *backend.Exchange) {
 	const most = 16 << 10
 	if _, err := io.CopyN(io.Discard, x, most); errors.Is(err, io.EOF) {
