Logs tell a server's software and which stream goes on after which event

attempt-routed named the server of each attempt, but not its software, nor that the attempt went on with a stream that had begun elsewhere. The hypotheses of the incident (a choice among all versions, resumes that nothing connects with their first attempt, rows that lag) could not be told apart.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -21,7 +21,7 @@
 	// VersionNamed is written when a replica answers an order for new weights.
 	VersionNamed = define(905, log.InfoLevel, "version-named", "An operator's order for new weights was answered; error says why it wasn't accepted.")
 	// ServerAnnounced is written when the recorded state of a backend server changes.
-	ServerAnnounced = define(906, log.InfoLevel, "server-announced", "The recorded state of a backend server has changed; the fields give its start, sequence and state.")
+	ServerAnnounced = define(906, log.InfoLevel, "server-announced", "The recorded state of a backend server has changed; the fields give its start, sequence, software and state.")
 	// AnnouncementNotAcknowledged is written when an announcement is not acknowledged.
 	AnnouncementNotAcknowledged = define(907, log.WarnLevel, "announcement-not-acknowledged", "An announcement wasn't acknowledged, so that the server sends it to another replica; error says why.")
 	// DocumentRead is written when an operator reads the document.
@@ -29,7 +29,7 @@
 	// DocumentShown is written when a replica has applied another document and offers it to the processes that poll it.
 	DocumentShown = define(909, log.InfoLevel, "document-shown", "The replica offers the document with the given number to entries; routes, chunks and bytes give its size.")
 	// AttemptRouted is written for each attempt at a backend server.
-	AttemptRouted = define(910, log.InfoLevel, "attempt-routed", "A request is sent to the named server; the fields give the inputs of the choice.")
+	AttemptRouted = define(910, log.InfoLevel, "attempt-routed", "A request is sent to the named server; the fields give the inputs of the choice, the version of the server's software and, for a stream that goes on, after which event and which attempt the caller names as its first.")
 	// RequestEnded is written when a caller has its final answer.
 	RequestEnded = define(911, log.InfoLevel, "request-ended", "A request has ended; the fields give status, attempts, verdict and time, cut whether the caller's connection was closed without a complete answer, and silent-ms how long the server of the last failed attempt had sent nothing.")
 	// AttemptFailed is written when an attempt at a server gave no answer that can be forwarded.
--- a/internal/process/sitecontrol/announcements.go
+++ b/internal/process/sitecontrol/announcements.go
@@ -68,7 +68,7 @@
 	a.lastChanged[s.ID] = time.Now()
 	a.mu.Unlock()
 	event.ServerAnnounced.Write(a.logger, log.Fields{
-		"server": s.ID, "service": s.Service, "address": s.Address, "zone": s.Zone, "born": s.StartedAt,
+		"server": s.ID, "service": s.Service, "address": s.Address, "zone": s.Zone, "software": s.Software, "born": s.StartedAt,
 		"sequence": s.Sequence, "state": s.State.String(), "silent": s.Silent, "home": s.HomeReplica,
 	})
 	return a.show(s)
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -234,7 +234,7 @@
 	if _, matters := s.directory.Merge(v); matters {
 		s.confirmEngineCache(v)
 		event.ServerAnnounced.Write(s.logger, log.Fields{
-			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "born": v.StartedAt,
+			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "software": v.Software, "born": v.StartedAt,
 			"sequence": v.Sequence, "state": v.State.String(), "silent": v.Silent, "home": v.HomeReplica,
 		})
 	}
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -23,8 +23,11 @@
 	Key string
 	// Prompt is set if the request contains a prompt for an engine.
 	Prompt *Prompt
-	// LastEvent is the last event that the caller received from an earlier attempt; zero for none.
+	// LastEvent is the last event that the caller received from earlier attempts; zero for none.
 	LastEvent int64
+	// FirstAttempt is the attempt whose response contained the first event of the stream that the caller resumes;
+	// empty if the caller names none. It may be any text.
+	FirstAttempt string
 }
 
 // Prompt describes the input and output of an engine.
