Streams go on only at servers with the software that began them

What callers saw: events of two software versions of a service in one stream, within one response after their server crashed, and over their own tries after their entry was killed.

Cause: what a server announces of its software (Server.Software) was stored and read by nobody. A stream that had begun was handled like a new request with an offset: the choice, the wait queue, the successor of a silent server and the wait for a limit took any server of the service, and nothing connected a caller's resume with the attempt that had begun the stream.

Change: job.servers is the one place that says where a request may run; all choices go through it. A stream is bound to the software of the server that sends its first event (origin.Origin), read from the announcement of the incarnation that runs it. Before the caller gets that event the entry has two control replicas keep the origin, one of them acknowledged; a resume asks all replicas at once. When no replica knows the origin, the stream goes on only if the service has had one software for minutes; else it is refused at once. Keys hold the caller's workspace, so that a foreign attempt looks like an unknown one, and records are bounded in number and time. A stream that waits counts the capacity of the servers where it may go on (Admit, Forecast). A restart under the same ID with other software makes the origin uncertain if the first event came right before its announcement, and a server that has refused a connection isn't chosen before it announces itself again.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -48,6 +48,8 @@
 	ColdServerLimited = define(924, log.InfoLevel, "cold-server-limited", "The entry limits its requests to a server that may be cold, or does so no longer; most is the number of requests that all entries may send to it in a second, entries how many share it.")
 	// ServerBrittle is written when an entry begins or ends to limit its requests to a brittle server.
 	ServerBrittle = define(928, log.InfoLevel, "server-brittle", "A backend server falls over when it has to reject more than tolerated requests in a second, so that the entry limits its requests to it by its load; or it is brittle no longer (tolerated is zero). Entries says how many entries send to it.")
+	// StreamOrigin is written when a caller resumes a stream.
+	StreamOrigin = define(929, log.InfoLevel, "stream-origin", "A caller resumes a stream; the fields give the attempt that it names as the first, the software that began it and how that was found: known (recorded by the entry that sent the first event), inferred (all servers of the service have the same), unknown, or unanswered (some control replicas gave no answer).")
 	// QuarantineChanged is written by an entry when a request is quarantined or cleared.
 	QuarantineChanged = define(925, log.WarnLevel, "quarantine-changed", "A request that crashes servers is quarantined or cleared; refuted says that this entry answered it after the first loss, since-ms is the time since that loss.")
 	// LeaderNotFound is written once when a replica searches for the leader without success.
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -28,6 +28,7 @@
 	"hornbeamwood/internal/site/chunk"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/host"
+	"hornbeamwood/internal/site/origin"
 	"hornbeamwood/internal/site/rowtable"
 	"hornbeamwood/internal/site/section"
 	"hornbeamwood/internal/site/stores"
@@ -177,6 +178,9 @@
 	rpc.Handle(p.node, watch.Peers, func(_ context.Context, _ rpc.Peer, q watch.PeersQuery) ([]watch.Peer, error) {
 		return server.Peers(q), nil
 	})
+	origins := origin.NewStore()
+	origin.Serve(p.node, origins)
+	p.metrics.NewGauge("hornbeamwood_site_origins", func() float64 { return float64(origins.Len()) })
 	rpc.Receive(p.node, watch.PartUses, func(_ rpc.Peer, hashes []uint64) { p.storeFollower.use(hashes) })
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Method: watch.Watch, Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.table.Epoch()), Apply: p.applyRows, Prepare: p.relay.prepare, Logger: p.config.Logger,
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -36,6 +36,7 @@
 	"hornbeamwood/internal/serve/waitqueue"
 	"hornbeamwood/internal/site/chunk"
 	"hornbeamwood/internal/site/host"
+	"hornbeamwood/internal/site/origin"
 	"hornbeamwood/internal/site/parts"
 	"hornbeamwood/internal/site/watch"
 )
@@ -161,7 +162,7 @@
 	p.site.applyQuarantine = func(f suspicion.Fingerprint, period section.Period) { p.guard.Apply(f, period, time.Now()) }
 	p.handler = caller.New(caller.Config{
 		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: p.tracker, Residency: residency, PeerLoads: peerLoads, Queue: queue,
-		Budget: p.budget, Limits: p.limits, Guard: p.guard, Backoffs: p.backoffs, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Stopping: p.stopping, Refusing: p.refusing, Isolated: p.isolated, Trial: p.trial, ReportBackoff: p.tunnels.ReportBackoff, Metrics: p.metrics, Logger: c.Logger,
+		Budget: p.budget, Limits: p.limits, Guard: p.guard, Backoffs: p.backoffs, Origins: origin.New(origin.Config{Node: p.node, Zone: c.Host.Zone, Replicas: p.originReplicas, Metrics: p.metrics}), ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Stopping: p.stopping, Refusing: p.refusing, Isolated: p.isolated, Trial: p.trial, ReportBackoff: p.tunnels.ReportBackoff, Metrics: p.metrics, Logger: c.Logger,
 	})
 	p.registerMetrics()
 	return p, nil
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -88,6 +88,7 @@
 	// usedParts holds the hashes of the parts that were requested.
 	usedParts   map[uint64]struct{}
 	evacuations *evacuations
+	software    *softwareChanges
 }
 
 func newSite(logger log.Interface, residency parts.Residency, peerLoads share.PeerLoads, onPeerLoads func()) *site {
@@ -114,6 +115,7 @@
 		mirroredStates: map[string]*holderState{},
 		usedParts:      map[uint64]struct{}{},
 		evacuations:    newEvacuations(),
+		software:       newSoftwareChanges(),
 	}
 	s.suspension = newSuspensionGuard(s.ageStates)
 	time.AfterFunc(startupWait, func() { s.storesKnownOnce.Do(func() { close(s.storesKnown) }) })
@@ -189,6 +191,7 @@
 func (s *site) forgetServer(id string) {
 	s.directory.Forget(id)
 	s.residency.Forget(id)
+	s.software.forget(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.engineCaches, id)
@@ -231,7 +234,11 @@
 }
 
 func (s *site) applyServer(v directory.Server) {
-	if _, matters := s.directory.Merge(v); matters {
+	newer, matters := s.directory.Merge(v)
+	if newer {
+		s.software.observe(v, time.Now())
+	}
+	if matters {
 		s.confirmEngineCache(v)
 		event.ServerAnnounced.Write(s.logger, log.Fields{
 			"server": v.ID, "service": v.Service, "address": v.Address, "zone": v.Zone, "software": v.Software, "born": v.StartedAt,
@@ -320,8 +327,8 @@
 const serversPollInterval = 10 * time.Millisecond
 
 // AwaitServers implements caller.Site.
-func (s *site) AwaitServers(ctx context.Context, service string) {
-	for time.Since(s.startedAt) < startupWait && len(s.Servers(service)) == 0 && !s.Withdrawn(service) {
+func (s *site) AwaitServers(ctx context.Context, known func() bool) {
+	for time.Since(s.startedAt) < startupWait && !known() {
 		if !wait.For(ctx, serversPollInterval) {
 			return
 		}
--- a/internal/process/siteentry/site_test.go
+++ b/internal/process/siteentry/site_test.go
@@ -34,13 +34,13 @@
 	defer announced.Stop()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	s.AwaitServers(ctx, "x")
+	s.AwaitServers(ctx, func() bool { return len(s.Servers("x")) > 0 })
 	if ctx.Err() != nil || len(s.Servers("x")) != 1 {
 		t.Error("the request continued without a server")
 	}
 	s.startedAt = s.startedAt.Add(-startupWait)
 	began := time.Now()
-	s.AwaitServers(ctx, "none")
+	s.AwaitServers(ctx, func() bool { return false })
 	if time.Since(began) > time.Second {
 		t.Error("a process past its startup wait waits for a service without servers")
 	}
--- a/internal/serve/caller/availability.go
+++ b/internal/serve/caller/availability.go
@@ -54,13 +54,13 @@
 	return j.stillReady(s) && !j.Backoffs.Active(s.ID, now) && !j.Limits.Paused(s.ID, now) && j.Limits.Covers(s.ID, j.reservedAt)
 }
 
-// clearTime returns how long it is until any server of the service may get a request, zero if one may
+// clearTime returns how long it is until any server where the request may run may get it, zero if one may
 // get it now.
 func (j *job) clearTime(now time.Time) time.Duration {
-	var least time.Duration
-	for i, s := range j.Site.Servers(j.service.Name) {
-		if w := j.serverWait(s.ID, now); i == 0 || w < least {
-			least = w
+	least, any := time.Duration(0), false
+	for s := range j.servers() {
+		if w := j.serverWait(s.ID, now); !any || w < least {
+			least, any = w, true
 		}
 	}
 	return least
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -37,10 +37,10 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-// untried yields the servers of the service that were not tried yet.
+// untried yields the servers where the request may run and that were not tried yet.
 func (j *job) untried() iter.Seq[directory.Server] {
 	return func(yield func(directory.Server) bool) {
-		for _, s := range j.Site.Servers(j.service.Name) {
+		for s := range j.servers() {
 			if !slices.Contains(j.tried, s.ID) && !yield(s) {
 				return
 			}
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -20,6 +20,7 @@
 	"hornbeamwood/internal/serve/waitqueue"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/origin"
 	"hornbeamwood/internal/site/parts"
 )
 
@@ -42,14 +43,23 @@
 	// AwaitFreshState returns at once, except in a process that was suspended and has just
 	// resumed: there it waits for updates, or for a short timeout.
 	AwaitFreshState(ctx context.Context)
-	// AwaitServers returns once a server of the service is known, or ctx ends. It returns at once
-	// if the process has run for a while.
-	AwaitServers(ctx context.Context, service string)
+	// AwaitServers returns once known returns true, or ctx ends. It returns at once if the process
+	// has run for a while.
+	AwaitServers(ctx context.Context, known func() bool)
 	// AwaitStores returns once the stores' inventories are known, or ctx ends. It returns at once
 	// if the process has run for a while.
 	AwaitStores(ctx context.Context)
 	// Servers returns the ready servers of a service.
 	Servers(service string) []directory.Server
+	// OnlySoftware returns the version of the software of all servers that the service has had for some
+	// minutes. It returns false if they differ, or if the entry may not have heard of some.
+	OnlySoftware(service string) (string, bool)
+	// SoftwareCertain returns whether a stream that began at that time ran on the incarnation that the
+	// origin names, and not on a later one with other software.
+	SoftwareCertain(o origin.Origin, began time.Time) bool
+	// RestartExpected returns whether the server may have restarted with other software since its last
+	// announcement, because it refused a connection at that time.
+	RestartExpected(s directory.Server, refusedAt time.Time) bool
 	// Withdrawn returns whether all ready servers of a service are in evacuated zones.
 	Withdrawn(service string) bool
 	// Cold returns whether the server may be cold. Servers of its service stay cold for coldTime.
@@ -112,6 +122,8 @@
 	Limits limit.Limits
 	// Backoffs are the servers that requested a backoff of this entry.
 	Backoffs backoff.Backoffs
+	// Origins records how streams begin.
+	Origins origin.Origins
 	// Guard keeps requests that crash servers from being sent.
 	Guard quarantine.Guard
 	// ColdFactor and ColdSlack bound the requests that a cold server may get in any second:
--- a/internal/serve/caller/engine_wait.go
+++ b/internal/serve/caller/engine_wait.go
@@ -127,7 +127,8 @@
 	for u := range j.urgency() + 1 {
 		wanted += own[u] + j.PeerLoads.Load(share.QueueKey(u), now).ReservedTokens
 	}
-	return waitqueue.Admit(c.free, wanted, since, j.PeerLoads.PropagationDelay(), randomFraction())
+	// Requests that may go to any server take only a part of the capacity of those where this one may run.
+	return waitqueue.Admit(c.free, int(j.serverShare()*float64(wanted)), since, j.PeerLoads.PropagationDelay(), randomFraction())
 }
 
 // queueItem returns the queue item of the request.
@@ -140,11 +141,15 @@
 		}
 		last = wait.Earlier(last, since.Add(j.route.CallerEventTimeout))
 	}
-	return waitqueue.Item{
+	item := waitqueue.Item{
 		Rank:   waitqueue.Rank{TargetTime: j.arrived.Add(j.route.LatencyTarget - min(expectedFirstEvent, j.route.LatencyTarget/2)), Urgency: j.urgency()},
 		Tokens: j.neededTokens(),
 		SendBy: last.Add(-expectedFirstEvent),
 	}
+	if j.begun != nil {
+		item.Engines = waitqueue.Engines{Group: j.begun.origin.Software, Share: j.serverShare()}
+	}
+	return item
 }
 
 // neededTokens returns how many tokens of an engine's memory the request needs.
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -27,6 +27,7 @@
 	"hornbeamwood/internal/serve/waitqueue"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/origin"
 	"hornbeamwood/internal/site/parts"
 )
 
@@ -121,13 +122,16 @@
 	return s.outdated
 }
 
-func (s *fakeSite) Table() document.Table                { return s.table }
-func (s *fakeSite) AwaitDocument(context.Context)        {}
-func (s *fakeSite) AwaitFreshState(context.Context)      {}
-func (s *fakeSite) AwaitStores(context.Context)          {}
-func (s *fakeSite) StoreStateAge() time.Duration         { return 0 }
-func (s *fakeSite) AwaitServers(context.Context, string) {}
-func (s *fakeSite) Withdrawn(string) bool                { return s.withdrawn }
+func (s *fakeSite) Table() document.Table                            { return s.table }
+func (s *fakeSite) AwaitDocument(context.Context)                    {}
+func (s *fakeSite) AwaitFreshState(context.Context)                  {}
+func (s *fakeSite) AwaitStores(context.Context)                      {}
+func (s *fakeSite) StoreStateAge() time.Duration                     { return 0 }
+func (s *fakeSite) AwaitServers(context.Context, func() bool)        {}
+func (s *fakeSite) OnlySoftware(string) (string, bool)               { return "", false }
+func (s *fakeSite) SoftwareCertain(origin.Origin, time.Time) bool    { return true }
+func (s *fakeSite) RestartExpected(directory.Server, time.Time) bool { return false }
+func (s *fakeSite) Withdrawn(string) bool                            { return s.withdrawn }
 func (s *fakeSite) Cold(directory.Server, time.Duration, time.Time) bool {
 	return false
 }
@@ -140,6 +144,21 @@
 func (s *fakeSite) FetchDeadline() int64                      { return 0 }
 func (s *fakeSite) Entries() int                              { return 1 }
 
+// fakeOrigins keeps origins in this process.
+type fakeOrigins struct{ origin.Store }
+
+func (o fakeOrigins) Record(k origin.Key, x origin.Origin, lifetime time.Duration) {
+	o.Put(k, x, lifetime, time.Now())
+}
+
+func (o fakeOrigins) Find(_ context.Context, k origin.Key) (origin.Found, origin.Outcome) {
+	f, ok := o.Get(k, time.Now())
+	if !ok {
+		return f, origin.Unknown
+	}
+	return f, origin.Known
+}
+
 // script responds to one request on a connection and returns whether the connection stays
 // open.
 type script func(s *scriptedServer, c net.Conn, q *http.Request) bool
@@ -212,7 +231,7 @@
 		f.servers = append(f.servers, x)
 		// The first server is the nearest, so that it is tried first.
 		zone := "z" + strconv.Itoa(i)
-		f.site.servers = append(f.site.servers, directory.Server{ID: fmt.Sprint("s", i), StartedAt: 1, Address: l.Addr().String(), Zone: zone, Slots: 100 / (i + 1)})
+		f.site.servers = append(f.site.servers, directory.Server{ID: fmt.Sprint("s", i), StartedAt: 1, Service: "s", Software: "v1", Address: l.Addr().String(), Zone: zone, Slots: 100 / (i + 1)})
 	}
 	shares := []document.Share{{Service: "s", Weight: 1}}
 	f.site.table = document.NewTable(document.Document{
@@ -238,6 +257,7 @@
 		Budget:   retry.NewBudget(retry.Terms{Ratio: 1, Window: time.Second, Slack: 100}),
 		Limits:   limit.New(limit.Config{Random: func() float64 { return 0 }, OnCapacity: f.queue.LocalCapacityFreed}),
 		Backoffs: backoff.New(),
+		Origins:  fakeOrigins{origin.NewStore()},
 		Guard:    quarantine.New(quarantine.Config{RespondedAt: func(string) time.Time { return time.Time{} }}),
 		Stopping: never, Refusing: never, Isolated: never, Trial: never, Metrics: metrics.NewSet(),
 	}
--- a/internal/serve/caller/gateway.go
+++ b/internal/serve/caller/gateway.go
@@ -69,7 +69,7 @@
 	if table == nil {
 		return j.reject(http.StatusServiceUnavailable, "no-document", retrySoon)
 	}
-	j.revision = table.Document().Revision
+	j.document, j.revision = table, table.Document().Revision
 	if most := table.Document().Limits.HeaderBytes; most > 0 && headerBytes(q) > most {
 		return j.reject(http.StatusRequestHeaderFieldsTooLarge, "headers-too-large", 0)
 	}
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -53,6 +53,8 @@
 	workspace document.Workspace
 	service   document.Service
 	revision  int64
+	// document is the one that was in force when the request arrived.
+	document document.Table
 
 	// tried are the servers that are left out of the choice, tries how many attempts there were.
 	tried []string
@@ -74,8 +76,11 @@
 	verdict verdict.Verdict
 	// serverFailure is a failure response of a server, forwarded if no attempt succeeds.
 	serverFailure *response
-	// streamed is the state of a stream that is forwarded.
+	// streamed is the state of a stream that is forwarded, begun how the stream began here or at an earlier
+	// attempt, nil before its first event. server is the one that was tried last.
 	streamed streamState
+	begun    *begun
+	server   directory.Server
 
 	// content is the fingerprint of the request once fingerprinted is set.
 	content       suspicion.Fingerprint
@@ -103,6 +108,10 @@
 	j.Budget.RecordRequest(j.service.Name, j.arrived)
 	// A caller that stops reading would hold the handler and its memory for ever.
 	_ = http.NewResponseController(j.writer).SetWriteDeadline(j.deadline.Add(writeGrace))
+	if !j.findOrigin(ctx) {
+		j.giveUp(j.refusal)
+		return
+	}
 	for {
 		if callerCtx.Err() != nil {
 			j.abandon()
@@ -126,8 +135,11 @@
 			return
 		}
 		if !ok {
-			if j.Site.Withdrawn(j.service.Name) {
+			switch {
+			case j.Site.Withdrawn(j.service.Name):
 				j.refusal, j.clearAfter = evacuated, evacuationRetry
+			case j.begun != nil && !j.hasServer():
+				j.refusal, j.clearAfter = noSoftware, softwareRetry
 			}
 			if (j.streamed.started || j.refusal == "") && j.awaitSuccessor(ctx) {
 				continue
@@ -263,12 +275,12 @@
 // just started. Servers announce themselves about once a second, and a refused caller would
 // retry later than that.
 func (j *job) awaitServers(ctx context.Context) {
-	if len(j.Site.Servers(j.service.Name)) > 0 {
+	if j.hasServer() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Until(j.deadline)/2)
 	defer cancel()
-	j.Site.AwaitServers(ctx, j.service.Name)
+	j.Site.AwaitServers(ctx, func() bool { return j.hasServer() || j.Site.Withdrawn(j.service.Name) })
 }
 
 // try sends the request to a server and forwards its response. It returns false if another
@@ -277,6 +289,7 @@
 	// A caller that vanishes makes the attempt panic, and so does a defect.
 	defer j.leave()
 	now := time.Now()
+	j.server = c.server
 	j.tried = append(j.tried, c.server.ID)
 	j.tries++
 	j.granted = false
--- /dev/null
+++ b/internal/serve/caller/origin.go
@@ -0,0 +1,134 @@
+package caller
+
+import (
+	"context"
+	"iter"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/site/directory"
+	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/origin"
+)
+
+const (
+	// unknownOrigin is the reason of a refusal when it isn't known which software began the stream that a
+	// caller resumes.
+	unknownOrigin = "unknown-first-attempt"
+	// noSoftware is the reason of a refusal when no server has the software that began a stream.
+	noSoftware = "no-server-of-software"
+	// softwareRetry is the retry time while no server has the software that began a stream: servers that crash
+	// are back after some seconds.
+	softwareRetry = 2 * time.Second
+	// originMargin is how much longer than its caller waits the origin of a stream is kept.
+	originMargin = 5 * time.Second
+	// inferred is the outcome of a search for an origin when all servers of the service have the same software.
+	inferred = origin.Outcome("inferred")
+)
+
+// begun is how the stream of a request began.
+type begun struct {
+	origin origin.Origin
+	at     time.Time
+}
+
+// servers yields the ready servers where the request may run. A stream that has begun goes on only with the software
+// that began it, since the events of two versions don't fit together.
+func (j *job) servers() iter.Seq[directory.Server] {
+	return func(yield func(directory.Server) bool) {
+		if j.begun == nil {
+			slices.Values(j.Site.Servers(j.service.Name))(yield)
+			return
+		}
+		o := j.begun.origin
+		if !j.Site.SoftwareCertain(o, j.begun.at) {
+			o = o.WithoutSoftware()
+		}
+		for _, s := range j.Site.Servers(j.service.Name) {
+			if o.Allows(s) && !j.Site.RestartExpected(s, j.Tracker.Stats(s.ID).RefusedAt) && !yield(s) {
+				return
+			}
+		}
+	}
+}
+
+// hasServer returns whether the request may run at any server, tried or not.
+func (j *job) hasServer() bool {
+	for range j.servers() {
+		return true
+	}
+	return false
+}
+
+// serverShare returns the share of the service's servers at which the request may run.
+func (j *job) serverShare() float64 {
+	if j.begun == nil {
+		return 1
+	}
+	n := 0
+	for range j.servers() {
+		n++
+	}
+	return float64(n) / float64(max(1, len(j.Site.Servers(j.service.Name))))
+}
+
+// begin records how a stream begins, before the caller gets its first event. If the entry were lost right after that,
+// no other entry could tell where a resumed stream may go on.
+func (j *job) begin() {
+	if j.begun != nil {
+		return
+	}
+	j.begun = &begun{origin.At(j.server), time.Now()}
+	if !j.route.Retryable() {
+		return
+	}
+	lifetime := max(j.request.CallerTimeout, j.deadline.Sub(j.arrived)) + originMargin
+	j.Origins.Record(origin.NewKey(j.workspace.Name, j.request.Attempt), j.begun.origin, lifetime)
+}
+
+// findOrigin finds out how the stream began that the caller resumes, if it does. It returns false if that stays
+// unknown; then going on could join events of two versions.
+func (j *job) findOrigin(ctx context.Context) bool {
+	if j.route.Kind != document.Streaming || j.request.LastEvent == 0 {
+		return true
+	}
+	start := time.Now()
+	found, outcome := j.Origins.Find(ctx, origin.NewKey(j.workspace.Name, j.request.FirstAttempt))
+	if outcome == origin.Known && !j.useService(found.Origin.Service) {
+		outcome = origin.Unknown
+	}
+	if outcome != origin.Known {
+		if software, ok := j.Site.OnlySoftware(j.service.Name); ok {
+			found, outcome = origin.Found{Origin: origin.Origin{Service: j.service.Name, Software: software}}, inferred
+		}
+	}
+	event.StreamOrigin.Write(j.Logger, log.Fields{
+		"request": j.request.Attempt, "first-attempt": j.request.FirstAttempt, "outcome": string(outcome), "service": found.Origin.Service,
+		"software": found.Origin.Software, "server": found.Origin.Server, "age-ms": found.Age.Milliseconds(), "took-ms": time.Since(start).Milliseconds(),
+	})
+	switch outcome {
+	case origin.Known, inferred:
+		j.begun = &begun{found.Origin, time.Now().Add(-found.Age)}
+		return true
+	case origin.Unanswered:
+		j.refusal = unknownOrigin
+	default:
+		j.refusal, j.clearAfter = unknownOrigin, softwareRetry
+	}
+	return false
+}
+
+// useService selects the service of a resumed stream. It returns false if the route doesn't lead to it any more.
+func (j *job) useService(name string) bool {
+	leads := slices.ContainsFunc(j.route.Shares, func(s document.Share) bool { return s.Service == name && s.Weight > 0 })
+	if !leads {
+		return false
+	}
+	if name != j.service.Name {
+		j.service, _ = j.document.Service(name)
+	}
+	return true
+}
--- a/internal/serve/caller/stream.go
+++ b/internal/serve/caller/stream.go
@@ -88,6 +88,7 @@
 		return errOutOfOrder
 	}
 	if !j.streamed.started {
+		j.begin()
 		j.forwardHead(x.Response)
 	}
 	now := time.Now()
--- a/internal/serve/waitqueue/forecast.go
+++ b/internal/serve/waitqueue/forecast.go
@@ -27,11 +27,13 @@
 	if !known {
 		return Forecast{Unservable: !now.Before(w.SendBy)}
 	}
-	before, total := 0, 0
+	rate *= w.Engines.share()
+	before, total := 0.0, 0.0
 	for _, o := range all {
-		total += o.Tokens
+		tokens := w.Engines.load(o.Engines) * float64(o.Tokens)
+		total += tokens
 		if o != w && o.Rank.before(w.Rank, now) && o.competes(w.Item) {
-			before += o.Tokens
+			before += tokens
 		}
 	}
 	out := Forecast{ClearAfter: drainTime(total, rate)}
@@ -47,9 +49,9 @@
 const maxForecast = time.Minute
 
 // drainTime returns how long sending that many tokens takes at the given rate per second.
-func drainTime(tokens int, rate float64) time.Duration {
+func drainTime(tokens, rate float64) time.Duration {
 	if rate <= 0 {
 		return maxForecast
 	}
-	return time.Duration(math.Min(float64(tokens)/rate, maxForecast.Seconds()) * float64(time.Second))
+	return time.Duration(math.Min(tokens/rate, maxForecast.Seconds()) * float64(time.Second))
 }
--- a/internal/serve/waitqueue/queue.go
+++ b/internal/serve/waitqueue/queue.go
@@ -61,6 +61,35 @@
 	Tokens int
 	// SendBy is the latest time to send the request for its caller to get the response.
 	SendBy time.Time
+	// Engines are those that the request may be sent to; the zero value means all.
+	Engines Engines
+}
+
+// Engines are some of the engines of a service.
+type Engines struct {
+	// Group is the name that requests for the same engines have in common.
+	Group string
+	// Share is the share of the service's capacity that they have.
+	Share float64
+}
+
+// share returns the share of the service's capacity.
+func (e Engines) share() float64 {
+	if e == (Engines{}) {
+		return 1
+	}
+	return e.Share
+}
+
+// load returns which part of the tokens of a request for the engines o is sent to these.
+func (e Engines) load(o Engines) float64 {
+	switch {
+	case o == (Engines{}):
+		return e.share()
+	case e == (Engines{}) || e.Group == o.Group:
+		return 1
+	}
+	return 0
 }
 
 // competes returns whether the request delays b when it goes first.
--- a/internal/serve/waitqueue/rate.go
+++ b/internal/serve/waitqueue/rate.go
@@ -110,11 +110,11 @@
 	if span <= 0 {
 		return 0
 	}
-	sum := 0
+	sum := 0.0
 	for _, c := range r.arrivals {
 		if now.Sub(c.at) <= span && c.item.Rank.Urgency <= a.Rank.Urgency && c.item.competes(a) {
-			sum += c.item.Tokens
+			sum += a.Engines.load(c.item.Engines) * float64(c.item.Tokens)
 		}
 	}
-	return float64(sum) / span.Seconds()
+	return sum / span.Seconds()
 }
