A stream doesn't go on at a server that may have restarted with other software

A server may come back under its ID with other software between the choice and the request; its row then still names the old version. The fix before took a refused connection as a sign of that for two intervals of announcements only, and only of this entry. Now it holds until the restart is announced, 10 s at most, reports of other entries count, and so do servers that neither announce themselves nor respond. New streams aren't affected.

--- a/internal/process/siteentry/software.go
+++ b/internal/process/siteentry/software.go
@@ -12,6 +12,9 @@
 // when this entry knows of it.
 const staleHeartbeats = 2
 
+// restartTime is how long after a refused connection a server may restart without an announcement.
+const restartTime = 10 * time.Second
+
 // incarnation is what this entry knows of a server's newest start.
 type incarnation struct {
 	startedAt int64
@@ -76,7 +79,7 @@
 
 // RestartExpected implements caller.Site.
 func (s *site) RestartExpected(v directory.Server, refusedAt time.Time) bool {
-	if refusedAt.IsZero() || time.Since(refusedAt) > staleHeartbeats*s.heartbeat {
+	if refusedAt.IsZero() || time.Since(refusedAt) > restartTime {
 		return false
 	}
 	x, ok := s.software.newest(v.ID)
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -57,8 +57,8 @@
 	// SoftwareCertain returns whether a stream that began at that time ran on the incarnation that the
 	// origin names, and not on a later one with other software.
 	SoftwareCertain(o origin.Origin, began time.Time) bool
-	// RestartExpected returns whether the server may have restarted with other software since its last
-	// announcement, because it refused a connection at that time.
+	// RestartExpected returns whether the server may have restarted with other software since its
+	// incarnation was learned of, because it refused a connection at that time.
 	RestartExpected(s directory.Server, refusedAt time.Time) bool
 	// Withdrawn returns whether all ready servers of a service are in evacuated zones.
 	Withdrawn(service string) bool
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -42,6 +42,9 @@
 	if n, err := strconv.Atoi(q.Header.Get("A-Timeout")); err == nil {
 		r.CallerTimeout = time.Duration(n) * time.Millisecond
 	}
+	if n, err := strconv.ParseInt(q.Header.Get("A-Last-Event"), 10, 64); err == nil {
+		r.LastEvent, r.FirstAttempt = n, q.Header.Get("A-First")
+	}
 	if q.Header.Get("A-Prompt") != "" {
 		r.Prompt = &request.Prompt{Model: "m", Tokens: 100, Output: 10, Parts: []request.Part{{ID: "own", Tokens: 100}}}
 	}
@@ -79,6 +82,9 @@
 	// set if no request may start on older weights.
 	version, target int64
 	outdated        bool
+	// uncertain is set if no origin's software is certain, restartExpected returns whether a server's is not.
+	uncertain       bool
+	restartExpected func(s directory.Server) bool
 	// leaving holds the IDs of the servers that stated in a response that they leave.
 	leaving sync.Map
 }
@@ -122,16 +128,18 @@
 	return s.outdated
 }
 
-func (s *fakeSite) Table() document.Table                            { return s.table }
-func (s *fakeSite) AwaitDocument(context.Context)                    {}
-func (s *fakeSite) AwaitFreshState(context.Context)                  {}
-func (s *fakeSite) AwaitStores(context.Context)                      {}
-func (s *fakeSite) StoreStateAge() time.Duration                     { return 0 }
-func (s *fakeSite) AwaitServers(context.Context, func() bool)        {}
-func (s *fakeSite) OnlySoftware(string) (string, bool)               { return "", false }
-func (s *fakeSite) SoftwareCertain(origin.Origin, time.Time) bool    { return true }
-func (s *fakeSite) RestartExpected(directory.Server, time.Time) bool { return false }
-func (s *fakeSite) Withdrawn(string) bool                            { return s.withdrawn }
+func (s *fakeSite) Table() document.Table                         { return s.table }
+func (s *fakeSite) AwaitDocument(context.Context)                 {}
+func (s *fakeSite) AwaitFreshState(context.Context)               {}
+func (s *fakeSite) AwaitStores(context.Context)                   {}
+func (s *fakeSite) StoreStateAge() time.Duration                  { return 0 }
+func (s *fakeSite) AwaitServers(context.Context, func() bool)     {}
+func (s *fakeSite) OnlySoftware(string) (string, bool)            { return "", false }
+func (s *fakeSite) SoftwareCertain(origin.Origin, time.Time) bool { return !s.uncertain }
+func (s *fakeSite) RestartExpected(v directory.Server, _ time.Time) bool {
+	return s.restartExpected != nil && s.restartExpected(v)
+}
+func (s *fakeSite) Withdrawn(string) bool { return s.withdrawn }
 func (s *fakeSite) Cold(directory.Server, time.Duration, time.Time) bool {
 	return false
 }
@@ -277,6 +285,12 @@
 
 // request sends a request and returns the complete response.
 func (f *fixture) request(t *testing.T, id, method, path string) result {
+	t.Helper()
+	return f.requestWith(t, id, method, path, nil)
+}
+
+// requestWith is request with further headers.
+func (f *fixture) requestWith(t *testing.T, id, method, path string, headers map[string]string) result {
 	t.Helper()
 	q, err := http.NewRequestWithContext(t.Context(), method, f.front.URL+path, nil)
 	if err != nil {
@@ -284,6 +298,9 @@
 	}
 	q.Host = "h"
 	q.Header.Set("A-Id", id)
+	for name, value := range headers {
+		q.Header.Set(name, value)
+	}
 	r, err := http.DefaultClient.Do(q)
 	if err != nil {
 		return result{err: err}
--- a/internal/serve/caller/origin.go
+++ b/internal/serve/caller/origin.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/origin"
@@ -48,13 +49,25 @@
 			o = o.WithoutSoftware()
 		}
 		for _, s := range j.Site.Servers(j.service.Name) {
-			if o.Allows(s) && !j.Site.RestartExpected(s, j.Tracker.Stats(s.ID).RefusedAt) && !yield(s) {
+			if o.Allows(s) && !j.mayHaveRestarted(s) && !yield(s) {
 				return
 			}
 		}
 	}
 }
 
+// mayHaveRestarted returns whether the server may run other software than it has announced, because it doesn't
+// announce itself any more or refused a connection to any entry since.
+func (j *job) mayHaveRestarted(s directory.Server) bool {
+	now := time.Now()
+	c := j.candidate(s, now)
+	refusedAt := c.Stats.RefusedAt
+	if others := now.Add(-observe.RefusalWindow); c.Stats.RefusedBy > 0 && others.After(refusedAt) {
+		refusedAt = others
+	}
+	return c.Lost(now) || j.Site.RestartExpected(s, refusedAt)
+}
+
 // hasServer returns whether the request may run at any server, tried or not.
 func (j *job) hasServer() bool {
 	for range j.servers() {
--- /dev/null
+++ b/internal/serve/caller/origin_test.go
@@ -0,0 +1,94 @@
+package caller
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"hornbeamwood/internal/site/directory"
+	"hornbeamwood/internal/site/origin"
+)
+
+// answerEvents sends the events of a stream after the last one that the caller has, and breaks off after a number of
+// them; zero for none.
+func answerEvents(text string, breakAfter int) script {
+	return func(_ *scriptedServer, c net.Conn, q *http.Request) bool {
+		last, _ := strconv.Atoi(q.Header.Get("A-Last"))
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nA-Id: %s\r\nA-Stamp: x\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", q.Header.Get("A-Id"))
+		for n := last + 1; n <= 4 && err == nil; n++ {
+			if breakAfter > 0 && n > breakAfter {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return false
+			}
+			_, err = fmt.Fprintf(c, "id: %d\ndata: %s\n\n", n, text)
+			time.Sleep(5 * time.Millisecond)
+		}
+		return false
+	}
+}
+
+// resume sends a request that resumes a stream after its second event.
+func (f *fixture) resume(t *testing.T, id, first string) (result, time.Duration) {
+	t.Helper()
+	began := time.Now()
+	g := f.requestWith(t, id, http.MethodPost, "/resume/x", map[string]string{"A-Last-Event": "2", "A-First": first})
+	return g, time.Since(began)
+}
+
+// Guards against a stream that ends in the middle of its response because the retry takes a server of other software.
+func TestStreamWaitsForAServerOfItsSoftware(t *testing.T) {
+	f := newFixture(t, answerEvents("a", 2), answerEvents("b", 0), answerEvents("a", 0))
+	f.site.servers[1].Software = "v2"
+	g := f.request(t, "r1", http.MethodPost, "/resume/x")
+	if want := "id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: a\n\nid: 4\ndata: a\n\n"; g.body != want {
+		t.Errorf("got %q, error %v", g.body, g.err)
+	}
+	if n := f.servers[1].count(); n != 0 {
+		t.Errorf("%d requests reached the server of other software", n)
+	}
+}
+
+// Guards against a resume that waits or tries other servers though none with the software of its stream is left.
+func TestResumeWithoutAServerOfItsSoftwareIsRefusedAtOnce(t *testing.T) {
+	for _, first := range []string{"gone", "unknown"} {
+		f := newFixture(t, answerEvents("a", 0))
+		f.config.Origins.Record(origin.NewKey("", "gone"), origin.Origin{Service: "s", Software: "v0", Server: "z", Incarnation: 1}, time.Minute)
+		g, took := f.resume(t, "r1", first)
+		after, _ := strconv.ParseFloat(g.header.Get("Retry-After"), 64)
+		if g.status != http.StatusServiceUnavailable || took > 200*time.Millisecond || after < softwareRetry.Seconds() {
+			t.Errorf("%s: status %d after %s, Retry-After %v s", first, g.status, took, after)
+		}
+		if n := f.servers[0].count(); n != 0 {
+			t.Errorf("%s: %d requests reached a server", first, n)
+		}
+	}
+}
+
+// Guards against a resume at a server that has restarted, perhaps with other software, since it announced itself.
+func TestResumeAvoidsServersThatMayHaveRestarted(t *testing.T) {
+	f := newFixture(t, answerEvents("a", 0), answerEvents("a", 0))
+	f.site.restartExpected = func(s directory.Server) bool { return s.ID == "s0" }
+	f.config.Origins.Record(origin.NewKey("", "first"), origin.At(f.site.servers[0]), time.Minute)
+	if g, _ := f.resume(t, "r1", "first"); g.status != http.StatusOK || g.body != "id: 3\ndata: a\n\nid: 4\ndata: a\n\n" {
+		t.Errorf("got %+v", g)
+	}
+	if n := f.servers[0].count(); n != 0 {
+		t.Errorf("%d requests reached the server that may have restarted", n)
+	}
+	f.site.uncertain = true
+	if g, _ := f.resume(t, "r2", "first"); g.status != http.StatusServiceUnavailable {
+		t.Errorf("a stream whose software is uncertain got %+v", g)
+	}
+}
+
+// Guards against a resume that goes on at another service than the one that began its stream.
+func TestResumeKeepsToItsService(t *testing.T) {
+	f := newFixture(t, answerEvents("a", 0))
+	f.config.Origins.Record(origin.NewKey("", "elsewhere"), origin.Origin{Service: "e", Software: "v1"}, time.Minute)
+	if g, _ := f.resume(t, "r1", "elsewhere"); g.status != http.StatusServiceUnavailable {
+		t.Errorf("got %+v", g)
+	}
+}
--- a/internal/serve/observe/refused_test.go
+++ b/internal/serve/observe/refused_test.go
@@ -18,7 +18,7 @@
 		t.Error("this entry uses the server again at once")
 	}
 	b := x.Begin(Attempt{Server: "s", ReservedTokens: 100, SentAt: now})
-	x.End(b, Refused, now.Add(-2*refusalWindow))
+	x.End(b, Refused, now.Add(-2*RefusalWindow))
 	if l, ok := x.Loads()["s"]; ok {
 		t.Errorf("reported a refusal long ago: %+v", l)
 	}
--- a/internal/serve/observe/tracker.go
+++ b/internal/serve/observe/tracker.go
@@ -23,9 +23,9 @@
 	// further failure.
 	minEjection = time.Second
 	maxEjection = 6 * time.Second
-	// refusalWindow is how long other entries receive the report of a refused connection. A
+	// RefusalWindow is how long other entries receive the report of a refused connection. A
 	// crashed server is back after a second at the earliest.
-	refusalWindow = time.Second
+	RefusalWindow = time.Second
 	// forgetAfter is how long the state of a server without requests is kept.
 	forgetAfter = 2 * time.Minute
 )
@@ -336,7 +336,7 @@
 		s.mu.Lock()
 		for id, x := range s.servers {
 			refused := 0
-			if now.Sub(x.RefusedAt) < refusalWindow {
+			if now.Sub(x.RefusedAt) < RefusalWindow {
 				refused = 1
 			}
 			if x.ReservedTokens > 0 || refused > 0 {
--- /dev/null
+++ b/internal/site/origin/origins_test.go
@@ -0,0 +1,147 @@
+package origin
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hornbeamwood/internal/node/keys"
+	"hornbeamwood/internal/node/rpc"
+)
+
+// newNode returns a node that serves until the test ends, with the calls of a replica if it has that role.
+func newNode(t testing.TB, role keys.Role) (rpc.Node, Store) {
+	t.Helper()
+	probe, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := probe.LocalAddr().String()
+	_ = probe.Close()
+	ring, err := keys.NewOpenRing(listen, role)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := rpc.New(rpc.Config{Listen: listen, Ring: ring})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewStore()
+	if role == keys.Control {
+		Serve(n, s)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Serve(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		_ = n.Close()
+	})
+	return n, s
+}
+
+// lostAddress is an address where nothing answers.
+func lostAddress(t *testing.T) string {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c.LocalAddr().String()
+}
+
+func newOrigins(t testing.TB, replicas *[]Replica) Origins {
+	n, _ := newNode(t, keys.Entry)
+	return New(Config{Node: n, Zone: "a", Metrics: metrics.NewSet(), Replicas: func() []Replica { return append([]Replica{}, *replicas...) }})
+}
+
+var testOrigin = Origin{Service: "s", Software: "v1", Server: "i", Incarnation: 7}
+
+// Guards against an origin that is lost with its entry or with one replica, or that no other entry finds.
+func TestOriginIsFoundAtOtherEntries(t *testing.T) {
+	var replicas []Replica
+	var stores []Store
+	for _, zone := range []string{"a", "b", "a", "b"} {
+		n, s := newNode(t, keys.Control)
+		replicas, stores = append(replicas, Replica{Address: n.Address(), Zone: zone}), append(stores, s)
+	}
+	first, other := newOrigins(t, &replicas), newOrigins(t, &replicas)
+	k := NewKey("w", "a1")
+	first.Record(k, testOrigin, time.Minute)
+	if f, outcome := other.Find(t.Context(), k); outcome != Known || f.Origin != testOrigin {
+		t.Errorf("right after the record: %v, %+v", outcome, f)
+	}
+	held := func() (zones map[string]int) {
+		zones = map[string]int{}
+		for i, s := range stores {
+			if s.Len() > 0 {
+				zones[replicas[i].Zone]++
+			}
+		}
+		return zones
+	}
+	for deadline := time.Now().Add(5 * time.Second); len(held()) < copies && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if zones := held(); zones["a"] != 1 || zones["b"] != 1 {
+		t.Errorf("replicas that have it, by zone: %v", zones)
+	}
+	if _, outcome := other.Find(t.Context(), NewKey("w", "a2")); outcome != Unknown {
+		t.Errorf("an attempt that never began: %v", outcome)
+	}
+}
+
+// Guards against streams that wait for lost replicas, and against a lost replica that passes for one that knows nothing.
+func TestLostReplicasDelayNoStream(t *testing.T) {
+	n, _ := newNode(t, keys.Control)
+	lost := Replica{Address: lostAddress(t), Zone: "a"}
+	replicas := []Replica{lost, {Address: n.Address(), Zone: "b"}}
+	o, other := newOrigins(t, &replicas), newOrigins(t, &replicas)
+	k := NewKey("w", "a1")
+	began := time.Now()
+	o.Record(k, testOrigin, time.Minute)
+	if took := time.Since(began); took > 10*recordWait {
+		t.Errorf("the first event waited %s", took)
+	}
+	if _, outcome := other.Find(t.Context(), k); outcome != Known {
+		t.Errorf("beside a lost replica: %v", outcome)
+	}
+	if _, outcome := other.Find(t.Context(), NewKey("w", "a2")); outcome != Unanswered {
+		t.Errorf("a lost replica may know it: %v", outcome)
+	}
+	replicas[0].Silent = true
+	began = time.Now()
+	if _, outcome := other.Find(t.Context(), NewKey("w", "a2")); outcome != Unknown || time.Since(began) > findTimeout/2 {
+		t.Errorf("a replica that is known to be silent: %v after %s", outcome, time.Since(began))
+	}
+	replicas = nil
+	if _, outcome := other.Find(t.Context(), NewKey("w", "a3")); outcome != Unanswered {
+		t.Errorf("without replicas: %v", outcome)
+	}
+	if _, outcome := o.Find(t.Context(), k); outcome != Known {
+		t.Errorf("the entry that began the stream: %v", outcome)
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	var replicas []Replica
+	for _, zone := range []string{"a", "b", "c"} {
+		n, _ := newNode(b, keys.Control)
+		replicas = append(replicas, Replica{Address: n.Address(), Zone: zone})
+	}
+	n, _ := newNode(b, keys.Entry)
+	o := New(Config{Node: n, Zone: "a", Metrics: metrics.NewSet(), Replicas: func() []Replica { return append([]Replica{}, replicas...) }})
+	o.Record(NewKey("w", "first"), testOrigin, time.Minute)
+	sent := n.BytesSent()
+	for i := range b.N {
+		o.Record(NewKey("w", string(rune(i))), testOrigin, time.Minute)
+	}
+	b.ReportMetric(float64(n.BytesSent()-sent)/float64(b.N), "sent-B/op")
+}
