A stream that begins at a server that may have restarted has unknown software

TestStreamAtARestartedServerHasUnknownSoftware failed before: the stream went on at the other server.

--- a/internal/serve/caller/origin.go
+++ b/internal/serve/caller/origin.go
@@ -94,7 +94,11 @@
 	if j.begun != nil {
 		return
 	}
-	j.begun = &begun{origin.At(j.server), time.Now()}
+	o := origin.At(j.server)
+	if j.mayHaveRestarted(j.server) {
+		o = o.WithoutSoftware()
+	}
+	j.begun = &begun{o, time.Now()}
 	if !j.route.Retryable() {
 		return
 	}
--- a/internal/serve/caller/origin_test.go
+++ b/internal/serve/caller/origin_test.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// Guards against a stream that is recorded with the software that its server announced before it restarted.
+func TestStreamAtARestartedServerHasUnknownSoftware(t *testing.T) {
+	f := newFixture(t, answerEvents("b", 2), answerEvents("a", 0))
+	f.site.restartExpected = func(s directory.Server) bool { return s.ID == "s0" }
+	g := f.request(t, "r1", http.MethodPost, "/resume/x")
+	if g.err == nil || g.body != "id: 1\ndata: b\n\nid: 2\ndata: b\n\n" {
+		t.Errorf("got %+v", g)
+	}
+	if n := f.servers[1].count(); n != 0 {
+		t.Errorf("%d requests reached the other server", n)
+	}
+}
+
 // Guards against a resume that goes on at another service than the one that began its stream.
 func TestResumeKeepsToItsService(t *testing.T) {
 	f := newFixture(t, answerEvents("a", 0))
