soak: servers of two software versions side by side, and callers that resume

The soak had one version of each service and no caller that resumed a stream, so it couldn't see the incident. Servers of both services now run v1 or v2, write it into their events and restart at times with the other one under their ID and address. Callers leave streams at random events or lose them, and resume at any entry, several times. No stream may hold events of two versions, whatever else happens; and while entries are killed and connections to servers are reset, the share of resumes that go on is checked against the share of new streams that begin (half of it, from 12 resumes on, at entries in touch, while two servers of the software serve). The check of whole streams is as strict as before: one version from the first event to the last.

--- a/deploy/soak/client.go
+++ b/deploy/soak/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"time"
 )
@@ -124,11 +125,11 @@
 func (c *client) checkAnswer(kind, attempt, tenant, body string, status int, got string) {
 	switch status {
 	case http.StatusOK:
-		want := fmt.Sprintf("%s /%s/%s %s", attempt, kind, attempt, body)
+		want := []string{fmt.Sprintf("%s /%s/%s %s", attempt, kind, attempt, body)}
 		if kind == "stream" || kind == "prompt" {
-			want = wholeStream(attempt)
+			want = wholeStreams(attempt)
 		}
-		if got != want {
+		if !slices.Contains(want, got) {
 			c.record.reportViolation("%s got a wrong answer: %.120q", attempt, got)
 		}
 		c.executions.mu.Lock()
@@ -147,10 +148,15 @@
 	}
 }
 
-func wholeStream(attempt string) string {
-	var b strings.Builder
-	for n := 1; n <= streamEvents; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, attempt)
+// wholeStreams returns the stream of an attempt as servers of each version send it.
+func wholeStreams(attempt string) []string {
+	var all []string
+	for _, software := range softwareVersions {
+		var b strings.Builder
+		for n := 1; n <= streamEvents; n++ {
+			fmt.Fprintf(&b, "id: %d\ndata: %s %s\n\n", n, attempt, software)
+		}
+		all = append(all, b.String())
 	}
-	return b.String()
+	return all
 }
--- a/deploy/soak/cold.go
+++ b/deploy/soak/cold.go
@@ -13,7 +13,7 @@
 
 // coldRemaining returns how long the server stays cold.
 func (s *server) coldRemaining(now time.Time) time.Duration {
-	return max(0, time.UnixMilli(s.startedAt).Add(coldTime).Sub(now))
+	return max(0, s.coldSince.Add(coldTime).Sub(now))
 }
 
 // recordWhileCold checks the rate of the requests that reach a cold server.
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -89,6 +89,11 @@
 		x := s.newClient(fmt.Sprintf("%d-%d", c.seed, i), i%len(s.fronts), c.seed*100+uint64(i))
 		all.Go(func() { x.run(running) })
 	}
+	for i := range resumersPerEntry * len(s.fronts) {
+		all.Go(func() {
+			s.resumeStreams(running, fmt.Sprintf("%d-r%d", c.seed, i), rand.New(rand.NewPCG(c.seed, 73+uint64(i))))
+		})
+	}
 	all.Go(func() { s.operator.pollDocuments(running) })
 	sleep(ctx, time.Second)
 	res.faults = injectFaults(ctx, c.length, s)
@@ -96,6 +101,7 @@
 	// While replicas get signals all the time, hardly any of the requests that crash servers count.
 	sendCrashing(ctx, time.Now().Add(crashDuration), s)
 	s.planWork(ctx)
+	s.checkVersions(ctx)
 	s.loadBrittle(ctx, rand.New(rand.NewPCG(c.seed, 53)))
 	s.cutSome(ctx, rand.New(rand.NewPCG(c.seed, 59)), cutMode(c.seed%uint64(cutModes)))
 	stop()
@@ -117,6 +123,7 @@
 	all.Go(func() { silenceServers(ctx, end, s, rand.New(rand.NewPCG(s.seed, 31))) })
 	all.Go(func() { cutEntries(ctx, end, s) })
 	all.Go(func() { makeBrittle(ctx, end, s) })
+	all.Go(func() { changeVersions(ctx, end, s) })
 	n := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults[s.newRandom().IntN(len(faults))]
--- a/deploy/soak/server.go
+++ b/deploy/soak/server.go
@@ -42,8 +42,10 @@
 
 // server is a stand-in for a backend server behind a proxy.
 type server struct {
-	id         string
-	service    string
+	id      string
+	service string
+	// software is the version of its software; it changes with a restart.
+	software   string
 	executions *executions
 	limits     *limits
 	// evacuations checks that the server gets no requests while its zone is evacuated.
@@ -51,6 +53,7 @@
 	zone        string
 	http        *httptest.Server
 	proxy       *proxy
+	controls    []string
 	stop        context.CancelFunc
 	// engine is nil for servers of the plain service.
 	engine *engine
@@ -73,6 +76,9 @@
 	leaveAcknowledged time.Time
 	dead              bool
 	startedAt         int64
+	// coldSince is when the server first started. A restart with other software doesn't make it cold: no entry can
+	// know of one while no control replica runs.
+	coldSince time.Time
 	// coldArrivals are the times of the requests in the last second while the server is cold.
 	coldArrivals []time.Time
 	// running and waiting count its requests, rejections are those of the last second.
@@ -87,11 +93,11 @@
 
 // serverConfig holds what a server needs.
 type serverConfig struct {
-	id, service, zone string
-	executions        *executions
-	limits            *limits
-	evacuations       *evacuations
-	controls          []string
+	id, service, zone, software string
+	executions                  *executions
+	limits                      *limits
+	evacuations                 *evacuations
+	controls                    []string
 	// engine is nil for servers of the plain service.
 	engine   *engine
 	backoffs *backoffs
@@ -104,7 +110,7 @@
 }
 
 func newServer(c serverConfig) (*server, error) {
-	s := &server{id: c.id, service: c.service, zone: c.zone, executions: c.executions, limits: c.limits, evacuations: c.evacuations, state: "ready", startedAt: time.Now().UnixMilli(), engine: c.engine, backoffs: c.backoffs, leaving: c.leaving, crashing: c.crashing, onCrash: c.onCrash, losses: c.losses, brittle: c.brittle}
+	s := &server{id: c.id, service: c.service, zone: c.zone, software: c.software, executions: c.executions, limits: c.limits, evacuations: c.evacuations, state: "ready", startedAt: time.Now().UnixMilli(), coldSince: time.Now(), engine: c.engine, backoffs: c.backoffs, leaving: c.leaving, crashing: c.crashing, onCrash: c.onCrash, losses: c.losses, brittle: c.brittle}
 	s.http = httptest.NewServer(s)
 	p, err := newProxy(strings.TrimPrefix(s.http.URL, "http://"), c.cuts)
 	if err != nil {
@@ -113,6 +119,7 @@
 	s.proxy = p
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
+	s.controls = c.controls
 	go s.announce(ctx, c.controls)
 	return s, nil
 }
@@ -198,9 +205,12 @@
 
 func (s *server) stream(w http.ResponseWriter, q *http.Request, id string) {
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	s.mu.Lock()
+	software := s.software
+	s.mu.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= streamEvents; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, id); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", n, id, software); err != nil {
 			return
 		}
 		if f, ok := w.(http.Flusher); ok {
@@ -217,13 +227,8 @@
 			sleep(ctx, 400*time.Millisecond)
 			continue
 		}
-		s.mu.Lock()
-		s.sequence++
-		state := s.state
-		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"sequence":%d,"born":%d,"cold_remaining_ms":%d,"models":%s}`,
-			s.service, s.proxy.address(), s.zone, state, s.sequence, s.startedAt, s.coldRemaining(time.Now()).Milliseconds(), s.models())
-		s.mu.Unlock()
-		if status := post(ctx, "http://"+controls[at%len(controls)]+":8000/v1/Instances.Heartbeat/"+s.id, body, time.Second); status != http.StatusOK {
+		status, state := s.announceOnce(ctx, controls[at%len(controls)])
+		if status != http.StatusOK {
 			at++
 			continue
 		}
@@ -236,6 +241,17 @@
 	}
 }
 
+// announceOnce sends a heartbeat to a control replica and returns the status of the response and the announced state.
+func (s *server) announceOnce(ctx context.Context, control string) (int, string) {
+	s.mu.Lock()
+	s.sequence++
+	state := s.state
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":8,"state":%q,"sequence":%d,"born":%d,"cold_remaining_ms":%d,"models":%s}`,
+		s.service, s.proxy.address(), s.zone, s.software, state, s.sequence, s.startedAt, s.coldRemaining(time.Now()).Milliseconds(), s.models())
+	s.mu.Unlock()
+	return post(ctx, "http://"+control+":8000/v1/Instances.Heartbeat/"+s.id, body, time.Second), state
+}
+
 // announceAfter is how long a server says only in its responses that it leaves.
 const announceAfter = 3 * time.Second
 
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -37,6 +37,7 @@
 	cuts        *cuts
 	losses      *losses
 	brittle     *brittle
+	versions    *versions
 	seeds       []string
 	// cutNumber and brittleNumber count the cuts and the times in which a service is brittle.
 	cutNumber, brittleNumber int
@@ -66,7 +67,7 @@
 	s.orders, s.limits, s.evacuations, s.crashing = newOrders(r), newLimits(r), newEvacuations(r), newCrashing(r)
 	s.backoffs, s.leaving = newBackoffs(r, s.limits), newLeaving(r, s.limits)
 	s.operator = &operator{controls: controls, record: r, orders: s.orders, growth: rand.New(rand.NewPCG(c.seed, 13))}
-	s.cuts, s.brittle = newCuts(), newBrittle(r, s.limits)
+	s.cuts, s.brittle, s.versions = newCuts(), newBrittle(r, s.limits), &versions{record: r}
 	s.brittle.inTouch = s.inTouchSince
 	s.losses = &losses{record: r, limits: s.limits, passedOn: map[string][]arrival{}, document: s.operator.lastChange, cuts: s.cuts, fronts: s.frontOf}
 	for i, ip := range controls {
@@ -166,6 +167,8 @@
 	x, err := newServer(serverConfig{
 		// Another run may get the address of a server that has ended.
 		id: fmt.Sprintf("i-%d-%d", s.seed, s.serversStarted), service: service, zone: zones[s.serversStarted%len(zones)],
+		// Servers of both services start by turns at the beginning of a check.
+		software:   softwareVersions[s.serversStarted/2%len(softwareVersions)],
 		executions: s.executions, limits: s.limits, evacuations: s.evacuations, controls: s.seeds, engine: e,
 		backoffs: s.backoffs, leaving: s.leaving, crashing: s.crashing, onCrash: s.crashServer,
 		cuts: s.cuts, losses: s.losses, brittle: s.brittle,
