Split job.go, site.go and the simulation of brittle servers

Moved only: failures and the end of a request, versions of weights, the simulated world. No line of logic differs; the tests of caller, limit and siteentry pass.

--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -255,39 +255,6 @@
 	s.follow()
 }
 
-func (s *site) applyTargetVersion(model string, v int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if v > s.targetVersions[model] {
-		s.targetVersions[model], s.targetSince[model] = v, time.Now()
-	}
-}
-
-// applyTargetVersionTime applies when, by the servers' clock, the target version was set. A process that has
-// just started learns of the version later than that.
-func (s *site) applyTargetVersionTime(model string, millis int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	if now == 0 || millis <= 0 || millis > now {
-		return
-	}
-	if t := time.Now().Add(-time.Duration(now-millis) * time.Millisecond); t.Before(s.targetSince[model]) {
-		s.targetSince[model] = t
-	}
-}
-
-// expiryMargin is how long before the deadline requests are last sent to older weights. They start only after
-// those that are queued at the engine.
-const expiryMargin = 1200 * time.Millisecond
-
-// VersionExpired implements caller.Site.
-func (s *site) VersionExpired(model string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.weightsDeadline > 0 && time.Since(s.targetSince[model]) >= s.weightsDeadline-expiryMargin
-}
-
 // Table implements caller.Site.
 func (s *site) Table() document.Table {
 	if t := s.table.Load(); t != nil {
@@ -375,20 +342,6 @@
 	return v, ok && view.Usable(v)
 }
 
-// Version implements caller.Site.
-//
-// A server announces its weights about once a second and shows them in each response. Versions only increase.
-func (s *site) Version(v directory.Server, model string) int64 {
-	announced, _ := v.Version(model)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(announced, s.observedVersions[versionKey(v.ID, model)])
-}
-
-func versionKey(server, model string) string {
-	return server + "\x00" + model
-}
-
 // ObserveLeaving implements caller.Site. Leaving is final for an incarnation, whatever it announces afterwards.
 func (s *site) ObserveLeaving(server string, startedAt int64) {
 	v, ok := s.directory.Get(server)
@@ -399,21 +352,6 @@
 	s.applyServer(v)
 }
 
-// ObserveVersion implements caller.Site.
-func (s *site) ObserveVersion(server, model string, version int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	k := versionKey(server, model)
-	s.observedVersions[k] = max(s.observedVersions[k], version)
-}
-
-// TargetVersion implements caller.Site.
-func (s *site) TargetVersion(model string) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.targetVersions[model]
-}
-
 // Entries implements caller.Site.
 func (s *site) Entries() int {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/serve/caller/end.go
@@ -0,0 +1,54 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/apex/log"
+
+	"hornbeamwood/internal/base/event"
+)
+
+// abortsConnection returns whether a panic closes the connection on purpose, as for a stream
+// that cannot be completed.
+func abortsConnection(cause any) bool {
+	err, ok := cause.(error)
+	return ok && errors.Is(err, http.ErrAbortHandler)
+}
+
+// answerPanic responds to a request whose handling panicked. It returns false if the response
+// has already begun.
+//
+// The standard server would close the connection and print a line without the request's ID.
+// Instead the caller gets a response that does not say whether the request ran, and the log
+// shows where the defect is.
+func (j *job) answerPanic(cause any) bool {
+	event.HandlerPanicked.Write(j.Logger, log.Fields{"request": j.request.Attempt, "error": fmt.Sprint(cause), "stack": string(debug.Stack())})
+	if j.status != 0 {
+		return false
+	}
+	j.refuse(http.StatusBadGateway, "defect", 0)
+	return true
+}
+
+// end logs how the request ended.
+func (j *job) end() {
+	cause := recover()
+	cut := cause != nil && (abortsConnection(cause) || !j.answerPanic(cause))
+	j.releaseSuccessor()
+	j.Queue.LocalCapacityFreed()
+	took := time.Since(j.arrived)
+	j.metrics.observe(j.route.Kind, j.status, took)
+	event.RequestEnded.Write(j.Logger, log.Fields{
+		"request": j.request.Attempt, "route": j.route.Name, "status": j.status, "reason": j.reason, "verdict": j.verdict.String(),
+		"tries": j.tries, "runs": j.runs, "ms": took.Milliseconds(), "workspace": j.workspace.Name, "document": j.revision,
+		"first-ms": j.streamed.firstMillis(j.arrived), "events": j.streamed.last, "longest-pause-ms": j.streamed.longestGap.Milliseconds(),
+		"cut": cut, "silent-ms": j.silence.Milliseconds(),
+	})
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -3,11 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
@@ -334,97 +331,3 @@
 	j.Codec.Encode(h, d)
 	return backend.Message{Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: h, Body: j.request.Body, MayRepeat: j.mayRepeat(time.Now())}
 }
-
-// recordFailure records an attempt without a response and returns the reason.
-func (j *job) recordFailure(a *observe.Attempt, err error) string {
-	reason, v := "failed", verdict.MayHaveRun
-	var e *backend.Error
-	if errors.As(err, &e) {
-		reason, v = string(e.Reason), e.Verdict
-	}
-	o := observe.Lost
-	switch {
-	case e != nil && e.Reason == backend.Cancelled:
-		o = observe.Abandoned
-	case e != nil && e.Reason == backend.Saturated:
-		o = observe.Rejected
-	case e != nil && e.Reason == backend.NoPath:
-		o = observe.NoPath
-	case e != nil && e.Reason == backend.CutOff:
-		o, j.left = observe.NoPath, true
-	case e != nil && e.Reason == backend.Refused:
-		o = observe.Refused
-	case v == verdict.NotRun:
-		o = observe.Unreachable
-	}
-	j.endAttempt(a, o)
-	if v != verdict.NotRun {
-		j.sends++
-		j.recordRun()
-	}
-	if o == observe.Lost {
-		j.recordLostServer(a, err)
-	}
-	j.logFailure(a.Server, reason, v, time.Since(a.SentAt), err)
-	return reason
-}
-
-// recordRun records that a server may have run the request.
-func (j *job) recordRun() {
-	j.runs++
-	j.verdict = verdict.MayHaveRun
-}
-
-// logFailure logs a failed attempt at a server that had sent nothing for the time of silence.
-func (j *job) logFailure(server, reason string, v verdict.Verdict, silence time.Duration, err error) {
-	j.silence = silence
-	f := log.Fields{
-		"request": j.request.Attempt, "server": server, "reason": reason, "verdict": v.String(), "ms": time.Since(j.arrived).Milliseconds(),
-		"silent-ms": silence.Milliseconds(),
-	}
-	if err != nil {
-		f["error"] = err.Error()
-	}
-	event.AttemptFailed.Write(j.Logger, f)
-}
-
-// abortsConnection returns whether a panic closes the connection on purpose, as for a stream
-// that cannot be completed.
-func abortsConnection(cause any) bool {
-	err, ok := cause.(error)
-	return ok && errors.Is(err, http.ErrAbortHandler)
-}
-
-// answerPanic responds to a request whose handling panicked. It returns false if the response
-// has already begun.
-//
-// The standard server would close the connection and print a line without the request's ID.
-// Instead the caller gets a response that does not say whether the request ran, and the log
-// shows where the defect is.
-func (j *job) answerPanic(cause any) bool {
-	event.HandlerPanicked.Write(j.Logger, log.Fields{"request": j.request.Attempt, "error": fmt.Sprint(cause), "stack": string(debug.Stack())})
-	if j.status != 0 {
-		return false
-	}
-	j.refuse(http.StatusBadGateway, "defect", 0)
-	return true
-}
-
-// end logs how the request ended.
-func (j *job) end() {
-	cause := recover()
-	cut := cause != nil && (abortsConnection(cause) || !j.answerPanic(cause))
-	j.releaseSuccessor()
-	j.Queue.LocalCapacityFreed()
-	took := time.Since(j.arrived)
-	j.metrics.observe(j.route.Kind, j.status, took)
-	event.RequestEnded.Write(j.Logger, log.Fields{
-		"request": j.request.Attempt, "route": j.route.Name, "status": j.status, "reason": j.reason, "verdict": j.verdict.String(),
-		"tries": j.tries, "runs": j.runs, "ms": took.Milliseconds(), "workspace": j.workspace.Name, "document": j.revision,
-		"first-ms": j.streamed.firstMillis(j.arrived), "events": j.streamed.last, "longest-pause-ms": j.streamed.longestGap.Milliseconds(),
-		"cut": cut, "silent-ms": j.silence.Milliseconds(),
-	})
-	if cut {
-		panic(http.ErrAbortHandler)
-	}
-}
