--- a/internal/serve/limit/brittle_world_test.go
+++ b/internal/serve/limit/brittle_world_test.go
@@ -414,4 +414,3 @@
 	}
 	return falls, float64(w.served) / float64(max(1, w.offered))
 }
-
