The view of servers follows a change of the announced software

SameRouting left out the software, so that a row with other software at the same start replaced the known one, but not in the view that requests are routed by, nor at other replicas. An announcement of another writer that names no software, with a later sequence, would have made streams at that server impossible to resume from the next rebuild of the view on, though the server announces it again within a second. Found by reading the diff. TestViewHasTheNewestSoftware failed before.

--- a/internal/site/directory/directory_test.go
+++ b/internal/site/directory/directory_test.go
@@ -32,6 +32,18 @@
 	}
 }
 
+// Guards against streams that are bound to software that a server has not announced any more.
+func TestViewHasTheNewestSoftware(t *testing.T) {
+	d := New()
+	d.Merge(Server{ID: "a", StartedAt: 1, Sequence: 1, Service: "s", Software: "v1"})
+	for n, software := range []string{"", "v1"} {
+		d.Merge(Server{ID: "a", StartedAt: 1, Sequence: int64(n + 2), Service: "s", Software: software})
+		if got := d.View().Service("s")[0].Software; got != software {
+			t.Errorf("the view has software %q, announced is %q", got, software)
+		}
+	}
+}
+
 // Announcements reach the replicas in different orders. All replicas must end with
 // the same state, or some entries would continue to send requests to a server that left.
 func TestOrderDoesNotMatter(t *testing.T) {
--- a/internal/site/directory/server.go
+++ b/internal/site/directory/server.go
@@ -98,6 +98,6 @@
 			return false
 		}
 	}
-	return s.ID == other.ID && s.StartedAt == other.StartedAt && s.Service == other.Service && s.Address == other.Address && s.Zone == other.Zone &&
+	return s.ID == other.ID && s.StartedAt == other.StartedAt && s.Service == other.Service && s.Address == other.Address && s.Zone == other.Zone && s.Software == other.Software &&
 		s.Slots == other.Slots && s.State == other.State && s.Silent == other.Silent && s.HomeReplica == other.HomeReplica && (s.WarmUp > 0) == (other.WarmUp > 0)
 }
