A part of prompts that crashes servers is quarantined

What callers saw: requests of one kind ended one server after the other, no two of them alike, and whoever ran beside them was cut off.

Cause: the quarantine knew a request only as a whole.

Change: the fingerprint in the quarantine section is that of an attribute: a whole request, as before, or a part of a prompt. Entries report with each lost server the parts of the runs there, without those that they have seen answered lately, and whether the run had begun its answer. The section blames a part at three lost servers, if no other part that came in other requests has the same losses; it keeps the parts that came with it in each run as companions, and requests are refused that hold them all, until one crashes without them. Only requests of the workspace that lost servers are refused until another one loses some too. The quarantine is in force 0.4 s after entries have learned of it, so that those that know answers refute it before; a confirmed one isn't released for a better explanation. The quarantine is asked when a request arrives, each time it wakes in the queue, and after the last wait before it is sent.

--- a/internal/base/event/callers.go
+++ b/internal/base/event/callers.go
@@ -25,9 +25,9 @@
 	// StreamCancelled is written when a run is cancelled because its caller disconnected.
 	StreamCancelled = define(512, log.InfoLevel, "stream-cancelled", "The caller disconnected; the run is cancelled at the engine.")
 	// RequestQuarantined is written when a request is refused because it crashes servers.
-	RequestQuarantined = define(530, log.WarnLevel, "request-quarantined", "A request was refused because different servers were lost while they ran it; the field fingerprint identifies it for an operator.")
+	RequestQuarantined = define(530, log.WarnLevel, "request-quarantined", "A request was refused because different servers were lost while they ran it, or prompts that share a part with it; the field fingerprint identifies it for an operator, part is the ID of the part.")
 	// ServerLostUnder is written for each request that ran on a lost server.
-	ServerLostUnder = define(531, log.WarnLevel, "server-lost-under", "A server was lost while it ran a request, which is now a suspect.")
+	ServerLostUnder = define(531, log.WarnLevel, "server-lost-under", "A server was lost while it ran a request, which is now a suspect; began says whether the answer had begun, parts names the parts that its prompt may share with others, suspect-parts those of them that aren't known to be sound.")
 	// CallerRefused is written for each refusal to a caller.
 	CallerRefused = define(520, log.InfoLevel, "caller-refused", "A request was refused; the fields give status, code and verdict.")
 	// RequestServed is written for each answered request.
--- a/internal/control/quarantine/changes.go
+++ b/internal/control/quarantine/changes.go
@@ -29,9 +29,9 @@
 
 func (q *quarantine) recordsSince(version uint64) []suspicion.Change {
 	var changes []suspicion.Change
-	for f, r := range q.records {
+	for _, r := range q.records {
 		if r.Version > version {
-			changes = append(changes, suspicion.Change{Fingerprint: f, Standing: r.Standing})
+			changes = append(changes, r.change())
 		}
 	}
 	slices.SortFunc(changes, func(a, b suspicion.Change) int { return compare(a.Fingerprint, b.Fingerprint) })
@@ -42,7 +42,8 @@
 	var l Listing
 	for _, f := range q.order() {
 		r := q.records[f]
-		if r.Standing != suspicion.Clear && (workspace == "" || workspace == r.Workspace) {
+		listed := r.Standing == suspicion.Quarantined || r.Standing == suspicion.Suspect && r.Kind == suspicion.WholeRequest
+		if listed && (workspace == "" || workspace == r.Workspace) {
 			l.Items = append(l.Items, r.item())
 		}
 	}
--- a/internal/control/quarantine/command.go
+++ b/internal/control/quarantine/command.go
@@ -26,6 +26,11 @@
 	Running []Running `cbor:"running"`
 	// Servers is the number of distinct lost servers at which a request is quarantined, from the fleet's rules.
 	Servers int `cbor:"servers"`
+	// PartServers is the number of distinct lost servers at which a part of prompts is quarantined; zero if parts
+	// aren't counted.
+	PartServers int `cbor:"part-servers,omitempty"`
+	// Delay is how long after entries have learned of it the quarantine of a part is in force.
+	Delay time.Duration `cbor:"delay,omitempty"`
 	// Window is how long a loss counts, from the fleet's rules.
 	Window time.Duration `cbor:"window"`
 	// Ago is how long before the report the server was lost.
@@ -44,6 +49,13 @@
 	Model string `cbor:"model"`
 	// Age is how long before the report the run began; zero if the run counts whenever it began.
 	Age time.Duration `cbor:"age,omitempty"`
+	// Parts are the parts of the request's prompt that other requests may share, without those that the entry
+	// has seen answered meanwhile.
+	Parts []suspicion.Fingerprint `cbor:"parts,omitempty"`
+	// RunAge is Age for the parts; Age if it is zero.
+	RunAge time.Duration `cbor:"run-age,omitempty"`
+	// Began is true if the server had begun its answer.
+	Began bool `cbor:"began,omitempty"`
 }
 
 // Begin requests a server's probe slot for a suspect.
@@ -78,8 +90,8 @@
 	Operator string `cbor:"operator"`
 }
 
-// Answered reports requests that servers have answered completely, which clears them.
+// Answered reports attributes of requests that servers have answered completely, which clears them.
 type Answered struct {
-	// Fingerprints are the fingerprints of the requests.
+	// Fingerprints are the fingerprints of the attributes.
 	Fingerprints []suspicion.Fingerprint `cbor:"fingerprints"`
 }
--- a/internal/control/quarantine/lost.go
+++ b/internal/control/quarantine/lost.go
@@ -26,50 +26,54 @@
 		q.limit = c.Servers
 	}
 	if valid {
-		q.updateStandings()
+		q.updateStandings(at)
 	}
 	return Result{Valid: valid}
 }
 
-// add records one loss of a request.
+// add records one loss of a request, and of the parts of its prompt.
 func (q *quarantine) add(at time.Time, loss suspicion.Loss, r Running, c *Lost) {
-	found, ok := q.records[r.Fingerprint]
-	if !ok {
-		if len(q.records) >= maxRecords && !q.dropOldestSuspect() {
-			return
+	if found := q.record(r.Fingerprint, suspicion.WholeRequest, r); found != nil {
+		found.Window, found.Hold, found.Limit = c.Window, c.Hold, c.Servers
+		if r.Age <= 0 || !found.overlaps(at.Add(-r.Age)) {
+			found.addLoss(loss)
 		}
-		found = &record{Fingerprint: r.Fingerprint, Workspace: r.Workspace, Model: r.Model, Standing: suspicion.Clear}
-		q.records[r.Fingerprint] = found
 	}
-	found.Window, found.Hold = c.Window, c.Hold
-	if suspicion.Has(found.Losses, loss) || len(found.Losses) >= maxLosses || r.Age > 0 && found.overlaps(at.Add(-r.Age)) {
+	if c.PartServers <= 0 {
 		return
 	}
-	found.Losses = append(found.Losses, loss)
+	for _, p := range r.Parts[:min(len(r.Parts), suspicion.MaxParts)] {
+		if found := q.record(p, suspicion.Part, r); found != nil {
+			found.Window, found.Hold, found.Limit, found.Delay = c.Window, c.Hold, c.PartServers, c.Delay
+			q.addPart(found, at, loss, r)
+		}
+	}
 }
 
-// dropOldestSuspect makes room for another record. It returns false if all are quarantined.
-func (q *quarantine) dropOldestSuspect() bool {
-	var oldest *record
-	for _, r := range q.records {
-		if r.Standing != suspicion.Quarantined && (oldest == nil || r.before(oldest)) {
-			oldest = r
-		}
+// record returns the record of an attribute of r, a new one if there is none yet, or nil if there is no room.
+func (q *quarantine) record(f suspicion.Fingerprint, k suspicion.Kind, r Running) *record {
+	if found, ok := q.records[f]; ok {
+		return found
+	}
+	if !q.makeRoom(k) {
+		return nil
 	}
-	if oldest != nil {
-		q.remove(oldest.Fingerprint)
+	found := &record{Fingerprint: f, Kind: k, Workspace: r.Workspace, Model: r.Model, Standing: suspicion.Clear}
+	q.records[f] = found
+	if k == suspicion.Part {
+		q.parts++
 	}
-	return oldest != nil
+	return found
 }
 
-// updateStandings computes the standing of each record. Thousands of requests have one loss each; they
+// updateStandings computes the standing of each record. Thousands of attributes have one loss each; they
 // depend on no other and mostly stay what they are, so only those with several are classified.
-func (q *quarantine) updateStandings() {
+func (q *quarantine) updateStandings(at time.Time) {
 	changed := map[suspicion.Fingerprint]suspicion.Standing{}
 	var several []suspicion.Fingerprint
 	for f, r := range q.records {
 		switch {
-		case len(r.Losses) >= q.limit:
+		case len(r.Losses) >= q.limitOf(r):
 			several = append(several, f)
 		case len(r.Losses) > 0 && r.Standing != suspicion.Suspect:
 			changed[f] = suspicion.Suspect
@@ -77,20 +81,31 @@
 			changed[f] = suspicion.Clear
 		}
 	}
-	q.classify(several, changed)
+	q.classify(several, changed, at)
 	for _, f := range slices.SortedFunc(maps.Keys(changed), compare) {
-		q.setStanding(q.records[f], changed[f])
+		q.setStanding(q.records[f], changed[f], at)
 	}
 }
 
+// limitOf returns at how many lost servers an attribute is quarantined.
+func (q *quarantine) limitOf(r *record) int {
+	if r.Limit > 0 {
+		return r.Limit
+	}
+	return q.limit
+}
+
 // classify adds to changed those of the fingerprints whose standing changes.
-func (q *quarantine) classify(fingerprints []suspicion.Fingerprint, changed map[suspicion.Fingerprint]suspicion.Standing) {
+func (q *quarantine) classify(fingerprints []suspicion.Fingerprint, changed map[suspicion.Fingerprint]suspicion.Standing, at time.Time) {
 	slices.SortFunc(fingerprints, compare)
 	losses := make([]*suspicion.FingerprintLosses, len(fingerprints))
 	for i, f := range fingerprints {
-		losses[i] = &suspicion.FingerprintLosses{Losses: q.records[f].Losses}
+		r := q.records[f]
+		losses[i] = &suspicion.FingerprintLosses{
+			Fingerprint: f, Kind: r.Kind, Losses: r.Losses, Limit: q.limitOf(r), With: r.With, Confirmed: r.confirmed(at),
+		}
 	}
-	suspicion.Classify(losses, q.limit)
+	suspicion.Classify(losses)
 	for i, f := range fingerprints {
 		if q.records[f].Standing != losses[i].Standing {
 			changed[f] = losses[i].Standing
@@ -98,14 +113,26 @@
 	}
 }
 
-// setStanding changes the standing of r and assigns a new version to the change.
-func (q *quarantine) setStanding(r *record, s suspicion.Standing) {
+// setStanding changes the standing of r and assigns a new version to the change. Entries needn't know of parts
+// that are only suspects.
+func (q *quarantine) setStanding(r *record, s suspicion.Standing, at time.Time) {
 	if r.Standing == s {
 		return
 	}
+	known := r.Kind == suspicion.WholeRequest || r.Standing == suspicion.Quarantined || s == suspicion.Quarantined
 	r.Standing = s
+	if s == suspicion.Quarantined {
+		r.Since = at.UnixNano()
+	}
+	if known {
+		q.touch(r, at)
+	}
+}
+
+// touch assigns a new version to a change of r.
+func (q *quarantine) touch(r *record, at time.Time) {
 	q.version++
-	r.Version = q.version
+	r.Version, r.ChangedAt = q.version, at.UnixNano()
 }
 
 // remove deletes the record of a fingerprint, which makes it clear.
@@ -115,6 +142,9 @@
 		return
 	}
 	delete(q.records, f)
+	if r.Kind == suspicion.Part {
+		q.parts--
+	}
 	// The entries don't know a fingerprint that was never anything but clear.
 	if r.Version == 0 {
 		return
@@ -151,7 +181,7 @@
 	if !changed {
 		return
 	}
-	q.updateStandings()
+	q.updateStandings(at)
 	for _, f := range q.order() {
 		if len(q.records[f].Losses) == 0 {
 			q.remove(f)
--- a/internal/control/quarantine/quarantine.go
+++ b/internal/control/quarantine/quarantine.go
@@ -15,7 +15,9 @@
 	Name = "quarantine"
 	// maxRecords bounds the memory that a caller can occupy with prompts that
 	// crash servers, or that run on servers that are lost for other reasons.
-	maxRecords  = 4096
+	maxRecords = 4096
+	// maxParts bounds the records of parts of prompts likewise.
+	maxParts    = 4096
 	maxRunning  = 1024
 	maxRemovals = 1024
 	maxLosses   = 8
@@ -23,11 +25,11 @@
 	minLease    = time.Second
 )
 
-// Section records the requests that crash servers.
+// Section records the requests, and the parts of prompts, that crash servers.
 type Section interface {
 	state.Section
-	// Periods returns the quarantine of each quarantined request.
-	Periods() map[suspicion.Fingerprint]Period
+	// Periods returns the quarantine of each quarantined attribute.
+	Periods() map[suspicion.Fingerprint]suspicion.Period
 	// Version returns a number that grows with each change of a standing.
 	Version() uint64
 }
@@ -41,10 +43,12 @@
 // quarantine is the section's state. It is small and rarely changes, so one lock is enough.
 type quarantine struct {
 	Config
-	mu       sync.RWMutex
-	version  uint64
-	limit    int
-	records  map[suspicion.Fingerprint]*record
+	mu      sync.RWMutex
+	version uint64
+	limit   int
+	records map[suspicion.Fingerprint]*record
+	// parts counts the records of parts.
+	parts    int
 	slots    map[string]slot
 	removals []removal
 	// forgotten is the version of the newest removal that was dropped from removals.
@@ -97,10 +101,10 @@
 }
 
 // Periods implements Section.
-func (q *quarantine) Periods() map[suspicion.Fingerprint]Period {
+func (q *quarantine) Periods() map[suspicion.Fingerprint]suspicion.Period {
 	q.mu.RLock()
 	defer q.mu.RUnlock()
-	all := map[suspicion.Fingerprint]Period{}
+	all := map[suspicion.Fingerprint]suspicion.Period{}
 	for f, r := range q.records {
 		if r.Standing == suspicion.Quarantined {
 			all[f] = r.period()
@@ -125,6 +129,7 @@
 	case c.Answered != nil:
 		for _, f := range c.Answered.Fingerprints {
 			q.remove(f)
+			q.dropFromOthers(f, at)
 		}
 		return Result{Valid: true}
 	default:
--- a/internal/control/quarantine/query.go
+++ b/internal/control/quarantine/query.go
@@ -40,11 +40,13 @@
 	Items []Item `cbor:"items" json:"items"`
 }
 
-// Item is one suspect or quarantined request.
+// Item is one suspect or quarantined attribute of requests.
 type Item struct {
 	// Fingerprint is the fingerprint in hexadecimal.
 	Fingerprint string `cbor:"fingerprint" json:"fingerprint"`
-	// Workspace is the workspace that sent the request.
+	// Kind is empty for a whole request.
+	Kind suspicion.Kind `cbor:"kind,omitempty" json:"kind,omitempty"`
+	// Workspace is the workspace that sent the request, or the first one with the part.
 	Workspace string `cbor:"workspace" json:"workspace"`
 	// Model is the requested model.
 	Model string `cbor:"model" json:"model"`
--- a/internal/control/quarantine/record.go
+++ b/internal/control/quarantine/record.go
@@ -8,7 +8,7 @@
 	"hornbeamwood/internal/policy/suspicion"
 )
 
-// record is one suspect or quarantined fingerprint.
+// record is one suspect or quarantined attribute.
 type record struct {
 	Fingerprint suspicion.Fingerprint `cbor:"fingerprint"`
 	Workspace   string                `cbor:"workspace"`
@@ -18,6 +18,32 @@
 	Window      time.Duration         `cbor:"window"`
 	Hold        time.Duration         `cbor:"hold,omitempty"`
 	Version     uint64                `cbor:"version"`
+	// ChangedAt is when Version was assigned, in nanoseconds since 1970.
+	ChangedAt int64 `cbor:"changed-at,omitempty"`
+	// Limit is at how many lost servers the attribute is quarantined; zero for that of the last report.
+	Limit int `cbor:"limit,omitempty"`
+	// Kind is what the attribute is. The following fields are those of a part.
+	Kind suspicion.Kind `cbor:"kind,omitempty"`
+	// Shared is true once runs of several workspaces have lost servers under the part.
+	Shared bool `cbor:"shared,omitempty"`
+	// With are the companions of the part: those that all its runs held too.
+	With []suspicion.Fingerprint `cbor:"with,omitempty"`
+	// Delay is how long after entries have learned of it the quarantine is in force.
+	Delay time.Duration `cbor:"delay,omitempty"`
+	// Since is when the part was quarantined, in nanoseconds since 1970.
+	Since int64 `cbor:"since,omitempty"`
+}
+
+// confirmed returns whether the attribute is a part whose quarantine nobody has refuted in time.
+func (r *record) confirmed(at time.Time) bool {
+	return r.Kind == suspicion.Part && r.Standing == suspicion.Quarantined && at.UnixNano() >= r.Since+int64(r.Delay)
+}
+
+// addLoss records a loss once.
+func (r *record) addLoss(l suspicion.Loss) {
+	if !suspicion.Has(r.Losses, l) && len(r.Losses) < maxLosses {
+		r.Losses = append(r.Losses, l)
+	}
 }
 
 // overlaps returns whether a run that began at that time had already begun when a server was lost under the
@@ -36,9 +62,9 @@
 	return at
 }
 
-// before returns whether the last loss of r is older than that of x. All replicas order equal ones alike.
-func (r *record) before(x *record) bool {
-	return cmp.Or(cmp.Compare(r.lastLoss(), x.lastLoss()), compare(r.Fingerprint, x.Fingerprint)) < 0
+// compare orders records by their last losses. All replicas order equal ones alike.
+func (r *record) compare(x *record) int {
+	return cmp.Or(cmp.Compare(r.lastLoss(), x.lastLoss()), compare(r.Fingerprint, x.Fingerprint))
 }
 
 // expired returns whether a loss is older than the window.
@@ -47,16 +73,22 @@
 	return slices.ContainsFunc(r.Losses, func(l suspicion.Loss) bool { return l.At <= oldest })
 }
 
-// released returns whether the request has been quarantined for as long as it is held.
+// released returns whether the attribute has been quarantined for as long as it is held.
 func (r *record) released(at time.Time) bool {
 	return r.Hold > 0 && at.UnixNano() >= r.lastLoss()+int64(r.Hold)
 }
 
-// period returns for how long the request is quarantined.
-func (r *record) period() Period {
-	p := Period{Version: r.Version, Quarantined: r.Standing == suspicion.Quarantined}
+// period returns for how long the attribute is quarantined.
+func (r *record) period() suspicion.Period {
+	p := suspicion.Period{
+		Version: r.Version, Quarantined: r.Standing == suspicion.Quarantined, Kind: r.Kind, With: slices.Clone(r.With), Delay: r.Delay,
+	}
+	if r.Kind == suspicion.Part && !r.Shared {
+		p.Workspace = r.Workspace
+	}
 	if len(r.Losses) > 0 {
 		p.FirstLoss = time.Unix(0, r.Losses[0].At).UnixMilli()
+		p.Age = max(0, time.Duration(r.ChangedAt-r.Losses[0].At))
 	}
 	if r.Hold > 0 {
 		p.Release = time.Unix(0, r.lastLoss()).Add(r.Hold).UnixMilli()
@@ -64,9 +96,20 @@
 	return p
 }
 
+// change returns the standing of the attribute for entries.
+func (r *record) change() suspicion.Change {
+	c := suspicion.Change{Fingerprint: r.Fingerprint, Standing: r.Standing}
+	if r.Kind == suspicion.Part {
+		p := r.period()
+		c.Part = &p
+	}
+	return c
+}
+
 func (r *record) item() Item {
 	i := Item{
 		Fingerprint: r.Fingerprint.String(),
+		Kind:        r.Kind,
 		Workspace:   r.Workspace,
 		Model:       r.Model,
 		Standing:    r.Standing,
--- a/internal/control/quarantine/snapshot.go
+++ b/internal/control/quarantine/snapshot.go
@@ -41,9 +41,12 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.version, q.forgotten, q.limit, q.removals = i.Version, i.Forgotten, i.Limit, i.Removals
-	q.records = map[suspicion.Fingerprint]*record{}
+	q.records, q.parts = map[suspicion.Fingerprint]*record{}, 0
 	for n := range i.Records {
 		q.records[i.Records[n].Fingerprint] = &i.Records[n]
+		if i.Records[n].Kind == suspicion.Part {
+			q.parts++
+		}
 	}
 	q.slots = i.Slots
 	if q.slots == nil {
--- a/internal/policy/suspicion/classify.go
+++ b/internal/policy/suspicion/classify.go
@@ -9,14 +9,25 @@
 type FingerprintLosses struct {
 	// Losses are the losses, oldest first.
 	Losses []Loss
+	// Kind is what the attribute is, WholeRequest if not set.
+	Kind Kind
+	// Limit is at how many lost servers it is quarantined.
+	Limit int
+	// With are the parts that each of its runs held too.
+	With []Fingerprint
+	// Fingerprint identifies the attribute.
+	Fingerprint Fingerprint
+	// Confirmed is set if it is a part that is quarantined and that nobody has refuted in time.
+	Confirmed bool
 	// Standing is set by Classify.
 	Standing Standing
 }
 
 // Classify sets the standing of each fingerprint in cases.
 //
-// A fingerprint is quarantined if at least limit different servers were lost while they ran it.
-// Repeated losses of one server count once, because that server may be faulty itself. A loss is
+// A fingerprint is quarantined if at least its limit of different servers were lost while they ran it.
+// Repeated losses of one server count once, because that server may be faulty itself; under a part they count
+// from repeatedLosses on, because a service may have few servers. A loss is
 // attributed to all fingerprints that were running on the lost server. If one of them is also
 // quarantined because of another loss, the shared loss no longer counts against the others.
 //
@@ -24,11 +35,14 @@
 // next to two faulty ones looks like the only faulty one until further losses of the other two are
 // known, and must then be released. A fingerprint whose losses are all explained by others stays a
 // suspect, because the quarantined one may be the innocent one; its next complete answer clears it.
-func Classify(cases []*FingerprintLosses, limit int) {
-	limit = max(limit, 1)
-	quarantined := quarantineCandidates(cases, limit)
+//
+// Many requests share a part. If two parts that came in different requests have the same losses, one of them is
+// there by chance, and the next loss shows which. They are quarantined only from repeatedLosses on. A confirmed part
+// isn't released for a better explanation: it gets no further losses, and others do.
+func Classify(cases []*FingerprintLosses) {
+	quarantined := quarantineCandidates(cases)
 	for _, c := range slices.Clone(quarantined) {
-		if countServers(unexplainedLosses(c, quarantined)) < limit {
+		if !c.Confirmed && !c.reachesLimit(unexplainedLosses(c, quarantined)) {
 			quarantined = slices.DeleteFunc(quarantined, func(d *FingerprintLosses) bool { return d == c })
 		}
 	}
@@ -39,10 +53,10 @@
 
 // quarantineCandidates returns the cases whose fingerprints can be quarantined, those with the
 // least evidence first: fewer servers before more, older latest losses before newer ones.
-func quarantineCandidates(cases []*FingerprintLosses, limit int) []*FingerprintLosses {
+func quarantineCandidates(cases []*FingerprintLosses) []*FingerprintLosses {
 	var list []*FingerprintLosses
 	for _, c := range cases {
-		if countServers(c.Losses) >= limit {
+		if c.Confirmed || c.reachesLimit(c.Losses) && !c.isAmbiguous(cases) {
 			list = append(list, c)
 		}
 	}
@@ -52,6 +66,26 @@
 	return list
 }
 
+// reachesLimit returns whether these losses quarantine c.
+func (c *FingerprintLosses) reachesLimit(losses []Loss) bool {
+	return countServers(losses) >= max(c.Limit, 1) || c.Kind == Part && len(losses) >= repeatedLosses
+}
+
+// isAmbiguous returns whether c is a part, and another part that came in different requests has the same losses.
+func (c *FingerprintLosses) isAmbiguous(cases []*FingerprintLosses) bool {
+	if c.Kind != Part || len(c.Losses) >= repeatedLosses {
+		return false
+	}
+	return slices.ContainsFunc(cases, func(d *FingerprintLosses) bool {
+		return d != c && d.Kind == Part && !slices.Contains(c.With, d.Fingerprint) && sameLosses(c.Losses, d.Losses)
+	})
+}
+
+// sameLosses returns whether a and b are the same events.
+func sameLosses(a, b []Loss) bool {
+	return len(a) == len(b) && !hasFurtherLoss(a, b)
+}
+
 func standingOf(c *FingerprintLosses, quarantined []*FingerprintLosses) Standing {
 	switch {
 	case slices.Contains(quarantined, c):
--- a/internal/policy/suspicion/classify_test.go
+++ b/internal/policy/suspicion/classify_test.go
@@ -24,13 +24,13 @@
 func classify(limit int, cases ...string) []Standing {
 	var list []*FingerprintLosses
 	for _, servers := range cases {
-		c := &FingerprintLosses{}
+		c := &FingerprintLosses{Limit: limit}
 		for _, n := range servers {
 			c.Losses = append(c.Losses, Loss{Server: string(n), At: int64(n)})
 		}
 		list = append(list, c)
 	}
-	Classify(list, limit)
+	Classify(list)
 	var got []Standing
 	for _, c := range list {
 		got = append(got, c.Standing)
@@ -62,8 +62,8 @@
 }
 
 func TestClassifyCountsDifferentServers(t *testing.T) {
-	again := &FingerprintLosses{Losses: []Loss{{Server: "a", Incarnation: 1}, {Server: "a", Incarnation: 2}}}
-	if Classify([]*FingerprintLosses{again}, 2); again.Standing != Suspect {
+	again := &FingerprintLosses{Limit: 2, Losses: []Loss{{Server: "a", Incarnation: 1}, {Server: "a", Incarnation: 2}}}
+	if Classify([]*FingerprintLosses{again}); again.Standing != Suspect {
 		t.Errorf("one server twice: %s", again.Standing)
 	}
 	at := time.Unix(1000, 0)
--- /dev/null
+++ b/internal/policy/suspicion/register.go
@@ -0,0 +1,129 @@
+package suspicion
+
+import (
+	"slices"
+	"time"
+)
+
+// untilCleared is the retry time of a request that only an operator clears.
+const untilCleared = 10 * time.Minute
+
+// Register holds the quarantined attributes that a process knows of, and the answers that refute them. It is
+// not safe for concurrent use.
+type Register struct {
+	known   map[Fingerprint]entry
+	answers answers
+	// refuted are quarantined attributes of requests that were answered, to be reported.
+	refuted []Fingerprint
+}
+
+// entry is what is known of one attribute.
+type entry struct {
+	Period
+	// inForce is from when on requests with the attribute are refused.
+	inForce time.Time
+	// refuted is set once this process has refuted the period itself.
+	refuted bool
+}
+
+// Match is a quarantined attribute of a request.
+type Match struct {
+	// Fingerprint identifies the attribute.
+	Fingerprint Fingerprint
+	// Kind is what it is.
+	Kind Kind
+	// RetryAfter is how long the request isn't to be sent.
+	RetryAfter time.Duration
+}
+
+// NewRegister returns an empty register.
+func NewRegister() *Register {
+	return &Register{known: map[Fingerprint]entry{}, answers: newAnswers()}
+}
+
+// Apply applies the quarantine of an attribute. It returns whether that is news, and whether answers of this
+// process refute it.
+func (r *Register) Apply(f Fingerprint, p Period, now time.Time) (news, refuted bool) {
+	old, ok := r.known[f]
+	if ok && p.Version <= old.Version {
+		return false, false
+	}
+	e := entry{Period: p, inForce: p.inForceAt(now), refuted: p.Quarantined && r.refutes(f, p, now)}
+	if ok && old.Quarantined && old.inForce.Before(e.inForce) {
+		e.inForce = old.inForce
+	}
+	r.known[f] = e
+	r.refuted = slices.DeleteFunc(r.refuted, func(x Fingerprint) bool { return x == f })
+	if e.refuted {
+		r.refuted = append(r.refuted, f)
+	}
+	return true, e.refuted
+}
+
+// Answered records that a server has answered a request with these attributes.
+func (r *Register) Answered(a Attributes, now time.Time) {
+	r.answers.record(a, now)
+	for f := range a.all {
+		if e, ok := r.known[f]; ok && e.Quarantined && !e.refuted {
+			e.refuted = true
+			r.known[f] = e
+			r.refuted = append(r.refuted, f)
+		}
+	}
+}
+
+// refutes returns whether answers of this process refute a period.
+func (r *Register) refutes(f Fingerprint, p Period, now time.Time) bool {
+	return r.answers.since(f, p.answeredAfter(now)) || p.Kind == Part && r.answers.sound(f)
+}
+
+// Unanswered returns those parts of a run that may have ended its server: all that weren't among what was answered
+// last.
+func (r *Register) Unanswered(a Attributes) []Fingerprint {
+	var parts []Fingerprint
+	for _, p := range a.Parts {
+		if !r.answers.sound(p) {
+			parts = append(parts, p)
+		}
+	}
+	return parts
+}
+
+// Match returns the attribute for which a request of the workspace is refused, and false if it may be sent.
+func (r *Register) Match(workspace string, a Attributes, now time.Time) (Match, bool) {
+	for f := range a.all {
+		e, ok := r.known[f]
+		if !ok || !e.Quarantined || now.Before(e.inForce) || e.Kind == Part && e.refuted || !e.appliesTo(workspace, a) {
+			continue
+		}
+		after := untilCleared
+		if e.Release != 0 {
+			after = time.UnixMilli(e.Release).Sub(now)
+		}
+		if after > 0 {
+			return Match{Fingerprint: f, Kind: e.Kind, RetryAfter: after}, true
+		}
+	}
+	return Match{}, false
+}
+
+// Refuted returns the quarantined attributes that answers of this process refute and that weren't dropped yet.
+func (r *Register) Refuted() []Fingerprint {
+	return slices.Clone(r.refuted)
+}
+
+// DropRefuted drops attributes that have been reported.
+func (r *Register) DropRefuted(reported []Fingerprint) {
+	r.refuted = slices.DeleteFunc(r.refuted, func(f Fingerprint) bool { return slices.Contains(reported, f) })
+}
+
+// Len returns how many attributes are quarantined.
+func (r *Register) Len() int {
+	n := 0
+	for _, e := range r.known {
+		if e.Quarantined {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/policy/suspicion/view.go
+++ b/internal/policy/suspicion/view.go
@@ -21,6 +21,8 @@
 	Fingerprint Fingerprint `cbor:"f"`
 	// Standing is its new standing.
 	Standing Standing `cbor:"s"`
+	// Part is the quarantine of a part of prompts; nil for a whole request, and once the attribute is forgotten.
+	Part *Period `cbor:"p,omitempty"`
 }
 
 // Version returns the version of the fleet's standings that v contains.
@@ -28,13 +30,17 @@
 	return v.version
 }
 
-// With returns a copy of v at a newer version; whole means that changes lists all standings.
+// With returns a copy of v at a newer version; whole means that changes lists all standings. Those of parts are
+// left to a Register.
 func (v View) With(version uint64, changes []Change, whole bool) View {
 	next := View{version: version, standings: map[Fingerprint]Standing{}}
 	if !whole {
 		maps.Copy(next.standings, v.standings)
 	}
 	for _, c := range changes {
+		if c.Part != nil {
+			continue
+		}
 		next.standings[c.Fingerprint] = c.Standing
 		if c.Standing == Clear {
 			delete(next.standings, c.Fingerprint)
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -16,7 +16,6 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
-	section "hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/node/dial"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
@@ -158,8 +157,12 @@
 	p.budget = retry.NewBudget(retry.Terms{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack})
 	p.limits = limit.New(limit.Config{Random: rand.Float64, OnCapacity: queue.LocalCapacityFreed, Logger: c.Logger})
 	p.backoffs = backoff.New()
-	p.guard = quarantine.New(quarantine.Config{RespondedAt: func(server string) time.Time { return p.tracker.Stats(server).RespondedAt }, Logger: c.Logger})
-	p.site.applyQuarantine = func(f suspicion.Fingerprint, period section.Period) { p.guard.Apply(f, period, time.Now()) }
+	p.guard = quarantine.New(quarantine.Config{
+		RespondedAt: func(server string) time.Time { return p.tracker.Stats(server).RespondedAt },
+		ReportDelay: p.reportDelay,
+		Logger:      c.Logger,
+	})
+	p.site.applyQuarantine = func(f suspicion.Fingerprint, period suspicion.Period) { p.guard.Apply(f, period, time.Now()) }
 	p.handler = caller.New(caller.Config{
 		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: p.tracker, Residency: residency, PeerLoads: peerLoads, Queue: queue,
 		Budget: p.budget, Limits: p.limits, Guard: p.guard, Backoffs: p.backoffs, Origins: origin.New(origin.Config{Node: p.node, Zone: c.Host.Zone, Replicas: p.originReplicas, Metrics: p.metrics}), ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Stopping: p.stopping, Refusing: p.refusing, Isolated: p.isolated, Trial: p.trial, ReportBackoff: p.tunnels.ReportBackoff, Metrics: p.metrics, Logger: c.Logger,
--- a/internal/process/siteentry/losses.go
+++ b/internal/process/siteentry/losses.go
@@ -17,6 +17,8 @@
 	lossesInterval = 30 * time.Millisecond
 	// lossesTimeout bounds one report, which is a commit to the control log.
 	lossesTimeout = 1500 * time.Millisecond
+	// maxReportDelay bounds what reports on a large site add to the time in which entries can refute a quarantine.
+	maxReportDelay = 800 * time.Millisecond
 )
 
 // reportLosses reports the requests under which servers were lost to the control log until ctx ends.
@@ -36,6 +38,11 @@
 	}
 }
 
+// reportDelay returns how much later than on a small site a report and its row arrive.
+func (p *process) reportDelay() time.Duration {
+	return min(2*(p.scaledInterval(lossesInterval)-lossesInterval), maxReportDelay)
+}
+
 func (p *process) proposeLosses(ctx context.Context, c section.Command) bool {
 	body, err := codec.Marshal(c)
 	all := p.addresses()
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -15,7 +15,6 @@
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/wait"
-	"hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/policy/suspicion"
 	"hornbeamwood/internal/serve/share"
 	"hornbeamwood/internal/site/directory"
@@ -43,8 +42,8 @@
 	storesKnown     chan struct{}
 	storesKnownOnce sync.Once
 
-	// applyQuarantine applies the quarantine of a request.
-	applyQuarantine func(f suspicion.Fingerprint, p quarantine.Period)
+	// applyQuarantine applies the quarantine of an attribute of requests.
+	applyQuarantine func(f suspicion.Fingerprint, p suspicion.Period)
 
 	suspension *suspensionGuard
 	startedAt  time.Time
@@ -177,7 +176,7 @@
 		if !ok {
 			return errFingerprint
 		}
-		return decodeRow(r, func(p quarantine.Period) { s.applyQuarantine(f, p) })
+		return decodeRow(r, func(p suspicion.Period) { s.applyQuarantine(f, p) })
 	case topic.Evacuations:
 		return decodeRow(r, func(e section.Evacuation) { s.applyEvacuation(address, r.Key, e) })
 	}
--- a/internal/serve/caller/engine_wait.go
+++ b/internal/serve/caller/engine_wait.go
@@ -77,7 +77,7 @@
 			return choice{}, false
 		}
 		reason := j.Queue.Wait(ctx, w, delay)
-		if reason == waitqueue.ContextDone {
+		if reason == waitqueue.ContextDone || j.quarantined() {
 			return choice{}, false
 		}
 		if reason == waitqueue.Recheck && delay != waitqueue.AdmitBackoff {
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -79,9 +79,8 @@
 	begun    *begun
 	server   directory.Server
 
-	// content is the fingerprint of the request once fingerprinted is set.
-	content       suspicion.Fingerprint
-	fingerprinted bool
+	// shared is what the request has in common with others, nil before it is needed.
+	shared *suspicion.Attributes
 
 	// refusal is the reason why no server was tried, and clearAfter when capacity is expected;
 	// both are for callers that are refused.
@@ -125,12 +124,6 @@
 			j.abandon()
 			return
 		}
-		if ok && j.quarantined() {
-			// It was quarantined while it waited.
-			j.release(c)
-			j.giveUp(j.refusal)
-			return
-		}
 		if !ok {
 			switch {
 			case j.Site.Withdrawn(j.service.Name):
@@ -150,6 +143,13 @@
 		if !j.enter(ctx, c.server) {
 			continue
 		}
+		if j.quarantined() {
+			// It was quarantined while it waited.
+			j.leave()
+			j.releaseServer(c.server.ID)
+			j.giveUp(j.refusal)
+			return
+		}
 		done, reason := j.try(ctx, c)
 		if done {
 			return
--- a/internal/serve/caller/successor.go
+++ b/internal/serve/caller/successor.go
@@ -16,7 +16,10 @@
 // goes on would be given up for nothing if no other server took the request. A prompt without an
 // event leaves for the queue too, if there is an engine that it can wait for.
 func (j *job) secureSuccessor(now time.Time) bool {
-	if !j.granted && !j.Budget.Available(j.service.Name, now) || j.Guard.Quarantined(j.fingerprint(), now) > 0 {
+	if !j.granted && !j.Budget.Available(j.service.Name, now) {
+		return false
+	}
+	if _, refused := j.Guard.Quarantined(j.workspace.Name, j.attributes(), now); refused {
 		return false
 	}
 	c, ok := j.chooseNow(now)
--- a/internal/serve/quarantine/doc.go
+++ b/internal/serve/quarantine/doc.go
@@ -1,4 +1,5 @@
-// Package quarantine keeps an entry from sending requests that crash their servers.
+// Package quarantine keeps an entry from sending requests that crash their servers, also those whose prompts share a
+// part that does.
 //
 // Each entry reports the servers that were lost while they ran its requests to the control log,
 // which decides for the whole site which requests are quarantined.
--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -22,14 +22,17 @@
 	// hold is how long after its last loss a quarantined request is released. Each release of one that
 	// still crashes servers costs two of them.
 	hold = time.Hour
-	// untilCleared is the retry time of a request that only an operator clears.
-	untilCleared = 10 * time.Minute
+	// maxReportedParts bounds the parts of a report.
+	maxReportedParts = 8 * maxPending
+	// objectionTime is how long entries of a small site have to refute the quarantine of a part before it is in
+	// force: a row, a report, a commit and another row.
+	objectionTime = 400 * time.Millisecond
 )
 
 // Run is a request that a server ran when it was lost.
 type Run struct {
-	// Fingerprint identifies the request.
-	Fingerprint suspicion.Fingerprint
+	// Attributes are those of the request.
+	Attributes suspicion.Attributes
 	// Attempt is the attempt's ID, for the log.
 	Attempt string
 	// Workspace is the caller's workspace.
@@ -39,65 +42,59 @@
 	Incarnation uint64
 	// SentAt is when the request was sent, LostAt when its connection broke.
 	SentAt, LostAt time.Time
+	// Began is set if the server had begun its answer.
+	Began bool
 }
 
 // Config is the configuration of a Guard.
 type Config struct {
 	// RespondedAt returns when the server last responded to this entry.
 	RespondedAt func(server string) time.Time
+	// ReportDelay returns how much later than at a small site reports are sent; nil for never.
+	ReportDelay func() time.Duration
 	// Logger receives the log events.
 	Logger log.Interface
 }
 
-// Guard holds the quarantined requests, and what this entry has to report of its own.
+// Guard holds the quarantined attributes of requests, and what this entry has to report of its own.
 type Guard interface {
-	// Quarantined returns for how long the request is not to be sent, zero if it may be.
-	Quarantined(f suspicion.Fingerprint, now time.Time) time.Duration
+	// Quarantined returns the attribute for which a request of the workspace isn't to be sent, and false if it may be.
+	Quarantined(workspace string, a suspicion.Attributes, now time.Time) (suspicion.Match, bool)
 	// Lost records a run that ended because its server closed the connection.
 	Lost(r Run)
-	// Answered records that a server has answered the request completely.
-	Answered(f suspicion.Fingerprint, now time.Time)
-	// Apply applies the quarantine of a request that a replica shows.
-	Apply(f suspicion.Fingerprint, p section.Period, now time.Time)
+	// Answered records that a server has answered a request with these attributes.
+	Answered(a suspicion.Attributes, now time.Time)
+	// Apply applies the quarantine of an attribute that a replica shows.
+	Apply(f suspicion.Fingerprint, p suspicion.Period, now time.Time)
 	// Pending returns what is to be reported, and false if there is nothing. It stays pending until
 	// Reported is called.
 	Pending(now time.Time) (section.Command, bool)
 	// Reported drops what Pending returned last.
 	Reported()
-	// Len returns how many requests are quarantined.
+	// Len returns how many attributes are quarantined.
 	Len() int
 }
 
 type guard struct {
 	Config
-	mu      sync.Mutex
-	periods map[suspicion.Fingerprint]section.Period
-	answers answers
-	lost    []Run
-	// answered are requests whose quarantine this entry refutes.
-	answered []suspicion.Fingerprint
-	// reported and refuted count the runs and the refutations that Pending returned last.
-	reported, refuted int
+	mu       sync.Mutex
+	register *suspicion.Register
+	lost     []Run
+	// reported counts the runs and refuted holds the refutations that Pending returned last.
+	reported int
+	refuted  []suspicion.Fingerprint
 }
 
-// New returns a Guard without any quarantined request.
+// New returns a Guard without any quarantined attribute.
 func New(c Config) Guard {
-	return &guard{Config: c, periods: map[suspicion.Fingerprint]section.Period{}, answers: newAnswers()}
+	return &guard{Config: c, register: suspicion.NewRegister()}
 }
 
 // Quarantined implements Guard.
-func (g *guard) Quarantined(f suspicion.Fingerprint, now time.Time) time.Duration {
+func (g *guard) Quarantined(workspace string, a suspicion.Attributes, now time.Time) (suspicion.Match, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p, ok := g.periods[f]
-	switch {
-	case !ok || !p.Quarantined:
-		return 0
-	case p.Release == 0:
-		return untilCleared
-	default:
-		return max(0, time.UnixMilli(p.Release).Sub(now))
-	}
+	return g.register.Match(workspace, a, now)
 }
 
 // Lost implements Guard.
@@ -110,31 +107,24 @@
 }
 
 // Answered implements Guard.
-func (g *guard) Answered(f suspicion.Fingerprint, now time.Time) {
+func (g *guard) Answered(a suspicion.Attributes, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.answers.record(f, now)
-	if g.periods[f].Quarantined {
-		g.answered = append(g.answered, f)
-	}
+	g.register.Answered(a, now)
 }
 
-// Apply implements Guard. A request that this entry has answered since its first loss doesn't crash the servers
-// that run it.
-func (g *guard) Apply(f suspicion.Fingerprint, p section.Period, now time.Time) {
+// Apply implements Guard. An attribute of a request that this entry has seen answered since its first loss doesn't
+// crash the servers that run it.
+func (g *guard) Apply(f suspicion.Fingerprint, p suspicion.Period, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p.Version <= g.periods[f].Version {
+	news, refuted := g.register.Apply(f, p, now)
+	if !news {
 		return
 	}
-	g.periods[f] = p
-	refuted := p.Quarantined && g.answers.since(f, time.UnixMilli(p.FirstLoss))
-	if refuted {
-		g.answered = append(g.answered, f)
-	}
 	event.QuarantineChanged.Write(g.Logger, log.Fields{
-		"fingerprint": f.String(), "quarantined": p.Quarantined, "version": p.Version, "refuted": refuted,
-		"since-ms": now.UnixMilli() - p.FirstLoss,
+		"fingerprint": f.String(), "kind": string(p.Kind), "quarantined": p.Quarantined, "version": p.Version, "refuted": refuted,
+		"since-ms": now.UnixMilli() - p.FirstLoss, "only-workspace": p.Workspace, "companions": len(p.With), "delay-ms": p.Delay.Milliseconds(),
 	})
 }
 
@@ -142,10 +132,9 @@
 func (g *guard) Pending(now time.Time) (section.Command, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.refuted = len(g.answered)
-	if g.refuted > 0 {
+	if g.refuted = g.register.Refuted(); len(g.refuted) > 0 {
 		g.reported = 0
-		return section.Command{Answered: &section.Answered{Fingerprints: g.answered[:g.refuted:g.refuted]}}, true
+		return section.Command{Answered: &section.Answered{Fingerprints: g.refuted}}, true
 	}
 	g.dropResponsive(now)
 	g.reported = 0
@@ -155,7 +144,7 @@
 	if g.reported == 0 {
 		return section.Command{}, false
 	}
-	return section.Command{Losses: losses(g.lost[:g.reported], now)}, true
+	return section.Command{Losses: g.losses(now)}, true
 }
 
 // dropResponsive drops the runs whose servers have responded since.
@@ -170,50 +159,66 @@
 	g.lost = kept
 }
 
-// losses groups the runs by server.
-func losses(runs []Run, now time.Time) []section.Lost {
+// losses returns the runs that are reported, grouped by server.
+func (g *guard) losses(now time.Time) []section.Lost {
 	var all []section.Lost
-	index := map[string]int{}
-	for _, r := range runs {
+	index, room := map[string]int{}, maxReportedParts
+	for _, r := range g.lost[:g.reported] {
 		i, ok := index[r.Server]
 		if !ok {
 			i = len(all)
 			index[r.Server] = i
 			all = append(all, section.Lost{
 				Server: r.Server, Incarnation: r.Incarnation, Ago: now.Sub(r.LostAt),
-				Servers: suspicion.DefaultServers, Window: suspicion.DefaultWindow, Hold: hold,
+				Servers: suspicion.DefaultServers, PartServers: suspicion.DefaultPartServers, Window: suspicion.DefaultWindow, Hold: hold, Delay: g.delay(),
 			})
 		}
+		parts := g.register.Unanswered(r.Attributes)
+		parts = parts[:min(len(parts), room)]
+		room -= len(parts)
 		all[i].Running = append(all[i].Running, section.Running{
-			Fingerprint: r.Fingerprint, Workspace: r.Workspace, Age: max(time.Nanosecond, now.Sub(r.SentAt)),
+			Fingerprint: r.Attributes.Request, Workspace: r.Workspace, Age: max(time.Nanosecond, now.Sub(r.SentAt)), Parts: parts, Began: r.Began,
 		})
 	}
 	return all
 }
 
+// delay returns how long entries have to refute the quarantine of a part.
+func (g *guard) delay() time.Duration {
+	if g.ReportDelay == nil {
+		return objectionTime
+	}
+	return objectionTime + g.ReportDelay()
+}
+
 // Reported implements Guard.
 func (g *guard) Reported() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range g.lost[:g.reported] {
 		event.ServerLostUnder.Write(g.Logger, log.Fields{
-			"server": r.Server, "workspace": r.Workspace, "fingerprint": r.Fingerprint.String(), "request": r.Attempt,
+			"server": r.Server, "workspace": r.Workspace, "fingerprint": r.Attributes.Request.String(), "request": r.Attempt,
+			"began": r.Began, "parts": shortNames(r.Attributes.Parts), "suspect-parts": shortNames(g.register.Unanswered(r.Attributes)),
 		})
 	}
 	g.lost = g.lost[g.reported:]
-	g.answered = g.answered[g.refuted:]
-	g.reported, g.refuted = 0, 0
+	g.register.DropRefuted(g.refuted)
+	g.reported, g.refuted = 0, nil
 }
 
 // Len implements Guard.
 func (g *guard) Len() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := 0
-	for _, p := range g.periods {
-		if p.Quarantined {
-			n++
-		}
+	return g.register.Len()
+}
+
+// shortNames returns the first digits of fingerprints, of a bounded number of them.
+func shortNames(all []suspicion.Fingerprint) []string {
+	const most, digits = 8, 12
+	names := make([]string, 0, min(most, len(all)))
+	for _, f := range all[:min(most, len(all))] {
+		names = append(names, f.String()[:digits])
 	}
-	return n
+	return names
 }
--- a/internal/serve/quarantine/guard_test.go
+++ b/internal/serve/quarantine/guard_test.go
@@ -5,17 +5,30 @@
 	"testing"
 	"time"
 
-	section "hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/policy/suspicion"
 )
 
+// othersAnswered is how many other requests are answered, as many as are remembered.
+const othersAnswered = 4096
+
 var (
 	now = time.UnixMilli(1_800_000_000_000)
 	x   = suspicion.FingerprintOf("w", "POST h/x", nil)
 )
 
-func period(version uint64, quarantined bool, firstLoss time.Time) section.Period {
-	return section.Period{Version: version, Quarantined: quarantined, FirstLoss: firstLoss.UnixMilli(), Release: now.Add(time.Hour).UnixMilli()}
+func period(version uint64, quarantined bool, firstLoss time.Time) suspicion.Period {
+	return suspicion.Period{Version: version, Quarantined: quarantined, FirstLoss: firstLoss.UnixMilli(), Release: now.Add(time.Hour).UnixMilli()}
+}
+
+// refusedFor returns for how long the request x is refused.
+func refusedFor(g Guard, now time.Time) time.Duration {
+	m, _ := g.Quarantined("w", suspicion.Attributes{Request: x}, now)
+	return m.RetryAfter
+}
+
+// whole returns the attributes of a request without parts.
+func whole(f suspicion.Fingerprint) suspicion.Attributes {
+	return suspicion.Attributes{Request: f}
 }
 
 func newGuard(responded map[string]time.Time) Guard {
@@ -26,16 +39,16 @@
 func TestOlderRowsChangeNothing(t *testing.T) {
 	g := newGuard(nil)
 	g.Apply(x, period(5, true, now), now)
-	if d := g.Quarantined(x, now); d != time.Hour {
+	if d := refusedFor(g, now); d != time.Hour {
 		t.Fatalf("quarantined for %s", d)
 	}
 	g.Apply(x, period(6, false, now), now)
 	g.Apply(x, period(5, true, now), now)
-	if d := g.Quarantined(x, now); d != 0 || g.Len() != 0 {
+	if d := refusedFor(g, now); d != 0 || g.Len() != 0 {
 		t.Errorf("quarantined for %s, %d in all", d, g.Len())
 	}
 	g.Apply(x, period(7, true, now), now)
-	if d := g.Quarantined(x, now.Add(2*time.Hour)); d != 0 {
+	if d := refusedFor(g, now.Add(2*time.Hour)); d != 0 {
 		t.Errorf("after its release quarantined for %s", d)
 	}
 }
@@ -48,9 +61,9 @@
 		want     bool
 	}{{-time.Second, false}, {time.Second, true}} {
 		g := newGuard(nil)
-		g.Answered(x, now.Add(c.answered))
-		for i := range maxAnswers {
-			g.Answered(suspicion.FingerprintOf("w", fmt.Sprint(i), nil), now)
+		g.Answered(whole(x), now.Add(c.answered))
+		for i := range othersAnswered {
+			g.Answered(whole(suspicion.FingerprintOf("w", fmt.Sprint(i), nil)), now)
 		}
 		g.Apply(x, period(1, true, now), now.Add(2*time.Second))
 		if p, ok := g.Pending(now.Add(2 * time.Second)); ok != c.want || ok && p.Answered == nil {
@@ -59,7 +72,7 @@
 	}
 	g := newGuard(nil)
 	g.Apply(x, period(1, true, now), now)
-	g.Answered(x, now.Add(time.Second))
+	g.Answered(whole(x), now.Add(time.Second))
 	if _, ok := g.Pending(now.Add(time.Second)); !ok {
 		t.Error("an answer that arrived during the quarantine is not reported")
 	}
@@ -75,7 +88,7 @@
 	responded := map[string]time.Time{"faulty": now.Add(50 * time.Millisecond), "lost": now.Add(5 * time.Millisecond)}
 	g := newGuard(responded)
 	for _, server := range []string{"faulty", "lost", "lost"} {
-		g.Lost(Run{Fingerprint: x, Server: server, Incarnation: 3, SentAt: now.Add(-time.Second), LostAt: now})
+		g.Lost(Run{Attributes: whole(x), Server: server, Incarnation: 3, SentAt: now.Add(-time.Second), LostAt: now})
 	}
 	if _, ok := g.Pending(now.Add(confirmAfter / 2)); ok {
 		t.Fatal("reported at once")
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -39,7 +39,7 @@
 	StoreSummaries rowtable.Topic = 14
 	// Evacuations holds the state of each availability zone as a section.Evacuation under its name.
 	Evacuations rowtable.Topic = 18
-	// Quarantine holds the quarantine of a request as a quarantine.Period under its fingerprint.
+	// Quarantine holds the quarantine of an attribute of requests as a suspicion.Period under its fingerprint.
 	Quarantine rowtable.Topic = 19
 )
 
