Entries are told of a part one lost server before it is quarantined

The time in which entries can refute a part began at the third lost server, and each request with it that came in those 0.4 s ended another one. Now the row of a part comes at the second loss, entries refute it from then on, and the quarantine at the third loss is in force as soon as that time is over.

--- a/internal/control/quarantine/lost.go
+++ b/internal/control/quarantine/lost.go
@@ -73,7 +73,7 @@
 	var several []suspicion.Fingerprint
 	for f, r := range q.records {
 		switch {
-		case len(r.Losses) >= q.limitOf(r):
+		case len(r.Losses) >= q.limitOf(r) || r.nearLimit(q.limitOf(r)):
 			several = append(several, f)
 		case len(r.Losses) > 0 && r.Standing != suspicion.Suspect:
 			changed[f] = suspicion.Suspect
@@ -85,6 +85,18 @@
 	for _, f := range slices.SortedFunc(maps.Keys(changed), compare) {
 		q.setStanding(q.records[f], changed[f], at)
 	}
+	for _, f := range several {
+		q.tellOfSuspect(q.records[f], at)
+	}
+}
+
+// tellOfSuspect has entries know of a part that one more lost server quarantines, so that those that know answers
+// refute it in time.
+func (q *quarantine) tellOfSuspect(r *record, at time.Time) {
+	if r.Since == 0 && r.Standing == suspicion.Suspect && r.nearLimit(q.limitOf(r)) {
+		r.Since = at.UnixNano()
+		q.touch(r, at)
+	}
 }
 
 // limitOf returns at how many lost servers an attribute is quarantined.
@@ -121,7 +133,7 @@
 	}
 	known := r.Kind == suspicion.WholeRequest || r.Standing == suspicion.Quarantined || s == suspicion.Quarantined
 	r.Standing = s
-	if s == suspicion.Quarantined {
+	if r.Kind == suspicion.Part && known && r.Since == 0 {
 		r.Since = at.UnixNano()
 	}
 	if known {
--- a/internal/control/quarantine/quarantine.go
+++ b/internal/control/quarantine/quarantine.go
@@ -28,7 +28,7 @@
 // Section records the requests, and the parts of prompts, that crash servers.
 type Section interface {
 	state.Section
-	// Periods returns the quarantine of each quarantined attribute.
+	// Periods returns the quarantine of each quarantined attribute, and of parts that entries are told of before.
 	Periods() map[suspicion.Fingerprint]suspicion.Period
 	// Version returns a number that grows with each change of a standing.
 	Version() uint64
@@ -106,7 +106,7 @@
 	defer q.mu.RUnlock()
 	all := map[suspicion.Fingerprint]suspicion.Period{}
 	for f, r := range q.records {
-		if r.Standing == suspicion.Quarantined {
+		if r.Standing == suspicion.Quarantined || r.suspected() {
 			all[f] = r.period()
 		}
 	}
--- a/internal/control/quarantine/record.go
+++ b/internal/control/quarantine/record.go
@@ -30,10 +30,20 @@
 	With []suspicion.Fingerprint `cbor:"with,omitempty"`
 	// Delay is how long after entries have learned of it the quarantine is in force.
 	Delay time.Duration `cbor:"delay,omitempty"`
-	// Since is when the part was quarantined, in nanoseconds since 1970.
+	// Since is when entries were first told of the part, in nanoseconds since 1970; zero if they weren't.
 	Since int64 `cbor:"since,omitempty"`
 }
 
+// nearLimit returns whether r is a part that one more lost server quarantines.
+func (r *record) nearLimit(limit int) bool {
+	return r.Kind == suspicion.Part && len(r.Losses) >= max(2, limit-1)
+}
+
+// suspected returns whether entries are told of a part because one more lost server quarantines it.
+func (r *record) suspected() bool {
+	return r.Kind == suspicion.Part && r.Standing == suspicion.Suspect && r.Since != 0
+}
+
 // confirmed returns whether the attribute is a part whose quarantine nobody has refuted in time.
 func (r *record) confirmed(at time.Time) bool {
 	return r.Kind == suspicion.Part && r.Standing == suspicion.Quarantined && at.UnixNano() >= r.Since+int64(r.Delay)
@@ -81,7 +91,11 @@
 // period returns for how long the attribute is quarantined.
 func (r *record) period() suspicion.Period {
 	p := suspicion.Period{
-		Version: r.Version, Quarantined: r.Standing == suspicion.Quarantined, Kind: r.Kind, With: slices.Clone(r.With), Delay: r.Delay,
+		Version: r.Version, Quarantined: r.Standing == suspicion.Quarantined, Kind: r.Kind, With: slices.Clone(r.With),
+	}
+	p.Suspected = r.suspected()
+	if r.Since != 0 {
+		p.Delay = max(0, r.Delay-time.Duration(r.ChangedAt-r.Since))
 	}
 	if r.Kind == suspicion.Part && !r.Shared {
 		p.Workspace = r.Workspace
--- a/internal/policy/suspicion/period.go
+++ b/internal/policy/suspicion/period.go
@@ -20,6 +20,8 @@
 	With []Fingerprint `cbor:"with,omitempty"`
 	// Age is how long before the last change the first loss was; zero if not stated.
 	Age time.Duration `cbor:"age,omitempty"`
+	// Suspected is set if one more lost server quarantines the part. Entries that know answers refute it already.
+	Suspected bool `cbor:"suspected,omitempty"`
 	// Delay is how long after an entry has learned of it the quarantine is in force there, so that entries that
 	// know answers can refute it before.
 	Delay time.Duration `cbor:"delay,omitempty"`
--- a/internal/policy/suspicion/register.go
+++ b/internal/policy/suspicion/register.go
@@ -13,7 +13,7 @@
 type Register struct {
 	known   map[Fingerprint]entry
 	answers answers
-	// refuted are quarantined attributes of requests that were answered, to be reported.
+	// refuted are suspected and quarantined attributes of requests that were answered, to be reported.
 	refuted []Fingerprint
 }
 
@@ -48,7 +48,7 @@
 	if ok && p.Version <= old.Version {
 		return false, false
 	}
-	e := entry{Period: p, inForce: p.inForceAt(now), refuted: p.Quarantined && r.refutes(f, p, now)}
+	e := entry{Period: p, inForce: p.inForceAt(now), refuted: (p.Quarantined || p.Suspected) && r.refutes(f, p, now)}
 	if ok && old.Quarantined && old.inForce.Before(e.inForce) {
 		e.inForce = old.inForce
 	}
@@ -60,11 +60,28 @@
 	return true, e.refuted
 }
 
+// Knows returns whether the register has heard of an attribute.
+func (r *Register) Knows(f Fingerprint) bool {
+	_, ok := r.known[f]
+	return ok
+}
+
+// Missing returns the suspected and quarantined attributes that aren't listed.
+func (r *Register) Missing(listed map[Fingerprint]bool) []Fingerprint {
+	var missing []Fingerprint
+	for f, e := range r.known {
+		if (e.Quarantined || e.Suspected) && !listed[f] {
+			missing = append(missing, f)
+		}
+	}
+	return missing
+}
+
 // Answered records that a server has answered a request with these attributes.
 func (r *Register) Answered(a Attributes, now time.Time) {
 	r.answers.record(a, now)
 	for f := range a.all {
-		if e, ok := r.known[f]; ok && e.Quarantined && !e.refuted {
+		if e, ok := r.known[f]; ok && (e.Quarantined || e.Suspected) && !e.refuted {
 			e.refuted = true
 			r.known[f] = e
 			r.refuted = append(r.refuted, f)
@@ -107,7 +124,7 @@
 	return Match{}, false
 }
 
-// Refuted returns the quarantined attributes that answers of this process refute and that weren't dropped yet.
+// Refuted returns the suspected and quarantined attributes that answers of this process refute and that weren't dropped yet.
 func (r *Register) Refuted() []Fingerprint {
 	return slices.Clone(r.refuted)
 }
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -210,7 +210,7 @@
 		active, _ := p.section.Active()
 		return float64(active.Document.Revision)
 	})
-	p.metrics.NewGauge("hornbeamwood_site_quarantined", func() float64 { return float64(len(p.quarantine.Periods())) })
+	p.metrics.NewGauge("hornbeamwood_site_quarantined", p.countQuarantined)
 	p.metrics.NewGauge("hornbeamwood_quic_sent_bytes", func() float64 { return float64(p.node.BytesSent()) })
 }
 
--- a/internal/process/sitecontrol/quarantine.go
+++ b/internal/process/sitecontrol/quarantine.go
@@ -31,3 +31,14 @@
 		p.quarantineRows.shown[f] = true
 	}
 }
+
+// countQuarantined returns how many attributes are quarantined.
+func (p *process) countQuarantined() float64 {
+	n := 0
+	for _, x := range p.quarantine.Periods() {
+		if x.Quarantined {
+			n++
+		}
+	}
+	return float64(n)
+}
--- a/internal/serve/quarantine/world_test.go
+++ b/internal/serve/quarantine/world_test.go
@@ -111,7 +111,7 @@
 	}
 	clear(w.shown)
 	for f, p := range periods {
-		if p.Quarantined {
+		if p.Quarantined || p.Suspected {
 			w.shown[f] = true
 		}
 		for _, g := range w.guards {
