Own interface: a piece of prompts that crashes engines is quarantined

The complete pieces of a prompt are its parts, by their content, wherever they stand. Entries report them with each lost engine to the same section, keep the quarantined ones in the same register, refute those that they know to be sound when they read the record, and ask again right before a prompt is sent. An entry that is told of a lost server reads the record a moment later instead of at its next poll.

--- a/crashing_request_test.go
+++ b/crashing_request_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"hornbeamwood/internal/standin/engine"
 	"hornbeamwood/internal/standin/service"
@@ -164,3 +165,52 @@
 		eventually(t, x.name+" has an empty quarantine", func() bool { return len(list(x)) == 0 })
 	}
 }
+
+// pieceOf returns a text that fills one piece of a prompt in the small tree.
+func pieceOf(text string) string {
+	const pieceBytes = 256 * 4
+	return (text + strings.Repeat(".", pieceBytes))[:pieceBytes]
+}
+
+// Guards against prompts that share a piece which crashes each engine that runs them, no two alike, sent through every
+// entry; and against the refusal of prompts that share everything else with them.
+func TestPieceThatCrashesEnginesIsQuarantined(t *testing.T) {
+	const servers, allowed = 8, 5
+	f := newFleet(t, 3, 3)
+	f.startNodes()
+	for i := range servers {
+		f.engines = append(f.engines, f.startStandin(fmt.Sprintf("engine-%d", i+1), "engine", crashingEngine))
+	}
+	f.applyTree(f.entries[0], smallTree())
+	for _, e := range f.entries {
+		f.serves(e, gateKey, "draft")
+	}
+	instructions, crashing := pieceOf("instructions"), pieceOf(engine.CrashMarker)
+	n := 0
+	crash := func(e *host) answer {
+		n++
+		b, _ := json.Marshal(map[string]any{"model": "draft", "prompt": instructions + crashing + fmt.Sprint("crash ", n), "stream": true})
+		return call{method: http.MethodPost, url: e.url() + "/v1/completions", key: gateKey, body: string(b)}.do()
+	}
+	sound := func(e *host, i int) bool {
+		return complete(e, gateKey, "draft", instructions+pieceOf(fmt.Sprint("document ", i%3))+fmt.Sprint("sound ", n, i), 5).done
+	}
+	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(200 * time.Millisecond) {
+		for i, e := range f.entries {
+			sound(e, i)
+		}
+		crash(f.entries[n%len(f.entries)])
+	}
+	if lost := servers - f.running(f.engines); lost > allowed {
+		t.Errorf("%d of %d engines were lost, want at most %d", lost, servers, allowed)
+	}
+	for i, e := range f.entries {
+		a := crash(e)
+		if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || a.header.Get("Hornbeamwood-Verdict") != "not-run" || !strings.Contains(a.body, "request-quarantined") {
+			t.Errorf("%s: status %d, Retry-After %q, verdict %q, %s", e.name, a.status, a.header.Get("Retry-After"), a.header.Get("Hornbeamwood-Verdict"), a.body)
+		}
+		if !sound(e, i) {
+			t.Errorf("%s doesn't serve a prompt that shares the instructions", e.name)
+		}
+	}
+}
--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -89,7 +89,7 @@
 	r.inFlight.add(a.load, 1)
 	r.Work.Sent(r.Now(), a.server.Key(), a.load.tokens)
 	r.recordLinkBytes(a, imports)
-	r.Guard.Started(r.Now(), j.fingerprint, identity)
+	r.Guard.Started(r.Now(), j.shared.Request, identity)
 	a.sent = r.Now()
 	running, cancel := context.WithCancel(ctx)
 	a.cancel = cancel
@@ -123,6 +123,9 @@
 	v := r.Servers.View()
 	eligibility := v.Recheck(r.Now(), a.server, j.need())
 	if eligibility == membership.Eligible {
+		if err := r.Guard.Recheck(r.Now(), j.Workspace, j.shared); err != nil {
+			return err
+		}
 		return r.reserve(a)
 	}
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "server-left",
--- a/internal/entry/completion/ending.go
+++ b/internal/entry/completion/ending.go
@@ -34,6 +34,7 @@
 // end records the end of the attempt and releases its resources; io.EOF stands for a complete answer.
 func (r *router) end(ctx context.Context, j *job, a *attempt, cause error) {
 	ctx = context.WithoutCancel(ctx)
+	began := a.released
 	if r.releaseInFlight(ctx, a) && waitAbandoned(cause) {
 		r.observe(j, a)
 	}
@@ -42,7 +43,9 @@
 	if lost || unresponsive(cause) {
 		r.outages.Add(r.Now(), identity)
 	}
-	r.Guard.Ended(ctx, r.Now(), j.fingerprint, identity, lost)
+	r.Guard.Ended(ctx, r.Now(), Run{
+		Workspace: j.Workspace, Attributes: j.shared, Server: identity, SentAt: a.sent, Began: began, Answered: errors.Is(cause, io.EOF) && !lost, Lost: lost,
+	})
 	if errors.Is(cause, io.EOF) {
 		r.exporter.start(r, j, a)
 	}
--- a/internal/entry/completion/fixture_test.go
+++ b/internal/entry/completion/fixture_test.go
@@ -23,6 +23,7 @@
 	"hornbeamwood/internal/policy/placement"
 	"hornbeamwood/internal/policy/retry"
 	"hornbeamwood/internal/policy/route"
+	"hornbeamwood/internal/policy/suspicion"
 	"hornbeamwood/internal/settings/rules"
 )
 
@@ -159,15 +160,16 @@
 	lost    []string
 }
 
-func (g *fakeGuard) RecordOwner(Fingerprint, string, string)  {}
-func (g *fakeGuard) Check(time.Time, Fingerprint) error       { return g.refused }
-func (g *fakeGuard) Started(time.Time, Fingerprint, string)   {}
-func (g *fakeGuard) RequiresIsolation(time.Time, string) bool { return false }
-func (g *fakeGuard) Ended(_ context.Context, _ time.Time, _ Fingerprint, server string, lost bool) {
+func (g *fakeGuard) RecordOwner(Fingerprint, string, string)               {}
+func (g *fakeGuard) Check(time.Time, string, suspicion.Attributes) error   { return g.refused }
+func (g *fakeGuard) Recheck(time.Time, string, suspicion.Attributes) error { return nil }
+func (g *fakeGuard) Started(time.Time, Fingerprint, string)                {}
+func (g *fakeGuard) RequiresIsolation(time.Time, string) bool              { return false }
+func (g *fakeGuard) Ended(_ context.Context, _ time.Time, r Run) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if lost {
-		g.lost = append(g.lost, server)
+	if r.Lost {
+		g.lost = append(g.lost, r.Server)
 	}
 }
 
--- a/internal/entry/completion/job.go
+++ b/internal/entry/completion/job.go
@@ -7,16 +7,17 @@
 	"hornbeamwood/internal/cache/block"
 	"hornbeamwood/internal/cache/directory"
 	"hornbeamwood/internal/entry/caller"
+	"hornbeamwood/internal/policy/suspicion"
 )
 
 // job is one caller's request with the state that its attempts share.
 type job struct {
 	caller.Request
-	fingerprint Fingerprint
-	keys        []block.Key
-	locations   directory.Locations
-	excluded    map[string]bool
-	attempts    int
+	shared    suspicion.Attributes
+	keys      []block.Key
+	locations directory.Locations
+	excluded  map[string]bool
+	attempts  int
 }
 
 func (r *router) newJob(q caller.Request) *job {
@@ -27,10 +28,13 @@
 		PieceTokens:   q.Model.PieceTokens,
 	}
 	return &job{
-		Request:     q,
-		fingerprint: FingerprintOf(q.Workspace, q.Model.Name, q.Prompt),
-		keys:        scope.Tokens(q.Tokens),
-		excluded:    make(map[string]bool),
+		Request: q,
+		shared: suspicion.Attributes{
+			Request: FingerprintOf(q.Workspace, q.Model.Name, q.Prompt),
+			Parts:   piecesOf(q.Tokens, q.Model.PieceTokens),
+		},
+		keys:     scope.Tokens(q.Tokens),
+		excluded: make(map[string]bool),
 	}
 }
 
--- a/internal/entry/completion/retry.go
+++ b/internal/entry/completion/retry.go
@@ -27,7 +27,7 @@
 	if j.attempts == 0 || callerFault(cause) {
 		return nil, cause
 	}
-	if err := r.Guard.Check(r.Now(), j.fingerprint); err != nil {
+	if err := r.Guard.Check(r.Now(), j.Workspace, j.shared); err != nil {
 		return nil, err
 	}
 	d := r.Retry.Decide(retry.Failure{
--- a/internal/entry/completion/router.go
+++ b/internal/entry/completion/router.go
@@ -67,8 +67,8 @@
 		return nil, err
 	}
 	j := r.newJob(q)
-	r.Guard.RecordOwner(j.fingerprint, q.Workspace, q.Model.Name)
-	if err := r.Guard.Check(r.Now(), j.fingerprint); err != nil {
+	r.Guard.RecordOwner(j.shared.Request, q.Workspace, q.Model.Name)
+	if err := r.Guard.Check(r.Now(), j.Workspace, j.shared); err != nil {
 		r.metrics.ended(err)
 		return nil, err
 	}
--- a/internal/entry/quarantine/calls.go
+++ b/internal/entry/quarantine/calls.go
@@ -34,6 +34,11 @@
 	return &calls{guard: g, runs: map[place]*runs{}}
 }
 
+// Check implements service.Guard.
+func (c *calls) Check(now time.Time, f suspicion.Fingerprint) error {
+	return c.guard.Check(now, "", suspicion.Attributes{Request: f})
+}
+
 // Started implements service.Guard.
 func (c *calls) Started(now time.Time, f suspicion.Fingerprint, server string) {
 	c.mu.Lock()
@@ -55,5 +60,9 @@
 		delete(c.runs, place{f, server})
 	}
 	c.mu.Unlock()
-	c.endRun(ctx, f, server, lost, max(time.Nanosecond, now.Sub(r.began)))
+	c.guard.mu.Lock()
+	run := c.ownerOf(f)
+	c.guard.mu.Unlock()
+	run.Age = max(time.Nanosecond, now.Sub(r.began))
+	c.endRun(ctx, run, server, lost)
 }
--- a/internal/entry/quarantine/config.go
+++ b/internal/entry/quarantine/config.go
@@ -17,6 +17,8 @@
 	defaultLease    = 2 * time.Minute
 	logTimeout      = 2 * time.Second
 	attemptBytes    = 16
+	// objectionTime is how long entries have to refute the quarantine of a part before it is in force.
+	objectionTime = 300 * time.Millisecond
 	// maxOwners bounds the number of recorded request owners.
 	maxOwners = 8192
 )
--- a/internal/entry/quarantine/guard.go
+++ b/internal/entry/quarantine/guard.go
@@ -33,9 +33,13 @@
 
 type guard struct {
 	Config
-	mu     sync.Mutex
-	view   suspicion.View
-	local  localRuns
+	mu    sync.Mutex
+	view  suspicion.View
+	local localRuns
+	// parts holds the quarantined parts of prompts.
+	parts *suspicion.Register
+	// wake ends a wait of the poll, because another entry has lost a server.
+	wake   chan struct{}
 	owners map[completion.Fingerprint]section.Running
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -47,6 +51,8 @@
 	g := &guard{
 		Config: c.withDefaults(),
 		local:  newLocalRuns(),
+		parts:  suspicion.NewRegister(),
+		wake:   make(chan struct{}, 1),
 		owners: map[completion.Fingerprint]section.Running{},
 		cancel: cancel,
 		done:   make(chan struct{}),
@@ -78,13 +84,18 @@
 func (g *guard) Quarantined() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.view.Quarantined()
+	return g.view.Quarantined() + g.parts.Len()
 }
 
 // Check implements completion.Guard. A refusal is final and immediate: a caller
 // whose request is delayed would send it a second time through another entry.
-func (g *guard) Check(now time.Time, f completion.Fingerprint) error {
+func (g *guard) Check(now time.Time, workspace string, a suspicion.Attributes) error {
 	g.mu.Lock()
+	if m, refused := g.parts.Match(workspace, a, now); refused {
+		g.mu.Unlock()
+		return g.quarantineRefusal(m.Fingerprint, m.RetryAfter)
+	}
+	f := a.Request
 	d := g.view.Decide(f)
 	attempt, free := g.local.claimSlot(now, f, d.Standing, g.NewAttempt)
 	g.mu.Unlock()
@@ -100,10 +111,25 @@
 	}
 }
 
+// Recheck implements completion.Guard.
+func (g *guard) Recheck(now time.Time, workspace string, a suspicion.Attributes) error {
+	g.mu.Lock()
+	m, refused := g.parts.Match(workspace, a, now)
+	d := g.view.Decide(a.Request)
+	g.mu.Unlock()
+	switch {
+	case refused:
+		return g.quarantineRefusal(m.Fingerprint, m.RetryAfter)
+	case d.Standing == suspicion.Quarantined:
+		return g.quarantineRefusal(a.Request, d.RetryAfter)
+	}
+	return nil
+}
+
 func (g *guard) quarantineRefusal(f completion.Fingerprint, after time.Duration) error {
 	event.RequestQuarantined.Write(g.Logger, log.Fields{"fingerprint": f.String()})
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "request-quarantined",
-		"servers were lost while they ran this request; it is not run until an operator clears it").WithRetryAfter(after)
+		"servers were lost while they ran this request, or others with a piece of its prompt; it is not run until an operator clears it").WithRetryAfter(after)
 }
 
 // Started implements completion.Guard.
@@ -125,6 +151,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.view = g.view.WithSuspect(f)
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Ended implements completion.Guard.
@@ -134,30 +164,38 @@
 // them could be faster, and each retry would lose another server. The other
 // entries are therefore notified before the caller receives its answer, and they
 // acquire a slot from the log before they run the request.
-func (g *guard) Ended(ctx context.Context, _ time.Time, f completion.Fingerprint, server string, lost bool) {
-	g.endRun(ctx, f, server, lost, 0)
+func (g *guard) Ended(ctx context.Context, now time.Time, r completion.Run) {
+	g.mu.Lock()
+	if r.Answered {
+		g.parts.Answered(r.Attributes, now)
+	}
+	run := g.ownerOf(r.Attributes.Request)
+	run.Parts, run.Began = g.parts.Unanswered(r.Attributes), r.Began
+	g.mu.Unlock()
+	run.Workspace, run.RunAge = r.Workspace, max(time.Nanosecond, now.Sub(r.SentAt))
+	g.endRun(ctx, run, r.Server, r.Lost)
 }
 
-// endRun is Ended for a run of that age, which counts beside overlapping ones only if the age is zero.
-func (g *guard) endRun(ctx context.Context, f completion.Fingerprint, server string, lost bool, age time.Duration) {
+// endRun ends a run at a server.
+func (g *guard) endRun(ctx context.Context, run section.Running, server string, lost bool) {
+	f := run.Fingerprint
 	g.mu.Lock()
 	attempt, held := g.local.endRun(f, server)
 	if lost {
 		g.view = g.view.WithSuspect(f)
 	}
-	owner := g.ownerOf(f)
-	owner.Age = age
 	g.mu.Unlock()
 	if lost {
 		g.ReportSuspect(ctx, f)
-		g.reportLoss(ctx, server, owner)
+		g.reportLoss(ctx, server, run)
 	}
 	if held {
 		g.releaseSlot(ctx, f, attempt, !lost)
 	}
 }
 
-// ownerOf returns the request of a fingerprint, with its workspace and model if they are recorded.
+// ownerOf returns the request of a fingerprint, with its workspace and model if they are recorded. The caller holds the
+// lock.
 func (g *guard) ownerOf(f completion.Fingerprint) section.Running {
 	if r, ok := g.owners[f]; ok {
 		return r
--- a/internal/entry/quarantine/guard_test.go
+++ b/internal/entry/quarantine/guard_test.go
@@ -58,14 +58,19 @@
 // runRequest sends one request through an entry to a server and returns the refusal, if any.
 func runRequest(g *guard, f completion.Fingerprint, server string, lost bool) error {
 	now := time.Unix(1_800_000_000, 0)
-	if err := g.Check(now, f); err != nil {
+	if err := g.Check(now, "w", whole(f)); err != nil {
 		return err
 	}
 	g.Started(now, f, server)
-	g.Ended(context.Background(), now, f, server, lost)
+	g.Ended(context.Background(), now, completion.Run{Workspace: "w", Attributes: whole(f), Server: server, Lost: lost})
 	return nil
 }
 
+// whole returns the attributes of a request without parts.
+func whole(f suspicion.Fingerprint) suspicion.Attributes {
+	return suspicion.Attributes{Request: f}
+}
+
 // A prompt crashes every server that runs it, and its caller sends it through
 // every entry in turn. After two lost servers every entry refuses the request
 // immediately with a Retry-After. Other prompts of the same workspace are served.
@@ -111,20 +116,20 @@
 	}
 	all[1].refresh(context.Background())
 	now := time.Time{}
-	if err := all[1].Check(now, f); err != nil {
+	if err := all[1].Check(now, "w", whole(f)); err != nil {
 		t.Fatal(err)
 	}
-	if e, ok := verdict.As(all[1].Check(now, f)); !ok || e.Code != "request-suspect" {
+	if e, ok := verdict.As(all[1].Check(now, "w", whole(f))); !ok || e.Code != "request-suspect" {
 		t.Errorf("it ran twice concurrently in one entry: %v", e)
 	}
 	all[1].Started(now, f, "b")
 	if !all[1].RequiresIsolation(now, "b") || all[1].RequiresIsolation(now, "a") {
 		t.Error("the guard does not isolate exactly the suspect's server")
 	}
-	if e, ok := verdict.As(all[0].Check(now, f)); !ok || e.Code != "request-suspect" || e.RetryAfter == 0 || e.Verdict != verdict.NotRun {
+	if e, ok := verdict.As(all[0].Check(now, "w", whole(f))); !ok || e.Code != "request-suspect" || e.RetryAfter == 0 || e.Verdict != verdict.NotRun {
 		t.Errorf("it ran twice concurrently: %v", e)
 	}
-	all[1].Ended(context.Background(), now, f, "b", false)
+	all[1].Ended(context.Background(), now, completion.Run{Workspace: "w", Attributes: whole(f), Server: "b"})
 	all[0].refresh(context.Background())
 	if err := runRequest(all[0], f, "c", false); err != nil || all[1].RequiresIsolation(now, "b") {
 		t.Errorf("after a run without a loss: %v", err)
--- a/internal/entry/quarantine/log.go
+++ b/internal/entry/quarantine/log.go
@@ -10,6 +10,7 @@
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/base/wait"
 	section "hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/entry/completion"
 	"hornbeamwood/internal/policy/suspicion"
@@ -25,10 +26,16 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-g.wake:
+			// The loss that another entry tells of is committed a moment later.
+			wait.For(ctx, commitTime)
 		}
 	}
 }
 
+// commitTime is how long after another entry has told of a lost server its report is in the record.
+const commitTime = 100 * time.Millisecond
+
 // refresh applies changes newer than the view. When the log doesn't answer, the
 // view is kept: without it the next crash would not be prevented.
 func (g *guard) refresh(ctx context.Context) {
@@ -49,13 +56,63 @@
 	if err != nil {
 		return
 	}
+	g.apply(known, c)
+	g.refute(ctx)
+}
+
+// apply applies the changes after the known version.
+func (g *guard) apply(known uint64, c section.Changes) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.view.Version() == known {
-		g.view = g.view.With(c.Version, c.Changes, c.Whole)
+	if g.view.Version() != known {
+		return
+	}
+	g.view = g.view.With(c.Version, c.Changes, c.Whole)
+	listed := map[suspicion.Fingerprint]bool{}
+	for _, x := range c.Changes {
+		p := suspicion.Period{Version: c.Version}
+		if x.Part != nil {
+			p = *x.Part
+			listed[x.Fingerprint] = true
+		}
+		if x.Part != nil || g.parts.Knows(x.Fingerprint) {
+			g.applyPart(x.Fingerprint, p)
+		}
+	}
+	if c.Whole {
+		for _, f := range g.parts.Missing(listed) {
+			g.applyPart(f, suspicion.Period{Version: c.Version})
+		}
+	}
+}
+
+func (g *guard) applyPart(f suspicion.Fingerprint, p suspicion.Period) {
+	news, refuted := g.parts.Apply(f, p, time.Now())
+	if news {
+		event.QuarantineChanged.Write(g.Logger, log.Fields{
+			"fingerprint": f.String(), "kind": string(suspicion.Part), "quarantined": p.Quarantined, "version": p.Version, "refuted": refuted,
+			"only-workspace": p.Workspace, "companions": len(p.With), "delay-ms": p.Delay.Milliseconds(),
+		})
 	}
 }
 
+// refute reports the parts whose quarantine this entry's answers refute.
+func (g *guard) refute(ctx context.Context) {
+	g.mu.Lock()
+	refuted := g.parts.Refuted()
+	g.mu.Unlock()
+	if len(refuted) == 0 {
+		return
+	}
+	if _, err := g.propose(ctx, section.Command{Answered: &section.Answered{Fingerprints: refuted}}); err != nil {
+		// They stay refuted, and the next refresh reports them.
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.parts.DropRefuted(refuted)
+}
+
 func (g *guard) propose(ctx context.Context, c section.Command) (section.Result, error) {
 	b, err := codec.Marshal(c)
 	if err != nil {
@@ -112,7 +169,7 @@
 	l := g.limits()
 	r, err := g.propose(ctx, section.Command{Lost: &section.Lost{
 		Server: server, Incarnation: g.Incarnation(server), Running: []section.Running{owner},
-		Servers: l.Servers, Window: l.Window,
+		Servers: l.Servers, PartServers: suspicion.DefaultPartServers, Window: l.Window, Delay: objectionTime,
 	}})
 	f := log.Fields{"server": server, "workspace": owner.Workspace, "fingerprint": owner.Fingerprint.String()}
 	if err != nil {
