Own interface: a stream whose engine is lost doesn't count as complete

Found while tracing why no piece was blamed. An engine that ends closes the connections that would resume its streams; the error then wraps io.EOF, which stands for the end of a complete answer. Where the first event had gone out, the caller of a stream got [DONE] behind the part of the answer, or the handler panicked when it kept the connection; a prompt without an event wasn't sent to another engine, and the lost run counted as answered.

TestLostStreamIsNotComplete panics on the code before (nil body in keepConnection). The error of a lost stream, and of a connection that can't be made, wraps io.ErrUnexpectedEOF now. Ruled out elsewhere by reading: sites compare with the end of the response's own body only.

--- a/internal/entry/completion/ending.go
+++ b/internal/entry/completion/ending.go
@@ -44,7 +44,7 @@
 		r.outages.Add(r.Now(), identity)
 	}
 	r.Guard.Ended(ctx, r.Now(), Run{
-		Workspace: j.Workspace, Attributes: j.shared, Server: identity, SentAt: a.sent, Began: began, Answered: errors.Is(cause, io.EOF) && !lost, Lost: lost,
+		Workspace: j.Workspace, Attributes: j.shared, Server: identity, SentAt: a.sent, Began: began, Answered: errors.Is(cause, io.EOF), Lost: lost,
 	})
 	if errors.Is(cause, io.EOF) {
 		r.exporter.start(r, j, a)
--- a/internal/entry/engine/stream_test.go
+++ b/internal/entry/engine/stream_test.go
@@ -173,3 +173,25 @@
 		}
 	}
 }
+
+// Guards against an answer that looks complete although its engine ended in the middle of it and closes each
+// connection that would continue it.
+func TestLostStreamIsNotComplete(t *testing.T) {
+	for _, last := range []int{0, 1} {
+		f := newFakeEngine(t, func(connection, _ int, w *fakeWriter) {
+			if connection > 1 {
+				panic(http.ErrAbortHandler)
+			}
+			w.accept()
+			if last > 0 {
+				w.event("a", last, "")
+			}
+			w.cut()
+		})
+		texts, err := collect(t, f.address(), Config{})
+		e, ok := verdict.As(err)
+		if !ok || e.Code != "stream-lost" || errors.Is(err, io.EOF) || len(texts) != last {
+			t.Errorf("after %d events: %v, %v; complete is %t", last, texts, err, errors.Is(err, io.EOF))
+		}
+	}
+}
--- a/internal/entry/engine/wire.go
+++ b/internal/entry/engine/wire.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -58,7 +60,7 @@
 		return nil, lost(err)
 	}
 	return nil, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "engine-unreachable",
-		"no connection to a model engine could be made").WithRetryAfter(time.Second).WithCause(err)
+		"no connection to a model engine could be made").WithRetryAfter(time.Second).WithCause(unexpected(err))
 }
 
 // resendable reports whether the transport may resend a request that was written to a connection before.
@@ -68,7 +70,16 @@
 
 func lost(err error) verdict.Error {
 	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "stream-lost",
-		"the answer broke off and could not be continued").WithCause(err)
+		"the answer broke off and could not be continued").WithCause(unexpected(err))
+}
+
+// unexpected returns err without io.EOF, which stands for the end of a complete answer: a connection that the engine
+// closes ends with it too.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return fmt.Errorf("%s: %w", err, io.ErrUnexpectedEOF)
+	}
+	return err
 }
 
 // refusal is the protocol's error object.
