An entry bounds the head of a server's response

What callers saw: a server in trouble may send bytes that are no answer without end. http.ReadResponse keeps a head of any length, so each such request cost the entry all that came until its time was over, and its caller waited for that long and got no answer.

Endless interim responses, heads of chunks and events were bounded before.

The connection returns an error behind 64 KB until the head has ended. The attempt ends as malformed at once; it may have run, so a request that may not run twice gets 502 and others go on elsewhere. Ruled out by reading: the own interface bounds heads and bodies of engines and services.

--- a/internal/serve/backend/conn.go
+++ b/internal/serve/backend/conn.go
@@ -24,10 +24,16 @@
 	defaultIdleTimeout = 2 * time.Second
 	// idleMargin is subtracted from an announced timeout, for the latency of the next request.
 	idleMargin = 700 * time.Millisecond
+	// maxHeadBytes bounds what is read of a connection until the head of a response has ended, several times what
+	// servers send.
+	maxHeadBytes = 64 << 10
 	// recordInterval is the least interval at which the bytes of one connection are recorded.
 	recordInterval = 20 * time.Millisecond
 )
 
+// errHeadTooLong means that the head of a response has not ended within maxHeadBytes.
+var errHeadTooLong = errors.New("the head of the response is too long")
+
 // conn is one connection to a server.
 type conn struct {
 	net.Conn
@@ -38,6 +44,8 @@
 	reused bool
 	// onTimeout, if set, is called when a read has timed out. It returns whether to read again.
 	onTimeout func() bool
+	// headLeft is how many bytes may be read before the head of the response has ended, nil after that.
+	headLeft *int
 	// address is the server's address, tunnelled whether the connection leads through another entry.
 	address   string
 	tunnelled bool
@@ -56,19 +64,36 @@
 // Read implements net.Conn.
 //
 // Readers of the connection return each error again, so a timeout that doesn't end the exchange is
-// not passed on to them.
+// not passed on to them. The reader of net/http keeps a head of any length.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.headLeft != nil {
+		if *c.headLeft == 0 {
+			return 0, errHeadTooLong
+		}
+		b = b[:min(len(b), *c.headLeft)]
+	}
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
 			c.recordHeard(time.Now())
 		}
+		if c.headLeft != nil {
+			*c.headLeft -= n
+		}
 		if n > 0 || !timedOut(err) || c.onTimeout == nil || !c.onTimeout() {
 			return n, err
 		}
 	}
 }
 
+// readHead reads the head of a response.
+func (c *conn) readHead(q *http.Request) (*http.Response, error) {
+	left := maxHeadBytes
+	c.headLeft = &left
+	defer func() { c.headLeft = nil }()
+	return http.ReadResponse(c.reader, q)
+}
+
 // recordHeard records that bytes have come.
 func (c *conn) recordHeard(now time.Time) {
 	c.heardAt = now
--- a/internal/serve/backend/exchange.go
+++ b/internal/serve/backend/exchange.go
@@ -84,7 +84,7 @@
 func (x *Exchange) readHead() error {
 	q := &http.Request{Method: x.method}
 	for range maxStale + 1 {
-		r, err := http.ReadResponse(x.conn.reader, q)
+		r, err := x.conn.readHead(q)
 		if err != nil {
 			return readError(err)
 		}
