--- a/internal/process/entry/components.go
+++ b/internal/process/entry/components.go
@@ -31,6 +31,8 @@
 	maxIdleConns   = 64
 	idleTimeout    = 30 * time.Second
 	attemptIDBytes = 16
+	// maxHeaderBytes bounds the head of a response, several times what servers send.
+	maxHeaderBytes = 64 << 10
 )
 
 // components holds the components of an entry, which build creates.
@@ -75,7 +77,7 @@
 // newHTTPClient returns a client for backend servers that follows no redirects.
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout},
+		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
