An entry that gets most new connections closes unread what it can't serve

The provider's balancer may hand nearly all new connections of a zone or of all zones to one entry, while callers open new ones more often. Nothing limited them: an entry kept as many connections as came, up to its last file descriptor, after which it connects to no server either, and read all requests, however far it was behind.

Two bounds, both before a byte is read, so that a caller knows that its request has not run and goes to another entry. Connections of callers take half of the descriptors and a quarter of the memory; for a new one beyond that the one that has been idle longest is closed, if there is one. And while work waits for the processor (each wake-up of 200 ms is late by 50 ms or more, as CoDel judges a queue) new connections are refused, and callers are asked to open their next one elsewhere. An entry stays ready: a balancer that takes it out moves the crowd to the next one.

Frozen processes, and processor time in slices of a tenth of a second, don't count as overload.

--- a/internal/process/siteentry/conns.go
+++ b/internal/process/siteentry/conns.go
@@ -18,6 +18,8 @@
 	// expireInterval is the interval of the check for expired connections. Callers are promised at least the
 	// timeout, not its exact end.
 	expireInterval = 250 * time.Millisecond
+	// leastIdle is how long a connection has been idle before it is closed for a new one.
+	leastIdle = 500 * time.Millisecond
 )
 
 // conns tracks the open connections of callers.
@@ -34,19 +36,29 @@
 type listener struct {
 	net.Listener
 	conns *conns
+	gate  *gate
 }
 
 // Accept implements net.Listener.
+//
+// A connection that can't be served is closed before a byte of it is read. Its caller can tell that its request has not
+// run, and goes to another entry; all that are read here would be late.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if reason := l.gate.refuses(l.conns); reason != "" {
+			l.gate.refuse(c, reason)
+			continue
+		}
+		x := &conn{Conn: c, phase: phaseIdle, since: time.Now()}
+		l.conns.mu.Lock()
+		l.conns.all[x] = struct{}{}
+		l.conns.mu.Unlock()
+		return x, nil
 	}
-	x := &conn{Conn: c, phase: phaseIdle, since: time.Now()}
-	l.conns.mu.Lock()
-	l.conns.all[x] = struct{}{}
-	l.conns.mu.Unlock()
-	return x, nil
 }
 
 // stateChanged applies a state change that the HTTP server reports for a connection.
@@ -83,6 +95,25 @@
 	}
 }
 
+// closeOldest closes the connection that has been idle for the longest time, if that is leastIdle or more.
+func (s *conns) closeOldest(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *conn
+	since := now.Add(-leastIdle)
+	for c := range s.all {
+		if at, ok := c.idleSince(); ok && at.Before(since) {
+			oldest, since = c, at
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.closeIdle()
+	delete(s.all, oldest)
+	return true
+}
+
 // expire closes the connections that have been idle, or have been sending headers, for longer than the limits
 // allow.
 //
@@ -165,6 +196,13 @@
 	return n, err
 }
 
+// idleSince returns since when the connection has been idle, and false if it isn't.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, c.phase == phaseIdle && !c.closed
+}
+
 func (c *conn) closeIdle() {
 	c.closeAfter(phaseIdle, time.Now())
 }
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -107,6 +107,7 @@
 	seeds    atomic.Pointer[[]string]
 	running  atomic.Int64
 	conns    *conns
+	gate     *gate
 	queue    waitqueue.Queue
 	// stoppedAt is when the process received the signal to stop, nil before.
 	stoppedAt atomic.Pointer[time.Time]
@@ -165,8 +166,9 @@
 	p.site.applyQuarantine = func(f suspicion.Fingerprint, period suspicion.Period) { p.guard.Apply(f, period, time.Now()) }
 	p.handler = caller.New(caller.Config{
 		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: p.tracker, Residency: residency, PeerLoads: peerLoads, Queue: queue,
-		Budget: p.budget, Limits: p.limits, Guard: p.guard, Backoffs: p.backoffs, Origins: origin.New(origin.Config{Node: p.node, Zone: c.Host.Zone, Replicas: p.originReplicas, Metrics: p.metrics}), ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Stopping: p.stopping, Refusing: p.refusing, Isolated: p.isolated, Trial: p.trial, ReportBackoff: p.tunnels.ReportBackoff, Metrics: p.metrics, Logger: c.Logger,
+		Budget: p.budget, Limits: p.limits, Guard: p.guard, Backoffs: p.backoffs, Origins: origin.New(origin.Config{Node: p.node, Zone: c.Host.Zone, Replicas: p.originReplicas, Metrics: p.metrics}), ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Closing: p.closing, Refusing: p.refusing, Isolated: p.isolated, Trial: p.trial, ReportBackoff: p.tunnels.ReportBackoff, Metrics: p.metrics, Logger: c.Logger,
 	})
+	p.gate = newGate(c.Host, c.Logger, p.metrics)
 	p.registerMetrics()
 	return p, nil
 }
@@ -206,6 +208,11 @@
 	return p.stoppedAt.Load() != nil
 }
 
+// closing reports whether callers should open their next connections to other entries.
+func (p *process) closing() bool {
+	return p.stopping() || p.gate.detector.Overloaded()
+}
+
 // refusing reports whether the process ends so soon that a new request would be cut off.
 func (p *process) refusing() bool {
 	at := p.stoppedAt.Load()
@@ -243,6 +250,7 @@
 	p.loops.Go(func() { p.reportLoads(serving) })
 	p.loops.Go(func() { p.reportLosses(serving) })
 	p.loops.Go(func() { p.expireConns(serving) })
+	p.loops.Go(func() { p.gate.run(serving) })
 	p.loops.Go(func() {
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.seeds.Store(&h.Seeds) }, p.config.Logger)
 	})
@@ -329,7 +337,7 @@
 		return fmt.Errorf("entry: %w", err)
 	}
 	if s.ConnState != nil {
-		l = listener{l, p.conns}
+		l = listener{l, p.conns, p.gate}
 	}
 	p.loops.Go(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -129,9 +129,9 @@
 	// ColdFactor and ColdSlack bound the requests that a cold server may get in any second:
 	// ColdFactor times its rate, and ColdSlack more. Zero for no bound.
 	ColdFactor, ColdSlack float64
-	// Stopping returns whether the process is about to end, so that connections are closed after
-	// their response.
-	Stopping func() bool
+	// Closing returns whether connections are closed after their response, because the process is about to end or
+	// overloaded.
+	Closing func() bool
 	// Refusing returns whether the process is so close to its end that a new request cannot be
 	// served.
 	Refusing func() bool
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -267,7 +267,7 @@
 		Backoffs: backoff.New(),
 		Origins:  fakeOrigins{origin.NewStore()},
 		Guard:    quarantine.New(quarantine.Config{RespondedAt: func(string) time.Time { return time.Time{} }}),
-		Stopping: never, Refusing: never, Isolated: never, Trial: never, Metrics: metrics.NewSet(),
+		Closing:  never, Refusing: never, Isolated: never, Trial: never, Metrics: metrics.NewSet(),
 	}
 	f.front = httptest.NewServer(New(f.config))
 	t.Cleanup(f.front.Close)
--- a/internal/serve/caller/gateway.go
+++ b/internal/serve/caller/gateway.go
@@ -37,7 +37,7 @@
 // ServeHTTP implements http.Handler.
 func (g *gateway) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	j := &job{gateway: g, writer: w, arrived: time.Now()}
-	if g.Stopping() {
+	if g.Closing() {
 		w.Header().Set("Connection", "close")
 	}
 	defer j.end()
--- a/internal/site/host/host.go
+++ b/internal/site/host/host.go
@@ -26,6 +26,8 @@
 	DataFolder string
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// Descriptors is how many file descriptors the process may have open, zero for no limit.
+	Descriptors int
 	// Bounds are the time bounds and retry limits of the site.
 	Bounds Bounds
 }
