A quarantined part is probed at times, and asked for right before a request is written

A part that is blamed wrongly can't be refuted once it is refused everywhere: no request with it is answered. One request with it is let through after a minute, the next after 4, 16 and then 60 minutes, granted to one entry by the control log. An answer clears the part; a lost server costs that one, and the entry doesn't send the request again. A loss under a quarantined part now reaches the entries, which had released it an hour after the first.

A request was asked for before its connection was set up, which can take a second.

--- a/internal/control/quarantine/part.go
+++ b/internal/control/quarantine/part.go
@@ -25,8 +25,8 @@
 	if found.Workspace != r.Workspace && !found.Shared {
 		found.Shared, changed = true, true
 	}
-	if !found.concurrent(loss, at, r) {
-		found.addLoss(loss)
+	if !found.concurrent(loss, at, r) && found.addLoss(loss) {
+		changed = true
 	}
 	if changed && found.Standing == suspicion.Quarantined {
 		q.touch(found, at)
--- a/internal/control/quarantine/probe.go
+++ b/internal/control/quarantine/probe.go
@@ -19,7 +19,7 @@
 		return Result{Valid: true, Granted: true, Standing: suspicion.Clear}
 	}
 	if r.Standing == suspicion.Quarantined {
-		return Result{Valid: true, Standing: r.Standing}
+		return q.probePart(at, r)
 	}
 	wait := Result{Valid: true, Standing: r.Standing, RetryAfter: probeRetry, Avoid: r.servers()}
 	if c.Elsewhere && slices.Contains(wait.Avoid, c.Server) {
@@ -38,6 +38,17 @@
 	return Result{Valid: true, Granted: true, Standing: r.Standing}
 }
 
+// probePart lets one request with a quarantined part through at times. Nobody can answer one while all are refused, so a
+// sound part would stay quarantined for as long as its callers ask.
+func (q *quarantine) probePart(at time.Time, r *record) Result {
+	if !r.probeDue(at) {
+		return Result{Valid: true, Standing: r.Standing}
+	}
+	r.Probes, r.ProbedAt = r.Probes+1, at.UnixNano()
+	q.touch(r, at)
+	return Result{Valid: true, Granted: true, Standing: r.Standing}
+}
+
 // finish releases the slot. A complete answer clears the suspect.
 func (q *quarantine) finish(c *Finish) Result {
 	held := false
--- a/internal/control/quarantine/record.go
+++ b/internal/control/quarantine/record.go
@@ -32,6 +32,31 @@
 	Delay time.Duration `cbor:"delay,omitempty"`
 	// Since is when entries were first told of the part, in nanoseconds since 1970; zero if they weren't.
 	Since int64 `cbor:"since,omitempty"`
+	// Probes counts the requests with the part that were let through, and ProbedAt is when the last one was, in
+	// nanoseconds since 1970.
+	Probes   int   `cbor:"probes,omitempty"`
+	ProbedAt int64 `cbor:"probed-at,omitempty"`
+}
+
+const (
+	// firstProbe is how long after a part was quarantined one request with it may be let through. Each further one
+	// waits four times as long, at most maxProbePause: each one may cost a server.
+	firstProbe    = time.Minute
+	maxProbePause = time.Hour
+)
+
+// probePause returns how long it is from the last probe of a part to the next one.
+func (r *record) probePause() time.Duration {
+	pause := firstProbe
+	for range r.Probes {
+		pause = min(4*pause, maxProbePause)
+	}
+	return pause
+}
+
+// probeDue returns whether one request with the part may be let through.
+func (r *record) probeDue(at time.Time) bool {
+	return r.Kind == suspicion.Part && at.UnixNano() >= max(r.Since, r.ProbedAt)+int64(r.probePause())
 }
 
 // nearLimit returns whether r is a part that one more lost server quarantines.
@@ -49,11 +74,13 @@
 	return r.Kind == suspicion.Part && r.Standing == suspicion.Quarantined && at.UnixNano() >= r.Since+int64(r.Delay)
 }
 
-// addLoss records a loss once.
-func (r *record) addLoss(l suspicion.Loss) {
-	if !suspicion.Has(r.Losses, l) && len(r.Losses) < maxLosses {
-		r.Losses = append(r.Losses, l)
+// addLoss records a loss once. It returns whether it did.
+func (r *record) addLoss(l suspicion.Loss) bool {
+	if suspicion.Has(r.Losses, l) || len(r.Losses) >= maxLosses {
+		return false
 	}
+	r.Losses = append(r.Losses, l)
+	return true
 }
 
 // overlaps returns whether a run that began at that time had already begun when a server was lost under the
@@ -94,6 +121,9 @@
 		Version: r.Version, Quarantined: r.Standing == suspicion.Quarantined, Kind: r.Kind, With: slices.Clone(r.With),
 	}
 	p.Suspected = r.suspected()
+	if r.Kind == suspicion.Part && p.Quarantined {
+		p.ProbeAfter = max(time.Nanosecond, r.probePause()-time.Duration(r.ChangedAt-max(r.Since, r.ProbedAt)))
+	}
 	if r.Since != 0 {
 		p.Delay = max(0, r.Delay-time.Duration(r.ChangedAt-r.Since))
 	}
--- a/internal/entry/quarantine/guard.go
+++ b/internal/entry/quarantine/guard.go
@@ -166,8 +166,11 @@
 // acquire a slot from the log before they run the request.
 func (g *guard) Ended(ctx context.Context, now time.Time, r completion.Run) {
 	g.mu.Lock()
-	if r.Answered {
+	switch {
+	case r.Answered:
 		g.parts.Answered(r.Attributes, now)
+	case r.Lost:
+		g.parts.Lost(r.Attributes)
 	}
 	run := g.ownerOf(r.Attributes.Request)
 	run.Parts, run.Began = g.parts.Unanswered(r.Attributes), r.Began
--- a/internal/entry/quarantine/log.go
+++ b/internal/entry/quarantine/log.go
@@ -58,6 +58,24 @@
 	}
 	g.apply(known, c)
 	g.refute(ctx)
+	g.askForProbe(ctx)
+}
+
+// askForProbe asks the record to let one request with a quarantined part through, if it is time for that.
+func (g *guard) askForProbe(ctx context.Context) {
+	g.mu.Lock()
+	f, ok := g.parts.Wanted()
+	g.mu.Unlock()
+	if !ok {
+		return
+	}
+	r, err := g.propose(ctx, section.Command{Begin: &section.Begin{Fingerprint: f}})
+	if err != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.parts.Asked(f, r.Granted, time.Now())
 }
 
 // apply applies the changes after the known version.
--- a/internal/policy/suspicion/period.go
+++ b/internal/policy/suspicion/period.go
@@ -25,6 +25,9 @@
 	// Delay is how long after an entry has learned of it the quarantine is in force there, so that entries that
 	// know answers can refute it before.
 	Delay time.Duration `cbor:"delay,omitempty"`
+	// ProbeAfter is how long after an entry has learned of the period it may ask the control log to let one request
+	// with the part through; zero for never.
+	ProbeAfter time.Duration `cbor:"probe-after,omitempty"`
 }
 
 // answeredAfter returns from when on, on the clock of a process that learns of the period now, an answer
--- a/internal/policy/suspicion/register.go
+++ b/internal/policy/suspicion/register.go
@@ -5,14 +5,22 @@
 	"time"
 )
 
-// untilCleared is the retry time of a request that only an operator clears.
-const untilCleared = 10 * time.Minute
+const (
+	// untilCleared is the retry time of a request that only an operator clears.
+	untilCleared = 10 * time.Minute
+	// permitTime is how long a granted probe may begin.
+	permitTime = 10 * time.Second
+	// askAgain is how long after it has asked for a probe a process asks again.
+	askAgain = 10 * time.Second
+)
 
 // Register holds the quarantined attributes that a process knows of, and the answers that refute them. It is
 // not safe for concurrent use.
 type Register struct {
-	known   map[Fingerprint]entry
+	known   map[Fingerprint]*entry
 	answers answers
+	// wanted are quarantined parts for which a probe is to be asked for.
+	wanted []Fingerprint
 	// refuted are suspected and quarantined attributes of requests that were answered, to be reported.
 	refuted []Fingerprint
 }
@@ -24,6 +32,22 @@
 	inForce time.Time
 	// refuted is set once this process has refuted the period itself.
 	refuted bool
+	// askAt is when a probe may be asked for, zero for never.
+	askAt time.Time
+	// permitUntil is until when one request may be sent as a probe, and prober the request that is.
+	permitUntil time.Time
+	prober      Fingerprint
+}
+
+// permits returns whether a request is sent as a probe. The first one that asks is.
+func (e *entry) permits(request Fingerprint, now time.Time) bool {
+	if !now.Before(e.permitUntil) {
+		return false
+	}
+	if e.prober == (Fingerprint{}) {
+		e.prober = request
+	}
+	return e.prober == request
 }
 
 // Match is a quarantined attribute of a request.
@@ -38,7 +62,7 @@
 
 // NewRegister returns an empty register.
 func NewRegister() *Register {
-	return &Register{known: map[Fingerprint]entry{}, answers: newAnswers()}
+	return &Register{known: map[Fingerprint]*entry{}, answers: newAnswers()}
 }
 
 // Apply applies the quarantine of an attribute. It returns whether that is news, and whether answers of this
@@ -48,10 +72,16 @@
 	if ok && p.Version <= old.Version {
 		return false, false
 	}
-	e := entry{Period: p, inForce: p.inForceAt(now), refuted: (p.Quarantined || p.Suspected) && r.refutes(f, p, now)}
+	e := &entry{Period: p, inForce: p.inForceAt(now), refuted: (p.Quarantined || p.Suspected) && r.refutes(f, p, now)}
+	if p.ProbeAfter > 0 {
+		e.askAt = now.Add(p.ProbeAfter)
+	}
 	if ok && old.Quarantined && old.inForce.Before(e.inForce) {
 		e.inForce = old.inForce
 	}
+	if ok {
+		e.permitUntil, e.prober = old.permitUntil, old.prober
+	}
 	r.known[f] = e
 	r.refuted = slices.DeleteFunc(r.refuted, func(x Fingerprint) bool { return x == f })
 	if e.refuted {
@@ -83,7 +113,6 @@
 	for f := range a.all {
 		if e, ok := r.known[f]; ok && (e.Quarantined || e.Suspected) && !e.refuted {
 			e.refuted = true
-			r.known[f] = e
 			r.refuted = append(r.refuted, f)
 		}
 	}
@@ -110,9 +139,13 @@
 func (r *Register) Match(workspace string, a Attributes, now time.Time) (Match, bool) {
 	for f := range a.all {
 		e, ok := r.known[f]
-		if !ok || !e.Quarantined || now.Before(e.inForce) || e.Kind == Part && e.refuted || !e.appliesTo(workspace, a) {
+		if !ok || !e.Quarantined || now.Before(e.inForce) || e.Kind == Part && e.refuted || !e.appliesTo(workspace, a) || e.permits(a.Request, now) {
 			continue
 		}
+		if !e.askAt.IsZero() && !now.Before(e.askAt) {
+			e.askAt = now.Add(askAgain)
+			r.wanted = append(r.wanted, f)
+		}
 		after := untilCleared
 		if e.Release != 0 {
 			after = time.UnixMilli(e.Release).Sub(now)
@@ -124,6 +157,31 @@
 	return Match{}, false
 }
 
+// Wanted returns a quarantined part for which a probe is to be asked for, and false if there is none.
+func (r *Register) Wanted() (Fingerprint, bool) {
+	if len(r.wanted) == 0 {
+		return Fingerprint{}, false
+	}
+	return r.wanted[0], true
+}
+
+// Asked records the answer to what Wanted returned.
+func (r *Register) Asked(f Fingerprint, granted bool, now time.Time) {
+	r.wanted = slices.DeleteFunc(r.wanted, func(x Fingerprint) bool { return x == f })
+	if e, ok := r.known[f]; ok && granted {
+		e.permitUntil, e.prober = now.Add(permitTime), Fingerprint{}
+	}
+}
+
+// Lost records that a server was lost under a request with these attributes, which ends its probe.
+func (r *Register) Lost(a Attributes) {
+	for f := range a.all {
+		if e, ok := r.known[f]; ok && e.prober == a.Request {
+			e.permitUntil = time.Time{}
+		}
+	}
+}
+
 // Refuted returns the suspected and quarantined attributes that answers of this process refute and that weren't dropped yet.
 func (r *Register) Refuted() []Fingerprint {
 	return slices.Clone(r.refuted)
--- a/internal/process/siteentry/losses.go
+++ b/internal/process/siteentry/losses.go
@@ -21,7 +21,8 @@
 	maxReportDelay = 800 * time.Millisecond
 )
 
-// reportLosses reports the requests under which servers were lost to the control log until ctx ends.
+// reportLosses reports the requests under which servers were lost to the control log, and what else the guard has to
+// tell it, until ctx ends.
 //
 // A report is repeated until it is committed, through another replica each time. One that was committed without
 // an answer is counted once.
@@ -32,8 +33,8 @@
 		if !ok {
 			continue
 		}
-		if p.proposeLosses(ctx, c) {
-			p.guard.Reported()
+		if r, ok := p.proposeLosses(ctx, c); ok {
+			p.guard.Reported(r, time.Now())
 		}
 	}
 }
@@ -43,15 +44,19 @@
 	return min(2*(p.scaledInterval(lossesInterval)-lossesInterval), maxReportDelay)
 }
 
-func (p *process) proposeLosses(ctx context.Context, c section.Command) bool {
+func (p *process) proposeLosses(ctx context.Context, c section.Command) (section.Result, bool) {
 	body, err := codec.Marshal(c)
 	all := p.addresses()
 	if err != nil || len(all) == 0 {
-		return false
+		return section.Result{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, lossesTimeout)
 	defer cancel()
 	address := all[rand.IntN(len(all))]
-	_, err = rpc.Call(ctx, p.node, address, protocol.Propose, protocol.Proposal{Section: section.Name, Body: body})
-	return err == nil
+	applied, err := rpc.Call(ctx, p.node, address, protocol.Propose, protocol.Proposal{Section: section.Name, Body: body})
+	if err != nil {
+		return section.Result{}, false
+	}
+	r, err := codec.Unmarshal[section.Result](applied.Result)
+	return r, err == nil
 }
--- a/internal/serve/backend/client.go
+++ b/internal/serve/backend/client.go
@@ -145,6 +145,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if m.MaySend != nil && !m.MaySend() {
+			l.discard(t, c)
+			return nil, &Error{Verdict: verdict.NotRun, Reason: Withheld, Cause: errors.New("the message isn't to be sent any more")}
+		}
 		x := &Exchange{client: l, target: t, conn: c, method: m.Method, attempt: attempt, timing: timing}
 		x.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 		retry, err := x.startWatched(m)
--- a/internal/serve/backend/error.go
+++ b/internal/serve/backend/error.go
@@ -30,6 +30,8 @@
 	Malformed Reason = "malformed"
 	// Cancelled means that the caller disconnected.
 	Cancelled Reason = "cancelled"
+	// Withheld means that the message isn't to be sent any more.
+	Withheld Reason = "withheld"
 )
 
 // Error is a failed attempt at a server.
--- a/internal/serve/backend/message.go
+++ b/internal/serve/backend/message.go
@@ -14,6 +14,8 @@
 	Header http.Header
 	// Body is the whole body.
 	Body []byte
+	// MaySend, if set, is asked right before the message is written; connecting may have taken long.
+	MaySend func() bool
 	// MayRepeat is set if the request may be sent once more when its response doesn't come.
 	MayRepeat bool
 }
--- a/internal/serve/caller/failure.go
+++ b/internal/serve/caller/failure.go
@@ -21,7 +21,7 @@
 	}
 	o := observe.Lost
 	switch {
-	case e != nil && e.Reason == backend.Cancelled:
+	case e != nil && (e.Reason == backend.Cancelled || e.Reason == backend.Withheld):
 		o = observe.Abandoned
 	case e != nil && e.Reason == backend.Saturated:
 		o = observe.Rejected
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -329,5 +329,8 @@
 func (j *job) message(d request.Dispatch) backend.Message {
 	h := j.request.Header.Clone()
 	j.Codec.Encode(h, d)
-	return backend.Message{Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: h, Body: j.request.Body, MayRepeat: j.mayRepeat(time.Now())}
+	return backend.Message{
+		Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: h, Body: j.request.Body,
+		MaySend: func() bool { return !j.quarantined() }, MayRepeat: j.mayRepeat(time.Now()),
+	}
 }
--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -69,8 +69,8 @@
 	// Pending returns what is to be reported, and false if there is nothing. It stays pending until
 	// Reported is called.
 	Pending(now time.Time) (section.Command, bool)
-	// Reported drops what Pending returned last.
-	Reported()
+	// Reported drops what Pending returned last, to which the control log answered with the result.
+	Reported(r section.Result, now time.Time)
 	// Len returns how many attributes are quarantined.
 	Len() int
 }
@@ -83,6 +83,8 @@
 	// reported counts the runs and refuted holds the refutations that Pending returned last.
 	reported int
 	refuted  []suspicion.Fingerprint
+	// asked is the part for which Pending asked for a probe last, nil for none.
+	asked *suspicion.Fingerprint
 }
 
 // New returns a Guard without any quarantined attribute.
@@ -101,6 +103,7 @@
 func (g *guard) Lost(r Run) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.register.Lost(r.Attributes)
 	if len(g.lost) < maxPending {
 		g.lost = append(g.lost, r)
 	}
@@ -132,19 +135,23 @@
 func (g *guard) Pending(now time.Time) (section.Command, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.reported, g.asked = 0, nil
 	if g.refuted = g.register.Refuted(); len(g.refuted) > 0 {
-		g.reported = 0
 		return section.Command{Answered: &section.Answered{Fingerprints: g.refuted}}, true
 	}
 	g.dropResponsive(now)
-	g.reported = 0
 	for g.reported < len(g.lost) && now.Sub(g.lost[g.reported].LostAt) >= confirmAfter {
 		g.reported++
 	}
-	if g.reported == 0 {
+	if g.reported > 0 {
+		return section.Command{Losses: g.losses(now)}, true
+	}
+	f, ok := g.register.Wanted()
+	if !ok {
 		return section.Command{}, false
 	}
-	return section.Command{Losses: g.losses(now)}, true
+	g.asked = &f
+	return section.Command{Begin: &section.Begin{Fingerprint: f}}, true
 }
 
 // dropResponsive drops the runs whose servers have responded since.
@@ -192,9 +199,14 @@
 }
 
 // Reported implements Guard.
-func (g *guard) Reported() {
+func (g *guard) Reported(result section.Result, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.asked != nil {
+		g.register.Asked(*g.asked, result.Granted, now)
+		g.asked = nil
+		return
+	}
 	for _, r := range g.lost[:g.reported] {
 		event.ServerLostUnder.Write(g.Logger, log.Fields{
 			"server": r.Server, "workspace": r.Workspace, "fingerprint": r.Attributes.Request.String(), "request": r.Attempt,
--- a/internal/serve/quarantine/guard_test.go
+++ b/internal/serve/quarantine/guard_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	section "hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/policy/suspicion"
 )
 
@@ -76,7 +77,7 @@
 	if _, ok := g.Pending(now.Add(time.Second)); !ok {
 		t.Error("an answer that arrived during the quarantine is not reported")
 	}
-	g.Reported()
+	g.Reported(section.Result{}, now)
 	if _, ok := g.Pending(now.Add(time.Second)); ok {
 		t.Error("the answer is reported twice")
 	}
@@ -102,7 +103,7 @@
 			t.Errorf("reported %+v", l)
 		}
 	}
-	g.Reported()
+	g.Reported(section.Result{}, now)
 	if _, ok := g.Pending(now.Add(confirmAfter)); ok {
 		t.Error("reported twice")
 	}
--- a/internal/serve/quarantine/world_test.go
+++ b/internal/serve/quarantine/world_test.go
@@ -257,8 +257,11 @@
 	}
 	w.reporting[i] = true
 	w.later(commitDelay, func() {
-		w.log.Apply(w.now, body)
-		w.guards[i].Reported()
+		r, err := codec.Unmarshal[section.Result](w.log.Apply(w.now, body))
+		if err != nil {
+			panic(err)
+		}
+		w.guards[i].Reported(r, w.now)
 		w.reporting[i] = false
 	})
 }
@@ -299,3 +302,40 @@
 	}
 	t.Logf("at most %.4f of the sound requests were refused", worst)
 }
+
+// Guards against a sound part that stays refused because nobody can answer a request with it while all are refused,
+// and against a crashing one that ends servers again and again once requests are let through to find out.
+func TestOneRequestIsLetThroughAtTimes(t *testing.T) {
+	const duration = 150 * time.Second
+	terms := worldTerms{entries: 4, servers: 8, sessions: 20, workspaces: 3, sound: 40, bad: 5, crashing: 1, together: 1}
+	w := newWorld(terms, 1)
+	sound := suspicion.FingerprintOfPart([]byte("session 0"))
+	for i := range suspicion.DefaultPartServers {
+		c := section.Lost{Server: fmt.Sprint("other-", i), Servers: 2, PartServers: suspicion.DefaultPartServers, Window: time.Minute, Hold: time.Hour}
+		for _, workspace := range []string{"w0", "w1"} {
+			f := suspicion.FingerprintOf(workspace, "x", []byte(fmt.Sprint(i)))
+			c.Running = append(c.Running, section.Running{Fingerprint: f, Workspace: workspace, Parts: []suspicion.Fingerprint{sound}})
+		}
+		body, err := codec.Marshal(section.Command{Losses: []section.Lost{c}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.log.Apply(w.now, body)
+	}
+	refused := func() bool { return w.log.Periods()[sound].Quarantined }
+	for w.elapsed() < 50*time.Second {
+		w.step()
+	}
+	if !refused() || w.soundRefused == 0 {
+		t.Fatal("the sound part isn't quarantined")
+	}
+	for w.elapsed() < duration {
+		w.step()
+	}
+	if refused() {
+		t.Error("the sound part is still quarantined")
+	}
+	if w.late[0] == 0 || w.late[0] > worldLate {
+		t.Errorf("%d requests with the crashing part were let through, want 1 to %d; it ended %d servers", w.late[0], worldLate, w.losses[0])
+	}
+}
