soak: parts of prompts that crash servers, and a balancer that prefers one entry

Prompts that share a part which crashes engines come through all entries beside the other faults, one part after the other, in the first or second place. A part that has crashed five servers may reach three more later than 3 s after that. While nothing else is disturbed, sound prompts have to begin at the first try half as often as in calm times at least.

At times, and once while nothing else is disturbed, the stand-in of the balancer hands nearly all new connections to one entry, then to another, and callers open a new one for seven requests of ten. Of the requests that are read there, three quarters as many as before have to be served.

--- a/deploy/soak/crashing.go
+++ b/deploy/soak/crashing.go
@@ -12,11 +12,12 @@
 )
 
 // Terms of the guarantee on requests that crash each server that runs them. From
-// crashContact after such a request has crashed crashedServers servers, it reaches servers
-// at most crashRetries times. Only requests from entries count that, like all replicas, got
-// no signal in that time.
+// crashContact after such a request has crashed crashedServers servers, or requests with one
+// part crashedByPart servers, it reaches servers at most crashRetries times. Only requests
+// from entries count that, like all replicas, got no signal in that time.
 const (
 	crashedServers = 3
+	crashedByPart  = 5
 	crashContact   = 3 * time.Second
 	crashRetries   = 3
 )
@@ -31,7 +32,7 @@
 	replaceDelay = 500 * time.Millisecond
 )
 
-// crashing holds what each of the crashing requests of a run has done, by its body.
+// crashing holds what each of the crashing requests of a run has done, by its body, and each of the crashing parts.
 type crashing struct {
 	record   *record
 	replicas []*process
@@ -45,8 +46,8 @@
 // crashingRuns is what one crashing request has done.
 type crashingRuns struct {
 	crashes int
-	// thirdAt is when it crashed the last server that it may.
-	thirdAt time.Time
+	// lastAt is when it crashed the last server that it may.
+	lastAt  time.Time
 	retries int
 }
 
@@ -62,24 +63,25 @@
 	return c.count - 1
 }
 
-// recordArrival records that a server gets the request through the entry.
-func (c *crashing) recordArrival(body string, e *process) {
+// recordArrival records that a server gets a request with that content through the entry. The content may crash so many
+// servers.
+func (c *crashing) recordArrival(content string, servers int, e *process) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x := c.runs[body]
+	x := c.runs[content]
 	if x == nil {
 		x = &crashingRuns{}
-		c.runs[body] = x
+		c.runs[content] = x
 	}
 	x.crashes++
-	if x.crashes == crashedServers {
-		x.thirdAt = time.Now()
+	if x.crashes == servers {
+		x.lastAt = time.Now()
 	}
-	if x.crashes <= crashedServers || time.Since(x.thirdAt) <= crashContact || e == nil || !c.inTouch(e) {
+	if x.crashes <= servers || time.Since(x.lastAt) <= crashContact || e == nil || !c.inTouch(e) {
 		return
 	}
 	if x.retries++; x.retries > crashRetries {
-		c.record.reportViolation("%s has crashed %d servers and reached %d more than %s after the third", body, x.crashes, x.retries, crashContact)
+		c.record.reportViolation("%s has crashed %d servers and reached %d more than %s after the first %d", content, x.crashes, x.retries, crashContact, servers)
 	}
 }
 
@@ -124,13 +126,13 @@
 		for i, until := 0, time.Now().Add(crashDuration); time.Now().Before(until) && time.Now().Before(end) && ctx.Err() == nil; i++ {
 			entry := r.IntN(len(s.fronts))
 			attempt := fmt.Sprintf("crash%d-%d-%d", n, entry, i)
-			go s.sendCrashingRequest(ctx, entry, kind, attempt, body)
+			go s.sendCrashingRequest(ctx, entry, kind, attempt, body, "1:80,2:40")
 			sleep(ctx, time.Duration(r.Int64N(int64(crashPause))))
 		}
 	}
 }
 
-func (s *site) sendCrashingRequest(ctx context.Context, entry int, kind, attempt, body string) {
+func (s *site) sendCrashingRequest(ctx context.Context, entry int, kind, attempt, body, prefix string) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.fronts[entry].address()+"/"+kind+"/crash", strings.NewReader(body))
@@ -145,7 +147,7 @@
 	if kind == "prompt" {
 		q.Header.Set("Model", model)
 		q.Header.Set("Token-Counts", "120,12")
-		q.Header.Set("Prompt-Prefix", "1:80,2:40")
+		q.Header.Set("Prompt-Prefix", prefix)
 	}
 	if r, err := http.DefaultClient.Do(q); err == nil {
 		s.record.countAnswer("crashing "+kind, r.StatusCode)
--- a/deploy/soak/record.go
+++ b/deploy/soak/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -69,6 +71,25 @@
 	r.notRun = append(r.notRun, id)
 }
 
+// tally returns how many requests of the clients were served, and how many got any answer.
+func (r *record) tally() (served, read int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, kind := range slices.Compact(slices.Sorted(slices.Values(requestKinds))) {
+		for status, n := range r.answers[kind] {
+			switch status {
+			case 0:
+			case http.StatusOK:
+				served += n
+				read += n
+			default:
+				read += n
+			}
+		}
+	}
+	return served, read
+}
+
 // served returns how many requests were answered with status 200.
 func (r *record) served() int {
 	r.mu.Lock()
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -87,6 +87,7 @@
 	var all sync.WaitGroup
 	for i := range clientsPerSite {
 		x := s.newClient(fmt.Sprintf("%d-%d", c.seed, i), i%len(s.fronts), c.seed*100+uint64(i))
+		x.balanced = true
 		all.Go(func() { x.run(running) })
 	}
 	for i := range resumersPerEntry * len(s.fronts) {
@@ -98,8 +99,8 @@
 	sleep(ctx, time.Second)
 	res.faults = injectFaults(ctx, c.length, s)
 	s.checkRecovery(ctx)
-	// While replicas get signals all the time, hardly any of the requests that crash servers count.
-	sendCrashing(ctx, time.Now().Add(crashDuration), s)
+	s.checkCrashes(ctx)
+	s.checkCrowd(ctx, rand.New(rand.NewPCG(c.seed, 97)))
 	s.planWork(ctx)
 	s.checkVersions(ctx)
 	s.loadBrittle(ctx, rand.New(rand.NewPCG(c.seed, 53)))
@@ -119,6 +120,8 @@
 	all.Go(func() { changeLimits(ctx, end, s) })
 	all.Go(func() { evacuateZones(ctx, end, s) })
 	all.Go(func() { sendCrashing(ctx, end, s) })
+	all.Go(func() { sendCrashingParts(ctx, end, s) })
+	all.Go(func() { crowdEntries(ctx, end, s) })
 	all.Go(func() { changeBackoffs(ctx, end, s) })
 	all.Go(func() { silenceServers(ctx, end, s, rand.New(rand.NewPCG(s.seed, 31))) })
 	all.Go(func() { cutEntries(ctx, end, s) })
--- a/deploy/soak/server.go
+++ b/deploy/soak/server.go
@@ -162,9 +162,11 @@
 		return
 	}
 	if strings.HasPrefix(string(body), crashPrefix) {
-		s.crashing.recordArrival(string(body), s.limits.entry(id))
-		go s.onCrash(s)
-		<-q.Context().Done()
+		s.crashBy(q, string(body), crashedServers)
+		return
+	}
+	if p := crashingPart(q.Header.Get("Prompt-Prefix")); p != "" {
+		s.crashBy(q, p, crashedByPart)
 		return
 	}
 	if !s.admit(w, q, id) {
@@ -182,6 +184,13 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, q.RequestURI, body)
 }
 
+// crashBy crashes the server for the content of a request, which may crash so many of them.
+func (s *server) crashBy(q *http.Request, content string, servers int) {
+	s.crashing.recordArrival(content, servers, s.limits.entry(q.Header.Get("Attempt-Id")))
+	go s.onCrash(s)
+	<-q.Context().Done()
+}
+
 // serveControl serves the requests of control replicas to an engine, and reports whether q is one.
 func (s *server) serveControl(w http.ResponseWriter, q *http.Request) bool {
 	switch q.URL.Path {
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -38,6 +38,7 @@
 	losses      *losses
 	brittle     *brittle
 	versions    *versions
+	balancer    balancer
 	seeds       []string
 	// cutNumber and brittleNumber count the cuts and the times in which a service is brittle.
 	cutNumber, brittleNumber int
