A register of quarantined attributes forgets those that are cleared

Entries are told of each part one lost server before it is quarantined, and kept the version of each one for good: over months, or with callers that name many parts, their memory grew.

--- a/internal/policy/suspicion/register.go
+++ b/internal/policy/suspicion/register.go
@@ -1,6 +1,7 @@
 package suspicion
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -12,6 +13,8 @@
 	permitTime = 10 * time.Second
 	// askAgain is how long after it has asked for a probe a process asks again.
 	askAgain = 10 * time.Second
+	// maxKnown is how many attributes are known before those that are cleared are forgotten.
+	maxKnown = 16384
 )
 
 // Register holds the quarantined attributes that a process knows of, and the answers that refute them. It is
@@ -82,6 +85,9 @@
 	if ok {
 		e.permitUntil, e.prober = old.permitUntil, old.prober
 	}
+	if !ok && len(r.known) >= maxKnown {
+		maps.DeleteFunc(r.known, func(_ Fingerprint, e *entry) bool { return !e.Quarantined && !e.Suspected })
+	}
 	r.known[f] = e
 	r.refuted = slices.DeleteFunc(r.refuted, func(x Fingerprint) bool { return x == f })
 	if e.refuted {
--- a/internal/serve/limit/brittle_world_test.go
+++ b/internal/serve/limit/brittle_world_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
-
 )
 
 const (
