soak: the ID of a request names the entry that the balancer chose

The checks take an attempt's entry from its ID. A client whose new connections led to another entry kept its own in the ID, so that what disturbed the other one wasn't known: broke twice, "passed on by entry-0 to sound servers", with requests at entry-1 25 ms after its callers' connections had been reset (record: 5.927 and 5.952 s; the log of entry-1 has both requests). The check is as strict as before, for the entry that has the request.

--- a/deploy/soak/client.go
+++ b/deploy/soak/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -18,21 +19,23 @@
 	name       string
 	http       *http.Client
 	address    string
-	balancer   *balancer
 	record     *record
 	executions *executions
 	limits     *limits
 	leaving    *leaving
 	losses     *losses
 	random     *rand.Rand
-	// balanced is set if the balancer chooses the entry of new connections.
-	balanced bool
+	// The balancer, if any, chooses among the fronts in place of the client's own entry. number is the client's.
+	balancer      *balancer
+	fronts        []*proxy
+	entry, number int
+	seed          uint64
 }
 
 // newClient returns a client of the entry with the given index.
 func (s *site) newClient(name string, entry int, seed uint64) *client {
 	return &client{
-		name: name, address: s.fronts[entry].address(), balancer: &s.balancer, record: s.record, executions: s.executions, limits: s.limits,
+		name: name, address: s.fronts[entry].address(), entry: entry, fronts: s.fronts, seed: s.seed, record: s.record, executions: s.executions, limits: s.limits,
 		leaving: s.leaving, losses: s.losses, random: rand.New(rand.NewPCG(seed, 7)),
 		// net/http would retry a request on its own after a connection error, and the
 		// soak would attribute the second execution to the site. send therefore sends a
@@ -54,8 +57,9 @@
 	body     string
 	// number makes the last part of a prompt unique, part chooses its first part.
 	number, part int
-	// fresh is set if the caller opens a new connection while a crowd does.
-	fresh bool
+	// address is where the request is sent, empty for the client's entry. closes is set if its connection isn't kept.
+	address string
+	closes  bool
 }
 
 var requestKinds = []string{"read", "once", "once", "stream", "prompt"}
@@ -77,7 +81,9 @@
 	if q.kind == "prompt" {
 		q.part = c.random.IntN(20)
 	}
-	q.fresh = float64(n%10) < 10*crowdNewShare
+	if c.balancer != nil {
+		c.balance(&q)
+	}
 	return q
 }
 
@@ -88,17 +94,14 @@
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { kept = i.Reused }})
 	// net/http can't rewind this reader, and so doesn't send the body twice.
-	address := c.address
-	if c.balanced {
-		address = c.balancer.address(address)
-	}
+	address := cmp.Or(x.address, c.address)
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+x.kind+"/"+x.id, io.NopCloser(strings.NewReader(x.body)))
 	if err != nil {
 		c.record.reportViolation("request: %v", err)
 		return false
 	}
 	q.Host, q.ContentLength = "soak", int64(len(x.body))
-	q.Close = c.balanced && c.balancer.crowded() && x.fresh
+	q.Close = x.closes
 	q.Header.Set("Attempt-Id", x.id)
 	q.Header.Set("X-Api-Key", fmt.Sprint("k", x.tenant))
 	q.Header.Set("Deadline-Ms", "4000")
--- a/deploy/soak/crowd.go
+++ b/deploy/soak/crowd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -27,20 +28,28 @@
 // balancer is a stand-in for the load balancer in front of the entries: at times it hands nearly all new connections to
 // one of them.
 type balancer struct {
-	preferred atomic.Pointer[string]
+	// preferred is the index of that entry and one more, zero for none.
+	preferred atomic.Int64
 }
 
-// address returns where a new connection of a caller leads, whose entry is the one with the given address.
-func (b *balancer) address(own string) string {
-	if p := b.preferred.Load(); p != nil {
-		return *p
+// entry returns to which entry a new connection of a caller leads, whose entry is otherwise own.
+func (b *balancer) entry(own int) int {
+	if p := b.preferred.Load(); p > 0 {
+		return int(p - 1)
 	}
 	return own
 }
 
-// crowded returns whether one entry gets most new connections.
-func (b *balancer) crowded() bool {
-	return b.preferred.Load() != nil
+// balance has the balancer choose the entry of a request. The attempt's ID names the entry, by which its checks go.
+func (c *client) balance(q *request) {
+	entry := c.balancer.entry(c.entry)
+	if entry == c.entry {
+		return
+	}
+	const movedClients = 1_000_000
+	q.address = c.fronts[entry].address()
+	q.id = fmt.Sprintf("%d-%d-%d", c.seed, entry+len(c.fronts)*(movedClients+c.number), q.number)
+	q.closes = float64(q.number%10) < 10*crowdNewShare
 }
 
 // crowdEntries has the balancer prefer one entry at random times until end.
@@ -60,12 +69,11 @@
 	first := r.IntN(len(s.fronts))
 	for i := range 2 {
 		at := (first + i) % len(s.fronts)
-		address := s.fronts[at].address()
 		s.record.note("most new connections go to entry-%d", at)
-		s.balancer.preferred.Store(&address)
+		s.balancer.preferred.Store(int64(at) + 1)
 		sleep(ctx, half)
 	}
-	s.balancer.preferred.Store(nil)
+	s.balancer.preferred.Store(0)
 	s.record.note("over: most new connections go to one entry")
 }
 
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -87,7 +87,7 @@
 	var all sync.WaitGroup
 	for i := range clientsPerSite {
 		x := s.newClient(fmt.Sprintf("%d-%d", c.seed, i), i%len(s.fronts), c.seed*100+uint64(i))
-		x.balanced = true
+		x.balancer, x.number = &s.balancer, i
 		all.Go(func() { x.run(running) })
 	}
 	for i := range resumersPerEntry * len(s.fronts) {
