A server that was replaced while its loss was checked isn't cut off

Cause, traced with log lines in a clone: 18 losses of one run of the test were thrown away as cuts of the entry's own links. The check refused a direct connection while the server was down, and 0.43 to 0.68 s after the loss its tunnel reached the server that had been started in its place, so that the check took the links for broken.

Change: where the direct connection was refused and the tunnel connects, a second direct connection tells a replaced server (accepted: the loss counts) from broken links (refused again).

--- a/internal/node/dial/check.go
+++ b/internal/node/dial/check.go
@@ -23,7 +23,7 @@
 const (
 	// Reached means that the server can be reached directly.
 	Reached State = iota
-	// Lost means that the server is gone.
+	// Lost means that the server is gone, or was and has been replaced at its address.
 	Lost
 	// Hangs means that the server is reached in a tunnel, and direct connections bring nothing.
 	Hangs
@@ -94,7 +94,24 @@
 			tunnelled = true
 		}
 	}
-	return r.state(tunnelled)
+	if s := r.state(tunnelled); s != Refuses || !r.restarted(ctx) {
+		return s
+	}
+	return Lost
+}
+
+// restarted returns whether the server accepts direct connections now. If it refused them before, it wasn't listening
+// then, and the tunnel reached its successor.
+func (r *race) restarted(ctx context.Context) bool {
+	delete(r.started, reach.Direct)
+	r.start(ctx, reach.Direct)
+	x := <-r.results
+	r.running--
+	if x.err != nil {
+		return false
+	}
+	_ = x.conn.Close()
+	return true
 }
 
 // state returns the state of a server whose direct path failed.
