A stream that its caller leaves after it has begun counts as answered

Cause, traced with the decision log of a clone: its callers leave at the last event, before the server has ended the stream, as clients of event streams commonly do. The entry recorded those runs as abandoned, so that no answer with the part was ever complete, while live servers broke off a quarter of the streams. Three of those within 150 ms, on servers that sent the entry nothing else for 60 ms, quarantined the part, and nobody knew an answer that refutes it.

Change: a run whose answer had begun when its caller left is kept for 10 s, 1,024 of them at most. It counts as answered, at the time when its caller left, once the same incarnation of the server has begun an answer to a request that was sent later. An answer read late to an older request doesn't do, nor does a successor's.

Ruled out: the confirmation time of 60 ms; a longer one would delay each true loss, and the next request to those servers came 120 ms later. TestStreamThatItsCallerLeavesIsAnswered fails without Left counting.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -159,7 +159,7 @@
 	p.limits = limit.New(limit.Config{Random: rand.Float64, OnCapacity: queue.LocalCapacityFreed, Logger: c.Logger})
 	p.backoffs = backoff.New()
 	p.guard = quarantine.New(quarantine.Config{
-		RespondedAt: func(server string) time.Time { return p.tracker.Stats(server).RespondedAt },
+		Signs:       p.signs,
 		ReportDelay: p.reportDelay,
 		Logger:      c.Logger,
 	})
@@ -173,6 +173,12 @@
 	return p, nil
 }
 
+// signs returns the last signs of a server.
+func (p *process) signs(server string) quarantine.Signs {
+	s := p.tracker.Stats(server)
+	return quarantine.Signs{RespondedAt: s.RespondedAt, SentAt: s.AnsweredSentAt, Incarnation: uint64(s.AnsweredIncarnation)}
+}
+
 func (p *process) registerMetrics() {
 	p.metrics.NewGauge("hornbeamwood_site_running", func() float64 { return float64(p.running.Load()) })
 	p.metrics.NewGauge("hornbeamwood_site_waiting", func() float64 { return float64(p.queue.Len()) })
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -266,7 +266,7 @@
 		Limits:   limit.New(limit.Config{Random: func() float64 { return 0 }, OnCapacity: f.queue.LocalCapacityFreed}),
 		Backoffs: backoff.New(),
 		Origins:  fakeOrigins{origin.NewStore()},
-		Guard:    quarantine.New(quarantine.Config{RespondedAt: func(string) time.Time { return time.Time{} }}),
+		Guard:    quarantine.New(quarantine.Config{Signs: func(string) quarantine.Signs { return quarantine.Signs{} }}),
 		Closing:  never, Refusing: never, Isolated: never, Trial: never, Metrics: metrics.NewSet(),
 	}
 	f.front = httptest.NewServer(New(f.config))
--- a/internal/serve/caller/quarantine.go
+++ b/internal/serve/caller/quarantine.go
@@ -79,10 +79,7 @@
 	if !backend.Disconnected(err) {
 		return
 	}
-	r := quarantine.Run{
-		Attributes: j.attributes(), Attempt: j.request.Attempt, Workspace: j.workspace.Name,
-		Server: a.Server, Incarnation: uint64(a.Incarnation), SentAt: a.SentAt, LostAt: time.Now(), Began: a.Started(),
-	}
+	r := j.runOf(a)
 	t := backend.Target{ID: a.Server, StartedAt: a.Incarnation, Address: a.Address}
 	go func() {
 		if !j.Client.CutOff(t, r.LostAt) {
@@ -91,6 +88,14 @@
 	}()
 }
 
+// runOf returns the run that ends now.
+func (j *job) runOf(a *observe.Attempt) quarantine.Run {
+	return quarantine.Run{
+		Attributes: j.attributes(), Attempt: j.request.Attempt, Workspace: j.workspace.Name,
+		Server: a.Server, Incarnation: uint64(a.Incarnation), SentAt: a.SentAt, LostAt: time.Now(), Began: a.Started(),
+	}
+}
+
 // recordAnswered records that a server has sent a complete response.
 func (j *job) recordAnswered() {
 	j.Guard.Answered(j.attributes(), time.Now())
--- a/internal/serve/caller/stream.go
+++ b/internal/serve/caller/stream.go
@@ -131,6 +131,9 @@
 func (j *job) recordInterruption(ctx context.Context, a *observe.Attempt, x *backend.Exchange, reason string, err error) string {
 	if ctx.Err() != nil || errors.Is(err, errCallerGone) {
 		x.Abort()
+		if a.Started() {
+			j.Guard.Left(j.runOf(a))
+		}
 		j.endAttempt(a, observe.Abandoned)
 		j.abandon()
 	}
--- a/internal/serve/observe/stats.go
+++ b/internal/serve/observe/stats.go
@@ -29,6 +29,10 @@
 	RefusedBy int
 	// RespondedAt is when the server last responded.
 	RespondedAt time.Time
+	// AnsweredSentAt is when the newest of those requests was sent to which the server has begun an answer, and
+	// AnsweredIncarnation the incarnation that did.
+	AnsweredSentAt      time.Time
+	AnsweredIncarnation int64
 	// Running, Waiting and Slots are from the server's own load report, received at ReportedAt.
 	Running, Waiting, Slots int
 	// ReportedAt is when the load report arrived.
--- a/internal/serve/observe/tracker.go
+++ b/internal/serve/observe/tracker.go
@@ -220,6 +220,9 @@
 	}
 	a.started = true
 	x.PrefillTokens -= a.PrefillTokens
+	if a.SentAt.After(x.AnsweredSentAt) {
+		x.AnsweredSentAt, x.AnsweredIncarnation = a.SentAt, a.Incarnation
+	}
 	x.recordResponse(now.Sub(a.SentAt), now)
 }
 
--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -17,8 +17,11 @@
 	confirmAfter = 60 * time.Millisecond
 	// responseSlack is how long after a server was lost a response that it sent before may be read.
 	responseSlack = 20 * time.Millisecond
-	// maxPending bounds the runs that wait to be reported; the control log takes as many at once.
+	// maxPending bounds the runs that wait to be reported; the control log takes as many at once. It also bounds those
+	// that were left.
 	maxPending = 1024
+	// signTime is how long after its caller left a run the server is waited for to show that it lives on.
+	signTime = 10 * time.Second
 	// hold is how long after its last loss a quarantined request is released. Each release of one that
 	// still crashes servers costs two of them.
 	hold = time.Hour
@@ -29,7 +32,7 @@
 	objectionTime = 400 * time.Millisecond
 )
 
-// Run is a request that a server ran when it was lost.
+// Run is a request that a server ran when it was lost, or when its caller left.
 type Run struct {
 	// Attributes are those of the request.
 	Attributes suspicion.Attributes
@@ -40,16 +43,31 @@
 	// Server and Incarnation identify the server.
 	Server      string
 	Incarnation uint64
-	// SentAt is when the request was sent, LostAt when its connection broke.
+	// SentAt is when the request was sent, LostAt when its connection broke or its caller left.
 	SentAt, LostAt time.Time
 	// Began is set if the server had begun its answer.
 	Began bool
 }
 
+// Signs are the last signs of a server at this entry.
+type Signs struct {
+	// RespondedAt is when a response of the server was last read.
+	RespondedAt time.Time
+	// SentAt is when the newest of those requests was sent to which it has begun an answer, and Incarnation the
+	// incarnation that did.
+	SentAt      time.Time
+	Incarnation uint64
+}
+
+// liveAfter returns whether an incarnation of the server ran after the given time.
+func (s Signs) liveAfter(incarnation uint64, at time.Time) bool {
+	return s.Incarnation == incarnation && s.SentAt.After(at)
+}
+
 // Config is the configuration of a Guard.
 type Config struct {
-	// RespondedAt returns when the server last responded to this entry.
-	RespondedAt func(server string) time.Time
+	// Signs returns the last signs of a server.
+	Signs func(server string) Signs
 	// ReportDelay returns how much later than at a small site reports are sent; nil for never.
 	ReportDelay func() time.Duration
 	// Logger receives the log events.
@@ -64,6 +82,9 @@
 	Lost(r Run)
 	// Answered records that a server has answered a request with these attributes.
 	Answered(a suspicion.Attributes, now time.Time)
+	// Left records a run whose caller left at LostAt after the answer had begun. It counts as answered once the
+	// server has shown that it lives on.
+	Left(r Run)
 	// Apply applies the quarantine of an attribute that a replica shows.
 	Apply(f suspicion.Fingerprint, p suspicion.Period, now time.Time)
 	// Pending returns what is to be reported, and false if there is nothing. It stays pending until
@@ -80,6 +101,8 @@
 	mu       sync.Mutex
 	register *suspicion.Register
 	lost     []Run
+	// left are runs whose callers left, oldest first.
+	left []Run
 	// reported counts the runs and refuted holds the refutations that Pending returned last.
 	reported int
 	refuted  []suspicion.Fingerprint
@@ -116,6 +139,30 @@
 	g.register.Answered(a, now)
 }
 
+// Left implements Guard.
+func (g *guard) Left(r Run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.left) < maxPending {
+		g.left = append(g.left, r)
+	}
+}
+
+// countLeft counts the runs that were left as answered if their servers have answered later requests.
+func (g *guard) countLeft(now time.Time) {
+	kept := g.left[:0]
+	for _, r := range g.left {
+		switch {
+		case g.Signs(r.Server).liveAfter(r.Incarnation, r.LostAt):
+			g.register.Answered(r.Attributes, r.LostAt)
+		case now.Sub(r.LostAt) < signTime:
+			kept = append(kept, r)
+		}
+	}
+	clear(g.left[len(kept):])
+	g.left = kept
+}
+
 // Apply implements Guard. An attribute of a request that this entry has seen answered since its first loss doesn't
 // crash the servers that run it.
 func (g *guard) Apply(f suspicion.Fingerprint, p suspicion.Period, now time.Time) {
@@ -136,6 +183,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.reported, g.asked = 0, nil
+	g.countLeft(now)
 	if g.refuted = g.register.Refuted(); len(g.refuted) > 0 {
 		return section.Command{Answered: &section.Answered{Fingerprints: g.refuted}}, true
 	}
@@ -158,7 +206,7 @@
 func (g *guard) dropResponsive(now time.Time) {
 	kept := g.lost[:0]
 	for _, r := range g.lost {
-		if now.Sub(r.LostAt) < confirmAfter || !g.RespondedAt(r.Server).After(r.LostAt.Add(responseSlack)) {
+		if now.Sub(r.LostAt) < confirmAfter || !g.Signs(r.Server).RespondedAt.After(r.LostAt.Add(responseSlack)) {
 			kept = append(kept, r)
 		}
 	}
--- a/internal/serve/quarantine/guard_test.go
+++ b/internal/serve/quarantine/guard_test.go
@@ -33,7 +33,7 @@
 }
 
 func newGuard(responded map[string]time.Time) Guard {
-	return New(Config{RespondedAt: func(server string) time.Time { return responded[server] }})
+	return New(Config{Signs: func(server string) Signs { return Signs{RespondedAt: responded[server]} }})
 }
 
 // Guards against a row of a replica that lags behind, which would undo a newer one.
@@ -108,3 +108,30 @@
 		t.Error("reported twice")
 	}
 }
+
+// Guards against the quarantine of a part whose streams all callers leave at their last event, so that no answer is
+// ever complete, and against answers that are counted although their server has ended since.
+func TestStreamThatItsCallerLeavesIsAnswered(t *testing.T) {
+	part := suspicion.FingerprintOfPart([]byte("p"))
+	a := suspicion.Attributes{Request: x, Parts: []suspicion.Fingerprint{part}}
+	for _, c := range []struct {
+		name string
+		sign Signs
+		want bool
+	}{
+		{"no sign", Signs{}, false},
+		{"an older request was answered later", Signs{RespondedAt: now.Add(time.Second), SentAt: now.Add(-time.Second), Incarnation: 3}, false},
+		{"a successor answered", Signs{SentAt: now.Add(time.Second), Incarnation: 4}, false},
+		{"the server answered a later request", Signs{SentAt: now.Add(time.Second), Incarnation: 3}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := New(Config{Signs: func(string) Signs { return c.sign }})
+			g.Left(Run{Attributes: a, Server: "s", Incarnation: 3, SentAt: now.Add(-2 * time.Second), LostAt: now, Began: true})
+			g.Pending(now.Add(2 * time.Second))
+			g.Apply(part, suspicion.Period{Version: 1, Quarantined: true, Kind: suspicion.Part, FirstLoss: now.UnixMilli()}, now.Add(3*time.Second))
+			if _, refused := g.Quarantined("w", a, now.Add(4*time.Second)); refused == c.want {
+				t.Errorf("refused: %t", refused)
+			}
+		})
+	}
+}
--- a/internal/serve/quarantine/world_test.go
+++ b/internal/serve/quarantine/world_test.go
@@ -96,7 +96,7 @@
 	}
 	w.log = section.New(section.Config{Changed: w.show})
 	for range t.entries {
-		w.guards = append(w.guards, New(Config{RespondedAt: func(string) time.Time { return time.Time{} }}))
+		w.guards = append(w.guards, New(Config{Signs: func(string) Signs { return Signs{} }}))
 	}
 	return w
 }
