Responses that a process reads late are no signs that a server lives

The process had too little processor time and read late what the server had sent before its end.

Change: the slack grows with the lateness of the process's own wake-ups in the last 2 to 4 s, which the overload detector observes already. An answer that has begun to a request sent after the loss, by the same incarnation, is a sign however late it is read.

TestResponsesThatAreReadLateAreNoSigns fails without the change (case "late": the loss isn't reported).

--- a/internal/policy/overload/detector.go
+++ b/internal/policy/overload/detector.go
@@ -13,6 +13,8 @@
 	window = 200 * time.Millisecond
 	// target is how late each of them is.
 	target = 50 * time.Millisecond
+	// lagWindow is for how long at least a late wake-up shows in Lag.
+	lagWindow = 2 * time.Second
 )
 
 // Detector tells from the lateness of wake-ups whether work waits for the processor. As in the CoDel algorithm, the
@@ -22,6 +24,8 @@
 	Observe(late time.Duration, now time.Time)
 	// Overloaded returns whether work has waited for the processor all the time.
 	Overloaded() bool
+	// Lag returns the greatest lateness of the last seconds: what arrived may have been read as much later.
+	Lag(now time.Time) time.Duration
 }
 
 type detector struct {
@@ -29,6 +33,9 @@
 	// punctualAt is when the last punctual wake-up was, or the first observation.
 	punctualAt, lastAt time.Time
 	lateCount          int
+	// lag is the greatest lateness since lagSince, and earlierLag that of the lagWindow before.
+	lag, earlierLag time.Duration
+	lagSince        time.Time
 }
 
 // New returns a Detector without any observation.
@@ -41,6 +48,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastAt = now
+	d.turnLag(now)
+	d.lag = max(d.lag, late)
 	if late < target || d.punctualAt.IsZero() {
 		d.punctualAt, d.lateCount = now, 0
 		return
@@ -48,6 +57,31 @@
 	d.lateCount++
 }
 
+// Lag implements Detector. A wake-up that is due and hasn't come yet counts.
+func (d *detector) Lag(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.turnLag(now)
+	lag := max(d.lag, d.earlierLag)
+	if d.lastAt.IsZero() {
+		return lag
+	}
+	return max(lag, now.Sub(d.lastAt)-Interval)
+}
+
+// turnLag begins another window once the last one has ended.
+func (d *detector) turnLag(now time.Time) {
+	age := now.Sub(d.lagSince)
+	if age < lagWindow {
+		return
+	}
+	d.earlierLag = d.lag
+	if age >= 2*lagWindow {
+		d.earlierLag = 0
+	}
+	d.lag, d.lagSince = 0, now
+}
+
 // minLate is how many wake-ups in a row have to be late: one alone may follow a freeze of any length.
 const minLate = 2
 
--- a/internal/policy/overload/detector_test.go
+++ b/internal/policy/overload/detector_test.go
@@ -29,6 +29,36 @@
 	}
 }
 
+// Guards against an entry that takes what it reads late for what was sent late.
+func TestLagIsThatOfTheLastSeconds(t *testing.T) {
+	d, now := New(), start
+	observe := func(late time.Duration) {
+		now = now.Add(Interval + late)
+		d.Observe(late, now)
+	}
+	observe(0)
+	if lag := d.Lag(now.Add(Interval)); lag != 0 {
+		t.Errorf("punctual: %s", lag)
+	}
+	if lag := d.Lag(now.Add(time.Second)); lag != time.Second-Interval {
+		t.Errorf("overdue: %s", lag)
+	}
+	observe(300 * time.Millisecond)
+	late := now
+	for now.Before(late.Add(lagWindow)) {
+		if lag := d.Lag(now); lag != 300*time.Millisecond {
+			t.Fatalf("after %s: %s", now.Sub(late), lag)
+		}
+		observe(0)
+	}
+	for now.Before(late.Add(3 * lagWindow)) {
+		observe(0)
+	}
+	if lag := d.Lag(now); lag != 0 {
+		t.Errorf("long after: %s", lag)
+	}
+}
+
 // entry simulates the processor of an entry that serves connections in the order of their arrival, for callers who
 // wait for a bounded time.
 type entry struct {
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -160,6 +160,7 @@
 	p.backoffs = backoff.New()
 	p.guard = quarantine.New(quarantine.Config{
 		Signs:       p.signs,
+		Lag:         func(now time.Time) time.Duration { return p.gate.detector.Lag(now) },
 		ReportDelay: p.reportDelay,
 		Logger:      c.Logger,
 	})
--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -15,7 +15,8 @@
 	// confirmAfter is how long after a connection broke a server counts as lost, unless it has
 	// responded in the meantime. Faulty servers break off single responses.
 	confirmAfter = 60 * time.Millisecond
-	// responseSlack is how long after a server was lost a response that it sent before may be read.
+	// responseSlack is how long after a server was lost a response that it sent before may be read by a process that
+	// isn't late itself.
 	responseSlack = 20 * time.Millisecond
 	// maxPending bounds the runs that wait to be reported; the control log takes as many at once. It also bounds those
 	// that were left.
@@ -68,6 +69,8 @@
 type Config struct {
 	// Signs returns the last signs of a server.
 	Signs func(server string) Signs
+	// Lag returns by how much this process may have read a response late; nil for not at all.
+	Lag func(now time.Time) time.Duration
 	// ReportDelay returns how much later than at a small site reports are sent; nil for never.
 	ReportDelay func() time.Duration
 	// Logger receives the log events.
@@ -204,9 +207,15 @@
 
 // dropResponsive drops the runs whose servers have responded since.
 func (g *guard) dropResponsive(now time.Time) {
+	slack := responseSlack
+	if g.Lag != nil {
+		slack += g.Lag(now)
+	}
 	kept := g.lost[:0]
 	for _, r := range g.lost {
-		if now.Sub(r.LostAt) < confirmAfter || !g.Signs(r.Server).RespondedAt.After(r.LostAt.Add(responseSlack)) {
+		signs := g.Signs(r.Server)
+		responsive := signs.RespondedAt.After(r.LostAt.Add(slack)) || signs.liveAfter(r.Incarnation, r.LostAt)
+		if now.Sub(r.LostAt) < confirmAfter || !responsive {
 			kept = append(kept, r)
 		}
 	}
--- a/internal/serve/quarantine/guard_test.go
+++ b/internal/serve/quarantine/guard_test.go
@@ -135,3 +135,26 @@
 		})
 	}
 }
+
+// Guards against an entry that has too little processor time and takes responses that a lost server sent before its
+// end for a sign of life.
+func TestResponsesThatAreReadLateAreNoSigns(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		lag   time.Duration
+		signs Signs
+		want  bool
+	}{
+		{"in time", 0, Signs{RespondedAt: now.Add(50 * time.Millisecond)}, false},
+		{"late", 40 * time.Millisecond, Signs{RespondedAt: now.Add(50 * time.Millisecond)}, true},
+		{"late, but to a later request", 40 * time.Millisecond, Signs{RespondedAt: now.Add(50 * time.Millisecond), SentAt: now.Add(time.Millisecond), Incarnation: 3}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := New(Config{Signs: func(string) Signs { return c.signs }, Lag: func(time.Time) time.Duration { return c.lag }})
+			g.Lost(Run{Attributes: whole(x), Server: "s", Incarnation: 3, SentAt: now.Add(-time.Second), LostAt: now})
+			if _, reported := g.Pending(now.Add(confirmAfter)); reported != c.want {
+				t.Errorf("reported: %t", reported)
+			}
+		})
+	}
+}
