--- a/internal/site/origin/find.go
+++ b/internal/site/origin/find.go
@@ -16,7 +16,7 @@
 	if !ok {
 		f, outcome = o.ask(ctx, k)
 	}
-	if outcome == Unknown && wait.For(ctx, searchAgain) {
+	for i := 0; outcome == Unknown && i < len(searchAgain) && wait.For(ctx, searchAgain[i]); i++ {
 		f, outcome = o.ask(ctx, k)
 	}
 	o.outcomes[outcome].Inc()
--- a/internal/site/origin/origins.go
+++ b/internal/site/origin/origins.go
@@ -23,11 +23,12 @@
 	recordTimeout = time.Second
 	// findTimeout bounds the search for an origin; a resumed stream is late by then.
 	findTimeout = 400 * time.Millisecond
-	// searchAgain is how long after a search that has found nothing a second one begins: the origin may be on its way
-	// if recording it took longer than recordWait.
-	searchAgain = 100 * time.Millisecond
 )
 
+// searchAgain is how long after each search that has found nothing another one begins: the origin may be on its way if
+// recording it took longer than recordWait.
+var searchAgain = []time.Duration{60 * time.Millisecond, 100 * time.Millisecond}
+
 // Outcome is what a search for an origin has brought.
 type Outcome string
 
--- a/internal/site/origin/origins_test.go
+++ b/internal/site/origin/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -103,11 +104,13 @@
 	n, s := newNode(t, keys.Control)
 	replicas := []Replica{{Address: n.Address(), Zone: "a"}}
 	o := newOrigins(t, &replicas)
-	k := NewKey("w", "a1")
-	late := time.AfterFunc(recordWait, func() { s.Put(k, testOrigin, time.Minute, time.Now()) })
-	defer late.Stop()
-	if f, outcome := o.Find(t.Context(), k); outcome != Known || f.Origin != testOrigin {
-		t.Errorf("recorded during the search: %v, %+v", outcome, f)
+	for i, after := range []time.Duration{recordWait, 2 * recordWait} {
+		k := NewKey("w", fmt.Sprint(i))
+		late := time.AfterFunc(after, func() { s.Put(k, testOrigin, time.Minute, time.Now()) })
+		if f, outcome := o.Find(t.Context(), k); outcome != Known || f.Origin != testOrigin {
+			t.Errorf("recorded %s after the search began: %v, %+v", after, outcome, f)
+		}
+		late.Stop()
 	}
 }
 
