A run that its caller left counts for its parts only, not for the whole request

Found by reading: a caller that leaves a request after its first event kept the server from the rest of the run. If that crashes servers, the quarantine of the request would have been refuted by each such attempt, while others with the same body crash servers. Only the parts of its prompt count now.

The new check of TestStreamThatItsCallerLeavesIsAnswered fails without the change.

--- a/internal/policy/suspicion/attributes.go
+++ b/internal/policy/suspicion/attributes.go
@@ -15,7 +15,7 @@
 
 // Attributes are what a request has in common with others, each by its fingerprint.
 type Attributes struct {
-	// Request is the fingerprint of the whole request.
+	// Request is the fingerprint of the whole request, zero if that isn't meant.
 	Request Fingerprint
 	// Parts are those of the prompt's parts that other requests may share.
 	Parts []Fingerprint
@@ -23,7 +23,7 @@
 
 // all yields the fingerprints of the attributes.
 func (a Attributes) all(yield func(Fingerprint) bool) {
-	if !yield(a.Request) {
+	if a.Request != (Fingerprint{}) && !yield(a.Request) {
 		return
 	}
 	for _, p := range a.Parts {
--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -85,7 +85,7 @@
 	Lost(r Run)
 	// Answered records that a server has answered a request with these attributes.
 	Answered(a suspicion.Attributes, now time.Time)
-	// Left records a run whose caller left at LostAt after the answer had begun. It counts as answered once the
+	// Left records a run whose caller left at LostAt after the answer had begun. Its parts count as answered once the
 	// server has shown that it lives on.
 	Left(r Run)
 	// Apply applies the quarantine of an attribute that a replica shows.
@@ -151,13 +151,14 @@
 	}
 }
 
-// countLeft counts the runs that were left as answered if their servers have answered later requests.
+// countLeft counts the parts of the runs that were left as answered if their servers have answered later requests. The
+// request as a whole doesn't count: what its caller didn't wait for may still end a server.
 func (g *guard) countLeft(now time.Time) {
 	kept := g.left[:0]
 	for _, r := range g.left {
 		switch {
 		case g.Signs(r.Server).liveAfter(r.Incarnation, r.LostAt):
-			g.register.Answered(r.Attributes, r.LostAt)
+			g.register.Answered(suspicion.Attributes{Parts: r.Attributes.Parts}, r.LostAt)
 		case now.Sub(r.LostAt) < signTime:
 			kept = append(kept, r)
 		}
--- a/internal/serve/quarantine/guard_test.go
+++ b/internal/serve/quarantine/guard_test.go
@@ -132,6 +132,10 @@
 			if _, refused := g.Quarantined("w", a, now.Add(4*time.Second)); refused == c.want {
 				t.Errorf("refused: %t", refused)
 			}
+			g.Apply(x, period(2, true, now.Add(-time.Second)), now.Add(4*time.Second))
+			if refusedFor(g, now.Add(4*time.Second)) == 0 || len(g.(*guard).register.Refuted()) > 1 {
+				t.Error("the request as a whole counts as answered")
+			}
 		})
 	}
 }
