--- a/internal/control/replica/partition_test.go
+++ b/internal/control/replica/partition_test.go
@@ -75,7 +75,7 @@
 // The test uses the default tick. With the 5 ms tick of the other tests a single
 // sync of 150 ms starts a new term without any suspension, see
 // TestSlowSyncKeepsTheLeader.
-func TestSuspendedLeaderResumes(t *testing.T) {
+func TestSuspendedLeaderGoesOn(t *testing.T) {
 	c := newCluster(t, 3, func(g *Config) { g.Tick = defaultTick })
 	c.commit("one")
 	old := c.waitForLeader()
--- a/internal/entry/engine/bench_test.go
+++ b/internal/entry/engine/bench_test.go
@@ -32,7 +32,7 @@
 
 // BenchmarkNext measures one token event from the connection's bytes to the forwarded event.
 func BenchmarkNext(b *testing.B) {
-	c := New(Config{Transport: fixedTransport{events: b.N}, Resumes: -1})
+	c := New(Config{Transport: fixedTransport{events: b.N}, ResumeLimit: -1})
 	s, err := c.Run(context.Background(), "127.0.0.1:1", attempt)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/entry/engine/config.go
+++ b/internal/entry/engine/config.go
@@ -31,8 +31,8 @@
 	IdleTimeout time.Duration
 	// CancelTimeout bounds a cancel request; default 2 s.
 	CancelTimeout time.Duration
-	// Resumes is the maximum number of resumes per stream; default 3, negative for none.
-	Resumes int
+	// ResumeLimit is the maximum number of resumes per stream; default 3, negative for none.
+	ResumeLimit int
 	// ResumeWait is the backoff before the second resume after a fault, doubled for each further one; default 100 ms.
 	ResumeWait time.Duration
 	// Logger receives the events; nil disables logging.
@@ -56,8 +56,8 @@
 	if c.ResumeWait <= 0 {
 		c.ResumeWait = 100 * time.Millisecond
 	}
-	if c.Resumes == 0 {
-		c.Resumes = 3
+	if c.ResumeLimit == 0 {
+		c.ResumeLimit = 3
 	}
 	return c
 }
--- a/internal/entry/engine/stream.go
+++ b/internal/entry/engine/stream.go
@@ -182,7 +182,7 @@
 	}
 	s.logRejected(cause)
 	backoff := time.Duration(0)
-	for s.resumes < s.client.Resumes && s.sleep(backoff) {
+	for s.resumes < s.client.ResumeLimit && s.sleep(backoff) {
 		s.resumes++
 		backoff = max(2*backoff, s.client.ResumeWait)
 		s.disconnect()
--- a/internal/process/siteentry/documents_test.go
+++ b/internal/process/siteentry/documents_test.go
@@ -131,7 +131,7 @@
 
 // Replicas fail in the middle of a large document. Chunks that were received must not be sent again, or an entry
 // behind a slow link never completes the document.
-func TestFetchResumesAfterFailures(t *testing.T) {
+func TestFetchGoesOnAfterFailures(t *testing.T) {
 	e := newTestEntry(t)
 	s := newTestSource(t, 1, 3000)
 	calls := 0
--- a/internal/serve/caller/gateway_stream_test.go
+++ b/internal/serve/caller/gateway_stream_test.go
@@ -33,7 +33,7 @@
 // An engine crashes in the middle of an event. The stream must resume at another engine after
 // the last whole event; the caller gets one stream with no event missing or duplicated, under
 // the first engine's headers.
-func TestStreamResumesElsewhere(t *testing.T) {
+func TestStreamGoesOnElsewhere(t *testing.T) {
 	f := newFixture(t, streamOf("a", 2, false), streamOf("b", 4, true))
 	g := f.request(t, "r1", http.MethodPost, "/resume/x")
 	want := "id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: b\n\nid: 4\ndata: b\n\n"
--- a/internal/serve/caller/silence_test.go
+++ b/internal/serve/caller/silence_test.go
@@ -56,7 +56,7 @@
 }
 
 // Guards against a stream that is broken off because the server at which it resumes rejects it at first.
-func TestStreamResumesAfterRejections(t *testing.T) {
+func TestStreamGoesOnAfterRejections(t *testing.T) {
 	full := answerStatus(http.StatusServiceUnavailable, "A-Not-Run: 1\r\n")
 	f := newFixture(t, streamOf("a", 2, false), first(2, full, streamOf("b", 4, true)))
 	f.servers[0].script = first(1, streamOf("a", 2, false), full)
@@ -66,7 +66,7 @@
 }
 
 // Guards against a stream that is broken off although its server, the only one, accepts it again.
-func TestStreamResumesAtTheSameServer(t *testing.T) {
+func TestStreamGoesOnAtTheSameServer(t *testing.T) {
 	f := newFixture(t, first(1, streamOf("a", 2, false), streamOf("b", 4, true)))
 	if g := f.request(t, "r1", http.MethodPost, "/resume/x"); g.err != nil || g.body != wholeStream {
 		t.Errorf("got %+v", g)
@@ -74,7 +74,7 @@
 }
 
 // Guards against a stream that is broken off because the retry budget grants its resume a moment later.
-func TestStreamResumesWhenTheBudgetGrantsIt(t *testing.T) {
+func TestStreamGoesOnWhenTheBudgetGrantsIt(t *testing.T) {
 	f := newFixture(t, streamOf("a", 2, false), streamOf("b", 4, true))
 	c := f.config
 	c.Budget = retry.NewBudget(retry.Terms{Window: 2 * time.Second})
