A released lease is logged with its number, without a data race

The line of a planned stop also named number 0, since the number was forgotten before. The number is an argument of the line now.

TestReleaseIsLoggedWithItsFencingNumber failed before (0, want 1). Nothing else reads the number without the lock.

--- a/internal/process/sitecontrol/lease.go
+++ b/internal/process/sitecontrol/lease.go
@@ -101,7 +101,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.refusedFencing = max(h.refusedFencing, fencing)
-	h.logChange("a server has seen a higher fencing number")
+	h.logChange("a server has seen a higher fencing number", h.fencing)
 }
 
 // run renews the lease until ctx ends.
@@ -173,7 +173,7 @@
 		h.logError(err)
 		return
 	}
-	h.logChange("released")
+	h.logChange("released", fencing)
 }
 
 // renew acquires the lease, or extends it when this process holds it.
@@ -221,14 +221,14 @@
 	if !r.Granted || h.released {
 		if h.fencing != 0 {
 			h.fencing = 0
-			h.logChange("another replica holds it")
+			h.logChange("another replica holds it", h.fencing)
 		}
 		return
 	}
 	if h.fencing != 0 && r.Fencing == h.fencing+1 && h.refusedFencing < h.fencing {
 		// The lease expired, as with a slow disk, and no other replica has held it since.
 		h.fencing = r.Fencing
-		h.logChange("granted again")
+		h.logChange("granted again", h.fencing)
 	}
 	if r.Fencing != h.fencing {
 		h.fencing = r.Fencing
@@ -237,14 +237,14 @@
 		if r.Fencing > 1 {
 			h.ordersFrom += max(r.Wait, h.orderDelay)
 		}
-		h.logChange("granted")
+		h.logChange("granted", h.fencing)
 	}
 	h.until = requestedAt + leaseDuration
 }
 
-// logChange logs a change of the lease's state.
-func (h *leaseHolder) logChange(why string) {
-	event.LeaseHeld.Write(h.logger, log.Fields{"fencing": h.fencing, "reason": why})
+// logChange logs a change of the state of the lease with the given fencing number.
+func (h *leaseHolder) logChange(why string, fencing uint64) {
+	event.LeaseHeld.Write(h.logger, log.Fields{"fencing": fencing, "reason": why})
 }
 
 // logError logs a failed request for the lease.
--- a/internal/process/sitecontrol/lease_test.go
+++ b/internal/process/sitecontrol/lease_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 
 	"hornbeamwood/internal/base/codec"
 	controllease "hornbeamwood/internal/control/lease"
@@ -200,3 +201,19 @@
 		t.Error("the next holder may order before the site's time between orders of two holders is over")
 	}
 }
+
+// Guards against a data race between the log line of a released lease and a stop, and against a line that names no
+// lease because the stop has already forgotten its number.
+func TestReleaseIsLoggedWithItsFencingNumber(t *testing.T) {
+	l := newLeaseLog()
+	logged := memory.New()
+	h := l.leaseHolder("a")
+	h.logger = &log.Logger{Handler: logged, Level: log.InfoLevel}
+	h.renew(t.Context())
+	held := h.fencingNumber()
+	h.release(t.Context())
+	last := logged.Entries[len(logged.Entries)-1]
+	if last.Fields["reason"] != "released" || last.Fields["fencing"] != held {
+		t.Errorf("the line says %v, want that the lease with number %d was released", last.Fields, held)
+	}
+}
