A part whose losses others explain is refused for further ones

A record held the first eight losses of an attribute and no others. If another attribute explained most of them, it stayed a suspect for good: further servers that it ended alone weren't recorded.

Now the oldest loss makes room unless the attribute is quarantined.

--- a/internal/control/quarantine/part_test.go
+++ b/internal/control/quarantine/part_test.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// Guards against a crashing part that is never refused because its record is full of losses that another one explains.
+func TestPartWithManyExplainedLossesIsRefusedForFurtherOnes(t *testing.T) {
+	s := New(Config{})
+	both := []partRun{{"w", []string{"first bad"}}, {"v", []string{"second bad"}}}
+	losses(t, s, 0, both[:1], both, both, both, both, both, both, both, both)
+	if !refused(s, "w", "first bad") || refused(s, "v", "second bad") {
+		t.Fatal("the part with a further loss isn't the only one that is refused")
+	}
+	losses(t, s, 9, both[1:], both[1:], both[1:])
+	if !refused(s, "v", "second bad") {
+		t.Error("three servers were lost under the other part alone, and it isn't refused")
+	}
+}
+
 // Guards against the blame of a part for servers that fail at the same moment.
 func TestServersThatFailTogetherBlameNoPart(t *testing.T) {
 	s := New(Config{})
--- a/internal/control/quarantine/record.go
+++ b/internal/control/quarantine/record.go
@@ -74,11 +74,18 @@
 	return r.Kind == suspicion.Part && r.Standing == suspicion.Quarantined && at.UnixNano() >= r.Since+int64(r.Delay)
 }
 
-// addLoss records a loss once. It returns whether it did.
+// addLoss records a loss once. It returns whether it did. The oldest one makes room, unless the attribute is
+// quarantined: other attributes may explain all that are recorded.
 func (r *record) addLoss(l suspicion.Loss) bool {
-	if suspicion.Has(r.Losses, l) || len(r.Losses) >= maxLosses {
+	if suspicion.Has(r.Losses, l) {
 		return false
 	}
+	if len(r.Losses) >= maxLosses {
+		if r.Standing == suspicion.Quarantined {
+			return false
+		}
+		r.Losses = slices.Delete(r.Losses, 0, 1)
+	}
 	r.Losses = append(r.Losses, l)
 	return true
 }
