A probe isn't spent on a request that another part refuses

A permit to let one request with a quarantined part through was bound to the first request that asked, also if another of its parts was refused then. The permit ended unused after 10 s, and the next one is due four times later: a sound part that mostly comes beside a crashing one stayed refused.

Found by reading. TestProbeIsNotSpentOnARequestThatIsRefusedAnyway failed before.

--- a/internal/policy/suspicion/register.go
+++ b/internal/policy/suspicion/register.go
@@ -42,15 +42,10 @@
 	prober      Fingerprint
 }
 
-// permits returns whether a request is sent as a probe. The first one that asks is.
+// permits returns whether a request may be sent as a probe: the first one for which nothing else is refused, and its
+// repetitions.
 func (e *entry) permits(request Fingerprint, now time.Time) bool {
-	if !now.Before(e.permitUntil) {
-		return false
-	}
-	if e.prober == (Fingerprint{}) {
-		e.prober = request
-	}
-	return e.prober == request
+	return now.Before(e.permitUntil) && (e.prober == (Fingerprint{}) || e.prober == request)
 }
 
 // Match is a quarantined attribute of a request.
@@ -143,9 +138,14 @@
 
 // Match returns the attribute for which a request of the workspace is refused, and false if it may be sent.
 func (r *Register) Match(workspace string, a Attributes, now time.Time) (Match, bool) {
+	var probed []*entry
 	for f := range a.all {
 		e, ok := r.known[f]
-		if !ok || !e.Quarantined || now.Before(e.inForce) || e.Kind == Part && e.refuted || !e.appliesTo(workspace, a) || e.permits(a.Request, now) {
+		if !ok || !e.Quarantined || now.Before(e.inForce) || e.Kind == Part && e.refuted || !e.appliesTo(workspace, a) {
+			continue
+		}
+		if e.permits(a.Request, now) {
+			probed = append(probed, e)
 			continue
 		}
 		if !e.askAt.IsZero() && !now.Before(e.askAt) {
@@ -160,6 +160,9 @@
 			return Match{Fingerprint: f, Kind: e.Kind, RetryAfter: after}, true
 		}
 	}
+	for _, e := range probed {
+		e.prober = a.Request
+	}
 	return Match{}, false
 }
 
