An entry quarantines by its own losses while the control log takes no reports

While control processes have no leader, or too little processor time, reports of lost servers wait, and a request or a part that ends servers went on to do so through every entry without end. After a second without a commit an entry now classifies the losses that wait with the section that the control log has, and refuses what would be quarantined, unless its answers refute it. It stops 2 s after the report was taken, when rows say what is in force.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -51,7 +51,7 @@
 	// StreamOrigin is written when a caller resumes a stream.
 	StreamOrigin = define(929, log.InfoLevel, "stream-origin", "A caller resumes a stream; the fields give the attempt that it names as the first, the software that began it and how that was found: known (recorded by the entry that sent the first event), inferred (all servers of the service have the same), unknown, or unanswered (some control replicas gave no answer).")
 	// QuarantineChanged is written by an entry when a request is quarantined or cleared.
-	QuarantineChanged = define(925, log.WarnLevel, "quarantine-changed", "A request that crashes servers, or a part of prompts that does, is quarantined or cleared; refuted says that this entry knows answers that speak against it, since-ms is the time since the first loss, delay-ms how long others have to refute it.")
+	QuarantineChanged = define(925, log.WarnLevel, "quarantine-changed", "A request that crashes servers, or a part of prompts that does, is quarantined or cleared; refuted says that this entry knows answers that speak against it, since-ms is the time since the first loss, delay-ms how long others have to refute it, own-losses how many runs this entry goes by alone while the control log takes no reports.")
 	// ConnectionsRefused is written by an entry, at most once a second, while it refuses connections of callers.
 	ConnectionsRefused = define(933, log.WarnLevel, "connections-refused", "New connections of callers were closed unread, because the entry gets too little processor time or has as many as it may have; the fields count them since the last such line.")
 	// LeaderNotFound is written once when a replica searches for the leader without success.
--- a/internal/policy/suspicion/register.go
+++ b/internal/policy/suspicion/register.go
@@ -70,7 +70,7 @@
 	if ok && p.Version <= old.Version {
 		return false, false
 	}
-	e := &entry{Period: p, inForce: p.inForceAt(now), refuted: (p.Quarantined || p.Suspected) && r.refutes(f, p, now)}
+	e := &entry{Period: p, inForce: p.inForceAt(now), refuted: (p.Quarantined || p.Suspected) && r.Refutes(f, p, now)}
 	if p.ProbeAfter > 0 {
 		e.askAt = now.Add(p.ProbeAfter)
 	}
@@ -119,8 +119,8 @@
 	}
 }
 
-// refutes returns whether answers of this process refute a period.
-func (r *Register) refutes(f Fingerprint, p Period, now time.Time) bool {
+// Refutes returns whether answers of this process refute a period.
+func (r *Register) Refutes(f Fingerprint, p Period, now time.Time) bool {
 	return r.answers.since(f, p.answeredAfter(now)) || p.Kind == Part && r.answers.sound(f)
 }
 
--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -106,6 +106,8 @@
 	lost     []Run
 	// left are runs whose callers left, oldest first.
 	left []Run
+	// own is what this entry quarantines by itself.
+	own ownLosses
 	// reported counts the runs and refuted holds the refutations that Pending returned last.
 	reported int
 	refuted  []suspicion.Fingerprint
@@ -122,7 +124,11 @@
 func (g *guard) Quarantined(workspace string, a suspicion.Attributes, now time.Time) (suspicion.Match, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.register.Match(workspace, a, now)
+	g.countOwn(now)
+	if m, ok := g.register.Match(workspace, a, now); ok {
+		return m, true
+	}
+	return g.own.match(workspace, a, now)
 }
 
 // Lost implements Guard.
@@ -196,7 +202,7 @@
 		g.reported++
 	}
 	if g.reported > 0 {
-		return section.Command{Losses: g.losses(now)}, true
+		return section.Command{Losses: g.losses(g.lost[:g.reported], now)}, true
 	}
 	f, ok := g.register.Wanted()
 	if !ok {
@@ -208,15 +214,9 @@
 
 // dropResponsive drops the runs whose servers have responded since.
 func (g *guard) dropResponsive(now time.Time) {
-	slack := responseSlack
-	if g.Lag != nil {
-		slack += g.Lag(now)
-	}
 	kept := g.lost[:0]
 	for _, r := range g.lost {
-		signs := g.Signs(r.Server)
-		responsive := signs.RespondedAt.After(r.LostAt.Add(slack)) || signs.liveAfter(r.Incarnation, r.LostAt)
-		if now.Sub(r.LostAt) < confirmAfter || !responsive {
+		if now.Sub(r.LostAt) < confirmAfter || !g.responsive(r, now) {
 			kept = append(kept, r)
 		}
 	}
@@ -224,11 +224,21 @@
 	g.lost = kept
 }
 
-// losses returns the runs that are reported, grouped by server.
-func (g *guard) losses(now time.Time) []section.Lost {
+// responsive returns whether the server of a run has responded since the run ended.
+func (g *guard) responsive(r Run, now time.Time) bool {
+	slack := responseSlack
+	if g.Lag != nil {
+		slack += g.Lag(now)
+	}
+	signs := g.Signs(r.Server)
+	return signs.RespondedAt.After(r.LostAt.Add(slack)) || signs.liveAfter(r.Incarnation, r.LostAt)
+}
+
+// losses returns the runs of a report, grouped by server.
+func (g *guard) losses(runs []Run, now time.Time) []section.Lost {
 	var all []section.Lost
 	index, room := map[string]int{}, maxReportedParts
-	for _, r := range g.lost[:g.reported] {
+	for _, r := range runs {
 		i, ok := index[r.Server]
 		if !ok {
 			i = len(all)
--- a/internal/serve/quarantine/world_test.go
+++ b/internal/serve/quarantine/world_test.go
@@ -49,6 +49,8 @@
 	// crashing are the parts that end servers, paired is set if each comes with a sound part only.
 	crashing int
 	paired   bool
+	// outage is set if the control log takes no reports.
+	outage bool
 }
 
 // worldRun is a request at a server.
@@ -258,6 +260,9 @@
 		panic(err)
 	}
 	w.reporting[i] = true
+	if w.outage {
+		return
+	}
 	w.later(commitDelay, func() {
 		r, err := codec.Unmarshal[section.Result](w.log.Apply(w.now, body))
 		if err != nil {
