Own interface: reports of lost servers that fail count and are repeated

A report that the control log didn't take was logged and dropped, so that a piece of prompts that crashes engines went on to do so while the log had no leader, and the record never learned of these losses afterwards. Now they wait, count at their entry alone after a second, as on sites, and are repeated once the log answers. quarantine.Local is the one piece of code for both doors.

--- a/internal/entry/quarantine/calls.go
+++ b/internal/entry/quarantine/calls.go
@@ -64,5 +64,5 @@
 	run := c.ownerOf(f)
 	c.guard.mu.Unlock()
 	run.Age = max(time.Nanosecond, now.Sub(r.began))
-	c.endRun(ctx, run, server, lost)
+	c.endRun(ctx, now, run, server, lost)
 }
--- a/internal/entry/quarantine/guard.go
+++ b/internal/entry/quarantine/guard.go
@@ -38,6 +38,11 @@
 	local localRuns
 	// parts holds the quarantined parts of prompts.
 	parts *suspicion.Register
+	// unreported are losses whose reports failed, oldest first, and own is what they alone quarantine.
+	unreported []unreportedLoss
+	own        section.Local
+	// repeating is set while reports that failed are repeated.
+	repeating bool
 	// wake ends a wait of the poll, because another entry has lost a server.
 	wake   chan struct{}
 	owners map[completion.Fingerprint]section.Running
@@ -91,7 +96,7 @@
 // whose request is delayed would send it a second time through another entry.
 func (g *guard) Check(now time.Time, workspace string, a suspicion.Attributes) error {
 	g.mu.Lock()
-	if m, refused := g.parts.Match(workspace, a, now); refused {
+	if m, refused := g.match(workspace, a, now); refused {
 		g.mu.Unlock()
 		return g.quarantineRefusal(m.Fingerprint, m.RetryAfter)
 	}
@@ -114,7 +119,7 @@
 // Recheck implements completion.Guard.
 func (g *guard) Recheck(now time.Time, workspace string, a suspicion.Attributes) error {
 	g.mu.Lock()
-	m, refused := g.parts.Match(workspace, a, now)
+	m, refused := g.match(workspace, a, now)
 	d := g.view.Decide(a.Request)
 	g.mu.Unlock()
 	switch {
@@ -176,11 +181,11 @@
 	run.Parts, run.Began = g.parts.Unanswered(r.Attributes), r.Began
 	g.mu.Unlock()
 	run.Workspace, run.RunAge = r.Workspace, max(time.Nanosecond, now.Sub(r.SentAt))
-	g.endRun(ctx, run, r.Server, r.Lost)
+	g.endRun(ctx, now, run, r.Server, r.Lost)
 }
 
 // endRun ends a run at a server.
-func (g *guard) endRun(ctx context.Context, run section.Running, server string, lost bool) {
+func (g *guard) endRun(ctx context.Context, now time.Time, run section.Running, server string, lost bool) {
 	f := run.Fingerprint
 	g.mu.Lock()
 	attempt, held := g.local.endRun(f, server)
@@ -190,7 +195,7 @@
 	g.mu.Unlock()
 	if lost {
 		g.ReportSuspect(ctx, f)
-		g.reportLoss(ctx, server, run)
+		g.reportLoss(ctx, now, server, run)
 	}
 	if held {
 		g.releaseSlot(ctx, f, attempt, !lost)
--- a/internal/entry/quarantine/log.go
+++ b/internal/entry/quarantine/log.go
@@ -57,6 +57,7 @@
 		return
 	}
 	g.apply(known, c)
+	g.repeatReports(ctx)
 	g.refute(ctx)
 	g.askForProbe(ctx)
 }
@@ -183,12 +184,16 @@
 }
 
 // reportLoss reports a lost server to the quarantine record.
-func (g *guard) reportLoss(ctx context.Context, server string, owner section.Running) {
+func (g *guard) reportLoss(ctx context.Context, now time.Time, server string, owner section.Running) {
 	l := g.limits()
-	r, err := g.propose(ctx, section.Command{Lost: &section.Lost{
+	lost := section.Lost{
 		Server: server, Incarnation: g.Incarnation(server), Running: []section.Running{owner},
 		Servers: l.Servers, PartServers: suspicion.DefaultPartServers, Window: l.Window, Delay: objectionTime,
-	}})
+	}
+	r, err := g.propose(ctx, section.Command{Lost: &lost})
+	if err != nil {
+		g.keepUnreported(lost, now)
+	}
 	f := log.Fields{"server": server, "workspace": owner.Workspace, "fingerprint": owner.Fingerprint.String()}
 	if err != nil {
 		f["cause"] = err.Error()
--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -107,7 +107,7 @@
 	// left are runs whose callers left, oldest first.
 	left []Run
 	// own is what this entry quarantines by itself.
-	own ownLosses
+	own section.Local
 	// reported counts the runs and refuted holds the refutations that Pending returned last.
 	reported int
 	refuted  []suspicion.Fingerprint
@@ -128,7 +128,7 @@
 	if m, ok := g.register.Match(workspace, a, now); ok {
 		return m, true
 	}
-	return g.own.match(workspace, a, now)
+	return g.own.Match(workspace, a, now)
 }
 
 // Lost implements Guard.
--- a/internal/serve/quarantine/own_losses_test.go
+++ b/internal/serve/quarantine/own_losses_test.go
@@ -46,7 +46,7 @@
 	if refused(last.Add(confirmAfter), "first", "bad") {
 		t.Error("refused before the control log has had time for the report")
 	}
-	late := now.Add(unreportedTime + confirmAfter + 300*time.Millisecond)
+	late := last.Add(2 * time.Second)
 	if !refused(late, "first", "bad") {
 		t.Error("three servers were lost under the part, no report was taken, and it isn't refused")
 	}
@@ -60,7 +60,7 @@
 	if !refused(late.Add(100*time.Millisecond), "first", "bad") {
 		t.Error("sent again before rows can have arrived")
 	}
-	if refused(late.Add(settleTime+unreportedTime), "first", "bad") {
+	if refused(late.Add(5*time.Second), "first", "bad") {
 		t.Error("still refused, although the control log has the losses and doesn't quarantine the part")
 	}
 }
