Own interface: only an answer clears a request under which a server was lost

A suspect that a server rejected, that couldn't be reached or that hung was cleared like one that was answered, since its run ended without a lost server. A request that crashes servers lost its record that way each time an entry tried it at a server that was just gone, and the next loss was a first one again.

TestSuspectThatDidNotRunStaysASuspect failed before: the request was allowed after two lost servers. TestSuspectRunsAlone said 'a run without a loss clears it'; its run is an answered one now, and what it asks is the same.

--- a/internal/entry/quarantine/calls.go
+++ b/internal/entry/quarantine/calls.go
@@ -53,7 +53,7 @@
 }
 
 // Ended implements service.Guard.
-func (c *calls) Ended(ctx context.Context, now time.Time, f suspicion.Fingerprint, server string, lost bool) {
+func (c *calls) Ended(ctx context.Context, now time.Time, f suspicion.Fingerprint, server string, e service.Ending) {
 	c.mu.Lock()
 	r := c.runs[place{f, server}]
 	if r.count--; r.count == 0 {
@@ -64,5 +64,5 @@
 	run := c.ownerOf(f)
 	c.guard.mu.Unlock()
 	run.Age = max(time.Nanosecond, now.Sub(r.began))
-	c.endRun(ctx, now, run, server, lost)
+	c.endRun(ctx, now, run, server, e)
 }
--- a/internal/entry/quarantine/guard.go
+++ b/internal/entry/quarantine/guard.go
@@ -170,35 +170,38 @@
 // entries are therefore notified before the caller receives its answer, and they
 // acquire a slot from the log before they run the request.
 func (g *guard) Ended(ctx context.Context, now time.Time, r completion.Run) {
+	e := service.Unanswered
 	g.mu.Lock()
 	switch {
 	case r.Answered:
+		e = service.Answered
 		g.parts.Answered(r.Attributes, now)
 	case r.Lost:
+		e = service.Lost
 		g.parts.Lost(r.Attributes)
 	}
 	run := g.ownerOf(r.Attributes.Request)
 	run.Parts, run.Began = g.parts.Unanswered(r.Attributes), r.Began
 	g.mu.Unlock()
 	run.Workspace, run.RunAge = r.Workspace, max(time.Nanosecond, now.Sub(r.SentAt))
-	g.endRun(ctx, now, run, r.Server, r.Lost)
+	g.endRun(ctx, now, run, r.Server, e)
 }
 
-// endRun ends a run at a server.
-func (g *guard) endRun(ctx context.Context, now time.Time, run section.Running, server string, lost bool) {
+// endRun ends a run at a server. Only an answer clears a suspect: one that was rejected hasn't run.
+func (g *guard) endRun(ctx context.Context, now time.Time, run section.Running, server string, e service.Ending) {
 	f := run.Fingerprint
 	g.mu.Lock()
 	attempt, held := g.local.endRun(f, server)
-	if lost {
+	if e == service.Lost {
 		g.view = g.view.WithSuspect(f)
 	}
 	g.mu.Unlock()
-	if lost {
+	if e == service.Lost {
 		g.ReportSuspect(ctx, f)
 		g.reportLoss(ctx, now, server, run)
 	}
 	if held {
-		g.releaseSlot(ctx, f, attempt, !lost)
+		g.releaseSlot(ctx, f, attempt, e == service.Answered)
 	}
 }
 
--- a/internal/entry/quarantine/guard_test.go
+++ b/internal/entry/quarantine/guard_test.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	g.Started(now, f, server)
-	g.Ended(context.Background(), now, completion.Run{Workspace: "w", Attributes: whole(f), Server: server, Lost: lost})
+	g.Ended(context.Background(), now, completion.Run{Workspace: "w", Attributes: whole(f), Server: server, Answered: !lost, Lost: lost})
 	return nil
 }
 
@@ -129,13 +129,36 @@
 	if e, ok := verdict.As(all[0].Check(now, "w", whole(f))); !ok || e.Code != "request-suspect" || e.RetryAfter == 0 || e.Verdict != verdict.NotRun {
 		t.Errorf("it ran twice concurrently: %v", e)
 	}
-	all[1].Ended(context.Background(), now, completion.Run{Workspace: "w", Attributes: whole(f), Server: "b"})
+	all[1].Ended(context.Background(), now, completion.Run{Workspace: "w", Attributes: whole(f), Server: "b", Answered: true})
 	all[0].refresh(context.Background())
 	if err := runRequest(all[0], f, "c", false); err != nil || all[1].RequiresIsolation(now, "b") {
 		t.Errorf("after a run without a loss: %v", err)
 	}
 }
 
+// Guards against a request that is cleared, and may crash further servers, because a server rejected it or couldn't be
+// reached.
+func TestSuspectThatDidNotRunStaysASuspect(t *testing.T) {
+	all := newGuards(t, newSectionLog(), 2)
+	f := completion.FingerprintOf("w", "m", []byte("x"))
+	if err := runRequest(all[0], f, "a", true); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1_800_000_000, 0)
+	if err := all[0].Check(now, "w", whole(f)); err != nil {
+		t.Fatal(err)
+	}
+	all[0].Started(now, f, "b")
+	all[0].Ended(t.Context(), now, completion.Run{Workspace: "w", Attributes: whole(f), Server: "b"})
+	if err := runRequest(all[0], f, "c", true); err != nil {
+		t.Fatal(err)
+	}
+	all[1].refresh(t.Context())
+	if e, ok := verdict.As(all[1].Check(now, "w", whole(f))); !ok || e.Code != "request-quarantined" {
+		t.Errorf("two servers were lost under the request, and its check returns %v", e)
+	}
+}
+
 // Guards against the quarantine of a call that many callers send because several servers were lost together, and
 // against a call that crashes servers one after the other through several entries.
 func TestCallsThatRanTogetherCountOnce(t *testing.T) {
@@ -148,7 +171,7 @@
 		first.Started(began.Add(time.Duration(i)), popular, s)
 	}
 	for _, s := range []string{"a", "a", "b", "b"} {
-		first.Ended(context.Background(), began.Add(time.Second), popular, s, true)
+		first.Ended(context.Background(), began.Add(time.Second), popular, s, service.Lost)
 	}
 	all[0].refresh(context.Background())
 	if all[0].Quarantined() != 0 {
@@ -160,7 +183,7 @@
 			t.Fatal(err)
 		}
 		g.Started(began, culprit, fmt.Sprint("c", i))
-		g.Ended(context.Background(), began, culprit, fmt.Sprint("c", i), true)
+		g.Ended(context.Background(), began, culprit, fmt.Sprint("c", i), service.Lost)
 		all[1].refresh(context.Background())
 	}
 	if e, ok := verdict.As(second.Check(began, culprit)); !ok || e.Code != "request-quarantined" {
--- a/internal/entry/service/guard.go
+++ b/internal/entry/service/guard.go
@@ -16,6 +16,18 @@
 	confirmTimeout = 250 * time.Millisecond
 )
 
+// Ending is how a call ended at a server.
+type Ending int
+
+const (
+	// Unanswered means that the server lives on and hasn't answered the call.
+	Unanswered Ending = iota
+	// Answered means that the server has answered the call.
+	Answered
+	// Lost means that the server was lost with the call.
+	Lost
+)
+
 // Guard refuses calls that crash the servers that run them.
 type Guard interface {
 	// RecordOwner records the workspace and service of a fingerprint for the list that operators see.
@@ -24,8 +36,8 @@
 	Check(now time.Time, f suspicion.Fingerprint) error
 	// Started records that a server runs the call.
 	Started(now time.Time, f suspicion.Fingerprint, server string)
-	// Ended records that the call has ended at a server; lost says whether the server was lost with it.
-	Ended(ctx context.Context, now time.Time, f suspicion.Fingerprint, server string, lost bool)
+	// Ended records how the call has ended at a server.
+	Ended(ctx context.Context, now time.Time, f suspicion.Fingerprint, server string, e Ending)
 }
 
 // noGuard is a Guard that refuses nothing.
@@ -37,7 +49,7 @@
 
 func (noGuard) Started(time.Time, suspicion.Fingerprint, string) {}
 
-func (noGuard) Ended(context.Context, time.Time, suspicion.Fingerprint, string, bool) {}
+func (noGuard) Ended(context.Context, time.Time, suspicion.Fingerprint, string, Ending) {}
 
 // fingerprint returns the fingerprint of r, which is the same under any Idempotency-Key.
 func (r Request) fingerprint() suspicion.Fingerprint {
@@ -48,17 +60,29 @@
 func (c *client) guarded(ctx context.Context, s Server, r Request, f suspicion.Fingerprint, send func() (Answer, error)) (Answer, error) {
 	c.Guard.Started(c.Now(), f, s.Identity)
 	a, err := send()
-	lost := c.serverLost(ctx, s, err)
-	if lost || unreachableServer(err) {
+	e := c.ending(ctx, s, err)
+	if e == Lost || unreachableServer(err) {
 		c.Outages.Add(c.Now(), s.Identity)
 	}
-	if lost {
+	if e == Lost {
 		c.Guard.RecordOwner(f, r.Workspace, r.Service)
 	}
-	c.Guard.Ended(context.WithoutCancel(ctx), c.Now(), f, s.Identity, lost)
+	c.Guard.Ended(context.WithoutCancel(ctx), c.Now(), f, s.Identity, e)
 	return a, err
 }
 
+// ending returns how a call ended that returned err.
+func (c *client) ending(ctx context.Context, s Server, err error) Ending {
+	switch {
+	case err == nil:
+		return Answered
+	case c.serverLost(ctx, s, err):
+		return Lost
+	default:
+		return Unanswered
+	}
+}
+
 // unreachableServer reports whether no connection to the server could be made.
 func unreachableServer(err error) bool {
 	e, ok := verdict.As(err)
--- a/internal/entry/service/guard_test.go
+++ b/internal/entry/service/guard_test.go
@@ -25,11 +25,11 @@
 
 func (g *lossGuard) Check(time.Time, suspicion.Fingerprint) error { return g.refusing }
 
-func (g *lossGuard) Ended(_ context.Context, _ time.Time, _ suspicion.Fingerprint, server string, lost bool) {
+func (g *lossGuard) Ended(_ context.Context, _ time.Time, _ suspicion.Fingerprint, server string, e Ending) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ended++
-	if lost {
+	if e == Lost {
 		g.lost = append(g.lost, server)
 	}
 }
