Own interface: suspects of two entries don't run at one server

A suspect's slot in the control log was named after the request, since its server is chosen later, so that two suspects of two entries could run at one server. If one of them crashed it, both had the same two lost servers, and the innocent one was quarantined with the culprit until an operator cleared it. Now a suspect also takes the server's slot right before it is sent, and is tried elsewhere if another one has it. It costs a suspect one more commit.

TestSuspectsOfTwoEntriesDoNotShareAServer failed before.

--- a/internal/entry/completion/attempt.go
+++ b/internal/entry/completion/attempt.go
@@ -123,7 +123,7 @@
 	v := r.Servers.View()
 	eligibility := v.Recheck(r.Now(), a.server, j.need())
 	if eligibility == membership.Eligible {
-		if err := r.Guard.Recheck(r.Now(), j.Workspace, j.shared); err != nil {
+		if err := r.Guard.Recheck(r.Now(), j.Workspace, j.shared, a.server.Announcement().Identity); err != nil {
 			return err
 		}
 		return r.reserve(a)
--- a/internal/entry/completion/fixture_test.go
+++ b/internal/entry/completion/fixture_test.go
@@ -160,11 +160,11 @@
 	lost    []string
 }
 
-func (g *fakeGuard) RecordOwner(Fingerprint, string, string)               {}
-func (g *fakeGuard) Check(time.Time, string, suspicion.Attributes) error   { return g.refused }
-func (g *fakeGuard) Recheck(time.Time, string, suspicion.Attributes) error { return nil }
-func (g *fakeGuard) Started(time.Time, Fingerprint, string)                {}
-func (g *fakeGuard) RequiresIsolation(time.Time, string) bool              { return false }
+func (g *fakeGuard) RecordOwner(Fingerprint, string, string)                       {}
+func (g *fakeGuard) Check(time.Time, string, suspicion.Attributes) error           { return g.refused }
+func (g *fakeGuard) Recheck(time.Time, string, suspicion.Attributes, string) error { return nil }
+func (g *fakeGuard) Started(time.Time, Fingerprint, string)                        {}
+func (g *fakeGuard) RequiresIsolation(time.Time, string) bool                      { return false }
 func (g *fakeGuard) Ended(_ context.Context, _ time.Time, r Run) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/entry/completion/guard.go
+++ b/internal/entry/completion/guard.go
@@ -61,8 +61,8 @@
 	RecordOwner(f Fingerprint, workspace, model string)
 	// Check returns nil when the request may run and otherwise its final refusal.
 	Check(now time.Time, workspace string, a suspicion.Attributes) error
-	// Recheck returns a refusal if the request, which Check has allowed, is quarantined by now.
-	Recheck(now time.Time, workspace string, a suspicion.Attributes) error
+	// Recheck returns a refusal if the request, which Check has allowed, isn't to be sent to the server now.
+	Recheck(now time.Time, workspace string, a suspicion.Attributes, server string) error
 	// Started records that a server runs the request.
 	Started(now time.Time, f Fingerprint, server string)
 	// Ended records that the request has ended at a server.
--- a/internal/entry/quarantine/guard.go
+++ b/internal/entry/quarantine/guard.go
@@ -116,17 +116,21 @@
 	}
 }
 
-// Recheck implements completion.Guard.
-func (g *guard) Recheck(now time.Time, workspace string, a suspicion.Attributes) error {
+// Recheck implements completion.Guard. Two suspects that ran at one server would both be blamed for its loss, so one of
+// them waits for the other or goes elsewhere.
+func (g *guard) Recheck(now time.Time, workspace string, a suspicion.Attributes, server string) error {
 	g.mu.Lock()
 	m, refused := g.match(workspace, a, now)
 	d := g.view.Decide(a.Request)
+	held, suspect := g.local.slots[a.Request]
 	g.mu.Unlock()
 	switch {
 	case refused:
 		return g.quarantineRefusal(m.Fingerprint, m.RetryAfter)
 	case d.Standing == suspicion.Quarantined:
 		return g.quarantineRefusal(a.Request, d.RetryAfter)
+	case suspect:
+		return g.acquireServer(a.Request, held.attempt, server)
 	}
 	return nil
 }
--- a/internal/entry/quarantine/guard_test.go
+++ b/internal/entry/quarantine/guard_test.go
@@ -159,6 +159,41 @@
 	}
 }
 
+// Guards against the quarantine of an innocent request because, after one server was lost under it and a culprit, two
+// entries try both again at one server.
+func TestSuspectsOfTwoEntriesDoNotShareAServer(t *testing.T) {
+	all := newGuards(t, newSectionLog(), 2)
+	now := time.Unix(1_800_000_000, 0)
+	culprit, innocent := completion.FingerprintOf("w", "m", []byte("crash")), completion.FingerprintOf("v", "m", []byte("good"))
+	for i, f := range []completion.Fingerprint{culprit, innocent} {
+		if err := runRequest(all[i], f, "a", true); err != nil {
+			t.Fatal(err)
+		}
+		if err := all[i].Check(now, "w", whole(f)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := all[0].Recheck(now, "w", whole(culprit), "b"); err != nil {
+		t.Fatal(err)
+	}
+	if e, ok := verdict.As(all[1].Recheck(now, "v", whole(innocent), "b")); !ok || e.Code != "request-suspect" || e.Verdict != verdict.NotRun || e.RetryAfter == 0 {
+		t.Errorf("another suspect may run at the same server: %v", e)
+	}
+	if err := all[1].Recheck(now, "v", whole(innocent), "c"); err != nil {
+		t.Errorf("it may not run at a free server: %v", err)
+	}
+	all[0].Started(now, culprit, "b")
+	all[0].Ended(t.Context(), now, completion.Run{Workspace: "w", Attributes: whole(culprit), Server: "b", Lost: true})
+	all[1].Started(now, innocent, "c")
+	all[1].Ended(t.Context(), now, completion.Run{Workspace: "v", Attributes: whole(innocent), Server: "c", Answered: true})
+	for _, g := range all {
+		g.refresh(t.Context())
+		if g.Quarantined() != 1 || g.Check(now, "v", whole(innocent)) != nil {
+			t.Errorf("%d requests in quarantine, want the culprit alone", g.Quarantined())
+		}
+	}
+}
+
 // Guards against the quarantine of a call that many callers send because several servers were lost together, and
 // against a call that crashes servers one after the other through several entries.
 func TestCallsThatRanTogetherCountOnce(t *testing.T) {
--- a/internal/entry/quarantine/log.go
+++ b/internal/entry/quarantine/log.go
@@ -171,6 +171,17 @@
 	return max(g.view.Decide(f).RetryAfter, time.Second)
 }
 
+// acquireServer requests the server's slot for a suspect that holds its own one.
+func (g *guard) acquireServer(f completion.Fingerprint, attempt, server string) error {
+	r, err := g.propose(context.Background(), section.Command{Begin: &section.Begin{
+		Fingerprint: f, Server: server, Attempt: attempt, Lease: g.Lease,
+	}})
+	if err == nil && r.Granted {
+		return nil
+	}
+	return suspectRefusal(r.RetryAfter, err)
+}
+
 // slotName returns the name of a suspect's own slot. The server is chosen later,
 // and this entry sends no other work to that server.
 func slotName(f completion.Fingerprint) string {
