--- a/internal/site/rowtable/table.go
+++ b/internal/site/rowtable/table.go
@@ -23,6 +23,8 @@
 	Epoch() uint64
 	// Put sets a row and returns the revision of its last change; an equal value changes nothing.
 	Put(topic Topic, key string, value []byte) uint64
+	// Remove forgets a row. Watchers that have it keep it and aren't told.
+	Remove(topic Topic, key string)
 	// Since returns the rows that changed after the given revision, the oldest change first, and the revision up to which they go.
 	Since(revision uint64) ([]Row, uint64)
 	// ChangedAfter returns whether there are changes after revision.
@@ -92,6 +94,19 @@
 	return t.last
 }
 
+// Remove implements Table.
+func (t *table) Remove(topic Topic, key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.rows, rowID{topic, key})
+}
+
+// current returns the row that a change has set, and false if it is gone or has changed again.
+func (t *table) current(c change) (*revisedRow, bool) {
+	e, ok := t.rows[c.id]
+	return e, ok && e.revision == c.revision
+}
+
 // compact removes stale changes once they outnumber the rows.
 func (t *table) compact() {
 	const slack = 64
@@ -100,7 +115,7 @@
 	}
 	kept := t.changes[:0]
 	for _, c := range t.changes {
-		if t.rows[c.id].revision == c.revision {
+		if _, ok := t.current(c); ok {
 			kept = append(kept, c)
 		}
 	}
@@ -114,8 +129,8 @@
 	var rows []Row
 	size := 0
 	for _, c := range t.changes[t.after(revision):] {
-		e := t.rows[c.id]
-		if e.revision != c.revision {
+		e, ok := t.current(c)
+		if !ok {
 			continue
 		}
 		bytes := len(e.row.Key) + len(e.row.Value) + rowBytes
--- a/internal/site/rowtable/table_test.go
+++ b/internal/site/rowtable/table_test.go
@@ -75,3 +75,22 @@
 		t.Error("the wait ended by its timeout")
 	}
 }
+
+// Guards against a table that fails, or sends a row that is gone, once rows have been removed.
+func TestRemovedRowsAreNotSent(t *testing.T) {
+	table := New(1)
+	for i := range 500 {
+		table.Put(1, fmt.Sprint(i), []byte("x"))
+		if i >= 10 {
+			table.Remove(1, fmt.Sprint(i-10))
+		}
+	}
+	rows, _ := table.Since(0)
+	if len(rows) != 10 || rows[0].Key != "490" {
+		t.Errorf("got %d rows", len(rows))
+	}
+	table.Put(1, "0", []byte("x"))
+	if rows, _ := table.Since(500); len(rows) != 1 || rows[0].Key != "0" {
+		t.Errorf("got %v instead of the row that is back", rows)
+	}
+}
