--- a/internal/control/quarantine/local.go
+++ b/internal/control/quarantine/local.go
@@ -28,9 +28,17 @@
 	countedAt, until time.Time
 }
 
-// Due returns whether Count is to be called now. The oldest loss that waits to be reported was at that time, zero if none
-// waits.
-func (l *Local) Due(oldest, now time.Time) bool {
+// Update determines what is quarantined by the losses that wait to be reported, the oldest of them from that time, zero if
+// none waits. It leaves out what the entry's answers refute, and returns what hasn't been quarantined before.
+func (l *Local) Update(oldest time.Time, losses func() []Lost, refutes func(suspicion.Fingerprint, suspicion.Period) bool, now time.Time) map[suspicion.Fingerprint]suspicion.Period {
+	if !l.due(oldest, now) {
+		return nil
+	}
+	return l.count(losses(), refutes, now)
+}
+
+// due returns whether the losses are to be counted now.
+func (l *Local) due(oldest, now time.Time) bool {
 	if oldest.IsZero() || now.Sub(oldest) < unreportedTime {
 		if now.After(l.until) {
 			*l = Local{}
@@ -40,9 +48,7 @@
 	return now.Sub(l.countedAt) >= localInterval
 }
 
-// Count determines what is quarantined by the losses that wait, without what the entry's answers refute. It returns what
-// hasn't been before.
-func (l *Local) Count(losses []Lost, refutes func(suspicion.Fingerprint, suspicion.Period) bool, now time.Time) map[suspicion.Fingerprint]suspicion.Period {
+func (l *Local) count(losses []Lost, refutes func(suspicion.Fingerprint, suspicion.Period) bool, now time.Time) map[suspicion.Fingerprint]suspicion.Period {
 	known, news := l.register, map[suspicion.Fingerprint]suspicion.Period{}
 	*l = Local{register: suspicion.NewRegister(), countedAt: now, until: now.Add(settleTime)}
 	for f, p := range classifyAlone(losses, now) {
--- a/internal/entry/quarantine/unreported.go
+++ b/internal/entry/quarantine/unreported.go
@@ -93,11 +93,8 @@
 	if len(g.unreported) > 0 {
 		oldest = g.unreported[0].at
 	}
-	if !g.own.Due(oldest, now) {
-		return
-	}
 	refutes := func(f suspicion.Fingerprint, p suspicion.Period) bool { return g.parts.Refutes(f, p, now) }
-	for f, p := range g.own.Count(g.unreportedLosses(now), refutes, now) {
+	for f, p := range g.own.Update(oldest, func() []section.Lost { return g.unreportedLosses(now) }, refutes, now) {
 		event.QuarantineChanged.Write(g.Logger, log.Fields{
 			"fingerprint": f.String(), "kind": string(p.Kind), "quarantined": true, "own-losses": len(g.unreported),
 			"only-workspace": p.Workspace, "companions": len(p.With),
--- a/internal/serve/quarantine/own_losses.go
+++ b/internal/serve/quarantine/own_losses.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
+	section "hornbeamwood/internal/control/quarantine"
 	"hornbeamwood/internal/policy/suspicion"
 )
 
@@ -15,20 +16,22 @@
 	if len(g.lost) > 0 {
 		oldest = g.lost[0].LostAt
 	}
-	if !g.own.Due(oldest, now) {
-		return
+	refutes := func(f suspicion.Fingerprint, p suspicion.Period) bool { return g.register.Refutes(f, p, now) }
+	for f, p := range g.own.Update(oldest, func() []section.Lost { return g.unreported(now) }, refutes, now) {
+		event.QuarantineChanged.Write(g.Logger, log.Fields{
+			"fingerprint": f.String(), "kind": string(p.Kind), "quarantined": true, "own-losses": len(g.lost),
+			"since-ms": now.UnixMilli() - p.FirstLoss, "only-workspace": p.Workspace, "companions": len(p.With),
+		})
 	}
+}
+
+// unreported returns the losses that wait to be reported and are confirmed.
+func (g *guard) unreported(now time.Time) []section.Lost {
 	var lost []Run
 	for _, r := range g.lost {
 		if now.Sub(r.LostAt) >= confirmAfter && !g.responsive(r, now) {
 			lost = append(lost, r)
 		}
 	}
-	refutes := func(f suspicion.Fingerprint, p suspicion.Period) bool { return g.register.Refutes(f, p, now) }
-	for f, p := range g.own.Count(g.losses(lost, now), refutes, now) {
-		event.QuarantineChanged.Write(g.Logger, log.Fields{
-			"fingerprint": f.String(), "kind": string(p.Kind), "quarantined": true, "own-losses": len(lost),
-			"since-ms": now.UnixMilli() - p.FirstLoss, "only-workspace": p.Workspace, "companions": len(p.With),
-		})
-	}
+	return g.losses(lost, now)
 }
