A loss of a server that had begun its answers counts less against a part

A session's part was refused for a minute where it ran by chance on three servers that ended, before any request with it was answered. What crashes servers mostly does so before the first event, while a bystander mostly has begun. A part needs four servers now if one of them had begun all answers to requests with it; such a run counts also while others ran, if its server ended apart from theirs, which it didn't before.

--- a/internal/control/quarantine/part.go
+++ b/internal/control/quarantine/part.go
@@ -25,6 +25,7 @@
 	if found.Workspace != r.Workspace && !found.Shared {
 		found.Shared, changed = true, true
 	}
+	loss.Began = r.Began
 	if !found.concurrent(loss, at, r) && found.addLoss(loss) {
 		changed = true
 	}
@@ -33,9 +34,9 @@
 	}
 }
 
-// concurrent returns whether a run is no evidence beside the losses that are recorded, because it had already begun
-// when one of them came. A run without an answer counts nevertheless if its server was lost apart from that one:
-// a part may end many servers at a time.
+// concurrent returns whether a run is no evidence beside the other losses that are recorded, because it was already
+// running when one of them came. It counts nevertheless if its server was lost apart from that one: a part may end many
+// servers at a time.
 func (r *record) concurrent(loss suspicion.Loss, at time.Time, run Running) bool {
 	age := cmp.Or(run.RunAge, run.Age)
 	if age <= 0 {
@@ -43,11 +44,8 @@
 	}
 	began := at.Add(-age)
 	return slices.ContainsFunc(r.Losses, func(l suspicion.Loss) bool {
-		if began.UnixNano() > l.At {
-			return false
-		}
 		apart := time.Duration(loss.At - l.At).Abs()
-		return run.Began || apart < partSeparation
+		return !l.Same(loss) && began.UnixNano() <= l.At && apart < partSeparation
 	})
 }
 
--- a/internal/control/quarantine/part_test.go
+++ b/internal/control/quarantine/part_test.go
@@ -117,6 +117,35 @@
 	}
 }
 
+// Guards against the blame of a part for servers that others ended while they were answering.
+func TestLossesOfServersThatHadBegunCountLess(t *testing.T) {
+	s := New(Config{})
+	lose := func(n int, began ...bool) {
+		c := Lost{Server: fmt.Sprint("s", n), Servers: limit, PartServers: suspicion.DefaultPartServers, Window: window}
+		for i, b := range began {
+			c.Running = append(c.Running, Running{Fingerprint: fingerprint(fmt.Sprint(n, i)), Workspace: "w", Age: time.Millisecond, Parts: parts("x"), Began: b})
+		}
+		apply(t, s, start.Add(time.Duration(n)*time.Second), Command{Losses: []Lost{c}})
+	}
+	lose(0, false)
+	lose(1, true)
+	lose(2, false)
+	if refused(s, "w", "x") {
+		t.Error("refused although one of three servers had begun its answer")
+	}
+	lose(3, true)
+	if !refused(s, "w", "x") {
+		t.Error("not refused after four servers")
+	}
+	s = New(Config{})
+	for n := range suspicion.DefaultPartServers {
+		lose(n, true, false)
+	}
+	if !refused(s, "w", "x") {
+		t.Error("not refused although each of three servers had a run that had not begun")
+	}
+}
+
 // Guards against a crashing part that is never refused because its record is full of losses that another one explains.
 func TestPartWithManyExplainedLossesIsRefusedForFurtherOnes(t *testing.T) {
 	s := New(Config{})
--- a/internal/control/quarantine/record.go
+++ b/internal/control/quarantine/record.go
@@ -74,11 +74,14 @@
 	return r.Kind == suspicion.Part && r.Standing == suspicion.Quarantined && at.UnixNano() >= r.Since+int64(r.Delay)
 }
 
-// addLoss records a loss once. It returns whether it did. The oldest one makes room, unless the attribute is
+// addLoss records a loss once. It returns whether that changed something. The oldest one makes room, unless the attribute is
 // quarantined: other attributes may explain all that are recorded.
 func (r *record) addLoss(l suspicion.Loss) bool {
-	if suspicion.Has(r.Losses, l) {
-		return false
+	if i := slices.IndexFunc(r.Losses, l.Same); i >= 0 {
+		known := &r.Losses[i]
+		changed := known.Began && !l.Began
+		known.Began = known.Began && l.Began
+		return changed
 	}
 	if len(r.Losses) >= maxLosses {
 		if r.Standing == suspicion.Quarantined {
--- a/internal/policy/suspicion/classify.go
+++ b/internal/policy/suspicion/classify.go
@@ -27,7 +27,8 @@
 //
 // A fingerprint is quarantined if at least its limit of different servers were lost while they ran it.
 // Repeated losses of one server count once, because that server may be faulty itself; under a part they count
-// from repeatedLosses on, because a service may have few servers. A loss is
+// from repeatedLosses on, because a service may have few servers. A part needs one more server if one of them had
+// begun all answers: what crashes servers mostly does so before. A loss is
 // attributed to all fingerprints that were running on the lost server. If one of them is also
 // quarantined because of another loss, the shared loss no longer counts against the others.
 //
@@ -68,7 +69,16 @@
 
 // reachesLimit returns whether these losses quarantine c.
 func (c *FingerprintLosses) reachesLimit(losses []Loss) bool {
-	return countServers(losses) >= max(c.Limit, 1) || c.Kind == Part && len(losses) >= repeatedLosses
+	limit := max(c.Limit, 1)
+	if c.Kind != Part {
+		return countServers(losses) >= limit
+	}
+	return countServers(unbegun(losses)) >= limit || countServers(losses) > limit || len(losses) >= repeatedLosses
+}
+
+// unbegun returns the losses of servers that had not begun all answers.
+func unbegun(losses []Loss) []Loss {
+	return slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return l.Began })
 }
 
 // isAmbiguous returns whether c is a part, and another part that came in different requests has the same losses.
@@ -77,7 +87,7 @@
 		return false
 	}
 	return slices.ContainsFunc(cases, func(d *FingerprintLosses) bool {
-		return d != c && d.Kind == Part && !slices.Contains(c.With, d.Fingerprint) && sameLosses(c.Losses, d.Losses)
+		return d != c && d.Kind == Part && d.reachesLimit(d.Losses) && !slices.Contains(c.With, d.Fingerprint) && sameLosses(c.Losses, d.Losses)
 	})
 }
 
--- a/internal/policy/suspicion/loss.go
+++ b/internal/policy/suspicion/loss.go
@@ -10,17 +10,19 @@
 	Incarnation uint64 `cbor:"i"`
 	// At is when the loss was recorded, in nanoseconds since 1970.
 	At int64 `cbor:"a"`
+	// Began is set if the server had begun the answer of each run that held the attribute.
+	Began bool `cbor:"b,omitempty"`
 }
 
-// same reports whether l and m are the same event.
-func (l Loss) same(m Loss) bool {
+// Same reports whether l and m are the same event.
+func (l Loss) Same(m Loss) bool {
 	return l.Server == m.Server && l.Incarnation == m.Incarnation
 }
 
 // Has reports whether losses contains the event l.
 func Has(losses []Loss, l Loss) bool {
 	for _, m := range losses {
-		if l.same(m) {
+		if l.Same(m) {
 			return true
 		}
 	}
--- a/internal/serve/quarantine/world_test.go
+++ b/internal/serve/quarantine/world_test.go
@@ -49,8 +49,8 @@
 	// crashing are the parts that end servers, paired is set if each comes with a sound part only.
 	crashing int
 	paired   bool
-	// outage is set if the control log takes no reports.
-	outage bool
+	// outage is set if the control log takes no reports, begun if servers crash when they have begun their answer.
+	outage, begun bool
 }
 
 // worldRun is a request at a server.
@@ -210,12 +210,20 @@
 	}
 }
 
+// crashAt returns how long after it was sent a request with a crashing part ends its server.
+func (w *world) crashAt() time.Duration {
+	if w.begun {
+		return 2 * firstEvent
+	}
+	return firstEvent
+}
+
 // work goes on with what runs at the servers.
 func (w *world) work() {
 	for i := 0; i < len(w.runs); i++ {
 		r := w.runs[i]
 		switch age := w.now.Sub(r.sent); {
-		case r.bad >= 0 && age >= firstEvent:
+		case r.bad >= 0 && age >= w.crashAt():
 			w.losses[r.bad]++
 			if w.losses[r.bad] == 5 {
 				w.fifth[r.bad] = w.now
@@ -289,16 +297,29 @@
 // Guards, on simulated sites of all kinds, against requests with a crashing part that reach servers for longer than
 // entries may take to know of it, and against the refusal of sound requests because of losses that aren't theirs.
 func TestCrashingPartsAreToldFromSoundOnes(t *testing.T) {
-	playWorlds(func(seed uint64, terms worldTerms, w *world) {
-		for bad := range terms.crashing {
-			if w.late[bad] > worldLate {
-				t.Errorf("seed %d: %d requests with part %d reached servers late, after %d losses; %+v", seed, w.late[bad], bad, w.losses[bad], terms)
-			}
-		}
-	})
+	playWorlds(func(seed uint64, _ worldTerms, w *world) { checkLate(t, seed, w) })
 	checkSoundRefused(t, worldRefused)
 }
 
+// checkLate checks how many requests with crashing parts reached servers late.
+func checkLate(t *testing.T, seed uint64, w *world) {
+	t.Helper()
+	for bad := range w.crashing {
+		if w.late[bad] > worldLate {
+			t.Errorf("seed %d: %d requests with part %d reached servers late, after %d losses; %+v", seed, w.late[bad], bad, w.losses[bad], w.worldTerms)
+		}
+	}
+}
+
+// Guards against parts that crash servers after these have begun their answers, and count less therefore.
+func TestPartThatCrashesServersLaterIsRefused(t *testing.T) {
+	for seed := *firstWorld; seed < *firstWorld+*worlds; seed++ {
+		terms := drawTerms(seed)
+		terms.begun = true
+		checkLate(t, seed, play(terms, seed))
+	}
+}
+
 // Guards against sound requests that are served less often than without crashing parts, on single sites.
 func TestSoundRequestsAreServedAsBefore(t *testing.T) {
 	checkSoundRefused(t, worldServedAsBefore)
@@ -308,14 +329,19 @@
 func playWorlds(check func(seed uint64, terms worldTerms, w *world)) {
 	for seed := *firstWorld; seed < *firstWorld+*worlds; seed++ {
 		terms := drawTerms(seed)
-		w := newWorld(terms, seed)
-		for w.elapsed() < worldDuration {
-			w.step()
-		}
-		check(seed, terms, w)
+		check(seed, terms, play(terms, seed))
 	}
 }
 
+// play simulates a site.
+func play(terms worldTerms, seed uint64) *world {
+	w := newWorld(terms, seed)
+	for w.elapsed() < worldDuration {
+		w.step()
+	}
+	return w
+}
+
 // checkSoundRefused checks which share of the sound requests is refused on each site.
 func checkSoundRefused(t *testing.T, most float64) {
 	t.Helper()
