Entries of large sites wait for their reports' turn before they go by their own losses

On a site of hundreds of entries a report is sent up to 0.8 s later, so that the second after which an entry acts alone was over before its own report was due. The wait counts from when the report is due now. TestReportsOfLargeSitesMayWait failed before (refused after 1.5 s).

--- a/internal/serve/quarantine/guard.go
+++ b/internal/serve/quarantine/guard.go
@@ -260,10 +260,15 @@
 
 // delay returns how long entries have to refute the quarantine of a part.
 func (g *guard) delay() time.Duration {
+	return objectionTime + g.reportDelay()
+}
+
+// reportDelay returns how much later than at a small site reports are sent.
+func (g *guard) reportDelay() time.Duration {
 	if g.ReportDelay == nil {
-		return objectionTime
+		return 0
 	}
-	return objectionTime + g.ReportDelay()
+	return g.ReportDelay()
 }
 
 // Reported implements Guard.
--- a/internal/serve/quarantine/own_losses.go
+++ b/internal/serve/quarantine/own_losses.go
@@ -10,11 +10,12 @@
 	"hornbeamwood/internal/policy/suspicion"
 )
 
-// countOwn determines what is quarantined by losses that have waited for too long to be reported.
+// countOwn determines what is quarantined by losses that have waited for too long to be reported. On a large site each
+// report waits for a while.
 func (g *guard) countOwn(now time.Time) {
 	oldest := time.Time{}
 	if len(g.lost) > 0 {
-		oldest = g.lost[0].LostAt
+		oldest = g.lost[0].LostAt.Add(g.reportDelay())
 	}
 	refutes := func(f suspicion.Fingerprint, p suspicion.Period) bool { return g.register.Refutes(f, p, now) }
 	for f, p := range g.own.Update(oldest, func() []section.Lost { return g.unreported(now) }, refutes, now) {
--- a/internal/serve/quarantine/own_losses_test.go
+++ b/internal/serve/quarantine/own_losses_test.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// Guards against entries of a large site that go by their own losses although their reports only wait for their turn.
+func TestReportsOfLargeSitesMayWait(t *testing.T) {
+	g := New(Config{Signs: func(string) Signs { return Signs{} }, ReportDelay: func() time.Duration { return 800 * time.Millisecond }})
+	last := loseUnder(g, suspicion.FingerprintOfPart([]byte("bad")), suspicion.DefaultPartServers)
+	for _, c := range []struct {
+		wait time.Duration
+		want bool
+	}{{1500 * time.Millisecond, false}, {3 * time.Second, true}} {
+		if _, refused := g.Quarantined("w", promptWith("first", "bad"), last.Add(c.wait)); refused != c.want {
+			t.Errorf("refused %s after the last loss: %v, want %v", c.wait, refused, c.want)
+		}
+	}
+}
+
 // Guards against the refusal, by an entry alone, of a part that it has answered.
 func TestOwnLossesDoNotOutweighAnswers(t *testing.T) {
 	g := newGuard(nil)
