Losses that wait to be reported are counted seldom

An entry that goes by its own losses classified all of them ten times a second. Now each run adds a millisecond to the pause, and nothing is counted for a second while no run is added.

--- a/internal/control/quarantine/local.go
+++ b/internal/control/quarantine/local.go
@@ -10,8 +10,11 @@
 const (
 	// unreportedTime is how long a loss may wait to be reported before an entry goes by its own losses.
 	unreportedTime = time.Second
-	// localInterval is the least time between two looks at the losses that wait.
-	localInterval = 100 * time.Millisecond
+	// localInterval is the least time between two looks at the losses that wait, runInterval is what each run adds, and
+	// unchangedInterval is the least time while none is added: a look at a thousand runs takes tens of milliseconds.
+	localInterval     = 100 * time.Millisecond
+	runInterval       = time.Millisecond
+	unchangedInterval = time.Second
 	// settleTime is for how long after its losses were reported an entry still goes by them, until it is told more.
 	settleTime = 2 * time.Second
 	// localRetry is how long callers are told not to send a request again. The control log is mostly back by then.
@@ -26,32 +29,29 @@
 	register *suspicion.Register
 	// countedAt is when they were last determined, and until is when they are forgotten.
 	countedAt, until time.Time
+	// runs is how many runs waited then.
+	runs int
 }
 
-// Update determines what is quarantined by the losses that wait to be reported, the oldest of them from that time, zero if
-// none waits. It leaves out what the entry's answers refute, and returns what hasn't been quarantined before.
-func (l *Local) Update(oldest time.Time, losses func() []Lost, refutes func(suspicion.Fingerprint, suspicion.Period) bool, now time.Time) map[suspicion.Fingerprint]suspicion.Period {
-	if !l.due(oldest, now) {
-		return nil
-	}
-	return l.count(losses(), refutes, now)
+// Waiting are the runs at lost servers that wait to be reported.
+type Waiting struct {
+	// Runs is how many there are.
+	Runs int
+	// Since is since when the oldest one waits.
+	Since time.Time
+	// Losses returns them as they are to be reported.
+	Losses func() []Lost
 }
 
-// due returns whether the losses are to be counted now.
-func (l *Local) due(oldest, now time.Time) bool {
-	if oldest.IsZero() || now.Sub(oldest) < unreportedTime {
-		if now.After(l.until) {
-			*l = Local{}
-		}
-		return false
+// Update determines what is quarantined by the losses that wait. It leaves out what the entry's answers refute, and returns
+// what hasn't been quarantined before.
+func (l *Local) Update(w Waiting, refutes func(suspicion.Fingerprint, suspicion.Period) bool, now time.Time) map[suspicion.Fingerprint]suspicion.Period {
+	if !l.due(w, now) {
+		return nil
 	}
-	return now.Sub(l.countedAt) >= localInterval
-}
-
-func (l *Local) count(losses []Lost, refutes func(suspicion.Fingerprint, suspicion.Period) bool, now time.Time) map[suspicion.Fingerprint]suspicion.Period {
 	known, news := l.register, map[suspicion.Fingerprint]suspicion.Period{}
-	*l = Local{register: suspicion.NewRegister(), countedAt: now, until: now.Add(settleTime)}
-	for f, p := range classifyAlone(losses, now) {
+	*l = Local{register: suspicion.NewRegister(), countedAt: now, until: now.Add(settleTime), runs: w.Runs}
+	for f, p := range classifyAlone(w.Losses(), now) {
 		if !p.Quarantined || refutes(f, p) {
 			continue
 		}
@@ -64,6 +64,21 @@
 	return news
 }
 
+// due returns whether the losses are to be counted now.
+func (l *Local) due(w Waiting, now time.Time) bool {
+	if w.Runs == 0 || now.Sub(w.Since) < unreportedTime {
+		if now.After(l.until) {
+			*l = Local{}
+		}
+		return false
+	}
+	interval := localInterval + time.Duration(w.Runs)*runInterval
+	if w.Runs == l.runs {
+		interval = max(interval, unchangedInterval)
+	}
+	return now.Sub(l.countedAt) >= interval
+}
+
 // classifyAlone returns the quarantine by these losses alone.
 func classifyAlone(losses []Lost, now time.Time) map[suspicion.Fingerprint]suspicion.Period {
 	for i := range losses {
--- a/internal/entry/quarantine/unreported.go
+++ b/internal/entry/quarantine/unreported.go
@@ -89,12 +89,12 @@
 
 // countOwn determines what is quarantined by losses that have waited for too long to be reported.
 func (g *guard) countOwn(now time.Time) {
-	oldest := time.Time{}
-	if len(g.unreported) > 0 {
-		oldest = g.unreported[0].at
+	w := section.Waiting{Runs: len(g.unreported), Losses: func() []section.Lost { return g.unreportedLosses(now) }}
+	if w.Runs > 0 {
+		w.Since = g.unreported[0].at
 	}
 	refutes := func(f suspicion.Fingerprint, p suspicion.Period) bool { return g.parts.Refutes(f, p, now) }
-	for f, p := range g.own.Update(oldest, func() []section.Lost { return g.unreportedLosses(now) }, refutes, now) {
+	for f, p := range g.own.Update(w, refutes, now) {
 		event.QuarantineChanged.Write(g.Logger, log.Fields{
 			"fingerprint": f.String(), "kind": string(p.Kind), "quarantined": true, "own-losses": len(g.unreported),
 			"only-workspace": p.Workspace, "companions": len(p.With),
--- a/internal/serve/quarantine/own_losses.go
+++ b/internal/serve/quarantine/own_losses.go
@@ -13,12 +13,12 @@
 // countOwn determines what is quarantined by losses that have waited for too long to be reported. On a large site each
 // report waits for a while.
 func (g *guard) countOwn(now time.Time) {
-	oldest := time.Time{}
-	if len(g.lost) > 0 {
-		oldest = g.lost[0].LostAt.Add(g.reportDelay())
+	w := section.Waiting{Runs: len(g.lost), Losses: func() []section.Lost { return g.unreported(now) }}
+	if w.Runs > 0 {
+		w.Since = g.lost[0].LostAt.Add(g.reportDelay())
 	}
 	refutes := func(f suspicion.Fingerprint, p suspicion.Period) bool { return g.register.Refutes(f, p, now) }
-	for f, p := range g.own.Update(oldest, func() []section.Lost { return g.unreported(now) }, refutes, now) {
+	for f, p := range g.own.Update(w, refutes, now) {
 		event.QuarantineChanged.Write(g.Logger, log.Fields{
 			"fingerprint": f.String(), "kind": string(p.Kind), "quarantined": true, "own-losses": len(g.lost),
 			"since-ms": now.UnixMilli() - p.FirstLoss, "only-workspace": p.Workspace, "companions": len(p.With),
