Whatever a process encodes can be decoded; an unreadable row costs only itself

Each entry repeated the same poll of each replica and kept what it had.

Rows are decoded one by one if they can't be together. The decoder of commands of the log stays as strict as that of earlier releases, since all replicas have to agree on it.

--- a/internal/base/codec/codec_test.go
+++ b/internal/base/codec/codec_test.go
@@ -46,3 +46,34 @@
 		t.Error("truncated message accepted")
 	}
 }
+
+// Guards against text from outside the system that is sent on and that no peer can read.
+func TestTextThatIsNotUTF8IsDecoded(t *testing.T) {
+	v := sample{Name: "a\xffb", Tags: map[string]string{"\xfe": "\xc3"}}
+	b, err := Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Unmarshal[sample](b)
+	if err != nil || got.Name != v.Name || got.Tags["\xfe"] != "\xc3" {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	if _, err := UnmarshalCommand[sample](b); err == nil {
+		t.Error("a command that earlier releases can't read was accepted")
+	}
+}
+
+// Guards against one element that can't be read keeping all others of a message from its receiver.
+func TestUnreadableElementCostsOnlyItself(t *testing.T) {
+	b, err := Marshal([]any{sample{Name: "a"}, "odd", 7, sample{Name: "b"}, []int{1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	all, unreadable, err := UnmarshalList[sample](b)
+	if err != nil || unreadable != 3 || len(all) != 2 || all[0].Name != "a" || all[1].Name != "b" {
+		t.Errorf("got %+v, %d unreadable, %v", all, unreadable, err)
+	}
+	if _, _, err := UnmarshalList[sample]([]byte{0x61}); err == nil {
+		t.Error("a truncated message was accepted")
+	}
+}
--- a/internal/site/watch/protocol.go
+++ b/internal/site/watch/protocol.go
@@ -39,7 +39,7 @@
 	// Revision is the revision up to which the rows are complete.
 	Revision uint64 `cbor:"number"`
 	// Rows changed since the last answer.
-	Rows []rowtable.Row `cbor:"rows"`
+	Rows rowtable.Rows `cbor:"rows"`
 	// More is set if there are more rows than fit in one answer.
 	More bool `cbor:"more"`
 	// CaughtUp is set if the replica is in contact with a leader and has applied what that leader had committed.
@@ -103,7 +103,7 @@
 	// Position is how far the rows go. They are all rows of the mirror when its epoch differs from the watcher's.
 	Position Position `cbor:"copy"`
 	// Rows changed since the watcher's position.
-	Rows []rowtable.Row `cbor:"rows"`
+	Rows rowtable.Rows `cbor:"rows"`
 	// More is set if there are more rows than fit in one answer.
 	More bool `cbor:"more"`
 }
