A command that replicas can't read is refused before it is in the log

A malformed command was committed and then skipped by each replica as its own decoder saw fit, so that replicas of two releases could differ in state. The replica that proposes checks the command with the decoder that applies it, and refuses it (not run, 400). The command of an evacuation whose zone isn't UTF-8 was committed, skipped and answered with 500 before; by reading, no run.

--- a/internal/control/lease/section.go
+++ b/internal/control/lease/section.go
@@ -33,7 +33,7 @@
 // Apply implements state.Section.
 func (s *section) Apply(at time.Time, command []byte) []byte {
 	r := Result{Reason: Malformed}
-	if c, err := codec.Unmarshal[Command](command); err == nil {
+	if c, err := codec.UnmarshalCommand[Command](command); err == nil {
 		s.mu.Lock()
 		r = s.apply(at, c)
 		s.mu.Unlock()
@@ -128,6 +128,12 @@
 	return d > 0 && d <= MaxDuration
 }
 
+// Check implements state.Section.
+func (s *section) Check(command []byte) error {
+	_, err := codec.UnmarshalCommand[Command](command)
+	return err
+}
+
 // Query implements state.Section.
 func (s *section) Query(query []byte) ([]byte, error) {
 	q, err := codec.Unmarshal[Query](query)
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -40,7 +40,7 @@
 // Apply implements state.Section.
 func (l *ledger) Apply(at time.Time, command []byte) []byte {
 	l.at.Store(at.UnixNano())
-	c, err := codec.Unmarshal[Command](command)
+	c, err := codec.UnmarshalCommand[Command](command)
 	if err != nil {
 		return encode(Result{Kind: Invalid})
 	}
@@ -110,6 +110,12 @@
 	return result
 }
 
+// Check implements state.Section.
+func (l *ledger) Check(command []byte) error {
+	_, err := codec.UnmarshalCommand[Command](command)
+	return err
+}
+
 // Query implements state.Section.
 func (l *ledger) Query(query []byte) ([]byte, error) {
 	q, err := codec.Unmarshal[Query](query)
--- a/internal/control/quarantine/quarantine.go
+++ b/internal/control/quarantine/quarantine.go
@@ -65,7 +65,7 @@
 
 // Apply implements state.Section.
 func (q *quarantine) Apply(at time.Time, command []byte) []byte {
-	c, err := codec.Unmarshal[Command](command)
+	c, err := codec.UnmarshalCommand[Command](command)
 	if err != nil {
 		return encode(Result{})
 	}
@@ -137,6 +137,12 @@
 	}
 }
 
+// Check implements state.Section.
+func (q *quarantine) Check(command []byte) error {
+	_, err := codec.UnmarshalCommand[Command](command)
+	return err
+}
+
 // Query implements state.Section.
 func (q *quarantine) Query(query []byte) ([]byte, error) {
 	body, err := codec.Unmarshal[Query](query)
--- a/internal/control/quic/server.go
+++ b/internal/control/quic/server.go
@@ -88,7 +88,8 @@
 	return s.Replica.Status(), nil
 }
 
-// propose commits the proposal if this replica is the leader and otherwise forwards it once.
+// propose commits the proposal if this replica is the leader and otherwise forwards it once. A command that the
+// replicas couldn't read is refused before it is in the log.
 //
 // The proposal is forwarded only after a refusal which guarantees that nothing
 // was appended here, so it is never in the log twice.
@@ -97,6 +98,9 @@
 	if err != nil {
 		return protocol.Applied{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "malformed-command", "the command could not be encoded").WithCause(err)
 	}
+	if err := s.Machine.Check(c); err != nil {
+		return protocol.Applied{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "malformed-command", "the replicas could not read the command").WithCause(err)
+	}
 	a, err := s.Replica.Propose(ctx, c)
 	if err == nil {
 		return protocol.Applied{Index: a.Index, Result: a.Result}, nil
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -12,6 +12,8 @@
 type Machine interface {
 	// Apply applies the command at the given log index and returns its result, nil if it is malformed or has no section.
 	Apply(index uint64, command []byte) []byte
+	// Check returns an error if the command is malformed or has no section, so that Apply would change nothing.
+	Check(command []byte) error
 	// Query answers a section's query from the current state.
 	Query(q Query) ([]byte, error)
 	// Snapshot returns the state of all sections after the last applied command.
@@ -43,7 +45,7 @@
 // A leader whose wall clock is behind its predecessor's would move leases and
 // expiry times back. The state's time is therefore monotonic.
 func (m *machine) Apply(_ uint64, command []byte) []byte {
-	c, err := codec.Unmarshal[Command](command)
+	c, err := codec.UnmarshalCommand[Command](command)
 	if err != nil {
 		return nil
 	}
@@ -57,6 +59,19 @@
 	return s.Apply(time.Unix(0, m.at), c.Body)
 }
 
+// Check implements Machine.
+func (m *machine) Check(command []byte) error {
+	c, err := codec.UnmarshalCommand[Command](command)
+	if err != nil {
+		return err
+	}
+	s, ok := m.sections[c.Section]
+	if !ok {
+		return fmt.Errorf("state: no section is named %q", c.Section)
+	}
+	return s.Check(c.Body)
+}
+
 // Query implements Machine.
 func (m *machine) Query(q Query) ([]byte, error) {
 	s, ok := m.sections[q.Section]
--- a/internal/control/state/section.go
+++ b/internal/control/state/section.go
@@ -12,6 +12,8 @@
 	Name() string
 	// Apply applies a committed command and returns its result; at never decreases.
 	Apply(at time.Time, command []byte) []byte
+	// Check returns an error if the command is malformed. It doesn't depend on the state.
+	Check(command []byte) error
 	// Query answers a query from the current state.
 	Query(query []byte) ([]byte, error)
 	// Snapshot returns the encoded state.
--- a/internal/settings/section/query.go
+++ b/internal/settings/section/query.go
@@ -57,6 +57,12 @@
 	}
 }
 
+// Check implements state.Section.
+func (s *section) Check(command []byte) error {
+	_, err := codec.UnmarshalStrict[Edit](command)
+	return err
+}
+
 // Query implements state.Section.
 func (s *section) Query(query []byte) ([]byte, error) {
 	q, err := codec.Unmarshal[Query](query)
--- a/internal/site/section/active_document.go
+++ b/internal/site/section/active_document.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return ActiveDocument{}, err
 	}
-	d, err := codec.Unmarshal[document.Document](text)
+	d, err := codec.UnmarshalCommand[document.Document](text)
 	if err != nil {
 		return ActiveDocument{}, err
 	}
--- a/internal/site/section/section.go
+++ b/internal/site/section/section.go
@@ -65,7 +65,7 @@
 // Apply implements state.Section.
 func (s *section) Apply(_ time.Time, command []byte) []byte {
 	var r Result
-	if c, err := codec.Unmarshal[Command](command); err == nil {
+	if c, err := codec.UnmarshalCommand[Command](command); err == nil {
 		r = s.apply(c)
 	}
 	if r.Changed {
@@ -199,6 +199,12 @@
 	return maps.Clone(s.evacuations)
 }
 
+// Check implements state.Section.
+func (s *section) Check(command []byte) error {
+	_, err := codec.UnmarshalCommand[Command](command)
+	return err
+}
+
 // Query implements state.Section.
 func (s *section) Query([]byte) ([]byte, error) {
 	return nil, errNoQueries
