One rule for names, IDs and addresses at every door; a process that reads no answer says so

Announcements and departures with IDs that aren't UTF-8, port 0, 2^63-1 slots, a start in the far future or a warm-up without end were acknowledged and kept as rows. Package check has the rule, and servers' messages, operators' orders, callers' prompts, edits, idempotency keys and the own interface's announcements go by it; what breaks it gets 400, a counter and a log line a second.

A process whose replicas all answer, but not readably, was logged as one that lost them. It logs answer-unreadable, counts answers and rows, isn't ready after 4 s, and has gauges for the replicas that it follows and for how long an announced document isn't in force.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -54,6 +54,10 @@
 	QuarantineChanged = define(925, log.WarnLevel, "quarantine-changed", "A request that crashes servers, or a part of prompts that does, is quarantined or cleared; refuted says that this entry knows answers that speak against it, since-ms is the time since the first loss, delay-ms how long others have to refute it, own-losses how many runs this entry goes by alone while the control log takes no reports.")
 	// ConnectionsRefused is written by an entry, at most once a second, while it refuses connections of callers.
 	ConnectionsRefused = define(933, log.WarnLevel, "connections-refused", "New connections of callers were closed unread, because the entry gets too little processor time or has as many as it may have; the fields count them since the last such line.")
+	// MessageRejected is written by a control process, at most once a second, while it rejects messages.
+	MessageRejected = define(934, log.WarnLevel, "message-rejected", "A message of a server or an operator was rejected for good, because a name, an address or a number in it can't be used; count says how many since the last such line, sender and error describe the last one.")
+	// AnswerUnreadable is written when a process can't read what a control replica answers.
+	AnswerUnreadable = define(935, log.ErrorLevel, "answer-unreadable", "A control replica answers polls, but its answers, or the given number of rows in them, can't be read; the process goes by what the other replicas and the readable rows say.")
 	// LeaderNotFound is written once when a replica searches for the leader without success.
 	LeaderNotFound = define(917, log.WarnLevel, "leader-not-found", "A replica without contact to a leader asked the others for it without success, and remains without a vote if it has none; asked counts the replicas that it knows.")
 	// WeightsOrdered is written for each order to an engine.
--- a/internal/entry/caller/services.go
+++ b/internal/entry/caller/services.go
@@ -1,10 +1,12 @@
 package caller
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"hornbeamwood/internal/base/check"
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/control/ledger"
 	"hornbeamwood/internal/entry/service"
@@ -72,11 +74,15 @@
 	if len(keys) == 0 && !r.NonIdempotent {
 		return nil
 	}
-	if len(keys) == 1 && keys[0] != "" && len(keys[0]) <= ledger.MaxKey {
+	err := fmt.Errorf("%d values", len(keys))
+	if len(keys) == 1 {
+		err = check.Name(HeaderKey, keys[0], ledger.MaxKey)
+	}
+	if err == nil {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, http.StatusBadRequest, "idempotency-key-required",
-		"the service runs each call at most once and needs one Idempotency-Key of 1 to %d bytes", ledger.MaxKey)
+		"the service runs each call at most once and needs one Idempotency-Key of 1 to %d bytes: %v", ledger.MaxKey, err)
 }
 
 // servicePath returns the path for the service with the query; both keep the caller's escaping.
--- a/internal/fleet/membership/check.go
+++ b/internal/fleet/membership/check.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"math"
-	"net/netip"
 	"slices"
 	"time"
 
+	"hornbeamwood/internal/base/check"
 	"hornbeamwood/internal/fleet/announcement"
 )
 
@@ -31,7 +31,7 @@
 		func() error { return checkNumber("incarnation", a.Incarnation) },
 		func() error { return checkNumber("sequence", a.Sequence) },
 		func() error { return checkName("zone", a.Zone) },
-		func() error { return checkAddress(a.Address) },
+		func() error { return check.Address("address", a.Address) },
 		func() error { return checkOneOf("kind", a.Kind, kinds) },
 		func() error { return checkOneOf("state", a.State, states) },
 		func() error { return checkOptional("role", a.Role) },
@@ -70,33 +70,14 @@
 }
 
 func checkName(field, s string) error {
-	if len(s) == 0 {
-		return fmt.Errorf("%s is missing", field)
-	}
-	return checkOptional(field, s)
+	return check.Name(field, s, maxName)
 }
 
 func checkOptional(field, s string) error {
-	if len(s) > maxName {
-		return fmt.Errorf("%s is longer than %d bytes", field, maxName)
-	}
-	for _, r := range s {
-		if r < ' ' || r == 0x7f || r == '\uFFFD' {
-			return fmt.Errorf("%s holds a control character or broken UTF-8", field)
-		}
+	if s == "" {
+		return nil
 	}
-	return nil
-}
-
-func checkAddress(s string) error {
-	p, err := netip.ParseAddrPort(s)
-	if err != nil || p.Port() == 0 || p.Addr().Zone() != "" {
-		return fmt.Errorf("address must be an IP number and a port")
-	}
-	if p.Addr().IsUnspecified() || p.Addr().IsMulticast() {
-		return fmt.Errorf("address must be that of one VM")
-	}
-	return nil
+	return checkName(field, s)
 }
 
 func checkOneOf[T ~string](field string, s T, all []T) error {
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -78,6 +78,7 @@
 	servers        *announcements
 	admission      admission.Reconciler
 	metrics        *metrics.Set
+	rejections     *rejections
 	loops          sync.WaitGroup
 	peers          atomic.Pointer[[]string]
 	leaseHolder    *leaseHolder
@@ -96,6 +97,7 @@
 	r := &backoffCaller{backoffs: backoff.New(), logger: c.Logger}
 	c.Engines, c.Stores = backoffEngines{r, c.Engines}, backoffStores{r, c.Stores}
 	p := &process{config: c, metrics: metrics.NewSet(), table: rowtable.New(uint64(time.Now().UnixNano())), loaded: map[string]topic.LoadedWeights{}}
+	p.rejections = &rejections{logger: c.Logger, metrics: p.metrics}
 	p.host.Store(&c.Host)
 	p.shownRevision.Store(noDocument)
 	p.peers.Store(&c.Host.Seeds)
@@ -183,7 +185,7 @@
 	p.metrics.NewGauge("hornbeamwood_site_origins", func() float64 { return float64(origins.Len()) })
 	rpc.Receive(p.node, watch.PartUses, func(_ rpc.Peer, hashes []uint64) { p.storeFollower.use(hashes) })
 	p.follower = watch.NewFollower(watch.FollowerConfig{
-		Method: watch.Watch, Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.table.Epoch()), Apply: p.applyRows, Prepare: p.relay.prepare, Logger: p.config.Logger,
+		Method: watch.Watch, Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.table.Epoch()), Apply: p.applyRows, Prepare: p.relay.prepare, Logger: p.config.Logger, Metrics: p.metrics,
 	})
 	p.servers = &announcements{
 		home: p.config.Host.Internal, heartbeat: p.config.Host.Bounds.Heartbeat,
--- a/internal/process/sitecontrol/evacuation.go
+++ b/internal/process/sitecontrol/evacuation.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"hornbeamwood/internal/base/check"
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/site/section"
@@ -31,6 +32,9 @@
 // An order that was overtaken is proposed again only while its operator waits for the answer:
 // after that it may contradict what the operator has sent since.
 func (p *process) setEvacuation(ctx context.Context, zone string, active bool) (uint64, error) {
+	if err := check.Name("the zone", zone, maxZoneBytes); err != nil {
+		return 0, p.rejections.reject("evacuation", zone, err)
+	}
 	if zones := p.config.Host.Zones; len(zones) > 0 && !slices.Contains(zones, zone) {
 		return 0, verdict.New(verdict.NotRun, http.StatusNotFound, "unknown-zone", "there is no availability zone %q; the site has %s", zone, strings.Join(zones, ", "))
 	}
--- a/internal/process/sitecontrol/operator.go
+++ b/internal/process/sitecontrol/operator.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"hornbeamwood/internal/base/check"
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
@@ -20,6 +21,8 @@
 	acceptTimeout = 1500 * time.Millisecond
 	// readTimeout bounds a read, which takes one round among the replicas.
 	readTimeout = 900 * time.Millisecond
+	// maxModelBytes and maxZoneBytes bound the names in operators' orders.
+	maxModelBytes, maxZoneBytes = 256, 256
 )
 
 var _ Service = (*process)(nil)
@@ -31,11 +34,17 @@
 
 // Announce implements Service.
 func (p *process) Announce(ctx context.Context, s directory.Server) error {
+	if err := s.Check(time.Now()); err != nil {
+		return p.rejections.reject("announcement", s.ID, err)
+	}
 	return p.servers.announce(ctx, s)
 }
 
 // Depart implements Service.
 func (p *process) Depart(ctx context.Context, id string, startedAt int64) error {
+	if err := directory.CheckIncarnation(id, startedAt, time.Now()); err != nil {
+		return p.rejections.reject("departure", id, err)
+	}
 	return p.servers.depart(ctx, id, startedAt)
 }
 
@@ -79,6 +88,9 @@
 
 // SetTargetVersion implements Service.
 func (p *process) SetTargetVersion(ctx context.Context, model string, version int64) error {
+	if err := check.Name("the model", model, maxModelBytes); err != nil {
+		return p.rejections.reject("version", model, err)
+	}
 	r, err := p.change(ctx, section.Command{SetTargetVersion: &section.SetTargetVersion{Model: model, Version: version, At: p.storeFollower.clock.Now()}})
 	f := log.Fields{"model": model, "version": version, "changed": r.Changed}
 	if err != nil {
--- a/internal/process/sitecontrol/serve.go
+++ b/internal/process/sitecontrol/serve.go
@@ -51,5 +51,8 @@
 	if s := p.replica.Status(); !s.CaughtUp {
 		return fmt.Errorf("the replica is %s and has not caught up", s.Role)
 	}
+	if p.follower.Blind() {
+		return errors.New("the answers of the other replicas can't be read")
+	}
 	return nil
 }
--- a/internal/process/siteentry/documents.go
+++ b/internal/process/siteentry/documents.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// behind returns for how long a newer document than the one in force has been announced, zero if none has.
+func (d *documents) behind(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.wanted.Revision <= d.inForce {
+		return 0
+	}
+	return now.Sub(d.wantedSince)
+}
+
 // run brings documents into force until ctx ends.
 func (d *documents) run(ctx context.Context) {
 	for {
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -138,7 +138,7 @@
 	p.site.documents = newDocuments(documentsConfig{fetch: p.fetch, apply: p.site.applyDocument, updated: p.site.suspension.pollAnswered, logger: c.Logger})
 	p.hints = newHints(p, watcher)
 	p.follower = watch.NewFollower(watch.FollowerConfig{
-		Method: watch.Watch, Node: p.node, Watcher: watcher, Entry: true, Zone: c.Host.Zone, Apply: p.apply, Logger: c.Logger,
+		Method: watch.Watch, Node: p.node, Watcher: watcher, Entry: true, Zone: c.Host.Zone, Apply: p.apply, Logger: c.Logger, Metrics: p.metrics,
 		Sequential: true,
 		Prepare:    func(_ string, q *watch.Poll) { q.Relayed = p.site.isRelayed() },
 	})
@@ -195,6 +195,8 @@
 		}
 		return 0
 	})
+	p.metrics.NewGauge("hornbeamwood_site_replicas_followed", func() float64 { return float64(p.site.replicasFollowed(time.Now())) })
+	p.metrics.NewGauge("hornbeamwood_site_document_behind_seconds", func() float64 { return p.site.documents.behind(time.Now()).Seconds() })
 	p.metrics.NewGauge("hornbeamwood_quic_sent_bytes", func() float64 { return float64(p.node.BytesSent()) })
 }
 
@@ -228,7 +230,7 @@
 
 // ready reports whether the load balancer may send new connections.
 func (p *process) ready() bool {
-	return !p.stopping() && p.site.canServe() && !p.isolated()
+	return !p.stopping() && p.site.canServe() && !p.isolated() && !p.follower.Blind()
 }
 
 // isolated reports whether no path leads to any server.
@@ -361,7 +363,7 @@
 
 func (p *process) readinessError() error {
 	if !p.ready() {
-		return errors.New("the entry has no document yet, reaches no server, or stops")
+		return errors.New("the entry has no document yet, reaches no server, can't read what the replicas answer, or stops")
 	}
 	return nil
 }
--- a/internal/process/siteentry/software.go
+++ b/internal/process/siteentry/software.go
@@ -106,12 +106,18 @@
 
 // hasRecentAnswer returns whether a replica that had caught up has answered recently.
 func (s *site) hasRecentAnswer(now time.Time) bool {
+	return s.replicasFollowed(now) > 0
+}
+
+// replicasFollowed returns how many replicas that had caught up have answered recently.
+func (s *site) replicasFollowed(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	n := 0
 	for _, at := range s.caughtUp {
 		if now.Sub(at) <= liveReplicaTimeout {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
--- a/internal/settings/section/edit.go
+++ b/internal/settings/section/edit.go
@@ -2,8 +2,8 @@
 
 import (
 	"crypto/sha256"
-	"fmt"
 
+	"hornbeamwood/internal/base/check"
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/settings/tree"
 )
@@ -46,13 +46,5 @@
 
 // CheckID rejects edit IDs that can't be written to a header or a log line.
 func CheckID(id string) error {
-	if id == "" || len(id) > maxID {
-		return fmt.Errorf("an edit id has 1 to %d characters", maxID)
-	}
-	for i := range len(id) {
-		if id[i] <= ' ' || id[i] > '~' {
-			return fmt.Errorf("an edit id has printable ASCII characters without spaces only")
-		}
-	}
-	return nil
+	return check.ID("the edit id", id, maxID)
 }
--- a/internal/site/watch/follower.go
+++ b/internal/site/watch/follower.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
@@ -51,6 +52,8 @@
 	Sequential bool
 	// Logger takes the events.
 	Logger log.Interface
+	// Metrics counts what could not be read; nil for no counters.
+	Metrics *metrics.Set
 }
 
 // Follower polls replicas, each in its own goroutine.
@@ -59,15 +62,18 @@
 	Follow(ctx context.Context, addresses []string)
 	// SinceAnswer returns how long ago the replica at address last answered, and false when it never did.
 	SinceAnswer(address string) (time.Duration, bool)
+	// Blind returns whether answers arrive and none could be read for some seconds.
+	Blind() bool
 	// Wait returns once all polls have ended, which they do after their context has ended.
 	Wait()
 }
 
 type follower struct {
-	config     FollowerConfig
-	mu         sync.Mutex
-	cancels    map[string]context.CancelFunc
-	lastAnswer map[string]time.Time
+	config      FollowerConfig
+	readability *readability
+	mu          sync.Mutex
+	cancels     map[string]context.CancelFunc
+	lastAnswer  map[string]time.Time
 	// queue holds the replicas that wait for their first poll; draining is set while a goroutine sends these polls.
 	queue    []firstPoll
 	draining bool
@@ -82,7 +88,7 @@
 
 // NewFollower returns a Follower without addresses.
 func NewFollower(c FollowerConfig) Follower {
-	return &follower{config: c, cancels: map[string]context.CancelFunc{}, lastAnswer: map[string]time.Time{}}
+	return &follower{config: c, readability: newReadability(c), cancels: map[string]context.CancelFunc{}, lastAnswer: map[string]time.Time{}}
 }
 
 // Follow implements Follower.
@@ -162,6 +168,11 @@
 	return time.Since(at), ok
 }
 
+// Blind implements Follower.
+func (f *follower) Blind() bool {
+	return f.readability.blind(time.Now())
+}
+
 // Wait implements Follower.
 func (f *follower) Wait() {
 	f.running.Wait()
@@ -177,6 +188,7 @@
 		sent := time.Now()
 		a, err := f.call(ctx, address, p)
 		if err != nil {
+			f.readability.failed(address, err, time.Now())
 			if !lost {
 				lost = true
 				event.ReplicaLost.Write(f.config.Logger, log.Fields{"replica": address, "error": err.Error()})
@@ -192,6 +204,7 @@
 			event.ReplicaRegained.Write(f.config.Logger, log.Fields{"replica": address, "epoch": a.Epoch, "rows": len(a.Rows)})
 		}
 		answered()
+		f.readability.readable(address, a, time.Now())
 		backoff = firstBackoff
 		p.Wait = maxWait
 		p.Epoch, p.Revision, p.CatchingUp = a.Epoch, a.Revision, a.More
