--- a/internal/site/document/document_test.go
+++ b/internal/site/document/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 )
@@ -63,3 +64,11 @@
 		t.Error("the shares are not proportional to the weights")
 	}
 }
+
+// Guards against a route whose largest weights add up to infinity and send all requests to its last service.
+func TestLargestWeightsAreShared(t *testing.T) {
+	r := Route{Shares: []Share{{"a", math.MaxFloat64}, {"b", math.MaxFloat64}}}
+	if r.ServiceAt(0.4) != "a" || r.ServiceAt(0.6) != "b" {
+		t.Errorf("got %s and %s", r.ServiceAt(0.4), r.ServiceAt(0.6))
+	}
+}
--- a/internal/site/document/route.go
+++ b/internal/site/document/route.go
@@ -47,23 +47,30 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
-// weight returns the sum of the weights.
-func (r Route) weight() float64 {
-	sum := 0.0
+// weights returns the largest weight and the sum of the weights as fractions of it, which doesn't overflow.
+func (r Route) weights() (largest, sum float64) {
 	for _, s := range r.Shares {
-		sum += s.Weight
+		largest = max(largest, s.Weight)
 	}
-	return sum
+	if largest == 0 {
+		return 0, 0
+	}
+	for _, s := range r.Shares {
+		sum += s.Weight / largest
+	}
+	return largest, sum
 }
 
 // ServiceAt returns the service at the fraction x of the cumulative weights, 0 <= x < 1.
 func (r Route) ServiceAt(x float64) string {
-	rest := x * r.weight()
+	largest, sum := r.weights()
+	rest := x * sum
 	for _, s := range r.Shares {
-		if rest < s.Weight {
+		weight := s.Weight / largest
+		if rest < weight {
 			return s.Service
 		}
-		rest -= s.Weight
+		rest -= weight
 	}
 	for i := len(r.Shares) - 1; i >= 0; i-- {
 		if r.Shares[i].Weight > 0 {
--- a/internal/site/document/validate.go
+++ b/internal/site/document/validate.go
@@ -65,7 +65,7 @@
 			return invalid("route %s: the weight of %s is negative", r.Name, s.Service)
 		}
 	}
-	if r.weight() <= 0 {
+	if _, sum := r.weights(); sum <= 0 {
 		return invalid("route %s: the weights add up to 0", r.Name)
 	}
 	return nil
