An entry that hears only replicas that are cut off polls the seeds again

An entry whose known replicas were all replaced but one, which is cut off and answers, polled that one for good and went by its document. It counts only replicas that say they have caught up.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -55,7 +55,8 @@
 	// cutoffMargin is how long before the end of its grace period a process abandons the requests that still
 	// run.
 	cutoffMargin = 300 * time.Millisecond
-	// seedsFallbackAfter is how long no replica may have answered before the seeds are polled again.
+	// seedsFallbackAfter is how long no replica that has caught up may have answered before the seeds are polled
+	// again.
 	seedsFallbackAfter = 4 * time.Second
 	// followInterval is the interval at which the set of polled replicas is updated.
 	followInterval = time.Second
@@ -286,16 +287,18 @@
 	p.site.follow()
 }
 
-// addresses returns the replicas to poll: the listed ones, and also the seeds while none of the listed ones
-// answers.
+// addresses returns the replicas to poll: the listed ones, and also the seeds while none of the listed ones says
+// that it has caught up. A replica that is cut off from the others may answer for ever, with what it last knew.
 func (p *process) addresses() []string {
 	p.site.mu.Lock()
 	members := p.site.members.union()
+	caughtUp := slices.ContainsFunc(members, func(m string) bool {
+		at, ok := p.site.caughtUp[m]
+		return ok && time.Since(at) < seedsFallbackAfter
+	})
 	p.site.mu.Unlock()
-	for _, m := range members {
-		if ago, ok := p.follower.SinceAnswer(m); ok && ago < seedsFallbackAfter {
-			return members
-		}
+	if caughtUp {
+		return members
 	}
 	all := slices.Concat(members, *p.seeds.Load())
 	slices.Sort(all)
