A stream whose beginning nobody knows goes on only at a version that a quorum confirms as the only one

Streams that may be resumed begin only with recorded versions, so that the record is there before any resume.

--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -56,6 +56,8 @@
 	ConnectionsRefused = define(933, log.WarnLevel, "connections-refused", "New connections of callers were closed unread, because the entry gets too little processor time or has as many as it may have; the fields count them since the last such line.")
 	// MessageRejected is written by a control process, at most once a second, while it rejects messages.
 	MessageRejected = define(934, log.WarnLevel, "message-rejected", "A message of a server or an operator was rejected for good, because a name, an address or a number in it can't be used; count says how many since the last such line, sender and error describe the last one.")
+	// SoftwareRecorded is written when a replica has proposed to record a version of servers' software.
+	SoftwareRecorded = define(936, log.InfoLevel, "software-recorded", "A version of the software of a service's servers was recorded in the control log, or removed because no server has had it for long; error says why it wasn't.")
 	// AnswerUnreadable is written when a process can't read what a control replica answers.
 	AnswerUnreadable = define(935, log.ErrorLevel, "answer-unreadable", "A control replica answers polls, but its answers, or the given number of rows in them, can't be read; the process goes by what the other replicas and the readable rows say.")
 	// LeaderNotFound is written once when a replica searches for the leader without success.
--- a/internal/process/sitecontrol/announcements.go
+++ b/internal/process/sitecontrol/announcements.go
@@ -37,6 +37,8 @@
 // announcements keeps the announcements of backend servers, shows them in the row
 // table and detects servers that have become silent.
 type announcements struct {
+	// observe is called with each server that announces itself here, and with each change of another one.
+	observe      func(s directory.Server)
 	home         string
 	heartbeat    time.Duration
 	directory    directory.Directory
@@ -64,6 +66,7 @@
 	if !newer || !matters {
 		return 0
 	}
+	a.observe(s)
 	a.mu.Lock()
 	a.lastChanged[s.ID] = time.Now()
 	a.mu.Unlock()
@@ -108,7 +111,9 @@
 	a.mu.Lock()
 	a.lastAnnounced[s.ID] = time.Now()
 	a.mu.Unlock()
-	a.merge(s)
+	if a.merge(s) == 0 {
+		a.observe(s)
+	}
 	return nil
 }
 
--- a/internal/process/sitecontrol/announcements_test.go
+++ b/internal/process/sitecontrol/announcements_test.go
@@ -13,7 +13,8 @@
 // testReplica returns announcements without a network; exchange replaces the polls.
 func testReplica(home string) *announcements {
 	return &announcements{
-		home: home, heartbeat: time.Second, directory: directory.New(), table: rowtable.New(1),
+		observe: func(directory.Server) {},
+		home:    home, heartbeat: time.Second, directory: directory.New(), table: rowtable.New(1),
 		sinceContact:  func(string) (time.Duration, bool) { return 0, true },
 		lastAnnounced: map[string]time.Time{}, lastChanged: map[string]time.Time{}, lastSweep: time.Now(),
 	}
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -79,6 +79,7 @@
 	admission      admission.Reconciler
 	metrics        *metrics.Set
 	rejections     *rejections
+	software       *softwareRecorder
 	loops          sync.WaitGroup
 	peers          atomic.Pointer[[]string]
 	leaseHolder    *leaseHolder
@@ -97,7 +98,7 @@
 	r := &backoffCaller{backoffs: backoff.New(), logger: c.Logger}
 	c.Engines, c.Stores = backoffEngines{r, c.Engines}, backoffStores{r, c.Stores}
 	p := &process{config: c, metrics: metrics.NewSet(), table: rowtable.New(uint64(time.Now().UnixNano())), loaded: map[string]topic.LoadedWeights{}}
-	p.rejections = &rejections{logger: c.Logger, metrics: p.metrics}
+	p.rejections, p.software = &rejections{logger: c.Logger, metrics: p.metrics}, newSoftwareRecorder(p)
 	p.host.Store(&c.Host)
 	p.shownRevision.Store(noDocument)
 	p.peers.Store(&c.Host.Seeds)
@@ -181,14 +182,15 @@
 		return server.Peers(q), nil
 	})
 	origins := origin.NewStore()
-	origin.Serve(p.node, origins)
+	origin.Serve(p.node, origins, p.softwareOf)
 	p.metrics.NewGauge("hornbeamwood_site_origins", func() float64 { return float64(origins.Len()) })
 	rpc.Receive(p.node, watch.PartUses, func(_ rpc.Peer, hashes []uint64) { p.storeFollower.use(hashes) })
 	p.follower = watch.NewFollower(watch.FollowerConfig{
 		Method: watch.Watch, Node: p.node, Watcher: fmt.Sprintf("%s/%d", p.config.Host.Internal, p.table.Epoch()), Apply: p.applyRows, Prepare: p.relay.prepare, Logger: p.config.Logger, Metrics: p.metrics,
 	})
 	p.servers = &announcements{
-		home: p.config.Host.Internal, heartbeat: p.config.Host.Bounds.Heartbeat,
+		observe: p.software.observe,
+		home:    p.config.Host.Internal, heartbeat: p.config.Host.Bounds.Heartbeat,
 		directory: directory.New(), table: p.table, watchServer: server,
 		replicas:      func() int { return len(p.replica.Status().Members) },
 		sinceContact:  p.follower.SinceAnswer,
@@ -230,6 +232,9 @@
 	for zone, e := range p.section.Evacuations() {
 		p.put(topic.Evacuations, zone, e)
 	}
+	for service, versions := range p.section.Software() {
+		p.put(topic.Software, service, versions)
+	}
 }
 
 // put sets a row and returns the table's revision of its last change, zero when the value can't be encoded.
@@ -273,6 +278,7 @@
 	})
 	p.loops.Go(func() { p.admission.Run(serving) })
 	p.loops.Go(func() { p.servers.run(serving) })
+	p.loops.Go(func() { p.software.run(serving) })
 	p.loops.Go(func() { p.followMembers(serving) })
 	p.loops.Go(func() { p.leaseHolder.run(serving) })
 	p.loops.Go(func() { p.storeFollower.run(serving) })
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -88,6 +88,8 @@
 	usedParts   map[uint64]struct{}
 	evacuations *evacuations
 	software    *softwareChanges
+
+	recordedSoftware *recordedSoftware
 }
 
 func newSite(logger log.Interface, residency parts.Residency, peerLoads share.PeerLoads, onPeerLoads func()) *site {
@@ -115,6 +117,8 @@
 		usedParts:      map[uint64]struct{}{},
 		evacuations:    newEvacuations(),
 		software:       newSoftwareChanges(),
+
+		recordedSoftware: newRecordedSoftware(),
 	}
 	s.suspension = newSuspensionGuard(s.ageStates)
 	time.AfterFunc(startupWait, func() { s.storesKnownOnce.Do(func() { close(s.storesKnown) }) })
@@ -177,6 +181,8 @@
 			return errFingerprint
 		}
 		return decodeRow(r, func(p suspicion.Period) { s.applyQuarantine(f, p) })
+	case topic.Software:
+		return decodeRow(r, func(versions []string) { s.recordedSoftware.apply(address, r.Key, versions) })
 	case topic.Evacuations:
 		return decodeRow(r, func(e section.Evacuation) { s.applyEvacuation(address, r.Key, e) })
 	}
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -54,6 +54,9 @@
 	// OnlySoftware returns the version of the software of all servers that the service has had for some
 	// minutes. It returns false if they differ, or if the entry may not have heard of some.
 	OnlySoftware(service string) (string, bool)
+	// SoftwareRecorded returns whether the version of the server's software is recorded in the control log, or
+	// none of its service is.
+	SoftwareRecorded(s directory.Server) bool
 	// SoftwareCertain returns whether a stream that began at that time ran on the incarnation that the
 	// origin names, and not on a later one with other software.
 	SoftwareCertain(o origin.Origin, began time.Time) bool
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -85,6 +85,9 @@
 	// uncertain is set if no origin's software is certain, restartExpected returns whether a server's is not.
 	uncertain       bool
 	restartExpected func(s directory.Server) bool
+	// onlySoftware is what the entry takes for the only version, confirmedSoftware what the replicas do, and
+	// unrecorded a version that isn't recorded.
+	onlySoftware, confirmedSoftware, unrecorded string
 	// leaving holds the IDs of the servers that stated in a response that they leave.
 	leaving sync.Map
 }
@@ -128,13 +131,17 @@
 	return s.outdated
 }
 
-func (s *fakeSite) Table() document.Table                         { return s.table }
-func (s *fakeSite) AwaitDocument(context.Context)                 {}
-func (s *fakeSite) AwaitFreshState(context.Context)               {}
-func (s *fakeSite) AwaitStores(context.Context)                   {}
-func (s *fakeSite) StoreStateAge() time.Duration                  { return 0 }
-func (s *fakeSite) AwaitServers(context.Context, func() bool)     {}
-func (s *fakeSite) OnlySoftware(string) (string, bool)            { return "", false }
+func (s *fakeSite) Table() document.Table                     { return s.table }
+func (s *fakeSite) AwaitDocument(context.Context)             {}
+func (s *fakeSite) AwaitFreshState(context.Context)           {}
+func (s *fakeSite) AwaitStores(context.Context)               {}
+func (s *fakeSite) StoreStateAge() time.Duration              { return 0 }
+func (s *fakeSite) AwaitServers(context.Context, func() bool) {}
+func (s *fakeSite) SoftwareRecorded(v directory.Server) bool {
+	return s.unrecorded == "" || v.Software != s.unrecorded
+}
+
+func (s *fakeSite) OnlySoftware(string) (string, bool)            { return s.onlySoftware, s.onlySoftware != "" }
 func (s *fakeSite) SoftwareCertain(origin.Origin, time.Time) bool { return !s.uncertain }
 func (s *fakeSite) RestartExpected(v directory.Server, _ time.Time) bool {
 	return s.restartExpected != nil && s.restartExpected(v)
@@ -152,8 +159,15 @@
 func (s *fakeSite) FetchDeadline() int64                      { return 0 }
 func (s *fakeSite) Entries() int                              { return 1 }
 
-// fakeOrigins keeps origins in this process.
-type fakeOrigins struct{ origin.Store }
+// fakeOrigins keeps origins in this process, and confirms the software that its site has.
+type fakeOrigins struct {
+	origin.Store
+	site *fakeSite
+}
+
+func (o fakeOrigins) OnlySoftware(context.Context, string) (string, bool) {
+	return o.site.confirmedSoftware, o.site.confirmedSoftware != ""
+}
 
 func (o fakeOrigins) Record(k origin.Key, x origin.Origin, lifetime time.Duration) {
 	o.Put(k, x, lifetime, time.Now())
@@ -265,7 +279,7 @@
 		Budget:   retry.NewBudget(retry.Terms{Ratio: 1, Window: time.Second, Slack: 100}),
 		Limits:   limit.New(limit.Config{Random: func() float64 { return 0 }, OnCapacity: f.queue.LocalCapacityFreed}),
 		Backoffs: backoff.New(),
-		Origins:  fakeOrigins{origin.NewStore()},
+		Origins:  fakeOrigins{origin.NewStore(), f.site},
 		Guard:    quarantine.New(quarantine.Config{Signs: func(string) quarantine.Signs { return quarantine.Signs{} }}),
 		Closing:  never, Refusing: never, Isolated: never, Trial: never, Metrics: metrics.NewSet(),
 	}
--- a/internal/serve/caller/origin.go
+++ b/internal/serve/caller/origin.go
@@ -41,7 +41,11 @@
 func (j *job) servers() iter.Seq[directory.Server] {
 	return func(yield func(directory.Server) bool) {
 		if j.begun == nil {
-			slices.Values(j.Site.Servers(j.service.Name))(yield)
+			for _, s := range j.Site.Servers(j.service.Name) {
+				if j.mayBegin(s) && !yield(s) {
+					return
+				}
+			}
 			return
 		}
 		o := j.begun.origin
@@ -56,6 +60,12 @@
 	}
 }
 
+// mayBegin returns whether the request may begin at the server. A stream that may be resumed doesn't begin with software
+// that isn't recorded: an entry that resumes it could take another version for the only one.
+func (j *job) mayBegin(s directory.Server) bool {
+	return j.route.Kind != document.Streaming || !j.route.Retryable() || j.Site.SoftwareRecorded(s)
+}
+
 // mayHaveRestarted returns whether the server may run other software than it has announced, because it doesn't
 // announce itself any more or refused a connection to any entry since.
 func (j *job) mayHaveRestarted(s directory.Server) bool {
@@ -118,7 +128,7 @@
 		outcome = origin.Unknown
 	}
 	if outcome != origin.Known {
-		if software, ok := j.Site.OnlySoftware(j.service.Name); ok {
+		if software, ok := j.onlySoftware(ctx); ok {
 			found, outcome = origin.Found{Origin: origin.Origin{Service: j.service.Name, Software: software}}, inferred
 		}
 	}
@@ -138,6 +148,17 @@
 	return false
 }
 
+// onlySoftware returns the version of the software of all servers that the service has had lately. The entry's own view
+// may be some time behind, so that the replicas have to confirm it.
+func (j *job) onlySoftware(ctx context.Context) (string, bool) {
+	software, ok := j.Site.OnlySoftware(j.service.Name)
+	if !ok {
+		return "", false
+	}
+	confirmed, ok := j.Origins.OnlySoftware(ctx, j.service.Name)
+	return software, ok && confirmed == software
+}
+
 // useService selects the service of a resumed stream. It returns false if the route doesn't lead to it any more.
 func (j *job) useService(name string) bool {
 	leads := slices.ContainsFunc(j.route.Shares, func(s document.Share) bool { return s.Service == name && s.Weight > 0 })
--- a/internal/serve/caller/origin_test.go
+++ b/internal/serve/caller/origin_test.go
@@ -105,3 +105,37 @@
 		t.Errorf("got %+v", g)
 	}
 }
+
+// Guards against an entry that is behind and joins a stream that began elsewhere with the only version that it knows.
+func TestUnknownStreamGoesOnAtAConfirmedVersionOnly(t *testing.T) {
+	for _, c := range []struct {
+		own, confirmed string
+		status         int
+	}{
+		{"v1", "v1", http.StatusOK},
+		{"v1", "v2", http.StatusServiceUnavailable},
+		{"v1", "", http.StatusServiceUnavailable},
+		{"", "v1", http.StatusServiceUnavailable},
+	} {
+		f := newFixture(t, answerEvents("a", 0))
+		f.site.servers[0].Software = "v1"
+		f.site.onlySoftware, f.site.confirmedSoftware = c.own, c.confirmed
+		if g, _ := f.resume(t, "r1", ""); g.status != c.status {
+			t.Errorf("%q is known, %q is confirmed: got %+v", c.own, c.confirmed, g)
+		}
+	}
+}
+
+// Guards against a stream that begins with a version that other entries can't know of when they resume it.
+func TestStreamBeginsWithARecordedVersion(t *testing.T) {
+	f := newFixture(t, answerEvents("b", 0), answerEvents("a", 0))
+	f.site.servers[0].Software, f.site.unrecorded = "v2", "v2"
+	for i := range 8 {
+		if g := f.request(t, fmt.Sprint("r", i), http.MethodPost, "/resume/x"); g.status != http.StatusOK {
+			t.Fatalf("got %+v", g)
+		}
+	}
+	if n := f.servers[0].count(); n != 0 {
+		t.Errorf("%d streams began at the server whose software isn't recorded", n)
+	}
+}
--- a/internal/site/origin/origins.go
+++ b/internal/site/origin/origins.go
@@ -67,6 +67,9 @@
 	Record(k Key, o Origin, lifetime time.Duration)
 	// Find returns how the stream of an attempt began, at any entry.
 	Find(ctx context.Context, k Key) (Found, Outcome)
+	// OnlySoftware returns the version of the software of all servers that the service has had lately, as a quorum of
+	// the replicas confirms. It returns false if there were several or none, or if no replica confirms it.
+	OnlySoftware(ctx context.Context, service string) (string, bool)
 }
 
 type origins struct {
--- a/internal/site/origin/origins_test.go
+++ b/internal/site/origin/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -32,7 +33,7 @@
 	}
 	s := NewStore()
 	if role == keys.Control {
-		Serve(n, s)
+		Serve(n, s, func(context.Context, string) ([]string, error) { return nil, errors.New("no leader") })
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/site/origin/protocol.go
+++ b/internal/site/origin/protocol.go
@@ -33,8 +33,19 @@
 	Roles: []keys.Role{keys.Entry},
 }
 
+// SoftwareOf returns the versions of the software that the servers of a service have had lately, confirmed by a quorum.
+type SoftwareOf func(ctx context.Context, service string) ([]string, error)
+
+var softwareMethod = rpc.Method[string, []string]{
+	Name:  "service-software",
+	Roles: []keys.Role{keys.Entry},
+}
+
 // Serve registers the calls of entries at a control replica; call it before the node serves.
-func Serve(n rpc.Node, s Store) {
+func Serve(n rpc.Node, s Store, software SoftwareOf) {
+	rpc.Handle(n, softwareMethod, func(ctx context.Context, _ rpc.Peer, service string) ([]string, error) {
+		return software(ctx, service)
+	})
 	rpc.Handle(n, recordMethod, func(_ context.Context, _ rpc.Peer, b began) (recorded, error) {
 		s.Put(b.Key, b.Origin, b.Lifetime, time.Now())
 		return recorded{}, nil
--- a/internal/site/origin/round_trip_test.go
+++ b/internal/site/origin/round_trip_test.go
@@ -8,6 +8,7 @@
 
 // Guards against messages that their receivers can't read.
 func TestMessagesAreDecodedToWhatWasEncoded(t *testing.T) {
+	codectest.Method(t, softwareMethod)
 	codectest.Method(t, recordMethod)
 	codectest.Method(t, findMethod)
 }
--- a/internal/site/section/command.go
+++ b/internal/site/section/command.go
@@ -18,6 +18,10 @@
 	SetTargetVersion *SetTargetVersion `cbor:"name-version,omitempty"`
 	// SetEvacuation starts or ends the evacuation of an availability zone.
 	SetEvacuation *SetEvacuation `cbor:"set-evacuation,omitempty"`
+	// AddSoftware records a version of servers' software.
+	AddSoftware *Software `cbor:"add-software,omitempty"`
+	// RemoveSoftware removes a version that no server has had for long.
+	RemoveSoftware *Software `cbor:"remove-software,omitempty"`
 }
 
 // Put activates a document unless one with the same or a higher revision is active.
--- a/internal/site/section/section.go
+++ b/internal/site/section/section.go
@@ -23,6 +23,10 @@
 	TargetVersionTimes() map[string]int64
 	// Evacuations returns the state of each availability zone for which an order was accepted.
 	Evacuations() map[string]Evacuation
+	// Software returns the versions of the software that the servers of each service have had lately.
+	Software() map[string][]string
+	// SoftwareRecorded returns whether the version is among them, or isn't since there are too many.
+	SoftwareRecorded(v Software) bool
 }
 
 // Config configures a Section.
@@ -39,6 +43,7 @@
 	versions     map[string]int64
 	versionTimes map[string]int64
 	evacuations  map[string]Evacuation
+	software     map[string][]string
 }
 
 // snapshot is the encoded state of the section.
@@ -50,11 +55,13 @@
 	VersionTimes map[string]int64 `cbor:"named-at,omitempty"`
 	// Evacuations is missing in snapshots of earlier releases.
 	Evacuations map[string]Evacuation `cbor:"evacuations,omitempty"`
+	// Software is missing in snapshots of earlier releases.
+	Software map[string][]string `cbor:"software,omitempty"`
 }
 
 // New returns the empty section.
 func New(c Config) Section {
-	return &section{config: c, versions: map[string]int64{}, versionTimes: map[string]int64{}, evacuations: map[string]Evacuation{}}
+	return &section{config: c, versions: map[string]int64{}, versionTimes: map[string]int64{}, evacuations: map[string]Evacuation{}, software: map[string][]string{}}
 }
 
 // Name implements state.Section.
@@ -91,6 +98,10 @@
 		r = s.setTargetVersion(*c.SetTargetVersion)
 	case c.SetEvacuation != nil:
 		r = s.setEvacuation(*c.SetEvacuation)
+	case c.AddSoftware != nil:
+		r = s.addSoftware(*c.AddSoftware)
+	case c.RemoveSoftware != nil:
+		r = s.removeSoftware(*c.RemoveSoftware)
 	}
 	if s.active != nil {
 		r.Revision = s.active.Document.Revision
@@ -214,7 +225,7 @@
 func (s *section) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	snap := snapshot{Versions: s.versions, VersionTimes: s.versionTimes, Evacuations: s.evacuations}
+	snap := snapshot{Versions: s.versions, VersionTimes: s.versionTimes, Evacuations: s.evacuations, Software: s.software}
 	if s.active != nil {
 		snap.PutChunks = &PutChunks{Revision: s.active.Document.Revision, Document: s.active.Chunks, Source: s.active.source}
 	}
@@ -240,8 +251,11 @@
 	if snap.Evacuations == nil {
 		snap.Evacuations = map[string]Evacuation{}
 	}
+	if snap.Software == nil {
+		snap.Software = map[string][]string{}
+	}
 	s.mu.Lock()
-	s.active, s.versions, s.versionTimes, s.evacuations = active, snap.Versions, snap.VersionTimes, snap.Evacuations
+	s.active, s.versions, s.versionTimes, s.evacuations, s.software = active, snap.Versions, snap.VersionTimes, snap.Evacuations, snap.Software
 	s.mu.Unlock()
 	s.changed()
 	return nil
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -41,6 +41,8 @@
 	Evacuations rowtable.Topic = 18
 	// Quarantine holds the quarantine of an attribute of requests as a suspicion.Period under its fingerprint.
 	Quarantine rowtable.Topic = 19
+	// Software holds the versions of the software that the servers of a service have had lately, as []string under its name.
+	Software rowtable.Topic = 20
 )
 
 // Document identifies the operator's document and its chunks.
