An entry that is out of step expects servers to have restarted

An entry that was cut off, stood still or was suspended went on with streams at servers whose software it knew from before: a server may have restarted under its ID with another version and announced it meanwhile.

--- a/internal/process/siteentry/holder_state.go
+++ b/internal/process/siteentry/holder_state.go
@@ -84,10 +84,14 @@
 }
 
 // ageStates adds the time for which this process was suspended, which its clock doesn't count, to the age of all
-// reported states.
+// answers and reported states.
 func (s *site) ageStates(suspended time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.rowsAsOf, s.resumedAt = time.Time{}, time.Now()
+	for address, at := range s.caughtUp {
+		s.caughtUp[address] = at.Add(-suspended)
+	}
 	for _, states := range []map[string]*holderState{s.directStates, s.mirroredStates} {
 		for _, state := range states {
 			state.lastContact, state.lastAnswer = state.lastContact.Add(-suspended), state.lastAnswer.Add(-suspended)
--- a/internal/process/siteentry/software.go
+++ b/internal/process/siteentry/software.go
@@ -79,6 +79,9 @@
 
 // RestartExpected implements caller.Site.
 func (s *site) RestartExpected(v directory.Server, refusedAt time.Time) bool {
+	if s.outOfStep(time.Now()) {
+		return true
+	}
 	if refusedAt.IsZero() || time.Since(refusedAt) > restartTime {
 		return false
 	}
@@ -86,6 +89,24 @@
 	return !ok || x.learnedAt.Before(refusedAt)
 }
 
+// recordPoll records that the rows include what a replica knew when it got a poll that was sent at that time. An answer
+// that waited in this process's buffers while it stood still is no newer than its poll.
+func (s *site) recordPoll(sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sent.After(s.rowsAsOf) && sent.After(s.resumedAt) {
+		s.rowsAsOf = sent
+	}
+}
+
+// outOfStep returns whether the rows are so old that servers may have restarted under their IDs, and announced it,
+// without the entry's knowledge.
+func (s *site) outOfStep(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.rowsAsOf) > liveReplicaTimeout
+}
+
 // OnlySoftware implements caller.Site. The rows of servers that are gone are kept for longer than streams last.
 func (s *site) OnlySoftware(service string) (string, bool) {
 	if !s.hasRecentAnswer(time.Now()) {
--- a/internal/process/siteentry/software_test.go
+++ b/internal/process/siteentry/software_test.go
@@ -42,6 +42,10 @@
 	s := newDiscardSite()
 	v := directory.Server{ID: "a", StartedAt: 1, Service: "x", Address: "a:1", Software: "v1"}
 	s.applyServer(v)
+	if !s.RestartExpected(v, time.Time{}) {
+		t.Error("no restart is expected although no replica has answered")
+	}
+	s.recordPoll(time.Now())
 	refused := time.Now().Add(time.Millisecond)
 	if s.RestartExpected(v, time.Time{}) || s.RestartExpected(v, refused.Add(-time.Second)) {
 		t.Error("a restart is expected without a refused connection since the announcement")
@@ -77,3 +81,33 @@
 		t.Error("known though a server of another version has just gone")
 	}
 }
+
+// Guards against an entry that was suspended, stood still or was cut off, and joins streams with the software that
+// servers had before.
+func TestEntryThatIsOutOfStepTrustsNoAnnouncement(t *testing.T) {
+	s := newDiscardSite()
+	v := directory.Server{ID: "a", StartedAt: 1, Service: "x", Address: "a:1", Software: "v1"}
+	s.applyServer(v)
+	before := time.Now()
+	s.recordPoll(before.Add(-liveReplicaTimeout - time.Second))
+	if !s.RestartExpected(v, time.Time{}) {
+		t.Error("no restart is expected after an answer that waited while the process stood still")
+	}
+	s.apply("replica", watch.Answer{CaughtUp: true})
+	s.recordPoll(before)
+	if _, ok := s.OnlySoftware("x"); !ok || s.RestartExpected(v, time.Time{}) {
+		t.Fatal("the entry is out of step right after an answer")
+	}
+	s.ageStates(liveReplicaTimeout + time.Second)
+	s.recordPoll(before)
+	if _, ok := s.OnlySoftware("x"); ok {
+		t.Error("an entry that was suspended takes the version that it knows for the only one")
+	}
+	if !s.RestartExpected(v, time.Time{}) {
+		t.Error("an entry that was suspended expects no restart")
+	}
+	s.recordPoll(time.Now())
+	if s.RestartExpected(v, time.Time{}) {
+		t.Error("the entry stays out of step after an answer")
+	}
+}
