Soak: odd messages, callers that name no first attempt, versions that are new, and the loss of all with a disk

Odd announcements, departures and orders are sent all the time and must not be acknowledged; a document that is put beside them while nothing else is disturbed has to be in force at each entry two seconds after its ack. A quarter of the callers that resume name no attempt, and a quarter of the restarts bring a version that no server has had. At the end all processes are killed right after an ack, one replica comes back without its disk, and a server crashes meanwhile.

The answers' check takes the version from a stream's first event instead of a list, so that all versions are checked.

--- a/deploy/soak/client.go
+++ b/deploy/soak/client.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"strings"
 	"time"
 )
@@ -139,11 +138,11 @@
 func (c *client) checkAnswer(kind, attempt, tenant, body string, status int, got string) {
 	switch status {
 	case http.StatusOK:
-		want := []string{fmt.Sprintf("%s /%s/%s %s", attempt, kind, attempt, body)}
+		want := fmt.Sprintf("%s /%s/%s %s", attempt, kind, attempt, body)
 		if kind == "stream" || kind == "prompt" {
-			want = wholeStreams(attempt)
+			want = wholeStream(attempt, got)
 		}
-		if !slices.Contains(want, got) {
+		if got != want {
 			c.record.reportViolation("%s got a wrong answer: %.120q", attempt, got)
 		}
 		c.executions.mu.Lock()
@@ -162,15 +161,13 @@
 	}
 }
 
-// wholeStreams returns the stream of an attempt as servers of each version send it.
-func wholeStreams(attempt string) []string {
-	var all []string
-	for _, software := range softwareVersions {
-		var b strings.Builder
-		for n := 1; n <= streamEvents; n++ {
-			fmt.Fprintf(&b, "id: %d\ndata: %s %s\n\n", n, attempt, software)
-		}
-		all = append(all, b.String())
+// wholeStream returns the stream of an attempt as a server of the version sends it that wrote the first event of got.
+func wholeStream(attempt, got string) string {
+	_, software, _ := strings.Cut(got, "data: "+attempt+" ")
+	software, _, _ = strings.Cut(software, "\n")
+	var b strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s %s\n\n", n, attempt, software)
 	}
-	return all
+	return b.String()
 }
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -105,6 +105,8 @@
 	s.checkVersions(ctx)
 	s.loadBrittle(ctx, rand.New(rand.NewPCG(c.seed, 53)))
 	s.cutSome(ctx, rand.New(rand.NewPCG(c.seed, 59)), cutMode(c.seed%uint64(cutModes)))
+	s.loseAll(ctx)
+	s.checkOddMessages(ctx)
 	stop()
 	all.Wait()
 	s.checkGuarantees()
@@ -127,6 +129,7 @@
 	all.Go(func() { cutEntries(ctx, end, s) })
 	all.Go(func() { makeBrittle(ctx, end, s) })
 	all.Go(func() { changeVersions(ctx, end, s) })
+	all.Go(func() { sendOddMessages(ctx, end, s) })
 	n := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults[s.newRandom().IntN(len(faults))]
--- a/deploy/soak/soak_test.go
+++ b/deploy/soak/soak_test.go
@@ -28,7 +28,8 @@
 // blocked, servers crash, leave, fall silent and are brittle, entries are cut off from servers, and
 // documents race. In any order, each answer must be complete and belong to its request,
 // non-idempotent requests must run at most once, refused requests must not have run, requests at sound
-// servers must be answered, and acknowledged documents must be read back.
+// servers must be answered, acknowledged documents must be read back, also after all processes and a disk were lost, odd
+// messages must cost only themselves, and streams must not be joined from two software versions.
 func TestShortSoak(t *testing.T) {
 	all, err := shortRuns()
 	if err != nil {
--- a/deploy/soak/versions.go
+++ b/deploy/soak/versions.go
@@ -25,6 +25,8 @@
 const (
 	// resumersPerEntry is how many callers leave their streams and resume them.
 	resumersPerEntry = 2
+	// unnamedInterval is the number of streams of which one is resumed without the attempt that began it.
+	unnamedInterval = 4
 	// resumeAttempts is how often a caller resumes one stream at most.
 	resumeAttempts = 3
 	// resumeDuration is how long resumes are checked without other faults than those of this file.
@@ -82,13 +84,15 @@
 	name, kind string
 	// first is the attempt that brought the first event, software the version that wrote it.
 	first, software string
-	events          int
+	// unnamed is set if the caller doesn't name the first attempt.
+	unnamed bool
+	events  int
 }
 
 // resumeStreams sends streams, leaves or loses them, and resumes them at any entry until ctx ends.
 func (s *site) resumeStreams(ctx context.Context, name string, r *rand.Rand) {
 	for n := 0; ctx.Err() == nil; n++ {
-		x := &resumedStream{kind: []string{"stream", "prompt"}[r.IntN(2)], name: fmt.Sprintf("%s-%d", name, n)}
+		x := &resumedStream{kind: []string{"stream", "prompt"}[r.IntN(2)], name: fmt.Sprintf("%s-%d", name, n), unnamed: n%unnamedInterval == 0}
 		for attempt := 0; attempt <= resumeAttempts && x.events < streamEvents && ctx.Err() == nil; attempt++ {
 			s.resume(ctx, x, attempt, r)
 		}
@@ -120,9 +124,11 @@
 	resumes := x.events > 0
 	if resumes {
 		q.Header.Set("Last-Event-Id", fmt.Sprint(x.events))
-		q.Header.Set("Resumes", x.first)
+		if !x.unnamed {
+			q.Header.Set("Resumes", x.first)
+		}
 	}
-	counts := s.inTouchSince(s.entries[entry], time.Now().Add(-resumeContact)) && (!resumes || s.serversOf(x) >= 2)
+	counts := !x.unnamed && s.inTouchSince(s.entries[entry], time.Now().Add(-resumeContact)) && (!resumes || s.serversOf(x) >= 2)
 	before, status := x.events, 0
 	a, err := (&http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}).Do(q)
 	if err == nil {
@@ -187,16 +193,11 @@
 }
 
 // changeSoftware restarts the server with other software under its ID and address. It announces itself as it starts.
-func (s *server) changeSoftware(ctx context.Context, downtime time.Duration) {
+func (s *server) changeSoftware(ctx context.Context, software string, downtime time.Duration) {
 	s.proxy.setDown(true)
 	sleep(ctx, downtime)
 	s.mu.Lock()
-	for _, v := range softwareVersions {
-		if v != s.software {
-			s.software = v
-			break
-		}
-	}
+	s.software = software
 	s.startedAt, s.sequence = time.Now().UnixMilli(), 0
 	s.mu.Unlock()
 	for _, control := range s.controls {
@@ -205,18 +206,31 @@
 	s.proxy.setDown(false)
 }
 
+// otherSoftware returns another version than the server's, at times one that none has had.
+func (s *server) otherSoftware(r *rand.Rand, n int) string {
+	if r.IntN(4) == 0 {
+		return fmt.Sprint("new-", n)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.software == softwareVersions[0] {
+		return softwareVersions[1]
+	}
+	return softwareVersions[0]
+}
+
 // changeVersions restarts servers with other software at random times until end. It uses a separate random source, so
 // that it does not change the faults of a seed.
 func changeVersions(ctx context.Context, end time.Time, s *site) {
 	r := rand.New(rand.NewPCG(s.seed, 67))
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
 		sleep(ctx, time.Duration(r.Int64N(int64(4*time.Second))))
 		if !time.Now().Before(end) {
 			return
 		}
 		x := s.drawServers(r)[0]
 		s.record.note("%s restarts with other software", x.id)
-		x.changeSoftware(ctx, minDowntime+time.Duration(r.Int64N(int64(maxDowntime-minDowntime))))
+		x.changeSoftware(ctx, x.otherSoftware(r, n), minDowntime+time.Duration(r.Int64N(int64(maxDowntime-minDowntime))))
 	}
 }
 
