--- a/deploy/soak/losses.go
+++ b/deploy/soak/losses.go
@@ -149,7 +149,7 @@
 			sleep(ctx, length)
 			for _, x := range silenced {
 				x.proxy.setSilence(talking)
-				s.record.note("%s goes on", x.id)
+				s.record.note("%s continues", x.id)
 			}
 		})
 	}
--- a/deploy/soak/versions.go
+++ b/deploy/soak/versions.go
@@ -15,7 +15,7 @@
 )
 
 // Terms of the guarantee to streams that callers resume at entries in touch, while two servers of their software
-// serve: of minResumes or more, the share that goes on is at least half of the share of new streams that begin.
+// serve: of minResumes or more, the share that continues is at least half of the share of new streams that begin.
 const (
 	minResumes      = 12
 	minResumedShare = 0.5
@@ -70,12 +70,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.counting = false
-	v.record.note("%d of %d streams began, %d of %d went on", v.beganOK, v.began, v.resumedOK, v.resumed)
+	v.record.note("%d of %d streams began, %d of %d continued", v.beganOK, v.began, v.resumedOK, v.resumed)
 	if v.resumed < minResumes || v.began == 0 {
 		return
 	}
 	if float64(v.resumedOK)/float64(v.resumed) < minResumedShare*float64(v.beganOK)/float64(v.began) {
-		v.record.reportViolation("%d of %d resumed streams went on, %d of %d new ones began", v.resumedOK, v.resumed, v.beganOK, v.began)
+		v.record.reportViolation("%d of %d resumed streams continued, %d of %d new ones began", v.resumedOK, v.resumed, v.beganOK, v.began)
 	}
 }
 
--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -29,7 +29,7 @@
 	// DocumentShown is written when a replica has applied another document and offers it to the processes that poll it.
 	DocumentShown = define(909, log.InfoLevel, "document-shown", "The replica offers the document with the given number to entries; routes, chunks and bytes give its size.")
 	// AttemptRouted is written for each attempt at a backend server.
-	AttemptRouted = define(910, log.InfoLevel, "attempt-routed", "A request is sent to the named server; the fields give the inputs of the choice, the version of the server's software and, for a stream that goes on, after which event and which attempt the caller names as its first.")
+	AttemptRouted = define(910, log.InfoLevel, "attempt-routed", "A request is sent to the named server; the fields give the inputs of the choice, the version of the server's software and, for a stream that continues, after which event and which attempt the caller names as its first.")
 	// RequestEnded is written when a caller has its final answer.
 	RequestEnded = define(911, log.InfoLevel, "request-ended", "A request has ended; the fields give status, attempts, verdict and time, cut whether the caller's connection was closed without a complete answer, and silent-ms how long the server of the last failed attempt had sent nothing.")
 	// AttemptFailed is written when an attempt at a server gave no answer that can be forwarded.
--- a/internal/entry/quarantine/unreported_test.go
+++ b/internal/entry/quarantine/unreported_test.go
@@ -24,7 +24,7 @@
 	return l.sectionLog.Propose(ctx, section, body)
 }
 
-// Guards against a piece of prompts that goes on to crash engines while the control log takes no reports, and against
+// Guards against a piece of prompts that keeps crashing engines while the control log takes no reports, and against
 // losses that the record never learns of because their first report failed.
 func TestFailedReportsCountAndAreRepeated(t *testing.T) {
 	l := &mutedLog{sectionLog: newSectionLog(), down: true}
--- a/internal/entry/service/config.go
+++ b/internal/entry/service/config.go
@@ -44,7 +44,7 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialTimeout bounds the setup of a connection; default 2 s.
 	DialTimeout time.Duration
-	// DispatchTimeout bounds a dispatch, which goes on after its caller has disconnected; default 5 min.
+	// DispatchTimeout bounds a dispatch, which continues after its caller has disconnected; default 5 min.
 	DispatchTimeout time.Duration
 	// DispatchWindow is the maximum age of a claim at its dispatch; default 10 s.
 	DispatchWindow time.Duration
--- a/internal/node/dial/watch.go
+++ b/internal/node/dial/watch.go
@@ -16,15 +16,15 @@
 	paths   reach.Paths
 	mu      sync.Mutex
 	// answered is set if bytes came since the last write, so that the next write begins a request.
-	answered bool
-	heard    time.Time
+	answered   bool
+	receivedAt time.Time
 }
 
 // Watch returns c, a connection to the server at address, for a client that keeps it for further requests, such as
 // http.Transport. A request on it fails before its first byte is written if the path isn't the right one any more,
 // so that the client opens another connection.
 func Watch(c net.Conn, address string, p reach.Paths) net.Conn {
-	return &watched{Conn: c, address: address, paths: p, heard: time.Now()}
+	return &watched{Conn: c, address: address, paths: p, receivedAt: time.Now()}
 }
 
 // Read implements net.Conn.
@@ -33,10 +33,10 @@
 	if n > 0 {
 		now := time.Now()
 		w.mu.Lock()
-		w.answered, w.heard = true, now
+		w.answered, w.receivedAt = true, now
 		w.mu.Unlock()
 		if Via(w.Conn) == "" {
-			w.paths.Heard(w.address, now)
+			w.paths.Received(w.address, now)
 		}
 	}
 	return n, err
@@ -45,19 +45,19 @@
 // Write implements net.Conn.
 func (w *watched) Write(b []byte) (int, error) {
 	w.mu.Lock()
-	begins, heard := w.answered, w.heard
+	begins, receivedAt := w.answered, w.receivedAt
 	w.answered = false
 	w.mu.Unlock()
-	if begins && !w.usable(heard) {
+	if begins && !w.usable(receivedAt) {
 		_ = w.Close()
 		return 0, fmt.Errorf("dial: another path leads to %s now: %w", w.address, net.ErrClosed)
 	}
 	return w.Conn.Write(b)
 }
 
-func (w *watched) usable(heard time.Time) bool {
+func (w *watched) usable(receivedAt time.Time) bool {
 	if Via(w.Conn) != "" {
 		return w.paths.CutOff(w.address)
 	}
-	return w.paths.Trusted(w.address, heard)
+	return w.paths.Trusted(w.address, receivedAt)
 }
--- a/internal/policy/overload/detector_test.go
+++ b/internal/policy/overload/detector_test.go
@@ -104,18 +104,18 @@
 
 // Guards against an entry that reads more than it can serve while a balancer hands it nearly all new connections: all
 // of them wait, and hardly any caller is answered in time.
-func TestEntryServesWhatItReadsBesideACrowd(t *testing.T) {
+func TestEntryServesWhatItReadsBesideASurge(t *testing.T) {
 	e := entry{acceptCost: 50 * time.Microsecond, serveCost: 2 * time.Millisecond, patience: 500 * time.Millisecond}
 	const calm, span = 100.0, 10 * time.Second
-	for _, crowd := range []float64{2, 6, 15, 60} {
-		read, served := e.play(crowd*calm, span, func(d Detector) bool { return d.Overloaded() })
-		all, none := e.play(crowd*calm, span, func(Detector) bool { return false })
-		t.Logf("%.0f times as many: %d of %d served, without the detector %d of %d", crowd, served, read, none, all)
+	for _, surge := range []float64{2, 6, 15, 60} {
+		read, served := e.play(surge*calm, span, func(d Detector) bool { return d.Overloaded() })
+		all, none := e.play(surge*calm, span, func(Detector) bool { return false })
+		t.Logf("%.0f times as many: %d of %d served, without the detector %d of %d", surge, served, read, none, all)
 		if 4*served < 3*read {
-			t.Errorf("%.0f times as many connections: %d of %d requests that were read were served", crowd, served, read)
+			t.Errorf("%.0f times as many connections: %d of %d requests that were read were served", surge, served, read)
 		}
-		if capacity := span.Seconds() / e.serveCost.Seconds(); float64(read) < min(0.7*capacity, 0.95*crowd*calm*span.Seconds()) && crowd <= 15 {
-			t.Errorf("%.0f times as many connections: only %d requests were read", crowd, read)
+		if capacity := span.Seconds() / e.serveCost.Seconds(); float64(read) < min(0.7*capacity, 0.95*surge*calm*span.Seconds()) && surge <= 15 {
+			t.Errorf("%.0f times as many connections: only %d requests were read", surge, read)
 		}
 	}
 }
--- a/internal/policy/reach/paths.go
+++ b/internal/policy/reach/paths.go
@@ -204,8 +204,8 @@
 	return CutOff
 }
 
-// Heard implements Paths. Old connections may live on while new ones are refused, so it doesn't end a cut.
-func (p *paths) Heard(address string, now time.Time) {
+// Received implements Paths. Old connections may live on while new ones are refused, so it doesn't end a cut.
+func (p *paths) Received(address string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.server(address, now)
@@ -213,8 +213,8 @@
 	p.recordContact(now)
 }
 
-// HeardSince implements Paths.
-func (p *paths) HeardSince(address string, since time.Time) bool {
+// ReceivedSince implements Paths.
+func (p *paths) ReceivedSince(address string, since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.servers[address]
@@ -231,17 +231,17 @@
 }
 
 // Trusted implements Paths.
-func (p *paths) Trusted(address string, heard time.Time) bool {
+func (p *paths) Trusted(address string, receivedAt time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.servers[address]
 	if !ok {
 		return true
 	}
-	if !heard.After(s.cutSince) {
+	if !receivedAt.After(s.cutSince) {
 		return false
 	}
-	return s.cut || heard.After(p.suspectSince) || s.reachedAt.After(p.suspectSince)
+	return s.cut || receivedAt.After(p.suspectSince) || s.reachedAt.After(p.suspectSince)
 }
 
 // Hangs implements Paths.
--- a/internal/policy/reach/paths_test.go
+++ b/internal/policy/reach/paths_test.go
@@ -214,14 +214,14 @@
 	p.attempt("a", Direct, Failed, 400*time.Millisecond)
 	p.attempt("a", Tunnel, Connected, 60*time.Millisecond)
 	later := p.now.Add(10 * time.Millisecond)
-	p.after(500*time.Millisecond).Heard("c", p.now)
+	p.after(500*time.Millisecond).Received("c", p.now)
 	for _, x := range []struct {
-		server string
-		heard  time.Time
-		want   bool
+		server     string
+		receivedAt time.Time
+		want       bool
 	}{{"a", before, false}, {"a", later, true}, {"b", before, false}, {"b", later, true}, {"c", before, true}, {"new", before, true}} {
-		if got := p.Trusted(x.server, x.heard); got != x.want {
-			t.Errorf("server %s, heard at %v: trusted is %t", x.server, x.heard.Sub(before), got)
+		if got := p.Trusted(x.server, x.receivedAt); got != x.want {
+			t.Errorf("server %s, receivedAt at %v: trusted is %t", x.server, x.receivedAt.Sub(before), got)
 		}
 	}
 	p.Silent("a", later)
@@ -250,7 +250,7 @@
 		if p.Hangs("s", sent) != x.want {
 			t.Errorf("after outcome %d a connection hangs: %t", x.direct, !x.want)
 		}
-		p.after(time.Second).Heard("s", p.now)
+		p.after(time.Second).Received("s", p.now)
 		if p.Hangs("s", sent) {
 			t.Error("a connection hangs although bytes have come")
 		}
@@ -269,7 +269,7 @@
 	if p.OnlyOne("b", p.now) {
 		t.Error("the second failure counts against the server")
 	}
-	p.after(10*time.Millisecond).Heard("c", p.now)
+	p.after(10*time.Millisecond).Received("c", p.now)
 	if !p.OnlyOne("b", p.now) {
 		t.Error("a failure doesn't count against the server although another one answers")
 	}
@@ -324,7 +324,7 @@
 		p.attempt(s, Direct, Refused, 0)
 		p.attempt(s, Tunnel, Connected, time.Millisecond)
 	}
-	p.after(2*forgetAfter).Heard("new", p.now)
+	p.after(2*forgetAfter).Received("new", p.now)
 	if n := len(p.Paths.(*paths).servers); n != 1 || p.Len() != 0 {
 		t.Errorf("%d servers are kept, %d cut off", n, p.Len())
 	}
--- a/internal/policy/suspicion/register.go
+++ b/internal/policy/suspicion/register.go
@@ -91,7 +91,7 @@
 	return true, e.refuted
 }
 
-// Knows returns whether the register has heard of an attribute.
+// Knows returns whether the register knows an attribute.
 func (r *Register) Knows(f Fingerprint) bool {
 	_, ok := r.known[f]
 	return ok
--- a/internal/process/sitecontrol/announcements.go
+++ b/internal/process/sitecontrol/announcements.go
@@ -125,7 +125,7 @@
 // longer runs. Without an acknowledgement the server retries at the next replica.
 func (a *announcements) leave(ctx context.Context, s directory.Server) error {
 	if !a.caughtUp() {
-		return a.refuse(s, "this replica hears no leader")
+		return a.refuse(s, "this replica has no contact with a leader")
 	}
 	a.merge(s)
 	known, _ := a.directory.Get(s.ID)
--- a/internal/serve/backend/client.go
+++ b/internal/serve/backend/client.go
@@ -34,18 +34,18 @@
 
 // Paths holds what is known of the paths to servers.
 type Paths interface {
-	// Heard records that bytes came from the server on a direct connection.
-	Heard(address string, now time.Time)
-	// HeardSince returns whether the server has been reached directly since then.
-	HeardSince(address string, since time.Time) bool
+	// Received records that bytes came from the server on a direct connection.
+	Received(address string, now time.Time)
+	// ReceivedSince returns whether the server has been reached directly since then.
+	ReceivedSince(address string, since time.Time) bool
 	// Silent records that a direct connection has brought nothing since then, although the server
 	// can be reached in a tunnel.
 	Silent(address string, since time.Time)
 	// Hangs returns whether a direct connection on which nothing came since then hangs.
 	Hangs(address string, since time.Time) bool
 	// Trusted returns whether a request may be sent on an idle direct connection on which bytes
-	// last came at heard.
-	Trusted(address string, heard time.Time) bool
+	// last came at receivedAt.
+	Trusted(address string, receivedAt time.Time) bool
 }
 
 // Config is the configuration of a Client.
--- a/internal/serve/backend/conn.go
+++ b/internal/serve/backend/conn.go
@@ -75,7 +75,7 @@
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.recordHeard(time.Now())
+			c.recordReceived(time.Now())
 		}
 		if c.headLeft != nil {
 			*c.headLeft -= n
@@ -94,12 +94,12 @@
 	return http.ReadResponse(c.reader, q)
 }
 
-// recordHeard records that bytes have come.
-func (c *conn) recordHeard(now time.Time) {
+// recordReceived records that bytes have come.
+func (c *conn) recordReceived(now time.Time) {
 	c.heardAt = now
 	if !c.tunnelled && now.Sub(c.recordedAt) > recordInterval {
 		c.recordedAt = now
-		c.paths.Heard(c.address, now)
+		c.paths.Received(c.address, now)
 	}
 }
 
--- a/internal/serve/backend/cut_off_test.go
+++ b/internal/serve/backend/cut_off_test.go
@@ -170,7 +170,7 @@
 	go func() {
 		defer close(done)
 		for range 20 {
-			p.Heard(testTarget.Address, time.Now())
+			p.Received(testTarget.Address, time.Now())
 			time.Sleep(silenceTimeout / 6)
 		}
 	}()
--- a/internal/serve/backend/exchange.go
+++ b/internal/serve/backend/exchange.go
@@ -51,7 +51,7 @@
 		return false, &Error{Verdict: verdict.NotRun, Reason: Broken, Cause: err}
 	}
 	x.CheckAt(x.timing.CheckAt)
-	x.conn.onTimeout = x.goesOn
+	x.conn.onTimeout = x.continues
 	x.bodyWritten = make(chan error, 1)
 	first, rest := m.split()
 	n, err := x.conn.Write(first)
--- a/internal/serve/backend/silence.go
+++ b/internal/serve/backend/silence.go
@@ -67,7 +67,7 @@
 	}
 	x, now := w.exchange, time.Now()
 	c, t := x.client.config, x.target
-	if c.Paths.HeardSince(t.Address, now.Add(-silenceTimeout)) {
+	if c.Paths.ReceivedSince(t.Address, now.Add(-silenceTimeout)) {
 		w.schedule(silenceTimeout)
 		return
 	}
--- a/internal/serve/backend/timing.go
+++ b/internal/serve/backend/timing.go
@@ -38,11 +38,11 @@
 	x.CheckAt(time.Time{})
 }
 
-// goesOn makes the check whose time has come and returns whether the exchange goes on.
+// continues makes the check whose time has come and returns whether the exchange continues.
 //
 // In a process that was suspended the time of the check has passed although the response has
 // arrived, so what has arrived is read first.
-func (x *Exchange) goesOn() bool {
+func (x *Exchange) continues() bool {
 	now := time.Now()
 	if x.timing.Check == nil || !now.Before(x.timing.Deadline) {
 		return false
--- a/internal/serve/caller/caller_left_test.go
+++ b/internal/serve/caller/caller_left_test.go
@@ -12,12 +12,12 @@
 	"hornbeamwood/internal/site/document"
 )
 
-// beginAnswer sends the head and the first bytes of a response of the given length. If it goes on, the rest
+// beginAnswer sends the head and the first bytes of a response of the given length. If it continues, the rest
 // follows after a pause.
-func beginAnswer(length, begun int, goesOn bool) script {
+func beginAnswer(length, begun int, continues bool) script {
 	return func(_ *scriptedServer, c net.Conn, q *http.Request) bool {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nA-Id: %s\r\nA-Stamp: x\r\nContent-Length: %d\r\n\r\n%s", q.Header.Get("A-Id"), length, strings.Repeat("x", begun))
-		if goesOn {
+		if continues {
 			time.Sleep(100 * time.Millisecond)
 			_, err := c.Write(make([]byte, length-begun))
 			return err == nil
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -52,7 +52,7 @@
 	// Servers returns the ready servers of a service.
 	Servers(service string) []directory.Server
 	// OnlySoftware returns the version of the software of all servers that the service has had for some
-	// minutes. It returns false if they differ, or if the entry may not have heard of some.
+	// minutes. It returns false if they differ, or if the entry may not know of some.
 	OnlySoftware(service string) (string, bool)
 	// SoftwareRecorded returns whether the version of the server's software is recorded in the control log, or
 	// none of its service is.
--- a/internal/serve/caller/cut_off_test.go
+++ b/internal/serve/caller/cut_off_test.go
@@ -145,11 +145,11 @@
 // noPaths are paths that trust every connection.
 type noPaths struct{}
 
-func (noPaths) Heard(string, time.Time)           {}
-func (noPaths) HeardSince(string, time.Time) bool { return true }
-func (noPaths) Silent(string, time.Time)          {}
-func (noPaths) Hangs(string, time.Time) bool      { return false }
-func (noPaths) Trusted(string, time.Time) bool    { return true }
+func (noPaths) Received(string, time.Time)           {}
+func (noPaths) ReceivedSince(string, time.Time) bool { return true }
+func (noPaths) Silent(string, time.Time)             {}
+func (noPaths) Hangs(string, time.Time) bool         { return false }
+func (noPaths) Trusted(string, time.Time) bool       { return true }
 
 // hangingPaths are paths on which each direct connection hangs.
 type hangingPaths struct{ noPaths }
--- a/internal/serve/caller/origin.go
+++ b/internal/serve/caller/origin.go
@@ -36,7 +36,7 @@
 	at     time.Time
 }
 
-// servers yields the ready servers where the request may run. A stream that has begun goes on only with the software
+// servers yields the ready servers where the request may run. A stream that has begun continues only with the software
 // that began it, since the events of two versions don't fit together.
 func (j *job) servers() iter.Seq[directory.Server] {
 	return func(yield func(directory.Server) bool) {
@@ -117,7 +117,7 @@
 }
 
 // findOrigin finds out how the stream began that the caller resumes, if it does. It returns false if that stays
-// unknown; then going on could join events of two versions.
+// unknown; then continuing could join events of two versions.
 func (j *job) findOrigin(ctx context.Context) bool {
 	if j.route.Kind != document.Streaming || j.request.LastEvent == 0 {
 		return true
--- a/internal/serve/caller/origin_test.go
+++ b/internal/serve/caller/origin_test.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// Guards against a resume that goes on at another service than the one that began its stream.
+// Guards against a resume that continues at another service than the one that began its stream.
 func TestResumeKeepsToItsService(t *testing.T) {
 	f := newFixture(t, answerEvents("a", 0))
 	f.config.Origins.Record(origin.NewKey("", "elsewhere"), origin.Origin{Service: "e", Software: "v1"}, time.Minute)
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -41,7 +41,7 @@
 	answer := j.Codec.Answer(x.Response.Header)
 	j.recordServerState(c, answer)
 	if ownResponse(x.Response.StatusCode, answer) {
-		j.Tracker.Heard(a, time.Now())
+		j.Tracker.EndSilence(a, time.Now())
 		j.recordAvailability(a, x.Response.StatusCode, answer)
 		j.observeBrittle(c.server, a, x.Response.StatusCode, answer)
 	}
--- a/internal/serve/caller/silence_test.go
+++ b/internal/serve/caller/silence_test.go
@@ -199,7 +199,7 @@
 	}
 }
 
-// Guards against a prompt that leaves a silent engine, which goes on, for engines that may not get it.
+// Guards against a prompt that leaves a silent engine, which continues, for engines that may not get it.
 func TestPromptStaysWhileOtherEnginesAreInBackoff(t *testing.T) {
 	pausing := func(s *scriptedServer, c net.Conn, q *http.Request) bool {
 		time.Sleep(time.Second)
@@ -228,7 +228,7 @@
 	return q.Forecast(nil)
 }
 
-// Guards against a prompt that leaves a silent engine, which goes on, for a queue that refuses it.
+// Guards against a prompt that leaves a silent engine, which continues, for a queue that refuses it.
 func TestPromptStaysWhileTheQueueIsFull(t *testing.T) {
 	pausing := func(s *scriptedServer, c net.Conn, q *http.Request) bool {
 		time.Sleep(time.Second)
--- a/internal/serve/caller/stream.go
+++ b/internal/serve/caller/stream.go
@@ -96,7 +96,7 @@
 		j.Tracker.EventGap(a, gap)
 	}
 	j.Tracker.Started(a, now)
-	j.Tracker.Heard(a, now)
+	j.Tracker.EndSilence(a, now)
 	if e.HasID {
 		j.streamed.last = e.ID
 	}
--- a/internal/serve/caller/successor.go
+++ b/internal/serve/caller/successor.go
@@ -13,7 +13,7 @@
 // secureSuccessor reserves another server that may get the request at once, and spends a retry on it.
 //
 // An attempt whose server is silent is ended only after that. The answer of a sound server that
-// goes on would be given up for nothing if no other server took the request. A prompt without an
+// continues would be given up for nothing if no other server took the request. A prompt without an
 // event leaves for the queue too, if there is an engine that it can wait for.
 func (j *job) secureSuccessor(now time.Time) bool {
 	if !j.granted && !j.Budget.Available(j.service.Name, now) {
--- a/internal/serve/observe/silent_test.go
+++ b/internal/serve/observe/silent_test.go
@@ -6,7 +6,7 @@
 )
 
 // Guards against a server that is chosen although it is silent for all its attempts, against a loss that counts
-// twice, and against a server that stays ejected after it goes on.
+// twice, and against a server that stays ejected after it continues.
 func TestSilentServerIsEjectedUntilItGoesOn(t *testing.T) {
 	x, now := New(), time.Now()
 	var all []*Attempt
@@ -23,9 +23,9 @@
 	if s := x.Stats("s"); s.ConsecutiveLosses != ejectionStreak {
 		t.Errorf("lost after its silence: got %+v", s)
 	}
-	x.Heard(all[1], now)
+	x.EndSilence(all[1], now)
 	if s := x.Stats("s"); now.Before(s.EjectedUntil) || s.ConsecutiveLosses != 0 {
-		t.Errorf("goes on: got %+v", s)
+		t.Errorf("continues: got %+v", s)
 	}
 }
 
--- a/internal/serve/observe/tracker.go
+++ b/internal/serve/observe/tracker.go
@@ -62,10 +62,10 @@
 	// Started records the first event of a stream.
 	Started(a *Attempt, now time.Time)
 	// Silent records that the server has been silent for so long that it may be lost, once. The attempt
-	// goes on.
+	// continues.
 	Silent(a *Attempt, now time.Time)
-	// Heard records that a server that was silent goes on.
-	Heard(a *Attempt, now time.Time)
+	// EndSilence records that a server that was silent continues.
+	EndSilence(a *Attempt, now time.Time)
 	// EventGap records the time between two consecutive events of a stream.
 	EventGap(a *Attempt, gap time.Duration)
 	// End records how the attempt ended.
@@ -192,8 +192,8 @@
 	s.state(a.Server, now).recordOutcome(Lost, now)
 }
 
-// Heard implements Tracker.
-func (t *tracker) Heard(a *Attempt, now time.Time) {
+// EndSilence implements Tracker.
+func (t *tracker) EndSilence(a *Attempt, now time.Time) {
 	if !a.silent {
 		return
 	}
--- a/internal/serve/quarantine/guard_test.go
+++ b/internal/serve/quarantine/guard_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// Guards against suspicion of requests whose server broke off one response and goes on, and against reports that
+// Guards against suspicion of requests whose server broke off one response and continues, and against reports that
 // are lost with their replica.
 func TestRunsAreReportedOnceTheirServerIsLost(t *testing.T) {
 	responded := map[string]time.Time{"faulty": now.Add(50 * time.Millisecond), "lost": now.Add(5 * time.Millisecond)}
--- a/internal/serve/quarantine/own_losses_test.go
+++ b/internal/serve/quarantine/own_losses_test.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// Guards, on a simulated site whose control log takes no reports, against a part that goes on to end servers, and
+// Guards, on a simulated site whose control log takes no reports, against a part that keeps ending servers, and
 // against the refusal of sound requests by entries that know only their own answers.
 func TestPartIsKeptFromServersWithoutTheControlLog(t *testing.T) {
 	terms := worldTerms{entries: 3, servers: 12, sessions: 20, workspaces: 3, sound: 40, bad: 10, crashing: 1, together: 1, outage: true}
--- a/internal/serve/quarantine/world_test.go
+++ b/internal/serve/quarantine/world_test.go
@@ -218,7 +218,7 @@
 	return firstEvent
 }
 
-// work goes on with what runs at the servers.
+// work continues with what runs at the servers.
 func (w *world) work() {
 	for i := 0; i < len(w.runs); i++ {
 		r := w.runs[i]
--- a/internal/site/origin/store_test.go
+++ b/internal/site/origin/store_test.go
@@ -12,7 +12,7 @@
 	"hornbeamwood/internal/site/directory"
 )
 
-// Guards against a stream that goes on at a server with other or unknown software, of another service, or at a later
+// Guards against a stream that continues at a server with other or unknown software, of another service, or at a later
 // start of the server that began it.
 func TestOriginAllowsTheSameSoftwareOnly(t *testing.T) {
 	began := directory.Server{ID: "a", StartedAt: 1, Service: "s", Software: "v1"}
@@ -36,7 +36,7 @@
 	}
 	unknown := At(began).WithoutSoftware()
 	if other := (directory.Server{ID: "b", StartedAt: 1, Service: "s"}); !unknown.Allows(began) || unknown.Allows(other) {
-		t.Error("a stream of unknown software goes on at another server, or not at its own")
+		t.Error("a stream of unknown software continues at another server, or not at its own")
 	}
 }
 
--- a/internal/standin/backend/backoffs.go
+++ b/internal/standin/backend/backoffs.go
@@ -30,7 +30,7 @@
 
 	mu     sync.Mutex
 	report BackoffReport
-	// number is the backoff that goes on, requestedAt when it was first requested, late the requests after that.
+	// number is the current backoff, requestedAt when it was first requested, late the requests after that.
 	number      int
 	requestedAt time.Time
 	late        int
