An entry is out of step two seconds after the last answer, not after the last poll

An answer counts from its arrival, if its poll was sent after the last time when the process stood still. The test with the slowest answers fails before: sent is too old.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -203,7 +203,7 @@
 
 func (p *process) apply(address string, a watch.Answer, sent time.Time) {
 	p.site.apply(address, a)
-	p.site.recordPoll(sent)
+	p.site.recordAnswer(sent, time.Now())
 	p.site.documents.pollAnswered(sent)
 	p.budget.SetEntries(p.site.Entries())
 	p.limits.SetEntries(p.site.Entries())
--- a/internal/process/siteentry/evacuations_test.go
+++ b/internal/process/siteentry/evacuations_test.go
@@ -43,7 +43,7 @@
 }
 
 // Guards against requests to an evacuated zone: from an entry that has just started and knows
-// servers but no evacuations yet, and from one that hears old orders from a slow replica.
+// servers but no evacuations yet, and from one that receives old orders from a slow replica.
 func TestEvacuatedZoneGetsNoRequests(t *testing.T) {
 	s := siteWithServers(t)
 	for _, a := range []watch.Answer{{}, {CaughtUp: true, More: true}} {
--- a/internal/process/siteentry/holder_state.go
+++ b/internal/process/siteentry/holder_state.go
@@ -88,7 +88,7 @@
 func (s *site) ageStates(suspended time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rowsAsOf, s.resumedAt = time.Time{}, time.Now()
+	s.answeredAt, s.resumedAt = time.Time{}, time.Now()
 	for address, at := range s.caughtUp {
 		s.caughtUp[address] = at.Add(-suspended)
 	}
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -61,9 +61,9 @@
 	reportedEntries  map[string]int
 	count            entryCount
 	caughtUp         map[string]time.Time
-	// rowsAsOf is when the newest poll was sent that any replica has answered, resumedAt when this process was last
-	// found to have been suspended. Answers to earlier polls don't count, since the clock didn't count that time.
-	rowsAsOf, resumedAt time.Time
+	// answeredAt is when any replica last answered a poll, resumedAt when this process was last found to have been
+	// suspended. Answers to earlier polls don't count.
+	answeredAt, resumedAt time.Time
 	follow              func()
 	// directStates holds the state of stores and orders that each replica reports.
 	directStates map[string]*holderState
--- a/internal/process/siteentry/software.go
+++ b/internal/process/siteentry/software.go
@@ -89,13 +89,14 @@
 	return !ok || x.learnedAt.Before(refusedAt)
 }
 
-// recordPoll records that the rows include what a replica knew when it got a poll that was sent at that time. An answer
-// that waited in this process's buffers while it stood still is no newer than its poll.
-func (s *site) recordPoll(sent time.Time) {
+// recordAnswer records that a poll that was sent at that time was answered now. An answer that waited in this process's
+// buffers while it stood still doesn't show what has changed since.
+func (s *site) recordAnswer(sent, now time.Time) {
+	s.suspension.detect()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if sent.After(s.rowsAsOf) && sent.After(s.resumedAt) {
-		s.rowsAsOf = sent
+	if sent.After(s.resumedAt) {
+		s.answeredAt = now
 	}
 }
 
@@ -104,7 +105,7 @@
 func (s *site) outOfStep(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.rowsAsOf) > liveReplicaTimeout
+	return now.Sub(s.answeredAt) > liveReplicaTimeout
 }
 
 // OnlySoftware implements caller.Site. The rows of servers that are gone are kept for longer than streams last.
