--- a/internal/process/sitecontrol/software.go
+++ b/internal/process/sitecontrol/software.go
@@ -46,7 +46,7 @@
 // leader, which also does it for a replica that is lost.
 func (r *softwareRecorder) observe(s directory.Server) {
 	v := section.Software{Service: s.Service, Version: s.Software}
-	if v.Service == "" || v.Version == "" || r.process.section.SoftwareRecorded(v) {
+	if v.Service == "" || r.process.section.SoftwareRecorded(v) {
 		return
 	}
 	if s.HomeReplica != r.process.config.Host.Internal && !r.process.isLeader() {
@@ -102,14 +102,6 @@
 	return len(r.pending) == 0
 }
 
-// softwareOf returns the versions that are recorded for a service, confirmed by a quorum after the call began.
-func (p *process) softwareOf(ctx context.Context, service string) ([]string, error) {
-	if err := p.leader.CatchUp(ctx); err != nil {
-		return nil, err
-	}
-	return p.section.Software()[service], nil
-}
-
 func (r *softwareRecorder) takePending() []section.Software {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -152,3 +144,11 @@
 		}
 	}
 }
+
+// softwareOf returns the versions that are recorded for a service, confirmed by a quorum after the call began.
+func (p *process) softwareOf(ctx context.Context, service string) ([]string, error) {
+	if err := p.leader.CatchUp(ctx); err != nil {
+		return nil, err
+	}
+	return p.section.Software()[service], nil
+}
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -64,7 +64,7 @@
 	// answeredAt is when any replica last answered a poll, resumedAt when this process was last found to have been
 	// suspended. Answers to earlier polls don't count.
 	answeredAt, resumedAt time.Time
-	follow              func()
+	follow                func()
 	// directStates holds the state of stores and orders that each replica reports.
 	directStates map[string]*holderState
 	clock        *stores.Clock
--- a/internal/site/section/doc.go
+++ b/internal/site/section/doc.go
@@ -1,3 +1,4 @@
 // Package section is the section of the control log's state that holds the operator's
-// document and the target versions of model weights.
+// document, the target versions of model weights, the evacuated availability zones and the
+// versions of servers' software.
 package section
--- a/internal/site/section/software.go
+++ b/internal/site/section/software.go
@@ -13,14 +13,14 @@
 type Software struct {
 	// Service is the name of the service.
 	Service string `cbor:"service"`
-	// Version is the version as the servers announce it.
+	// Version is the version as the servers announce it, empty if they announce none.
 	Version string `cbor:"version"`
 }
 
 // addSoftware records that servers of the service have the version.
 func (s *section) addSoftware(v Software) Result {
 	known := s.software[v.Service]
-	if v.Service == "" || v.Version == "" {
+	if v.Service == "" {
 		return Result{}
 	}
 	if recorded(known, v.Version) {
