--- a/rolling_restart_test.go
+++ b/rolling_restart_test.go
@@ -124,6 +124,10 @@
 		}
 		prompt := fmt.Sprintf("%s number %d", name, i)
 		e := b.pick()
+		if e == nil {
+			t.Errorf("%s number %d: no entry is ready", name, i)
+			return
+		}
 		c := complete(e, gateKey, "draft", prompt, tokens)
 		if c.status != http.StatusOK || !c.done || strings.Count(c.text, engine.Digest(prompt)) != tokens {
 			t.Errorf("%s through %s: status %d, complete %v, %d of %d tokens: %s", prompt, e.name, c.status, c.done, strings.Count(c.text, engine.Digest(prompt)), tokens, tail(c.raw))
@@ -140,6 +144,10 @@
 		default:
 		}
 		e := b.pick()
+		if e == nil {
+			t.Errorf("%s %d: no entry is ready", name, i)
+			return
+		}
 		a := call{
 			method: http.MethodPost, url: e.url() + "/services/stamp/issue", key: gateKey, body: name,
 			header: map[string]string{"Idempotency-Key": fmt.Sprintf("%s-%d", name, i)},
