Review case 2: a server's own 503 is passed on as a promise that nothing has run

Tried: a script with 3 control replicas, 2 entries and 4 plain servers, of which one fails 2 in 5 of the requests that it has run with a 503 without the mark.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,7 +12,8 @@
 
 // cases are the cases by their names. Each returns an error if it couldn't run.
 var cases = map[string]func(s *site, trouble bool) error{
-	"wall": wall,
+	"refused": refused,
+	"wall":    wall,
 }
 
 // sizes are how many control replicas and entries a case has.
