--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,7 @@
 
 // cases are the cases by their names. Each returns an error if it couldn't run.
 var cases = map[string]func(s *site, trouble bool) error{
+	"place":   place,
 	"refused": refused,
 	"wall":    wall,
 }
