Review case 1: a holder that has lost its lease frees parts that its successor shows

Tried: a script with 3 control replicas, 2 entries, 6 engines and 6 stores; one store is silent while the holder of the lease for orders is frozen for 5.4 s.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(s *site, trouble bool) error{
 	"place":   place,
 	"refused": refused,
+	"stale":   stale,
 	"wall":    wall,
 }
 
