--- a/review/standin/place.go
+++ b/review/standin/place.go
@@ -7,15 +7,17 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	// issues is how many requests the client sends, one every issuePause.
-	issues     = 200
+	issues     = 120
 	issuePause = 20 * time.Millisecond
-	// lostEvery is in how many answers of two servers in four one is lost: less than the share 0.5 and x 0.05 of the pages.
+	// lostEvery is in how many answers of two servers in four one is lost: share 0.5 and x 0.05 of the pages; lostTime is their for_s.
 	lostEvery = 20
+	lostTime  = 4 * time.Second
 )
 
 // placeConfig returns a config; with the second route it has two routes for one host and prefix.
@@ -32,6 +34,7 @@
 // no request of the route that was there may run twice.
 func place(s *site, trouble bool) error {
 	all := &runs{attempts: map[string]bool{}, batches: map[string]int{}}
+	var lostUntil atomic.Int64
 	for i := range 4 {
 		var mu sync.Mutex
 		served := 0
@@ -44,7 +47,7 @@
 			all.add(id, id)
 			mu.Lock()
 			served++
-			lost := trouble && i < 2 && served%lostEvery == 0
+			lost := trouble && i < 2 && served%lostEvery == lostEvery/2 && time.Now().UnixMilli() < lostUntil.Load()
 			mu.Unlock()
 			time.Sleep(15 * time.Millisecond)
 			if lost {
@@ -78,6 +81,7 @@
 		}
 		time.Sleep(configApply + configSlack)
 	}
+	lostUntil.Store(time.Now().Add(lostTime).UnixMilli())
 	for n := range issues {
 		s.sendIssue(n)
 		time.Sleep(issuePause)
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -6,17 +6,19 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	// stampServers is how many servers the service has; one of them is grey, less than the share of 0.15 of the pages allows
-	// to round up to two.
-	stampServers = 4
-	// greyShare is one in how many requests the grey server fails: 0.4 of them.
+	// stampServers is how many servers the service has. One of them is grey, a share of 0.143; the pages have 0.14 to 0.15.
+	stampServers = 7
+	// greyTime is how long it is grey: for_s of the pages.
+	greyTime = 6500 * time.Millisecond
+	// The grey server fails greyFails in greyEvery of its requests.
 	greyEvery, greyFails = 5, 2
 	// stamps is how many requests the clients send, one every stampPause.
-	stamps     = 400
+	stamps     = 200
 	stampPause = 20 * time.Millisecond
 )
 
@@ -49,6 +51,7 @@
 // run, and checks that no caller is told so.
 func refused(s *site, trouble bool) error {
 	all := &runs{attempts: map[string]bool{}, batches: map[string]int{}}
+	var greyUntil atomic.Int64
 	for i := range stampServers {
 		grey, served := trouble && i == 0, 0
 		var mu sync.Mutex
@@ -60,7 +63,7 @@
 			}
 			mu.Lock()
 			served++
-			fails := grey && served%greyEvery < greyFails
+			fails := grey && served%greyEvery < greyFails && time.Now().UnixMilli() < greyUntil.Load()
 			mu.Unlock()
 			all.add(id, string(b))
 			time.Sleep(15 * time.Millisecond)
@@ -85,6 +88,7 @@
 		return err
 	}
 	time.Sleep(2 * time.Second)
+	greyUntil.Store(time.Now().Add(greyTime).UnixMilli())
 	served := 0
 	for n := range stamps {
 		if s.stampBatch(all, n) {
