An order to free parts is refused by its store after the lease

Cause: the holder of the lease for orders looked at its lease once, then went through all stores. A silent store held up the others for 2 s each, and the time limit of each order was computed when it left. A holder that was suspended or held up meanwhile freed parts that its successor showed. What was missing is both: a look at the lease right before each order, and a time limit that comes from that look, so that the store refuses what arrives later.

Change: each order has a permit with the time until which it may be carried out, on the clock of the store that gets it, read before the lease is looked at. Stores get their orders independently. The same cause on related paths: loads of weights end with their permit; a planned stop releases the lease once no order can be carried out any more; a replica that restarts at once waits for the orders of its earlier process; a leader whose clock is ahead shows nothing before the earlier holder's lease has ended by its own clock. parts-freed names the fencing number, the time limit and the time on the way, without which a late look couldn't be told from a late time limit.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -21,6 +21,7 @@
 	"hornbeamwood/internal/control/raft"
 	"hornbeamwood/internal/control/replica"
 	"hornbeamwood/internal/control/state"
+	"hornbeamwood/internal/node/boottime"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/policy/backoff"
@@ -162,7 +163,7 @@
 		orderDelay = defaultOrderDelay
 	}
 	p.leaseHolder = &leaseHolder{
-		name: p.config.Host.Internal, orderDelay: orderDelay,
+		name: p.config.Host.Internal, orderDelay: orderDelay, startedAt: boottime.Now(),
 		propose: p.leader.Propose, isLeader: p.isLeader, current: func() (controllease.Lease, bool) { return p.currentLease(m) }, logger: p.config.Logger,
 	}
 	p.storeFollower = &storeFollower{process: p, client: p.config.Stores, clock: stores.NewClock(), starts: newStoreStarts(), followed: map[string]*followedStore{}, restartChecks: map[string]context.CancelFunc{}}
--- a/internal/process/sitecontrol/followed_store.go
+++ b/internal/process/sitecontrol/followed_store.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hornbeamwood/internal/site/stores"
@@ -14,7 +15,11 @@
 type followedStore struct {
 	mu        sync.Mutex
 	inventory *stores.StoreInventory
-	cancel    context.CancelFunc
+	// clock is this store's clock. The clocks of other stores may differ from it.
+	clock  *stores.Clock
+	cancel context.CancelFunc
+	// freeing is set while an order to free parts is on its way.
+	freeing atomic.Bool
 	// listedAt is when the store was last listed as a whole. reported is set once its
 	// availability was shown, and up is what was shown last. Only the
 	// goroutine of watch uses these fields.
--- a/internal/process/sitecontrol/lease.go
+++ b/internal/process/sitecontrol/lease.go
@@ -32,8 +32,11 @@
 	leaderCheckInterval = 40 * time.Millisecond
 	// renewTimeout bounds one renewal.
 	renewTimeout = time.Second
-	// orderMargin is the time before the lease's end in which no order is sent, so that orders arrive within the lease.
+	// orderMargin is the time before the lease's end in which no order is sent, and the time for which an order may be carried
+	// out after it was permitted, so that none is carried out after the lease.
 	orderMargin = 700 * time.Millisecond
+	// pendingInterval is the time between two checks for orders without a response before the lease is released.
+	pendingInterval = 5 * time.Millisecond
 	// nameSeparator follows the replica's name in the name of a lease holder.
 	nameSeparator = "/"
 	// defaultOrderDelay is used where the site doesn't set the time between orders of two lease holders.
@@ -64,14 +67,60 @@
 	refusedFencing uint64
 	// released is set if the process is stopping and no longer requests the lease.
 	released bool
+	// startedAt is when this process started.
+	startedAt time.Duration
+	// orders are the orders without a response.
+	orders orderLog
+	// earlier is the lease of another holder as it was seen last, and earlierSeenAt when its last renewal was seen.
+	earlier       controllease.Lease
+	earlierSeenAt time.Duration
+	// showFrom is when all orders of the earlier holder have been carried out or have expired.
+	showFrom time.Duration
 }
 
 // mayOrder returns the fencing number, and whether orders may be given now.
+//
+// Time passes between this look at the lease and the order. An order that can be carried out late needs a permit.
 func (h *leaseHolder) mayOrder() (uint64, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.fencing, h.mayOrderAt(boottime.Now())
+}
+
+// mayOrderAt returns whether orders may be given; the caller holds h.mu.
+func (h *leaseHolder) mayOrderAt(now time.Duration) bool {
+	return h.fencing != 0 && h.fencing > h.refusedFencing && now >= h.ordersFrom && now < h.until-orderMargin
+}
+
+// permit returns the permit of one order that is valid until the lease ends, for the given time at most, and false
+// while no order may be given. The caller reports how the order ended with end.
+func (h *leaseHolder) permit(most time.Duration) (orderPermit, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := boottime.Now()
+	if !h.mayOrderAt(now) {
+		return orderPermit{}, false
+	}
+	return h.orders.begin(h.fencing, now, min(now+most, h.until)), true
+}
+
+// end records whether the order of a permit got a response. One without a response may be carried out until its
+// permit expires.
+func (h *leaseHolder) end(p orderPermit, responded bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if responded {
+		h.orders.end(p)
+	}
+}
+
+// mayShow returns whether rows of stores may be shown: the lease is held, and no order of the earlier holder can be
+// carried out any more. A part that is shown may be fetched, and must not be freed by an order that arrives late.
+func (h *leaseHolder) mayShow() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := boottime.Now()
-	return h.fencing, h.fencing != 0 && h.fencing > h.refusedFencing && now >= h.ordersFrom && now < h.until-orderMargin
+	return h.fencing != 0 && now < h.until && now >= h.showFrom
 }
 
 // fencingNumber returns the fencing number until the lease ends, also before the first order may be given, and then zero.
@@ -111,6 +160,10 @@
 func (h *leaseHolder) run(ctx context.Context) {
 	requestedAt, earlierReleased := time.Time{}, false
 	for wait.For(ctx, leaderCheckInterval) {
+		h.observeEarlier()
+		if !h.mayRequest() {
+			continue
+		}
 		earlierReleased = earlierReleased || h.isLeader() || h.releaseEarlier(ctx)
 		switch {
 		case !h.isLeader():
@@ -122,6 +175,38 @@
 	}
 }
 
+// observeEarlier records when another holder's lease was last renewed, by this VM's clock.
+//
+// By the log's clock a lease ends too early when the clock of a new leader is ahead of its predecessor's.
+func (h *leaseHolder) observeEarlier() {
+	if h.isLeader() {
+		return
+	}
+	l, ok := h.current()
+	if !ok {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l.Fencing != h.earlier.Fencing || l.Expires != h.earlier.Expires {
+		h.earlier, h.earlierSeenAt = l, boottime.Now()
+	}
+}
+
+// mayRequest returns false while orders of this replica's earlier process may still be carried out.
+func (h *leaseHolder) mayRequest() bool {
+	if boottime.Now() >= h.startedAt+orderMargin {
+		return true
+	}
+	l, ok := h.current()
+	return ok && (l.Released || !h.ownName(l.Holder))
+}
+
+// ownName returns whether the name of a holder is one of this replica's.
+func (h *leaseHolder) ownName(holder string) bool {
+	return strings.HasPrefix(holder, h.name+nameSeparator)
+}
+
 // releaseEarlier releases the lease that this replica held before its process was
 // restarted, and returns true once there is nothing left to release.
 //
@@ -133,7 +218,7 @@
 	if !ok {
 		return false
 	}
-	if l.Released || !strings.HasPrefix(l.Holder, h.name+nameSeparator) {
+	if l.Released || !h.ownName(l.Holder) {
 		return true
 	}
 	h.mu.Lock()
@@ -150,7 +235,8 @@
 }
 
 // release releases the lease before a planned stop, so that the next leader need not
-// wait until it expires.
+// wait until it expires. The next holder shows the parts of stores at once, so the release waits for orders that
+// may still be carried out.
 func (h *leaseHolder) release(ctx context.Context) {
 	h.mu.Lock()
 	fencing := h.fencing
@@ -159,9 +245,19 @@
 	if fencing == 0 {
 		return
 	}
+	for h.ordersPending() && wait.For(ctx, pendingInterval) {
+		continue
+	}
 	h.proposeRelease(ctx, h.holderName(), fencing)
 }
 
+// ordersPending returns whether an order without a response may still be carried out.
+func (h *leaseHolder) ordersPending() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.orders.pending(boottime.Now())
+}
+
 func (h *leaseHolder) proposeRelease(ctx context.Context, name string, fencing uint64) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
@@ -234,9 +330,13 @@
 		h.fencing = r.Fencing
 		h.ordersFrom = boottime.Now()
 		h.grantedAt = h.ordersFrom
+		h.showFrom = 0
 		if r.Fencing > 1 {
 			h.ordersFrom += max(r.Wait, h.orderDelay)
 		}
+		if r.Wait > 0 && h.earlierSeenAt > 0 && !h.ownName(h.earlier.Holder) {
+			h.showFrom = h.earlierSeenAt + leaseDuration
+		}
 		h.logChange("granted", h.fencing)
 	}
 	h.until = requestedAt + leaseDuration
--- a/internal/process/sitecontrol/store_follower.go
+++ b/internal/process/sitecontrol/store_follower.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/wait"
+	"hornbeamwood/internal/node/boottime"
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
@@ -73,7 +76,7 @@
 			return
 		case <-follow.C:
 		case <-free.C:
-			sf.free(ctx)
+			sf.free(ctx, &all)
 		}
 	}
 }
@@ -90,7 +93,7 @@
 	sf.mu.Lock()
 	defer sf.mu.Unlock()
 	sf.followEpochs(ctx, all, wanted)
-	if sf.leaseHolder.fencingNumber() == 0 {
+	if !sf.leaseHolder.mayShow() {
 		wanted = nil
 	}
 	for a, s := range wanted {
@@ -98,7 +101,7 @@
 			continue
 		}
 		following, cancel := context.WithCancel(ctx)
-		x := &followedStore{inventory: stores.NewStoreInventory(a, s.CapacityTokens), cancel: cancel}
+		x := &followedStore{inventory: stores.NewStoreInventory(a, s.CapacityTokens), clock: stores.NewClock(), cancel: cancel}
 		sf.followed[a] = x
 		all.Go(func() { sf.watch(following, x) })
 	}
@@ -162,6 +165,7 @@
 		return err
 	}
 	sf.clock.Observe(f.Clock)
+	x.clock.Observe(f.Clock)
 	sf.starts.record(x.inventory.Address, f.Epoch, time.Now())
 	if err := sf.usable(x, nil); err != nil {
 		// Entries must learn that the store isn't used before they learn that it is empty.
@@ -184,6 +188,7 @@
 		return err
 	}
 	sf.clock.Observe(c.Clock)
+	x.clock.Observe(c.Clock)
 	first := x.listedAt.IsZero()
 	x.listedAt = time.Now()
 	x.mu.Lock()
@@ -214,49 +219,76 @@
 	}
 }
 
-// free withdraws parts that are no longer of use, and frees those that were withdrawn long enough ago.
-func (sf *storeFollower) free(ctx context.Context) {
+// free withdraws parts that are no longer of use, and frees those that were withdrawn long enough ago. A store that
+// doesn't answer holds up no other one.
+func (sf *storeFollower) free(ctx context.Context, all *sync.WaitGroup) {
 	if _, ok := sf.leaseHolder.mayOrder(); !ok || !sf.leaseHolder.heldFor(stores.StaleAfter+stores.FetchWindow) {
 		return
 	}
 	sf.mu.Lock()
-	all := make([]*followedStore, 0, len(sf.followed))
-	for _, x := range sf.followed {
-		all = append(all, x)
-	}
+	followed := slices.Collect(maps.Values(sf.followed))
 	sf.mu.Unlock()
 	outdated := sf.outdated()
-	for _, x := range all {
-		now := time.Now()
-		x.mu.Lock()
-		marked := x.inventory.Withdraw(outdated, maxUsedShare, now)
-		x.mu.Unlock()
-		revision := sf.showParts(x, marked)
-		x.mu.Lock()
-		x.inventory.MarkAnnounced(marked, revision)
-		due, epoch := x.inventory.Freeable(sf.acknowledgedRevision(), now), x.inventory.Epoch()
-		x.mu.Unlock()
-		sf.freeParts(ctx, x, due, epoch)
+	for _, x := range followed {
+		sf.withdraw(x, outdated)
+		if x.freeing.CompareAndSwap(false, true) {
+			all.Go(func() {
+				defer x.freeing.Store(false)
+				sf.freeParts(ctx, x)
+			})
+		}
 	}
 }
 
+// withdraw withdraws the parts of a store that are no longer of use.
+func (sf *storeFollower) withdraw(x *followedStore, outdated func(stores.Part) bool) {
+	x.mu.Lock()
+	marked := x.inventory.Withdraw(outdated, maxUsedShare, time.Now())
+	x.mu.Unlock()
+	revision := sf.showParts(x, marked)
+	x.mu.Lock()
+	x.inventory.MarkAnnounced(marked, revision)
+	x.mu.Unlock()
+}
+
 // acknowledgedRevision returns the table's revision up to which all entries have the rows.
 // Only entries that polled within StaleAfter, either this replica directly or any relay, count.
 func (sf *storeFollower) acknowledgedRevision() uint64 {
 	return min(sf.watchServer.AcknowledgedRevision(stores.StaleAfter), sf.relay.mirrors.AcknowledgedRevision(sf.relay.self, stores.StaleAfter))
 }
 
-// freeParts frees the parts at the store, at most freeBatch of them.
-func (sf *storeFollower) freeParts(ctx context.Context, x *followedStore, due []stores.Part, epoch int64) {
-	clock := sf.clock.Now()
+// freeParts frees the parts of a store that were withdrawn long enough ago, at most freeBatch of them.
+//
+// This process may be suspended between any two steps. Another replica may then hold the lease and show the parts
+// again, so the store must refuse an order that arrives after the lease. The order's time limit is therefore
+// computed from a clock that is read before the lease is looked at.
+func (sf *storeFollower) freeParts(ctx context.Context, x *followedStore) {
+	x.mu.Lock()
+	due, epoch := x.inventory.Freeable(sf.acknowledgedRevision(), time.Now()), x.inventory.Epoch()
+	x.mu.Unlock()
+	clock := x.clock.Now()
 	if len(due) == 0 || clock == 0 {
 		return
 	}
 	due = due[:min(len(due), freeBatch)]
+	permit, ok := sf.leaseHolder.permit(orderMargin)
+	if !ok {
+		return
+	}
+	if x.isUnfollowed() {
+		// The parts were shown again under a later grant of the lease.
+		sf.leaseHolder.end(permit, true)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
 	defer cancel()
-	err := sf.client.Free(ctx, x.inventory.Address, epoch, due, clock+orderMargin.Milliseconds())
-	f := log.Fields{"store": x.inventory.Address, "parts": len(due)}
+	until := clock + permit.validFor().Milliseconds()
+	err := sf.client.Free(ctx, x.inventory.Address, epoch, due, until)
+	sf.leaseHolder.end(permit, err == nil)
+	f := log.Fields{
+		"store": x.inventory.Address, "parts": len(due), "fencing": permit.fencing, "until-ms": until,
+		"ms": (boottime.Now() - permit.permittedAt).Milliseconds(),
+	}
 	if err != nil {
 		f["error"] = err.Error()
 	} else {
--- a/internal/process/sitecontrol/weights_site.go
+++ b/internal/process/sitecontrol/weights_site.go
@@ -1,8 +1,11 @@
 package sitecontrol
 
 import (
+	"time"
+
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/topic"
+	"hornbeamwood/internal/site/weights"
 )
 
 // weightsSite gives the rollout of weight versions access to the site and shows its progress to entries.
@@ -36,10 +39,19 @@
 	return all
 }
 
-// Holder implements weights.Site.
-func (w weightsSite) Holder() (string, uint64, bool) {
-	fencing, ok := w.leaseHolder.mayOrder()
-	return w.config.Host.Internal, fencing, ok
+// MayOrder implements weights.Site.
+func (w weightsSite) MayOrder() bool {
+	_, ok := w.leaseHolder.mayOrder()
+	return ok
+}
+
+// Permit implements weights.Site.
+func (w weightsSite) Permit(most time.Duration) (weights.Permit, bool) {
+	p, ok := w.leaseHolder.permit(most)
+	return weights.Permit{
+		Holder: w.config.Host.Internal, Fencing: p.fencing, ValidFor: p.validFor(),
+		End: func(responded bool) { w.leaseHolder.end(p, responded) },
+	}, ok
 }
 
 // ObserveFencing implements weights.Site.
--- a/internal/site/weights/rollout.go
+++ b/internal/site/weights/rollout.go
@@ -53,8 +53,10 @@
 	TargetVersions() map[string]int64
 	// Engines returns the ready servers that have models.
 	Engines() []directory.Server
-	// Holder returns the name and the fencing number under which orders are sent, and false while none may be sent.
-	Holder() (name string, fencing uint64, ok bool)
+	// MayOrder returns whether orders may be sent now.
+	MayOrder() bool
+	// Permit returns the permit of one order, valid for the given time at most, and false while none may be sent.
+	Permit(most time.Duration) (Permit, bool)
 	// ObserveFencing reports that an engine has seen a higher fencing number than the given one.
 	ObserveFencing(fencing uint64)
 	// SetBusy reports to entries whether an engine takes no requests.
@@ -143,7 +145,7 @@
 // scan starts updates of outdated engines while there are free slots.
 func (r *rollout) scan(ctx context.Context) {
 	r.recordTargets()
-	if _, _, ok := r.Site.Holder(); !ok {
+	if !r.Site.MayOrder() {
 		return
 	}
 	limit := max(minConcurrent, int(concurrentShare*float64(len(r.Site.Engines()))))
@@ -300,21 +302,22 @@
 
 // sendOrder sends one order and returns whether the load may still succeed.
 func (r *rollout) sendOrder(ctx context.Context, s directory.Server, o Order) bool {
-	holder, fencing, ok := r.Site.Holder()
+	p, ok := r.Site.Permit(callTimeout)
 	if !ok {
 		return false
 	}
-	o.Holder, o.Fencing = holder, fencing
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	o.Holder, o.Fencing = p.Holder, p.Fencing
+	ctx, cancel := context.WithTimeout(ctx, p.ValidFor)
 	defer cancel()
 	got, err := r.Client.Order(ctx, s, o)
-	f := log.Fields{"server": s.ID, "model": o.Model, "version": o.Version, "fencing": fencing, "sequence": o.Sequence, "outcome": got.String()}
+	p.End(err == nil)
+	f := log.Fields{"server": s.ID, "model": o.Model, "version": o.Version, "fencing": o.Fencing, "sequence": o.Sequence, "outcome": got.String()}
 	if err != nil {
 		f["error"] = err.Error()
 	}
 	event.WeightsOrdered.Write(r.Logger, f)
 	if got == Fenced {
-		r.Site.ObserveFencing(fencing)
+		r.Site.ObserveFencing(o.Fencing)
 	}
 	return got == Accepted || got == AlreadyLoaded || got == Conflict || got == Unanswered
 }
--- a/internal/site/weights/rollout_test.go
+++ b/internal/site/weights/rollout_test.go
@@ -39,10 +39,14 @@
 	return map[string]int64{"m": s.target}
 }
 func (s *fakeSite) Engines() []directory.Server { return s.engines }
-func (s *fakeSite) Holder() (string, uint64, bool) {
+func (s *fakeSite) MayOrder() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return "h", s.fencing, s.fencing > s.observedFencing
+	return s.fencing > s.observedFencing
+}
+
+func (s *fakeSite) Permit(most time.Duration) (Permit, bool) {
+	return Permit{Holder: "h", Fencing: s.fencing, ValidFor: most, End: func(bool) {}}, s.MayOrder()
 }
 
 func (s *fakeSite) ObserveFencing(fencing uint64) {
@@ -310,3 +314,45 @@
 		}
 	})
 }
+
+// permittedSite gives permits that are valid for a moment only.
+type permittedSite struct {
+	*fakeSite
+	validFor  time.Duration
+	responded chan bool
+}
+
+// Permit implements Site.
+func (s *permittedSite) Permit(time.Duration) (Permit, bool) {
+	return Permit{Holder: "h", Fencing: 7, ValidFor: s.validFor, End: func(responded bool) { s.responded <- responded }}, true
+}
+
+// silentEngines answer no order.
+type silentEngines struct {
+	*fakeEngines
+	ended chan time.Duration
+}
+
+// Order implements Client.
+func (e *silentEngines) Order(ctx context.Context, _ directory.Server, _ Order) (Outcome, error) {
+	start := time.Now()
+	<-ctx.Done()
+	e.ended <- time.Since(start)
+	return Unanswered, ctx.Err()
+}
+
+// Guards against an order to an engine that is still on its way when the lease has ended, or that a planned stop forgets.
+func TestOrderEndsWithItsPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &permittedSite{fakeSite: newFakeSite(1), validFor: callTimeout / 10, responded: make(chan bool, 1)}
+		e := &silentEngines{fakeEngines: newFakeEngines(s.fakeSite), ended: make(chan time.Duration, 1)}
+		r := New(Config{Client: e, Site: s}).(*rollout)
+		r.sendOrder(t.Context(), s.engines[0], Order{Model: "m", Version: 2})
+		if took := <-e.ended; took != s.validFor {
+			t.Errorf("the order was on its way for %s, %s after its permit", took, took-s.validFor)
+		}
+		if <-s.responded {
+			t.Error("an order without a response counts as ended")
+		}
+	})
+}
