A workspace that becomes isolated leaves no KV cache to the others

What callers saw: nothing.

Cause: the salt of a request followed from the flag of its own workspace in the newest document. What a workspace made before it became isolated stayed under the salt that all others share. The same holds when it is let out and isolated again, or removed and back, and at an entry that sees the last of several documents only.

Change: the control log keeps the text that workspaces share and which ones may have KV cache under it; a new text begins with the document that isolates one of them. Entries go by the newest document that they have, also for a request that arrived before it. The components of salts are escaped, since two could be the same text. Parts under an earlier text are withdrawn from stores.

--- a/internal/process/sitecontrol/document.go
+++ b/internal/process/sitecontrol/document.go
@@ -27,13 +27,13 @@
 	if p.shownRevision.Load() == revision {
 		return
 	}
-	p.put(topic.DocumentChunks, "", topic.Document{Revision: revision, Chunks: chunk.Digests(active.Chunks)})
+	p.put(topic.DocumentChunks, "", topic.Document{Revision: revision, Chunks: chunk.Digests(active.Chunks), SharedSalt: active.SharedSalt})
 	p.shownRevision.Store(revision)
 	bytes := 0
 	for _, c := range active.Chunks {
 		bytes += len(c.Data)
 	}
-	event.DocumentShown.Write(p.config.Logger, log.Fields{"number": revision, "routes": len(active.Document.Routes), "chunks": len(active.Chunks), "bytes": bytes})
+	event.DocumentShown.Write(p.config.Logger, log.Fields{"number": revision, "routes": len(active.Document.Routes), "chunks": len(active.Chunks), "bytes": bytes, "shared-salt": active.SharedSalt})
 }
 
 // chunksOf returns those of the wanted chunks that h has, in order and as many as fit into one answer.
--- a/internal/process/sitecontrol/outdated.go
+++ b/internal/process/sitecontrol/outdated.go
@@ -1,9 +1,7 @@
 package sitecontrol
 
 import (
-	"strconv"
-	"strings"
-
+	"hornbeamwood/internal/site/salt"
 	"hornbeamwood/internal/site/stores"
 )
 
@@ -21,6 +19,8 @@
 // by side, and the stores have capacity for one set only. The share of old parts that is
 // withdrawn follows the share of engines that have left the old version, and is a little
 // ahead of it, since a part stays for some seconds after entries were notified.
+//
+// The parts under an earlier text of the workspaces that share are of no use to any request.
 func (sf *storeFollower) outdated() func(stores.Part) bool {
 	current, share := map[string]int64{}, map[string]float64{}
 	w := weightsSite{sf.process}
@@ -40,18 +40,15 @@
 			share[model] = min(1, float64(all-older)/float64(all)+extraFreeShare)
 		}
 	}
+	active, known := sf.section.Active()
 	return func(p stores.Part) bool {
-		model, version, ok := saltVersion(p.Salt)
-		return ok && version < current[model] && float64(p.Hash()%hashSteps) < share[model]*hashSteps
-	}
-}
-
-// saltVersion returns the model and the weight version in a salt.
-func saltVersion(salt string) (string, int64, bool) {
-	fields := strings.Split(salt, "/")
-	if len(fields) < 2 {
-		return "", 0, false
+		s, ok := salt.Parse(p.Salt)
+		switch {
+		case !ok:
+			return false
+		case known && !s.Isolated && salt.Older(s.Shared, active.SharedSalt):
+			return true
+		}
+		return s.Version < current[s.Model] && float64(p.Hash()%hashSteps) < share[s.Model]*hashSteps
 	}
-	n, err := strconv.ParseInt(fields[1], 10, 64)
-	return fields[0], n, err == nil
 }
--- a/internal/process/siteentry/documents.go
+++ b/internal/process/siteentry/documents.go
@@ -32,8 +32,8 @@
 type documentsConfig struct {
 	// fetch gets chunks from the replica at address. It may return only some of them.
 	fetch func(ctx context.Context, address string, wanted []chunk.Digest) ([]chunk.Chunk, error)
-	// apply brings a document into force. The fields say where it came from.
-	apply func(d document.Document, origin log.Fields)
+	// apply brings a document into force, with the text of its salt.Sharing. The fields say where it came from.
+	apply func(d document.Document, sharedSalt string, origin log.Fields)
 	// updated is called with the send time of the latest answered poll once the newest document from the answers
 	// is in force.
 	updated func(sent time.Time)
@@ -232,7 +232,7 @@
 	d.mu.Lock()
 	since := d.wantedSince
 	d.mu.Unlock()
-	d.apply(v, log.Fields{
+	d.apply(v, m.SharedSalt, log.Fields{
 		"replica": d.lastSource, "bytes": d.received, "shown-ms": time.Since(since).Milliseconds(), "reading-ms": time.Since(startedAt).Milliseconds(),
 	})
 	d.chunks, d.received = kept, 0
--- a/internal/process/siteentry/documents_test.go
+++ b/internal/process/siteentry/documents_test.go
@@ -82,7 +82,7 @@
 			e.fetched += len(all)
 			return all, err
 		},
-		apply: func(d document.Document, _ log.Fields) {
+		apply: func(d document.Document, _ string, _ log.Fields) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.applied = append(e.applied, d.Revision)
--- a/internal/process/siteentry/holder_state_test.go
+++ b/internal/process/siteentry/holder_state_test.go
@@ -29,7 +29,7 @@
 func newSiteWithStore(t *testing.T) *site {
 	s := newSite(nil, parts.NewResidency(), share.NewPeerLoads("e"), func() {})
 	s.follow = func() {}
-	s.applyDocument(document.Document{Revision: 1, Stores: []document.Store{{Address: "1:1", CapacityTokens: 1000}}}, nil)
+	s.applyDocument(document.Document{Revision: 1, Stores: []document.Store{{Address: "1:1", CapacityTokens: 1000}}}, "", nil)
 	s.apply("old", watch.Answer{Epoch: 1, Fencing: 4, CaughtUp: true, Rows: []rowtable.Row{
 		row(t, topic.Parts, stores.Part{Salt: "m/1", ID: "p"}.AtStore("1:1").Key(), 300),
 		row(t, topic.StoresUp, "1:1", true),
@@ -110,7 +110,7 @@
 // for which a slow store's latency is most of the time.
 func TestLongPartsLeaveCapacityForShortOnes(t *testing.T) {
 	s := newSiteWithStore(t)
-	s.applyDocument(document.Document{Revision: 2, Stores: tieredStores()}, nil)
+	s.applyDocument(document.Document{Revision: 2, Stores: tieredStores()}, "", nil)
 	var rows []rowtable.Row
 	for _, x := range tieredStores() {
 		rows = append(rows, row(t, topic.StoresUp, x.Address, true))
@@ -135,7 +135,7 @@
 // found empty must not bring back the previous holder's state either.
 func TestNextHolderCountsOnceItHasListedAllStores(t *testing.T) {
 	s := newSiteWithStore(t)
-	s.applyDocument(document.Document{Revision: 2, Stores: []document.Store{{Address: "1:1", CapacityTokens: 1000}, {Address: "2:2", CapacityTokens: 1000}}}, nil)
+	s.applyDocument(document.Document{Revision: 2, Stores: []document.Store{{Address: "1:1", CapacityTokens: 1000}, {Address: "2:2", CapacityTokens: 1000}}}, "", nil)
 	s.apply("old", watch.Answer{Epoch: 1, Fencing: 4, Rows: []rowtable.Row{
 		row(t, topic.StoresUp, "2:2", true),
 	}})
@@ -199,7 +199,7 @@
 	s.follow = func() {}
 	aggregator := share.NewAggregator()
 	aggregator.Add(share.Report{Entry: "o", Sequence: 1, Loads: share.Loads{"i-1": {InFlight: 3}}}, time.Now())
-	s.applyDocument(document.Document{Revision: 1}, nil)
+	s.applyDocument(document.Document{Revision: 1}, "", nil)
 	s.apply("a", watch.Answer{Epoch: 1, Fencing: 4, Rows: []rowtable.Row{
 		row(t, topic.Busy, "i-2", true),
 	}})
--- a/internal/process/siteentry/mirrored_state_test.go
+++ b/internal/process/siteentry/mirrored_state_test.go
@@ -23,7 +23,7 @@
 func newRelayedSite(t *testing.T) *site {
 	t.Helper()
 	s := newSiteWithStore(t)
-	s.applyDocument(s.Table().Document(), nil)
+	s.applyDocument(s.Table().Document(), "", nil)
 	s.setRelayed(true)
 	s.applyMirroredState(relayedState(t, watch.Position{Epoch: 7, Revision: 3}, 0), time.Now(), nil)
 	return s
--- a/internal/process/siteentry/recorded_software_test.go
+++ b/internal/process/siteentry/recorded_software_test.go
@@ -66,7 +66,7 @@
 	if took := wait(); took < 40*time.Millisecond || took > recordTime/2 {
 		t.Errorf("a request waited %s, not for the rest of the time in which a record is made", took)
 	}
-	s.applyDocument(document.Document{Revision: 1, Services: []document.Service{{Name: "a"}}}, nil)
+	s.applyDocument(document.Document{Revision: 1, Services: []document.Service{{Name: "a"}}}, "", nil)
 	row := row(t, topic.Software, "a", []string{"v1"})
 	recorded := time.AfterFunc(50*time.Millisecond, func() { s.apply("r", watch.Answer{CaughtUp: true, Rows: []rowtable.Row{row}}) })
 	defer recorded.Stop()
--- a/internal/process/siteentry/relay_test.go
+++ b/internal/process/siteentry/relay_test.go
@@ -57,7 +57,7 @@
 func TestUnreachableRelayIsReplaced(t *testing.T) {
 	s := newSite(nil, parts.NewResidency(), share.NewPeerLoads("e"), func() {})
 	s.follow = func() {}
-	s.applyDocument(document.Document{Revision: 1}, nil)
+	s.applyDocument(document.Document{Revision: 1}, "", nil)
 	s.apply("a", watch.Answer{Epoch: 1, Fencing: 4})
 	now := time.Now()
 	first := s.chooseRelay("z", "e", now)
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -21,6 +21,7 @@
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/parts"
 	"hornbeamwood/internal/site/rowtable"
+	"hornbeamwood/internal/site/salt"
 	"hornbeamwood/internal/site/section"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
@@ -31,7 +32,7 @@
 type site struct {
 	logger    log.Interface
 	directory directory.Directory
-	table     atomic.Pointer[document.Table]
+	table     atomic.Pointer[salt.Table]
 	// tableMu guards changes of table. firstDocument is closed with the first one.
 	tableMu       sync.Mutex
 	firstDocument chan struct{}
@@ -222,8 +223,8 @@
 // noRevision is lower than the revision of any document.
 const noRevision = int64(math.MinInt64)
 
-// applyDocument brings a document with a higher revision into force.
-func (s *site) applyDocument(d document.Document, origin log.Fields) {
+// applyDocument brings a document with a higher revision into force, with the text of its salt.Sharing.
+func (s *site) applyDocument(d document.Document, sharedSalt string, origin log.Fields) {
 	s.tableMu.Lock()
 	defer s.tableMu.Unlock()
 	before := noRevision
@@ -233,13 +234,13 @@
 	if d.Revision <= before {
 		return
 	}
-	t := document.NewTable(d)
+	t := salt.NewTable(d, sharedSalt)
 	s.observeServices(d, time.Now())
 	s.table.Store(&t)
 	if before == noRevision {
 		close(s.firstDocument)
 	}
-	f := log.Fields{"number": d.Revision, "before": before, "routes": len(d.Routes), "workspaces": len(d.Workspaces)}
+	f := log.Fields{"number": d.Revision, "before": before, "routes": len(d.Routes), "workspaces": len(d.Workspaces), "shared-salt": sharedSalt}
 	maps.Copy(f, origin)
 	event.DocumentInForce.Write(s.logger, f)
 	s.mu.Lock()
@@ -292,6 +293,14 @@
 	return nil
 }
 
+// Salt implements caller.Site.
+func (s *site) Salt(model string, version int64, workspace string) salt.Salt {
+	if t := s.table.Load(); t != nil {
+		return (*t).Salt(model, version, workspace)
+	}
+	return salt.Salt{Model: model, Version: version, Isolated: true, Workspace: workspace}
+}
+
 // limits returns the limits for callers of the document in force, the zero value without a document.
 func (s *site) limits() document.Limits {
 	if t := s.Table(); t != nil {
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -15,6 +15,7 @@
 	"hornbeamwood/internal/serve/request"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
+	"hornbeamwood/internal/site/salt"
 	"hornbeamwood/internal/site/stores"
 )
 
@@ -28,8 +29,6 @@
 	// longPartTokens is the size from which on a shared part is worth waiting for the stores, and
 	// worth reporting to the other entries.
 	longPartTokens = 1024
-	// saltSeparator separates the components of a salt.
-	saltSeparator = "/"
 )
 
 // newRandom returns a random source for one decision.
@@ -183,20 +182,16 @@
 }
 
 // salt returns the salt, which separates what must not be shared: other weights, and isolated
-// workspaces.
+// workspaces. A document that came into force since the request arrived counts for it too.
 //
 // An engine finds a part only under the salt of its prefill, so a wrong choice of engine
 // cannot mix them up.
 func (j *job) salt(version int64) string {
 	if version == 0 {
 		// It is unknown which weights the parts would be prefilled with.
-		return "alone" + saltSeparator + j.request.Attempt
+		return salt.OfAttempt(j.workspace.Name, j.request.Attempt)
 	}
-	s := j.request.Prompt.Model + saltSeparator + strconv.FormatInt(version, 10)
-	if j.workspace.Isolated {
-		s += saltSeparator + j.workspace.Name
-	}
-	return s
+	return j.Site.Salt(j.request.Prompt.Model, version, j.workspace.Name).String()
 }
 
 func (j *job) parts(salt string, e document.Engine, now time.Time) []choose.Part {
@@ -301,6 +296,10 @@
 	if version == 0 {
 		return
 	}
+	if now := j.salt(version); now != d.Salt {
+		// A document came into force since the choice.
+		d.Salt, d.Fetch = now, nil
+	}
 	d.Save = make([]string, len(parts))
 	for i, p := range parts[:max(0, len(parts)-1)] {
 		if !p.Opaque && (d.Fetch == nil || d.Fetch[i] == "") {
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -22,6 +22,7 @@
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/origin"
 	"hornbeamwood/internal/site/parts"
+	"hornbeamwood/internal/site/salt"
 )
 
 // Codec translates between headers and types.
@@ -38,6 +39,8 @@
 type Site interface {
 	// Table returns the document in force, nil if there is none.
 	Table() document.Table
+	// Salt returns the salt of a workspace's requests by the newest document that the entry knows.
+	Salt(model string, version int64, workspace string) salt.Salt
 	// AwaitDocument returns once there is a document, or ctx ends.
 	AwaitDocument(ctx context.Context)
 	// AwaitFreshState returns at once, except in a process that was suspended and has just
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -32,6 +32,7 @@
 	"hornbeamwood/internal/site/document"
 	"hornbeamwood/internal/site/origin"
 	"hornbeamwood/internal/site/parts"
+	"hornbeamwood/internal/site/salt"
 )
 
 // fakeCodec uses its own header names.
@@ -137,6 +138,9 @@
 	return s.outdated
 }
 
+func (s *fakeSite) Salt(model string, version int64, _ string) salt.Salt {
+	return salt.Salt{Model: model, Version: version}
+}
 func (s *fakeSite) Table() document.Table                     { return s.table }
 func (s *fakeSite) AwaitDocument(context.Context)             {}
 func (s *fakeSite) AwaitFreshState(context.Context)           {}
--- a/internal/site/section/active_document.go
+++ b/internal/site/section/active_document.go
@@ -12,6 +12,8 @@
 	Document document.Document
 	// Chunks are the chunks of the document's encoding.
 	Chunks []chunk.Chunk
+	// SharedSalt is the text of the Sharing with this document.
+	SharedSalt string
 
 	source   []chunk.Chunk
 	byDigest map[chunk.Digest]chunk.Chunk
--- a/internal/site/section/section.go
+++ b/internal/site/section/section.go
@@ -8,6 +8,7 @@
 
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/control/state"
+	"hornbeamwood/internal/site/salt"
 )
 
 var errNoQueries = errors.New("site: the section supports no queries; its state is read in the replica's process")
@@ -39,7 +40,9 @@
 	config Config
 	mu     sync.RWMutex
 	// active is the active document, nil while there is none.
-	active       *ActiveDocument
+	active *ActiveDocument
+	// sharing decides which workspaces share KV cache with the active document.
+	sharing      salt.Sharing
 	versions     map[string]int64
 	versionTimes map[string]int64
 	evacuations  map[string]Evacuation
@@ -57,6 +60,8 @@
 	Evacuations map[string]Evacuation `cbor:"evacuations,omitempty"`
 	// Software is missing in snapshots of earlier releases.
 	Software map[string][]string `cbor:"software,omitempty"`
+	// Sharing is missing without a document and in snapshots of earlier releases.
+	Sharing *salt.Sharing `cbor:"sharing,omitempty"`
 }
 
 // New returns the empty section.
@@ -131,6 +136,8 @@
 	if err != nil {
 		return Result{}
 	}
+	s.sharing = s.sharing.WithDocument(active.Document)
+	active.SharedSalt = s.sharing.Text
 	s.active = &active
 	return Result{Accepted: true, Changed: true}
 }
@@ -228,6 +235,7 @@
 	snap := snapshot{Versions: s.versions, VersionTimes: s.versionTimes, Evacuations: s.evacuations, Software: s.software}
 	if s.active != nil {
 		snap.PutChunks = &PutChunks{Revision: s.active.Document.Revision, Document: s.active.Chunks, Source: s.active.source}
+		snap.Sharing = &s.sharing
 	}
 	return codec.Marshal(snap)
 }
@@ -254,13 +262,30 @@
 	if snap.Software == nil {
 		snap.Software = map[string][]string{}
 	}
+	sharing := snap.sharingOf(active)
 	s.mu.Lock()
+	s.sharing = sharing
 	s.active, s.versions, s.versionTimes, s.evacuations, s.software = active, snap.Versions, snap.VersionTimes, snap.Evacuations, snap.Software
 	s.mu.Unlock()
 	s.changed()
 	return nil
 }
 
+// sharingOf returns the sharing of a snapshot with its document, and completes the document.
+//
+// In snapshots of earlier releases nothing tells which workspaces have shared before, so that a new text begins.
+func (s snapshot) sharingOf(active *ActiveDocument) salt.Sharing {
+	if active == nil {
+		return salt.Sharing{}
+	}
+	sharing := salt.NewSharing(active.Document)
+	if s.Sharing != nil {
+		sharing = *s.Sharing
+	}
+	active.SharedSalt = sharing.Text
+	return sharing
+}
+
 // activeDocument returns the document of a snapshot, nil when there is none.
 func (s snapshot) activeDocument() (*ActiveDocument, error) {
 	c := s.PutChunks
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -51,6 +51,8 @@
 	Revision int64 `cbor:"number"`
 	// Chunks are the digests of its chunks in order.
 	Chunks []chunk.Digest `cbor:"chunks"`
+	// SharedSalt is the text of the salt.Sharing with the document.
+	SharedSalt string `cbor:"shared-salt,omitempty"`
 }
 
 // StoreSummary holds the long or the short parts of a store when it was listed.
