A server's failure after a run reaches no caller as the promise that nothing has run

Cause: a server's own 503, 429 or 408 without the mark of a refusal was passed on as it came, though the entry knew that the request may have run. Callers take these statuses for a promise, whoever said them first.

Change: to a request that may run once the entry answers 502 of its own, without the server's stamp.

--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -56,6 +56,11 @@
 	if reason := invalidReason(x.Response, answer); reason != "" {
 		return false, j.recordBroken(a, x, reason, nil)
 	}
+	if !j.route.Retryable() && promisesNotRun(x.Response.StatusCode) {
+		// The server has made no such promise. Its caller would repeat a request that has run.
+		drain(x)
+		return false, j.recordServerFailure(a, x)
+	}
 	if j.route.Kind == document.Streaming && x.Response.StatusCode < http.StatusMultipleChoices {
 		return j.forwardStream(ctx, a, x)
 	}
@@ -140,6 +145,16 @@
 	return reason
 }
 
+// promisesNotRun returns whether callers take a status as the promise that the request has not run and never will,
+// whoever sent it first.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // drain reads the rest of a short response, so that its connection can be reused. The request doesn't wait for a
 // rest that hasn't been sent with the head.
 func drain(x *backend.Exchange) {
