A stopping control replica answers the calls that it has read

What callers saw: a call of an operator or server ended without an answer in a planned stop, and was sent again elsewhere only after its connection had broken.

Cause: the HTTP server was closed while handlers were at work.

Change: the listeners are shut down with 0.3 s for running calls before they are closed.

Test: TestCallIsAnsweredBeforeTheEnd failed before (EOF) and passes.

--- a/internal/process/sitecontrol/serve.go
+++ b/internal/process/sitecontrol/serve.go
@@ -17,6 +17,9 @@
 // headerTimeout bounds how long a request's headers may take.
 const headerTimeout = 3 * time.Second
 
+// answerTimeout bounds the time in which calls are answered whose replica has stopped.
+const answerTimeout = 300 * time.Millisecond
+
 // serve starts the listeners for operators and servers and, if configured, for metrics.
 func (p *process) serve(ctx context.Context) error {
 	if err := p.listen(ctx, p.config.Host.Listen, p.config.Handler(p)); err != nil {
@@ -41,8 +44,12 @@
 	})
 	p.loops.Go(func() {
 		<-ctx.Done()
-		// The remaining connections wait for answers that this process can no longer give.
-		_ = s.Close()
+		answering, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+		defer cancel()
+		if s.Shutdown(answering) != nil {
+			// The remaining calls wait for answers that this process can no longer give.
+			_ = s.Close()
+		}
 	})
 	return nil
 }
