A stopping entry answers what it has passed on before its grace time ends

What callers saw: requests that arrived late in the grace time of an entry were passed on and cut without an answer, also such that may run once.

Cause: an entry took requests until 2.8 s after the signal, whatever its grace time and however long they take, and the end of the process wasn't told to the requests.

Change: a request that wouldn't end in time by what its route's requests have taken is refused as not run. Half a second before the end those that still wait for a server get 502, or 503 if they haven't run.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -55,6 +55,8 @@
 	// cutoffMargin is how long before the end of its grace period a process abandons the requests that still
 	// run.
 	cutoffMargin = 300 * time.Millisecond
+	// answerMargin is how long before that callers of requests that still run get a response that says so.
+	answerMargin = 200 * time.Millisecond
 	// seedsFallbackAfter is how long no replica that has caught up may have answered before the seeds are polled
 	// again.
 	seedsFallbackAfter = 4 * time.Second
@@ -112,6 +114,9 @@
 	queue    waitqueue.Queue
 	// stoppedAt is when the process received the signal to stop, nil before.
 	stoppedAt atomic.Pointer[time.Time]
+	// ending ends with end, when requests can wait for servers no longer.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New opens the sockets of an entry process.
@@ -129,6 +134,7 @@
 	p := &process{config: c, site: newSite(c.Logger, residency, peerLoads, queue.SharedCapacityFreed), tracker: observe.New(), conns: newConns(), queue: queue, paths: reach.New(), metrics: metrics.NewSet()}
 	p.site.weightsDeadline, p.site.heartbeat = c.Host.Bounds.WeightsDeadline, c.Host.Bounds.Heartbeat
 	p.seeds.Store(&c.Host.Seeds)
+	p.ending, p.end = context.WithCancel(context.Background())
 	ring, err := keys.NewOpenRing(c.Host.Internal, keys.Entry)
 	if err != nil {
 		return nil, err
@@ -168,7 +174,7 @@
 	p.site.applyQuarantine = func(f suspicion.Fingerprint, period suspicion.Period) { p.guard.Apply(f, period, time.Now()) }
 	p.handler = caller.New(caller.Config{
 		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: p.tracker, Residency: residency, PeerLoads: peerLoads, Queue: queue,
-		Budget: p.budget, Limits: p.limits, Guard: p.guard, Backoffs: p.backoffs, Origins: origin.New(origin.Config{Node: p.node, Zone: c.Host.Zone, Replicas: p.originReplicas, Metrics: p.metrics}), ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Closing: p.closing, Refusing: p.refusing, Isolated: p.isolated, Trial: p.trial, ReportBackoff: p.tunnels.ReportBackoff, Metrics: p.metrics, Logger: c.Logger,
+		Budget: p.budget, Limits: p.limits, Guard: p.guard, Backoffs: p.backoffs, Origins: origin.New(origin.Config{Node: p.node, Zone: c.Host.Zone, Replicas: p.originReplicas, Metrics: p.metrics}), ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Closing: p.closing, Refusing: p.refusing, Ending: p.ending, Isolated: p.isolated, Trial: p.trial, ReportBackoff: p.tunnels.ReportBackoff, Metrics: p.metrics, Logger: c.Logger,
 	})
 	p.gate = newGate(c.Host, c.Logger, p.metrics)
 	p.registerMetrics()
@@ -224,10 +230,15 @@
 	return p.stopping() || p.gate.detector.Overloaded()
 }
 
-// refusing reports whether the process ends so soon that a new request would be cut off.
-func (p *process) refusing() bool {
+// refusing reports whether the process ends so soon that a new request that takes so long would be cut off.
+func (p *process) refusing(expected time.Duration) bool {
 	at := p.stoppedAt.Load()
-	return at != nil && time.Since(*at) > refuseAfter
+	return at != nil && (time.Since(*at) > refuseAfter || time.Since(*at)+expected > p.answerTime())
+}
+
+// answerTime returns the time from the stop signal until the callers of all requests must have a response.
+func (p *process) answerTime() time.Duration {
+	return p.config.Host.Bounds.Grace - cutoffMargin - answerMargin
 }
 
 // ready reports whether the load balancer may send new connections.
@@ -389,13 +400,16 @@
 	deadline := startedAt.Add(p.config.Host.Bounds.Grace - cutoffMargin)
 	p.stoppedAt.Store(&startedAt)
 	event.ProcessStopping.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "running": p.running.Load(), "connections": p.conns.count()})
+	ending := time.AfterFunc(p.answerTime(), p.end)
+	defer ending.Stop()
+	idleAfter := min(closeIdleAfter, p.answerTime()/2)
 	idleClosed := false
 	for time.Now().Before(deadline) {
-		if !idleClosed && time.Since(startedAt) >= closeIdleAfter {
+		if !idleClosed && time.Since(startedAt) >= idleAfter {
 			p.conns.closeIdle()
 			idleClosed = true
 		}
-		if p.refusing() && p.running.Load() == 0 && p.tunnels.Served() == 0 {
+		if p.refusing(0) && p.running.Load() == 0 && p.tunnels.Served() == 0 {
 			return
 		}
 		time.Sleep(stopCheckInterval)
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -141,9 +141,11 @@
 	// Closing returns whether connections are closed after their response, because the process is about to end or
 	// overloaded.
 	Closing func() bool
-	// Refusing returns whether the process is so close to its end that a new request cannot be
+	// Ending ends when the process is so close to its end that it can wait for servers no longer; nil for never.
+	Ending context.Context
+	// Refusing returns whether the process is so close to its end that a request that takes so long cannot be
 	// served.
-	Refusing func() bool
+	Refusing func(expected time.Duration) bool
 	// Isolated returns whether the entry reaches no server on any path.
 	Isolated func() bool
 	// Trial returns whether a request is tried although the entry is isolated.
--- a/internal/serve/caller/end.go
+++ b/internal/serve/caller/end.go
@@ -46,6 +46,9 @@
 		j.held.finish()
 	}
 	took := time.Since(j.arrived)
+	if !cut && j.status >= http.StatusOK && j.status < http.StatusMultipleChoices {
+		j.expected.record(j.route.Name, took)
+	}
 	j.metrics.observe(j.route.Kind, j.status, took)
 	fields := log.Fields{
 		"request": j.request.Attempt, "route": j.route.Name, "status": j.status, "reason": j.reason, "verdict": j.verdict.String(),
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -312,7 +312,7 @@
 		Backoffs: backoff.New(),
 		Origins:  fakeOrigins{origin.NewStore(), f.site},
 		Guard:    quarantine.New(quarantine.Config{Signs: func(string) quarantine.Signs { return quarantine.Signs{} }}),
-		Closing:  never, Refusing: never, Isolated: never, Trial: never, Metrics: metrics.NewSet(),
+		Closing:  never, Refusing: func(time.Duration) bool { return false }, Isolated: never, Trial: never, Metrics: metrics.NewSet(),
 	}
 	f.front = httptest.NewServer(New(f.config))
 	t.Cleanup(f.front.Close)
--- a/internal/serve/caller/gateway.go
+++ b/internal/serve/caller/gateway.go
@@ -29,13 +29,15 @@
 	Config
 	metrics *requestMetrics
 	steps   *steps
+	// expected estimates how long the requests of each route take.
+	expected *expectedTimes
 	// held counts the bytes of the answers that are held for callers of HTTP/1.0.
 	held atomic.Int64
 }
 
 // New returns the handler of callers' requests.
 func New(c Config) http.Handler {
-	return &gateway{Config: c, metrics: newRequestMetrics(c.Metrics), steps: newSteps()}
+	return &gateway{Config: c, metrics: newRequestMetrics(c.Metrics), steps: newSteps(), expected: newExpectedTimes()}
 }
 
 // ServeHTTP implements http.Handler.
@@ -58,6 +60,8 @@
 		// ran.
 		ctx = context.WithoutCancel(ctx)
 	}
+	ctx, cancel := g.untilEnding(ctx)
+	defer cancel()
 	j.serve(ctx, q.Context())
 }
 
@@ -70,8 +74,8 @@
 	}
 	r.Arrived = j.arrived
 	j.request = r
-	if j.Refusing() {
-		return j.reject(http.StatusServiceUnavailable, "stopping", retrySoon)
+	if j.Refusing(0) {
+		return j.reject(http.StatusServiceUnavailable, stopping, retrySoon)
 	}
 	if j.held != nil && j.gateway.held.Load() > maxHeldTogetherBytes-maxHeldBytes {
 		return j.reject(http.StatusServiceUnavailable, tooManyHeld, retrySoon)
@@ -106,6 +110,9 @@
 		timeout = r.CallerTimeout
 	}
 	j.deadline = j.arrived.Add(min(timeout, route.Timeout))
+	if !j.fitsBeforeEnd() {
+		return false
+	}
 	return j.readBody(q, table.Document().Limits)
 }
 
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -117,6 +117,10 @@
 			j.abandon()
 			return
 		}
+		if ctx.Err() != nil {
+			j.interrupt(ctx)
+			return
+		}
 		j.Site.AwaitFreshState(ctx)
 		if j.quarantined() {
 			j.giveUp(j.refusal)
@@ -161,7 +165,7 @@
 			return
 		}
 		if ctx.Err() != nil {
-			j.abandon()
+			j.interrupt(ctx)
 			return
 		}
 		if !j.mayRetry() && !j.awaitSuccessor(ctx) {
--- a/internal/serve/caller/refusal.go
+++ b/internal/serve/caller/refusal.go
@@ -25,8 +25,8 @@
 	}
 	h := j.writer.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if j.Isolated() {
-		// The caller's next connection leads to an entry that reaches servers.
+	if j.Isolated() || j.Closing() {
+		// The caller's next connection leads to an entry that can serve it.
 		h.Set("Connection", "close")
 	}
 	if retryAfter > 0 {
--- a/internal/serve/caller/stream.go
+++ b/internal/serve/caller/stream.go
@@ -157,6 +157,9 @@
 			j.Guard.Left(j.runOf(a))
 		}
 		j.endAttempt(a, observe.Abandoned)
+		if ending(ctx) {
+			return stopping
+		}
 		j.abandon()
 	}
 	return j.recordBroken(a, x, reason, err)
--- a/internal/serve/caller/successor.go
+++ b/internal/serve/caller/successor.go
@@ -97,7 +97,7 @@
 			}
 		}
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !ending(ctx) {
 		j.abandon()
 	}
 	return false
