--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -156,7 +156,8 @@
 	var found choice
 	best, fits := -1.0, false
 	for v, all := range groups {
-		p := j.enginePicker(e, v, now).Pick(all)
+		salt := j.salt(v)
+		p := j.enginePicker(e, salt, now).Pick(all)
 		if v < target {
 			p.CostMillis += oldVersionMillis
 		}
@@ -164,7 +165,7 @@
 			continue
 		}
 		best, fits = p.CostMillis, p.Fits
-		found = j.engineChoice(e, v, all[p.Index], p, now)
+		found = j.engineChoice(e, v, salt, all[p.Index], p, now)
 		found.free = p.FreeTokens
 		found.fields["candidates"], found.fields["newest"] = len(all), target
 	}
@@ -172,8 +173,7 @@
 	return found, best >= 0
 }
 
-func (j *job) enginePicker(e document.Engine, version int64, now time.Time) choose.EnginePicker {
-	salt := j.salt(version)
+func (j *job) enginePicker(e document.Engine, salt string, now time.Time) choose.EnginePicker {
 	return choose.EnginePicker{
 		Now: now, Zone: j.Zone, Parts: j.parts(salt, e, now), Output: j.request.Prompt.Output, Capacity: e.CapacityTokens, Random: newRandom(),
 		TokensPerEvent: e.TokensPerEvent, EventGap: j.route.EventGapTarget, Entries: j.Site.Entries(), PastTarget: now.After(j.queueItem().Rank.TargetTime),
@@ -232,8 +232,8 @@
 	return all
 }
 
-func (j *job) engineChoice(e document.Engine, version int64, c choose.Candidate, p choose.Plan, now time.Time) choice {
-	salt, prompt := j.salt(version), j.request.Prompt
+func (j *job) engineChoice(e document.Engine, version int64, salt string, c choose.Candidate, p choose.Plan, now time.Time) choice {
+	prompt := j.request.Prompt
 	d := j.dispatch(now)
 	d.Urgency, d.Version, d.Salt = j.urgency(), version, salt
 	d.Fetch = p.Fetch
@@ -242,7 +242,7 @@
 		server:   c.Server,
 		dispatch: d,
 		attempt:  observe.Attempt{PrefillTokens: p.PrefillTokens, ReservedTokens: reserved, FetchTokens: fetchTokens(p, prompt.Parts)},
-		prepare:  func(d *request.Dispatch) { j.prepare(d, version) },
+		prepare:  func(d *request.Dispatch) { j.prepare(d, version, now) },
 		sent:     func() { j.recordParts(c.Server, salt, e, p.Sources, now) },
 		describe: func(f log.Fields) { j.describeLongest(f, salt, e, now) },
 		fields: log.Fields{
@@ -288,9 +288,15 @@
 
 // prepare sets what is determined only when the request is sent: the stores that save its
 // parts, and the deadline of its fetches.
-func (j *job) prepare(d *request.Dispatch, version int64) {
-	if d.FetchDeadline = j.Site.FetchDeadline(); d.FetchDeadline == 0 {
-		d.Fetch = nil
+//
+// The deadline counts from the choice of the sources. Since then the request may have waited, or this process may have
+// been suspended, and a part that was withdrawn right after the choice is freed after that time.
+func (j *job) prepare(d *request.Dispatch, version int64, chosenAt time.Time) {
+	if d.FetchDeadline = j.Site.FetchDeadline(); d.FetchDeadline != 0 {
+		d.FetchDeadline -= time.Since(chosenAt).Milliseconds()
+	}
+	if d.FetchDeadline == 0 || time.Since(chosenAt) >= stores.FetchWindow {
+		d.Fetch, d.FetchDeadline = nil, 0
 	}
 	parts := j.request.Prompt.Parts
 	if version == 0 {
--- a/internal/serve/caller/odd_prompt_test.go
+++ b/internal/serve/caller/odd_prompt_test.go
@@ -66,7 +66,7 @@
 		copies = append(copies, len(p.Copies))
 	}
 	d := request.Dispatch{Salt: "salt"}
-	j.prepare(&d, 1)
+	j.prepare(&d, 1, time.Now())
 	j.recordParts(directory.Server{ID: "i-1"}, "salt", e, "rrrr", time.Now())
 	if !slices.Equal(copies, []int{1, 0, 1, 0}) || !slices.Equal(d.Save, []string{"store-5c", "", "store-9", ""}) || !slices.Equal(s.reported, []string{"5c", "9"}) {
 		t.Errorf("copies %v, saved to %q, reported %q", copies, d.Save, s.reported)
