A document whose routes share a host in other case and a prefix is refused

Cause: documents were checked with hosts as written and looked up in lower case.

Change: one function gives the host under which a route is found, for both.

Test: TestRouteIsNotReplacedByOneInOtherCase and the case "same host" of TestInvalidDocuments fail with the check as it was.

--- a/internal/site/document/document_test.go
+++ b/internal/site/document/document_test.go
@@ -28,6 +28,7 @@
 	mutations := map[string]func(*Document){
 		"unknown service": func(d *Document) { d.Routes[0].Shares[0].Service = "c" },
 		"same prefix":     func(d *Document) { d.Routes[1].Prefix = "/x/" },
+		"same host":       func(d *Document) { d.Routes[1].Host, d.Routes[1].Prefix = "H", "/x/" },
 		"no weight":       func(d *Document) { d.Routes[1].Shares = []Share{{"a", 0}, {"b", 0}} },
 		"no shares":       func(d *Document) { d.Routes[1].Shares = nil },
 		"no timeout":      func(d *Document) { d.Routes[0].Timeout = 0 },
@@ -44,6 +45,25 @@
 	}
 }
 
+// Guards against a route that takes over another one of the same host, written in other case, and repeats its requests.
+func TestRouteIsNotReplacedByOneInOtherCase(t *testing.T) {
+	d := valid()
+	d.Routes[0].Kind, d.Routes[0].Host = NonIdempotent, "Shop.Example"
+	d.Routes = append(d.Routes, Route{Name: "late", Host: "shop.example", Prefix: "/x/", Kind: Idempotent, Timeout: time.Second, Shares: []Share{{"a", 1}}})
+	if err := d.Validate(); !errors.Is(err, ErrInvalid) {
+		t.Errorf("got %v", err)
+	}
+	d.Routes[2].Prefix = "/z/"
+	if err := d.Validate(); err != nil {
+		t.Errorf("other prefixes of one host, written in two ways: %v", err)
+	}
+	for _, host := range []string{"Shop.Example", "shop.example", "SHOP.EXAMPLE"} {
+		if r, _ := NewTable(d).Route(host, "/x/"); r.Name != "wide" {
+			t.Errorf("a request to %s is routed by %q", host, r.Name)
+		}
+	}
+}
+
 func TestLongestPrefixWins(t *testing.T) {
 	table := NewTable(valid())
 	cases := map[string]string{"/x/": "wide", "/x/z": "wide", "/x/y/": "deep", "/x/y/z/..//": "deep", "/x/y": "wide", "/x": "", "/": "", "": "", "/x%2fy/": ""}
--- a/internal/site/document/table.go
+++ b/internal/site/document/table.go
@@ -25,7 +25,7 @@
 func NewTable(d Document) Table {
 	t := &table{document: d, hosts: map[string]map[string]int{}, workspaces: map[string]int{}, services: map[string]int{}}
 	for i, r := range d.Routes {
-		h := strings.ToLower(r.Host)
+		h := foldHost(r.Host)
 		if t.hosts[h] == nil {
 			t.hosts[h] = map[string]int{}
 		}
@@ -53,7 +53,7 @@
 // each slash, the longest first. The number of look-ups is the number of slashes in the path
 // and independent of the number of routes.
 func (t *table) Route(host, path string) (Route, bool) {
-	prefixes := t.hosts[strings.ToLower(host)]
+	prefixes := t.hosts[foldHost(host)]
 	for prefixes != nil {
 		end := strings.LastIndexByte(path, '/')
 		if end < 0 {
--- a/internal/site/document/validate.go
+++ b/internal/site/document/validate.go
@@ -39,7 +39,7 @@
 		if err := r.check(services); err != nil {
 			return err
 		}
-		key := hostPrefix{host: r.Host, prefix: r.Prefix}
+		key := hostPrefix{host: foldHost(r.Host), prefix: r.Prefix}
 		if other, ok := routesByPrefix[key]; ok {
 			return invalid("routes %s and %s share host %s and prefix %s", other, r.Name, r.Host, r.Prefix)
 		}
