A last write of which sectors are missing is no damage of acknowledged data

After a loss of power on all control VMs every one of them would have stayed down if the last, never acknowledged write was not short but had lost a sector in its middle or read as zeros in a file of its full size: 'a record does not match its checksum'.

Cause: only a record that ends beyond its file counted as an incomplete write.

Change: each write begins with the hard state, so that a later write can be found behind the damage; a write that is followed by another one was synced. Damage in the last write of the newest segment counts as incomplete if a sector of it reads as zeros. A flipped bit in the last write is refused as before.

The folder of the tests keeps, loses or tears each unsynced write by sectors.

--- a/internal/control/disk/replay.go
+++ b/internal/control/disk/replay.go
@@ -57,7 +57,7 @@
 	switch {
 	case isCut(b, at) && !newest:
 		return r.corrupt(name, at, "the file ends within a record, yet a later segment exists")
-	case newest && isCut(b, at):
+	case newest && (isCut(b, at) || lacksSectors(b, at)):
 		return nil
 	case at == 0:
 		return r.corrupt(name, at, "this is not a log segment of this version")
--- a/internal/control/disk/restart_test.go
+++ b/internal/control/disk/restart_test.go
@@ -1,6 +1,7 @@
 package disk_test
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -71,6 +72,89 @@
 	}
 }
 
+// Guards against a replica that stays down after a power loss because sectors of its last write, which was never
+// acknowledged, read as zeros in a file that has its full size.
+func TestLastWriteWithMissingSectorsIsCut(t *testing.T) {
+	big := strings.Repeat("document ", 500)
+	for _, missing := range []string{"first", "middle", "last", "all"} {
+		files := faultfile.New()
+		s := founded(t, files)
+		appendAll(t, s, entries(1, 5))
+		name := segments(t, files)[0]
+		start := files.Size(name)
+		batch := []raft.Entry{{Index: 6, Term: 1, Data: []byte(big)}, {Index: 7, Term: 1, Data: []byte("after")}}
+		if err := s.Append(&raft.HardState{Term: 1}, batch); err != nil {
+			t.Fatal(err)
+		}
+		end := files.Size(name)
+		switch missing {
+		case "first":
+			files.Zero(name, start, 512)
+		case "middle":
+			files.Zero(name, 1024, 1536)
+		case "last":
+			files.Zero(name, end/512*512, end)
+		case "all":
+			files.Zero(name, start, end)
+		}
+		files.Kill()
+		s, err := disk.Open(disk.Config{Files: files, Name: "control-1"})
+		if err != nil {
+			t.Errorf("%s: %v", missing, err)
+			continue
+		}
+		if got := s.State(); len(got.Entries) < 5 || got.TornBytes == 0 {
+			t.Errorf("%s: %d entries, %d bytes were cut", missing, len(got.Entries), got.TornBytes)
+		}
+	}
+}
+
+// Guards against a log that is cut in its middle: sectors of an acknowledged write read as zeros, and later writes
+// show that it was synced. The replica must not vote without it.
+func TestMissingSectorsBeforeLaterWritesAreRefused(t *testing.T) {
+	files := faultfile.New()
+	s := founded(t, files)
+	appendAll(t, s, entries(1, 5))
+	name := segments(t, files)[0]
+	start := files.Size(name)
+	appendAll(t, s, []raft.Entry{{Index: 6, Term: 1, Data: []byte(strings.Repeat("document ", 500))}})
+	end := files.Size(name)
+	appendAll(t, s, entries(7, 7))
+	for _, hole := range [][2]int{{start, 512}, {1024, 1536}, {end / 512 * 512, end}, {start, end}} {
+		damaged := faultfile.New()
+		copyFiles(t, files, damaged)
+		damaged.Zero(name, hole[0], hole[1])
+		refusedAt(t, damaged, fmt.Sprintf("zeros in bytes %d to %d", hole[0], hole[1]))
+	}
+}
+
+func copyFiles(t *testing.T, from, to *faultfile.Folder) {
+	t.Helper()
+	names, err := from.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		b, err := from.Read(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f, err := to.Create(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.Write(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := to.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		to.Cut(n, to.Size(n))
+	}
+}
+
 // Guards against acknowledged state that is lost, and against a replica that its own folder keeps down, after
 // kills at any operation, starts on what they left, and losses of power.
 func TestFolderSurvivesKillsAndPowerLosses(t *testing.T) {
--- a/internal/control/disk/store_log.go
+++ b/internal/control/disk/store_log.go
@@ -99,8 +99,8 @@
 	s.file = file
 	s.segments = append(s.segments, segment{name: name, last: s.end})
 	s.buffer = append(s.buffer[:0], segmentMagic...)
-	s.buffer = appendStart(s.buffer, s.end)
 	s.buffer = appendHardState(s.buffer, s.hard)
+	s.buffer = appendStart(s.buffer, s.end)
 	s.written = 0
 	if err := s.flush(); err != nil {
 		return err
@@ -128,11 +128,10 @@
 	if s.failed != nil {
 		return s.failed
 	}
-	s.buffer = s.buffer[:0]
 	if hard != nil {
 		s.hard = *hard
-		s.buffer = appendHardState(s.buffer, *hard)
 	}
+	s.buffer = appendHardState(s.buffer[:0], s.hard)
 	for _, e := range entries {
 		s.buffer, s.scratch = appendEntry(s.buffer, e, s.scratch)
 	}
@@ -160,7 +159,7 @@
 
 func (s *store) reset(after uint64) error {
 	s.after, s.end = after, after
-	s.buffer = appendReset(s.buffer[:0], after)
+	s.buffer = appendReset(appendHardState(s.buffer[:0], s.hard), after)
 	current := &s.segments[len(s.segments)-1]
 	current.last = max(current.last, after)
 	return s.flush()
--- a/internal/control/faultfile/folder.go
+++ b/internal/control/faultfile/folder.go
@@ -51,7 +51,8 @@
 }
 
 // Crash drops all unsynced data. If random is not nil, a random part is kept: each
-// change to names independently of the others, and a prefix of each file's unsynced bytes.
+// change to names and each write since the last sync independently of the others,
+// and some sectors of a torn write.
 func (f *Folder) Crash(random *rand.Rand) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
