A replica whose data folder is damaged is replaced instead of ending for ever

Cause: the only answer to damage was to refuse to start, with a message for an operator.

Change: on a provider's site, the replica sets the files aside (damaged-...) and goes on as one that lost its disk: blank, under a new identity, without a vote, never founding a group. The group admits it as it admits a replaced disk; without a quorum it waits and says so. The product's own door refuses as before, because an operator admits replicas there.

--- a/internal/base/event/control.go
+++ b/internal/base/event/control.go
@@ -34,6 +34,8 @@
 	LeadershipHandedOver = define(313, log.InfoLevel, "leadership-handed-over", "The leader stops and has asked the named replica to take over.")
 	// ReplicaStopped is written at the end of a planned stop.
 	ReplicaStopped = define(314, log.InfoLevel, "replica-stopped", "The replica has synced and closed its data folder.")
+	// FolderSetAside is written when a replica can't trust its data folder.
+	FolderSetAside = define(316, log.ErrorLevel, "folder-set-aside", "The data folder is damaged, the error says where; its files are kept under names that begin with damaged-, and the replica goes on as one that lost its disk: blank, without a vote, until the group admits it.")
 	// DiskLow is written when the reserve of free space is used up.
 	DiskLow = define(315, log.ErrorLevel, "disk-low", "The disk of the data folder has less free space than the reserve; this replica, if it is the leader, accepts no commands until there is enough space again.")
 )
--- a/internal/control/disk/state.go
+++ b/internal/control/disk/state.go
@@ -14,4 +14,6 @@
 	TornBytes int64
 	// RewrittenBytes is the number of bytes that were written again because they may not have been synced.
 	RewrittenBytes int64
+	// SetAside is true if the folder holds the files of a damaged one that was set aside.
+	SetAside bool
 }
--- a/internal/control/disk/store.go
+++ b/internal/control/disk/store.go
@@ -57,6 +57,8 @@
 	Compact(index uint64) error
 	// Free returns the free space in bytes.
 	Free() (uint64, error)
+	// RemoveSetAside removes the files of a damaged folder that were set aside, to make room.
+	RemoveSetAside() error
 	// Close closes the log and unlocks the folder.
 	Close() error
 }
@@ -108,8 +110,9 @@
 	if err != nil {
 		return fmt.Errorf("disk: data folder: %w", err)
 	}
+	s.state.SetAside = isSetAside(names)
 	for _, n := range names {
-		if !strings.HasSuffix(n, temporary) {
+		if !strings.HasSuffix(n, temporary) || strings.HasPrefix(n, setAsidePrefix) {
 			continue
 		}
 		if err := s.config.Files.Remove(n); err != nil {
@@ -205,6 +208,15 @@
 	return s.config.Files.Free()
 }
 
+// RemoveSetAside implements Store.
+func (s *store) RemoveSetAside() error {
+	names, err := s.config.Files.List()
+	if err != nil {
+		return fmt.Errorf("disk: data folder: %w", err)
+	}
+	return removeSetAside(s.config.Files, names)
+}
+
 // State implements Store.
 func (s *store) State() State {
 	return s.state
--- a/internal/control/replica/config.go
+++ b/internal/control/replica/config.go
@@ -49,6 +49,11 @@
 	// are unreachable would otherwise found a second, empty group. Clients of
 	// that group would lose everything that the first one accepted.
 	JoinOnly bool
+	// ReplaceDamaged makes a replica whose data folder is damaged set it aside and start
+	// as one that lost its disk: blank, under a new identity and without a vote.
+	//
+	// Otherwise it refuses to start until an operator moves the folder away.
+	ReplaceDamaged bool
 	// Peers returns addresses besides the seeds at which a group may be found; nil for none.
 	Peers func() []string
 	// Transport sends messages to the other replicas.
--- a/internal/control/replica/loop.go
+++ b/internal/control/replica/loop.go
@@ -90,6 +90,12 @@
 		event.DiskLow.Write(l.replica.config.Logger, log.Fields{"replica": l.replica.config.Name, "free": free, "needed": minFreeBytes})
 	}
 	l.diskLow = low
+	if !low || !l.replica.store.State().SetAside {
+		return
+	}
+	if err := l.replica.store.RemoveSetAside(); err != nil {
+		event.DiskLow.Write(l.replica.config.Logger, log.Fields{"replica": l.replica.config.Name, "error": err.Error()})
+	}
 }
 
 // drain processes further queued inputs, so that one sync covers all of them.
--- a/internal/control/replica/replacement_test.go
+++ b/internal/control/replica/replacement_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
+	"time"
 
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/control/disk"
@@ -264,3 +267,60 @@
 	n.folder = t.TempDir()
 	c.start(n)
 }
+
+// Guards against a replica that ends again and again because its folder is damaged, and against one that votes by
+// such a folder: it must be as one that lost its disk, and keep the files.
+func TestReplicaWithDamagedFolderIsReplaced(t *testing.T) {
+	c := newCluster(t, 3, func(c *Config) { c.ReplaceDamaged = true })
+	c.commit("one")
+	c.waitForState("one", c.nodes...)
+	damaged := c.others(c.waitForLeader())[0]
+	rest := c.others(damaged)
+	old := damaged.replica.Formation().Identity
+	c.kill(damaged)
+	flipLastBit(t, filepath.Join(damaged.folder, "log-0000000000000001"))
+	c.commit("two", rest...)
+	c.start(damaged)
+	c.waitUntil("the damaged replica to be blank", func() bool { return damaged.replica.Status().Role == RoleBlank })
+	if f := damaged.replica.Formation(); f.Formed || f.Identity == old {
+		t.Errorf("the replica belongs to the group by its damaged folder: %+v", f)
+	}
+	if _, err := os.Stat(filepath.Join(damaged.folder, "damaged-log-0000000000000001")); err != nil {
+		t.Error(err)
+	}
+	c.replaceMember(damaged, old, rest)
+	c.commit("three")
+	c.waitForState("one two three", c.nodes...)
+}
+
+// Guards against a second group that replicas with damaged folders found without the first one's log.
+func TestReplicasWithDamagedFoldersFoundNoGroup(t *testing.T) {
+	c := newCluster(t, 3, func(c *Config) { c.ReplaceDamaged = true })
+	c.commit("one")
+	c.waitForState("one", c.nodes...)
+	for _, n := range c.nodes {
+		c.kill(n)
+		flipLastBit(t, filepath.Join(n.folder, "log-0000000000000001"))
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	time.Sleep(20 * probeTicks * 5 * time.Millisecond)
+	for _, n := range c.nodes {
+		if f := n.replica.Formation(); f.Formed {
+			t.Errorf("%s has founded a group: %+v", n.name, f)
+		}
+	}
+}
+
+func flipLastBit(t *testing.T, path string) {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b[len(b)-1] ^= 1
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -92,10 +93,12 @@
 			return nil, err
 		}
 	}
-	store, err := disk.Open(disk.Config{Files: files, Name: c.Name, Group: c.Group})
+	store, err := openStore(c, files)
 	if err != nil {
 		return nil, err
 	}
+	// A replica that set its folder aside belongs to a group, even if the group forms for the first time.
+	c.JoinOnly = c.JoinOnly || store.State().SetAside
 	r := newReplica(c, store)
 	if err := r.restore(); err != nil {
 		_ = store.Close()
@@ -106,6 +109,21 @@
 	return r, nil
 }
 
+// openStore opens the data folder, or a blank one if it is damaged and may be replaced.
+func openStore(c Config, files disk.Files) (disk.Store, error) {
+	d := disk.Config{Files: files, Name: c.Name, Group: c.Group}
+	store, err := disk.Open(d)
+	var damage *disk.Corruption
+	if !c.ReplaceDamaged || !errors.As(err, &damage) {
+		return store, err
+	}
+	event.FolderSetAside.Write(c.Logger, log.Fields{"replica": c.Name, "error": fmt.Sprintf("%s: %s", damage.Path, damage.Reason), "offset": damage.Offset})
+	if err := disk.SetAside(files); err != nil {
+		return nil, err
+	}
+	return disk.Open(d)
+}
+
 func newReplica(c Config, store disk.Store) *replica {
 	return &replica{
 		config:         c,
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -148,7 +148,7 @@
 	c := replica.Config{
 		Name: h.Internal, Address: h.Internal, Folder: h.DataFolder,
 		Transport: p.transport, Machine: m, Logger: p.config.Logger,
-		JoinOnly: !h.FirstStart, Peers: func() []string { return *p.peers.Load() },
+		JoinOnly: !h.FirstStart, ReplaceDamaged: true, Peers: func() []string { return *p.peers.Load() },
 	}
 	for _, s := range h.Seeds {
 		c.Seeds = append(c.Seeds, replica.Seed{Name: s, Address: s})
