--- a/internal/process/platform/handler.go
+++ b/internal/process/platform/handler.go
@@ -61,5 +61,6 @@
 func (h *handler) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	h.config.Metrics.WritePrometheus(w)
+	metrics.WritePrometheus(w, false)
 	metrics.WriteProcessMetrics(w)
 }
--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -300,6 +300,9 @@
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.host.Store(&h) }, p.config.Logger)
 	})
 	if err := p.serve(serving); err != nil {
+		err = errors.Join(err, p.close())
+		stop()
+		p.loops.Wait()
 		return err
 	}
 	event.ProcessStarted.Write(p.config.Logger, log.Fields{"role": "control", "name": p.config.Host.Name, "quic": p.node.Address(), "zone": p.config.Host.Zone})
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -277,20 +277,27 @@
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.seeds.Store(&h.Seeds) }, p.config.Logger)
 	})
 	if err := p.serve(serving); err != nil {
-		return err
+		stop()
+		return errors.Join(err, p.close())
 	}
 	event.ProcessStarted.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "callers": p.config.Host.Listen, "zone": p.config.Host.Zone})
 	<-ctx.Done()
 	p.drain()
 	stop()
+	err := p.close()
+	event.ProcessStopped.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "cut": p.running.Load()})
+	return err
+}
+
+// close waits for the loops, which have been told to end, and closes the connections.
+func (p *process) close() error {
+	p.end()
 	p.follower.Wait()
 	p.hints.follower.Wait()
 	p.loops.Wait()
 	p.client.Close()
 	p.dialer.Close()
-	err := p.node.Close()
-	event.ProcessStopped.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "cut": p.running.Load()})
-	return err
+	return p.node.Close()
 }
 
 // follow polls the seeds and then the replicas that any of them lists.
