--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -64,9 +64,7 @@
 	defer p.faultLock.Unlock()
 	p.stop(signal, stopBound)
 	if wipe {
-		if err := p.wipe(); err != nil {
-			s.record.reportViolation("wipe %s: %v", p.name, err)
-		}
+		s.loseDisk(p)
 	}
 	sleep(ctx, s.randomDuration(time.Second))
 	if err := s.restart(p); err != nil {
@@ -77,6 +75,17 @@
 	}
 }
 
+// loseDisk removes the data of a stopped process, or damages it if the run says so.
+func (s *site) loseDisk(p *process) {
+	lose := p.wipe
+	if s.damagesDisks {
+		lose = func() error { return p.damage(s.damageRandom) }
+	}
+	if err := lose(); err != nil {
+		s.record.reportViolation("lose the disk of %s: %v", p.name, err)
+	}
+}
+
 // suspend suspends a process for some time and resumes it. It does nothing while another
 // fault acts on the process.
 func (s *site) suspend(ctx context.Context, p *process) {
--- a/deploy/soak/loss_of_all.go
+++ b/deploy/soak/loss_of_all.go
@@ -23,9 +23,7 @@
 		stopped.Go(func() { p.stop(syscall.SIGKILL, stopBound) })
 	}
 	stopped.Wait()
-	if err := lost.wipe(); err != nil {
-		s.record.reportViolation("wipe %s: %v", lost.name, err)
-	}
+	s.loseDisk(lost)
 	s.replaceServer(true)
 	sleep(ctx, s.randomDuration(catchUpTime/2))
 	for _, p := range all {
--- a/deploy/soak/main.go
+++ b/deploy/soak/main.go
@@ -48,6 +48,7 @@
 	flaggy.String(&c.folder, "", "folder", "folder for logs and reports; default: a temporary folder")
 	flaggy.Bool(&c.killsOnly, "k", "kills-only", "only kill processes, servers and callers that are processes of their own among them")
 	flaggy.Bool(&c.quickRestarts, "q", "quick-restarts", "killed servers may be back under their IDs at once")
+	flaggy.Bool(&c.damagesDisks, "d", "damaged-disks", "replicas that lose their disks get them back damaged")
 	flaggy.Parse()
 	if seeds < 1 || parallel < 1 || seconds < 1 {
 		fmt.Fprintln(os.Stderr, "soak: --seeds, --parallel and --seconds must be at least 1")
--- a/deploy/soak/process.go
+++ b/deploy/soak/process.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -186,6 +188,28 @@
 	return os.RemoveAll(p.dataDir)
 }
 
+// damage flips a bit in one file of a stopped process. A file that lost its end isn't told from one with an unsynced write.
+func (p *process) damage(random *rand.Rand) error {
+	files, err := os.ReadDir(p.dataDir)
+	if err != nil {
+		return err
+	}
+	files = slices.DeleteFunc(files, func(f os.DirEntry) bool {
+		i, err := f.Info()
+		return err != nil || i.Size() == 0
+	})
+	if len(files) == 0 {
+		return nil
+	}
+	path := filepath.Join(p.dataDir, files[random.IntN(len(files))].Name())
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	b[random.IntN(len(b))] ^= 1 << random.IntN(8)
+	return os.WriteFile(path, b, 0o600)
+}
+
 // writeSettings writes the settings file as the provider does.
 func (p *process) writeSettings(folder string, seeds []string, firstStart bool) error {
 	text := fmt.Sprintf(`node = %q
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -25,6 +25,8 @@
 	killsOnly bool
 	// quickRestarts is set if killed servers may be back under their IDs at once.
 	quickRestarts bool
+	// damagesDisks is set if replicas that lose their disks get them back damaged.
+	damagesDisks bool
 }
 
 // result is the result of one run.
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -47,7 +47,11 @@
 
 	seed uint64
 	// quickRestarts is set if killed servers may be back under their IDs at once.
-	quickRestarts  bool
+	quickRestarts bool
+	// damagesDisks is set if replicas that lose their disks get them back damaged, as damageRandom says. One fault of
+	// this kind is active at a time.
+	damagesDisks   bool
+	damageRandom   *rand.Rand
 	mu             sync.Mutex
 	closed         bool
 	random         *rand.Rand
@@ -61,7 +65,7 @@
 // newSite starts a site on separate loopback addresses, which depend on the seed and the process ID.
 func newSite(c runConfig, folder string, r *record) (*site, error) {
 	s := &site{
-		folder: folder, record: r, seed: c.seed, quickRestarts: c.quickRestarts, random: rand.New(rand.NewPCG(c.seed, 1)),
+		folder: folder, record: r, seed: c.seed, quickRestarts: c.quickRestarts, damagesDisks: c.damagesDisks, damageRandom: rand.New(rand.NewPCG(c.seed, 63)), random: rand.New(rand.NewPCG(c.seed, 1)),
 		executions: &executions{record: r, runs: map[string]int{}, tenants: map[string]string{}},
 	}
 	s.network = fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, c.seed%250)
