--- a/internal/control/disk/set_aside_test.go
+++ b/internal/control/disk/set_aside_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"testing"
@@ -70,3 +71,42 @@
 	files.Flip(name, files.Size(name)-2, 3)
 	return files, identity
 }
+
+// Guards against a damaged or missing file for which a replica ends with an error that doesn't count as damage, so
+// that its folder is never set aside, or with none.
+func TestDamageOfEachFileIsRecognized(t *testing.T) {
+	whole := faultfile.New()
+	founded(t, whole)
+	whole.Kill()
+	s, err := disk.Open(disk.Config{Files: whole, Name: "control-1", SegmentBytes: 200})
+	if err != nil {
+		t.Fatal(err)
+	}
+	appendAll(t, s, entries(1, 9))
+	// The segments of the first entries are removed.
+	save(t, s, 4, "state at four")
+	names, err := whole.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := segments(t, whole)
+	newest := all[len(all)-1]
+	for _, name := range names {
+		for offset := range whole.Size(name) {
+			files := faultfile.New()
+			copyFiles(t, whole, files)
+			files.Flip(name, offset, uint(offset%8))
+			refusedAt(t, files, fmt.Sprintf("bit %d of byte %d of %s", offset%8, offset, name))
+		}
+		if name == newest {
+			// What it held can't be known from the other files.
+			continue
+		}
+		files := faultfile.New()
+		copyFiles(t, whole, files)
+		if err := files.Remove(name); err != nil {
+			t.Fatal(err)
+		}
+		refusedAt(t, files, name+" is missing")
+	}
+}
