The first edit is known again when its operator sends it again

Callers saw 422, edit-id-reused, for the first edit of a new system when they sent it again after a lost answer (TestRolloutWithASuspendedOrderHolder, once). The first edit is made with the bootstrap key and gives that key to an operator. Sent again it is of that operator, whose name is part of the digest, so that it looked like another edit under the same ID.

An edit under a known ID is compared as one of the bootstrap operator too. TestFirstEditIsSentAgainByItsOperator fails without this; the same ID with other content is refused as before. The test was not played beside load again.

--- a/internal/settings/section/section.go
+++ b/internal/settings/section/section.go
@@ -69,7 +69,7 @@
 		return refused(s.revision, "", "%v", err)
 	}
 	if first, ok := s.history.byID[e.ID]; ok {
-		return s.answerResend(first, digest)
+		return s.answerResend(first, e, digest)
 	}
 	o, effects, next := s.decide(e)
 	if o.Kind != Accepted {
@@ -95,8 +95,13 @@
 // answerResend returns the first outcome of a resent edit. An operator who got no
 // answer resends the edit, possibly after edits of others; applied a second time,
 // it would undo them.
-func (s *section) answerResend(first storedOutcome, digest [32]byte) Outcome {
-	if first.digest != digest {
+//
+// The first edit, made with the bootstrap key, may give that key to an operator, under whose name it is then resent.
+func (s *section) answerResend(first storedOutcome, e Edit, digest [32]byte) Outcome {
+	bootstrap := e
+	bootstrap.Operator = BootstrapOperator
+	bootstrapDigest, err := bootstrap.contentDigest()
+	if first.digest != digest && (err != nil || first.digest != bootstrapDigest) {
 		o := refused(s.revision, "", "the edit id belongs to an edit with other content")
 		o.Kind = Reused
 		return o
--- a/internal/settings/section/section_test.go
+++ b/internal/settings/section/section_test.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// Guards against a refusal of the first edit when it is sent again after it gave the bootstrap key to an operator.
+func TestFirstEditIsSentAgainByItsOperator(t *testing.T) {
+	s := newSection(t)
+	first, again := setupEdit(), setupEdit()
+	apply(t, s, first)
+	again.Operator = "ana"
+	if o := apply(t, s, again); o.Kind != Accepted || !o.Repeated || o.Revision != 1 {
+		t.Errorf("sent again: %+v", o)
+	}
+	again.Base = 1
+	if o := apply(t, s, again); o.Kind != Reused {
+		t.Errorf("another edit under its ID: %+v", o)
+	}
+}
+
 // An entry with slightly older settings may still accept the key of an operator
 // who was removed. The section must refuse the edits of that operator.
 func TestOperatorsOfTheTreeOnly(t *testing.T) {
