Clients of an entry of a site are bounded together

Callers saw an entry end for its memory, or no answers while clients that stop in their requests held all its connections. Each request was bounded, their sum wasn't: a body by the document's limit, a head by 1 MiB. Connections were bounded for callers only, and only idle ones were closed for new ones. Nothing ended a body that stops.

internal/node/inbound serves all addresses of the entry. Long heads and bodies are reserved in one account, a quarter of the memory, before they are allocated. When it is full, or all connections are in use, clients that hold most for the longest time without progress are ended. A head beyond its limit is refused before the HTTP server has kept it, a body is read until its request's deadline, and a refused one isn't waited for. Refusals are 413, 431, 408, and 503 with a Retry-After in which stalled clients have been evicted; a request that can never fit gets 413. Bounds are settings, checked, with defaults by the machine.

--- a/internal/base/event/node.go
+++ b/internal/base/event/node.go
@@ -20,4 +20,6 @@
 	TunnelPeerAvoided = define(206, log.InfoLevel, "tunnel-peer-avoided", "Another entry gave no connection to a backend server and is asked last for a while; the field reason says why.")
 	// TunnelFailed is written when no other entry could connect to a server.
 	TunnelFailed = define(207, log.InfoLevel, "tunnel-failed", "No connection to a backend server could be established through another entry; the fields count the entries that were asked, those that were refused by the server and those that couldn't reach it.")
+	// ClientsEnded is written, at most once a second, while clients that use up a process's memory or time are ended.
+	ClientsEnded = define(208, log.WarnLevel, "clients-ended", "Clients were refused or their connections closed during a request, because together they held too much memory or all connections without progress, or took too long; the fields count them by reason since the last such line, and give the memory that is reserved for clients and its bound.")
 )
--- a/internal/base/event/site.go
+++ b/internal/base/event/site.go
@@ -53,7 +53,7 @@
 	// QuarantineChanged is written by an entry when a request is quarantined or cleared.
 	QuarantineChanged = define(925, log.WarnLevel, "quarantine-changed", "A request that crashes servers, or a part of prompts that does, is quarantined or cleared; refuted says that this entry knows answers that speak against it, since-ms is the time since the first loss, delay-ms how long others have to refute it, own-losses how many runs this entry goes by alone while the control log takes no reports.")
 	// ConnectionsRefused is written by an entry, at most once a second, while it refuses connections of callers.
-	ConnectionsRefused = define(933, log.WarnLevel, "connections-refused", "New connections of callers were closed unread, because the entry gets too little processor time or has as many as it may have; the fields count them since the last such line.")
+	ConnectionsRefused = define(933, log.WarnLevel, "connections-refused", "New connections of clients were closed unread, because the process gets too little processor time or has as many at that listener as it may have; the fields count them since the last such line.")
 	// MessageRejected is written by a control process, at most once a second, while it rejects messages.
 	MessageRejected = define(934, log.WarnLevel, "message-rejected", "A message of a server or an operator was rejected for good, because a name, an address or a number in it can't be used; count says how many since the last such line, sender and error describe the last one.")
 	// SoftwareRecorded is written when a replica has proposed to record a version of servers' software.
--- a/internal/process/siteentry/conns_test.go
+++ b/internal/node/inbound/conns_test.go
@@ -1,26 +1,22 @@
-package siteentry
+package inbound
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
-
-	"hornbeamwood/internal/site/document"
-	"hornbeamwood/internal/site/host"
 )
 
 // A process that is stopping closes its idle connections just as a request arrives on one. Either the caller
 // finds its connection closed and the request has not run, or it gets its response. A request that is passed on
 // although its connection is closed runs for nothing.
 func TestRequestDuringIdleCloseIsNotRead(t *testing.T) {
-	idle, active, s := openConn(t), openConn(t), newConns()
+	x := newTestServer(t)
+	s := x.conns
+	idle, active := openConn(t, x), openConn(t, x)
 	for _, c := range []*testConn{idle, active} {
-		s.all[c.conn] = struct{}{}
-		s.stateChanged(c.conn, http.StateIdle)
+		x.stateChanged(c.conn, http.StateIdle)
 	}
 	go func() { _, _ = active.peer.Write([]byte("G")) }()
 	if n, err := active.conn.Read(make([]byte, 1)); n != 1 || err != nil {
@@ -46,29 +42,46 @@
 	peer net.Conn
 }
 
-func openConn(t *testing.T) *testConn {
+// newTestServer returns a server with small limits and an account of testBytes.
+func newTestServer(t *testing.T) *server {
+	s := New(Config{
+		Name: "test", Handler: http.NotFoundHandler(), Account: NewAccount(AccountConfig{Bounds: Bounds{Bytes: testBytes}}),
+		Limits: func() Limits {
+			return Limits{HeaderBytes: 1 << 10, IdleTimeout: time.Minute, HeaderTimeout: 10 * time.Second}
+		},
+	})
+	t.Cleanup(func() { _ = s.Close() })
+	return s.(*server)
+}
+
+const testBytes = 1 << 20
+
+// openConn returns a connection that the server has accepted.
+func openConn(t *testing.T, s *server) *testConn {
 	local, peer := net.Pipe()
 	t.Cleanup(func() { _ = peer.Close() })
-	return &testConn{conn: &conn{Conn: local, since: time.Now()}, peer: peer}
+	c := &conn{Conn: local, server: s}
+	c.enter(phaseIdle)
+	s.conns.add(c)
+	s.account.add(c)
+	return &testConn{conn: c, peer: peer}
 }
 
 // An operator sets an idle timeout of a minute. An entry that closes idle connections sooner, by a limit of its
 // own, does so while callers that rely on the setting send their next requests. One that never closes them runs
 // out of file descriptors, as it does with callers that stop in the middle of the headers.
 func TestDocumentSetsConnectionTimeouts(t *testing.T) {
-	limits := document.Limits{IdleTimeout: time.Minute, HeaderTimeout: 10 * time.Second}
-	s := newConns()
-	idle, partial, active := openConn(t), openConn(t), openConn(t)
-	for _, c := range []*testConn{idle, partial, active} {
-		s.all[c.conn] = struct{}{}
-	}
+	limits := Limits{HeaderBytes: 1 << 10, IdleTimeout: time.Minute, HeaderTimeout: 10 * time.Second}
+	server := newTestServer(t)
+	s := server.conns
+	idle, partial, active := openConn(t, server), openConn(t, server), openConn(t, server)
 	for _, c := range []*testConn{partial, active} {
 		go func() { _, _ = c.peer.Write([]byte("G")) }()
 		if _, err := c.conn.Read(make([]byte, 1)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	s.stateChanged(active.conn, http.StateActive)
+	server.stateChanged(active.conn, http.StateActive)
 	now := time.Now()
 	for _, x := range []struct {
 		after              time.Duration
@@ -79,56 +92,38 @@
 		{59 * time.Second, false, true, false},
 		{61 * time.Second, true, true, false},
 	} {
-		s.expire(now.Add(x.after), limits)
+		s.expire(now.Add(x.after), limits, func(string) {})
 		if idle.conn.closed != x.idle || partial.conn.closed != x.half || active.conn.closed != x.served {
 			t.Errorf("after %v: idle closed %t, partial headers closed %t, serving closed %t", x.after, idle.conn.closed, partial.conn.closed, active.conn.closed)
 		}
 	}
 }
 
-// Without a document connections are kept, but not indefinitely.
-func TestConnectionsAreBoundedWithoutADocument(t *testing.T) {
-	s, idle := newConns(), openConn(t)
-	s.all[idle.conn] = struct{}{}
-	s.expire(time.Now().Add(defaultIdleTimeout-time.Second), document.Limits{})
-	if idle.conn.closed {
-		t.Error("the idle connection was closed too early")
-	}
-	s.expire(time.Now().Add(defaultIdleTimeout+time.Second), document.Limits{})
-	if !idle.conn.closed {
-		t.Error("the idle connection was not closed")
-	}
-}
-
-// The load balancer checks every second on a connection of its own. If closed connections stay tracked, they
-// cost memory, and after some days the entry reports thousands of callers.
-func TestBalancerChecksLeaveNoConnections(t *testing.T) {
-	p := &process{conns: newConns(), config: Config{Host: host.Host{}}}
-	ctx, cancel := context.WithCancel(t.Context())
-	address := freeAddress(t)
-	check := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: headerTimeout}
-	if err := p.listen(ctx, address, check); err != nil {
+// Guards against connections that stay tracked after they have closed: they cost memory, and after some days the process
+// reports thousands of clients.
+func TestClosedConnectionsAreNotTracked(t *testing.T) {
+	s := newTestServer(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
+	go func() { _ = s.Serve(l) }()
 	for range 3 {
 		c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-		r, err := c.Get("http://" + address)
+		r, err := c.Get("http://" + l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		_ = r.Body.Close()
 	}
-	if n := p.conns.count(); n != 0 {
-		t.Errorf("%d connections are still tracked", n)
-	}
-	cancel()
-	p.loops.Wait()
+	eventually(t, "no connection is tracked", func() bool { return s.Connections() == 0 })
 }
 
-// freeAddress returns a loopback address that was free at the time of the call.
-func freeAddress(t *testing.T) string {
+func eventually(t *testing.T, condition string, check func() bool) {
 	t.Helper()
-	s := httptest.NewServer(http.NotFoundHandler())
-	defer s.Close()
-	return s.Listener.Addr().String()
+	for deadline := time.Now().Add(10 * time.Second); !check(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("condition not met in time: %s", condition)
+		}
+	}
 }
--- a/internal/node/tcp/socket.go
+++ b/internal/node/tcp/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -46,12 +47,36 @@
 	return nil
 }
 
-// Listen listens on an address of the form IP:port.
-func Listen(ctx context.Context, address string) (net.Listener, error) {
+// Listen listens on an address of the form IP:port. The kernel keeps about so many bytes, if not zero, of what an accepted
+// connection has received and its reader hasn't read.
+func Listen(ctx context.Context, address string, receiveBuffer int) (net.Listener, error) {
 	c := net.ListenConfig{Control: control, KeepAliveConfig: keepAlive()}
+	if receiveBuffer > 0 {
+		c.Control = func(network, address string, r syscall.RawConn) error {
+			return errors.Join(control(network, address, r), ReceiveBuffer(receiveBuffer)(network, address, r))
+		}
+	}
 	return c.Listen(ctx, "tcp4", address)
 }
 
+// ReceiveBuffer returns a function that sets SO_RCVBUF on a socket to n bytes; the connections that a listening socket accepts
+// inherit it.
+func ReceiveBuffer(n int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n)
+		})
+		if err == nil {
+			err = failed
+		}
+		if err != nil {
+			return fmt.Errorf("tcp: set the receive buffer: %w", err)
+		}
+		return nil
+	}
+}
+
 // Dial connects to an address of the form IP:port. ctx bounds the time to connect.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Control: control, KeepAliveConfig: keepAlive()}
--- a/internal/node/tcp/socket_test.go
+++ b/internal/node/tcp/socket_test.go
@@ -7,7 +7,7 @@
 
 // A server must see which VM opened a connection, although loopback addresses share an interface.
 func TestDialFromConnectsFromTheAddressOfTheVM(t *testing.T) {
-	l, err := Listen(t.Context(), "127.0.0.1:0")
+	l, err := Listen(t.Context(), "127.0.0.1:0", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/sitecontrol/serve.go
+++ b/internal/process/sitecontrol/serve.go
@@ -32,7 +32,7 @@
 }
 
 func (p *process) listen(ctx context.Context, address string, h http.Handler) error {
-	l, err := tcp.Listen(ctx, address)
+	l, err := tcp.Listen(ctx, address, 0)
 	if err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -17,6 +17,7 @@
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/node/dial"
+	"hornbeamwood/internal/node/inbound"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/node/tcp"
@@ -41,10 +42,6 @@
 )
 
 const (
-	// headerTimeout bounds reading the headers of a health check by the load balancer or a metrics scrape.
-	headerTimeout = 5 * time.Second
-	// maxHeaderBytes bounds the headers that are read before the document's limit is applied.
-	maxHeaderBytes = 1 << 20
 	// closeIdleAfter is the delay from the stop signal to closing the idle connections of callers. The load
 	// balancer checks every second and stops sending connections after two failed checks, so the callers' next
 	// connections go to other entries.
@@ -109,7 +106,9 @@
 	loops    sync.WaitGroup
 	seeds    atomic.Pointer[[]string]
 	running  atomic.Int64
-	conns    *conns
+	bounds   inbound.Bounds
+	account  inbound.Account
+	callers  inbound.Server
 	gate     *gate
 	queue    waitqueue.Queue
 	// stoppedAt is when the process received the signal to stop, nil before.
@@ -131,7 +130,7 @@
 	residency, queue := parts.NewResidency(), waitqueue.New()
 	watcher := fmt.Sprintf("%s/%d", c.Host.Internal, time.Now().UnixNano())
 	peerLoads := share.NewPeerLoads(watcher)
-	p := &process{config: c, site: newSite(c.Logger, residency, peerLoads, queue.SharedCapacityFreed), tracker: observe.New(), conns: newConns(), queue: queue, paths: reach.New(), metrics: metrics.NewSet()}
+	p := &process{config: c, site: newSite(c.Logger, residency, peerLoads, queue.SharedCapacityFreed), tracker: observe.New(), queue: queue, paths: reach.New(), metrics: metrics.NewSet()}
 	p.site.weightsDeadline, p.site.heartbeat = c.Host.Bounds.WeightsDeadline, c.Host.Bounds.Heartbeat
 	p.seeds.Store(&c.Host.Seeds)
 	p.ending, p.end = context.WithCancel(context.Background())
@@ -176,7 +175,10 @@
 		Zone: c.Host.Zone, Codec: c.Codec, Site: p.site, Client: p.client, Tracker: p.tracker, Residency: residency, PeerLoads: peerLoads, Queue: queue,
 		Budget: p.budget, Limits: p.limits, Guard: p.guard, Backoffs: p.backoffs, Origins: origin.New(origin.Config{Node: p.node, Zone: c.Host.Zone, Replicas: p.originReplicas, Metrics: p.metrics}), ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Closing: p.closing, Refusing: p.refusing, Ending: p.ending, Isolated: p.isolated, Trial: p.trial, ReportBackoff: p.tunnels.ReportBackoff, Metrics: p.metrics, Logger: c.Logger,
 	})
-	p.gate = newGate(c.Host, c.Logger, p.metrics)
+	p.gate = newGate()
+	p.bounds = c.Host.Clients.WithMachine(c.Host.MemoryBytes, c.Host.Descriptors, callerDescriptors).WithDefaults()
+	p.account = inbound.NewAccount(inbound.AccountConfig{Bounds: p.bounds, Metrics: p.metrics, Logger: c.Logger})
+	p.callers = p.callersServer()
 	p.registerMetrics()
 	return p, nil
 }
@@ -190,7 +192,7 @@
 func (p *process) registerMetrics() {
 	p.metrics.NewGauge("hornbeamwood_site_running", func() float64 { return float64(p.running.Load()) })
 	p.metrics.NewGauge("hornbeamwood_site_waiting", func() float64 { return float64(p.queue.Len()) })
-	p.metrics.NewGauge("hornbeamwood_site_connections", func() float64 { return float64(p.conns.count()) })
+	p.metrics.NewGauge("hornbeamwood_site_connections", func() float64 { return float64(p.callers.Connections()) })
 	p.metrics.NewGauge("hornbeamwood_site_limited_servers", func() float64 { return float64(p.limits.Len()) })
 	p.metrics.NewGauge("hornbeamwood_site_brittle_servers", func() float64 { return float64(p.limits.Brittle()) })
 	p.metrics.NewGauge("hornbeamwood_site_backoff_servers", func() float64 { return float64(p.backoffs.Len()) })
@@ -271,7 +273,6 @@
 	p.loops.Go(func() { p.reportUsedParts(serving) })
 	p.loops.Go(func() { p.reportLoads(serving) })
 	p.loops.Go(func() { p.reportLosses(serving) })
-	p.loops.Go(func() { p.expireConns(serving) })
 	p.loops.Go(func() { p.gate.run(serving) })
 	p.loops.Go(func() {
 		host.Watch(serving, p.config.Host, p.config.Load, func(h host.Host) { p.seeds.Store(&h.Seeds) }, p.config.Logger)
@@ -340,36 +341,37 @@
 
 // serve listens for callers, the load balancer and metrics scrapes.
 func (p *process) serve(ctx context.Context) error {
-	// The timeouts of callers come with the document: expireConns applies them.
-	callers := &http.Server{
-		Handler:        http.HandlerFunc(p.serveCounted),
-		MaxHeaderBytes: maxHeaderBytes,
-		ConnState:      p.conns.stateChanged,
-	}
-	if err := p.listen(ctx, p.config.Host.Listen, callers); err != nil {
+	if err := p.listen(ctx, p.config.Host.Listen, p.callers); err != nil {
 		return err
 	}
-	if err := p.listen(ctx, p.config.Host.Ready, &http.Server{Handler: p.config.Ready(p.ready), ReadHeaderTimeout: headerTimeout}); err != nil {
+	if err := p.listen(ctx, p.config.Host.Ready, p.platformServer("readiness", p.config.Ready(p.ready))); err != nil {
 		return err
 	}
 	if p.config.Host.Metrics == "" {
 		return nil
 	}
-	return p.listen(ctx, p.config.Host.Metrics, &http.Server{Handler: platform.New(platform.Config{Ready: p.readinessError, Metrics: p.metrics}), ReadHeaderTimeout: headerTimeout})
+	return p.listen(ctx, p.config.Host.Metrics, p.platformServer("metrics", platform.New(platform.Config{Ready: p.readinessError, Metrics: p.metrics})))
+}
+
+// callersServer returns the server of callers, whose limits are those of the document in force.
+func (p *process) callersServer() inbound.Server {
+	return inbound.New(inbound.Config{
+		Name: "callers", Handler: http.HandlerFunc(p.serveCounted), ReadsBodies: true, Account: p.account, Connections: p.bounds.Connections,
+		Limits: p.callerLimits, Refuses: p.gate.refuses, Metrics: p.metrics, Logger: p.config.Logger,
+	})
+}
+
+// platformServer returns a server for health checks by the load balancer or metrics scrapes.
+func (p *process) platformServer(name string, h http.Handler) inbound.Server {
+	return inbound.NewPlatformServer(inbound.Config{Name: name, Handler: h, Account: p.account, Metrics: p.metrics, Logger: p.config.Logger})
 }
 
 // listen serves on an address until ctx ends.
-//
-// Connections are tracked only for a server that reports their states. For any other server the entry would
-// never learn that a connection has closed.
-func (p *process) listen(ctx context.Context, address string, s *http.Server) error {
-	l, err := tcp.Listen(ctx, address)
+func (p *process) listen(ctx context.Context, address string, s inbound.Server) error {
+	l, err := tcp.Listen(ctx, address, p.bounds.ReceiveBytes)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
-	if s.ConnState != nil {
-		l = listener{l, p.conns, p.gate}
-	}
 	p.loops.Go(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			event.NoticeRefused.Write(p.config.Logger, log.Fields{"notice": "listen " + address, "error": err.Error()})
@@ -406,14 +408,14 @@
 	startedAt := time.Now()
 	deadline := startedAt.Add(p.config.Host.Bounds.Grace - cutoffMargin)
 	p.stoppedAt.Store(&startedAt)
-	event.ProcessStopping.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "running": p.running.Load(), "connections": p.conns.count()})
+	event.ProcessStopping.Write(p.config.Logger, log.Fields{"role": "entry", "name": p.config.Host.Name, "running": p.running.Load(), "connections": p.callers.Connections()})
 	ending := time.AfterFunc(p.answerTime(), p.end)
 	defer ending.Stop()
 	idleAfter := min(closeIdleAfter, p.answerTime()/2)
 	idleClosed := false
 	for time.Now().Before(deadline) {
 		if !idleClosed && time.Since(startedAt) >= idleAfter {
-			p.conns.closeIdle()
+			p.callers.CloseIdle()
 			idleClosed = true
 		}
 		if p.refusing(0) && p.running.Load() == 0 && p.tunnels.Served() == 0 {
--- a/internal/serve/caller/gateway.go
+++ b/internal/serve/caller/gateway.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"math"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"hornbeamwood/internal/node/inbound"
 	"hornbeamwood/internal/serve/request"
 	"hornbeamwood/internal/site/document"
 )
@@ -22,6 +23,10 @@
 // writeGrace is how long after its deadline the rest of a response may take to be written.
 const writeGrace = 3 * time.Second
 
+// retryMemory is the retry time of a caller for whose body no memory is free: clients that make no progress are
+// evicted by then.
+const retryMemory = time.Second
+
 // isolated is the reason of a refusal while the entry reaches no server.
 const isolated = "isolated"
 
@@ -42,7 +47,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *gateway) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	j := &job{gateway: g, writer: w, arrived: time.Now(), protocol: q.Proto}
+	j := &job{gateway: g, writer: w, arrived: time.Now(), protocol: q.Proto, unread: q}
 	if !q.ProtoAtLeast(1, 1) {
 		j.held = &heldWriter{ResponseWriter: w, method: q.Method, total: &g.held}
 		j.writer = j.held
@@ -160,45 +165,33 @@
 	return ok || j.route.Public
 }
 
+// readBody reads the body of the request. The response to one that doesn't arrive whole is a promise that the request has not
+// run.
 func (j *job) readBody(q *http.Request, l document.Limits) bool {
-	if q.Body == nil || q.Body == http.NoBody {
-		return true
-	}
-	body := io.Reader(q.Body)
+	limit := int64(math.MaxInt64)
 	if l.BodyBytes > 0 {
-		if q.ContentLength > int64(l.BodyBytes) {
-			return j.reject(http.StatusRequestEntityTooLarge, "body-too-large", 0)
-		}
-		body = http.MaxBytesReader(j.writer, q.Body, int64(l.BodyBytes))
+		limit = int64(l.BodyBytes)
 	}
-	b, err := readAll(body, q.ContentLength)
-	if err == nil {
+	b, err := inbound.ReadBody(j.writer, q, limit, j.deadline)
+	j.unread = nil
+	switch {
+	case err == nil:
 		j.request.Body = b
 		return true
-	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	case errors.Is(err, inbound.ErrTooLarge):
 		return j.reject(http.StatusRequestEntityTooLarge, "body-too-large", 0)
+	case errors.Is(err, inbound.ErrTimeout):
+		return j.reject(http.StatusRequestTimeout, "body-timeout", 0)
+	case errors.Is(err, inbound.ErrNoMemory):
+		return j.reject(http.StatusServiceUnavailable, "no-memory", retryMemory)
+	case errors.Is(err, inbound.ErrInterrupted):
+		return j.reject(http.StatusServiceUnavailable, stopping, retrySoon)
 	}
 	// The caller disconnected during its request; there is no one to respond to.
 	j.reason = "caller-broke-off"
 	panic(http.ErrAbortHandler)
 }
 
-// readAll reads a body whose length is known in most cases.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(r)
-	}
-	const most = 16 << 20
-	if length > most {
-		return io.ReadAll(r)
-	}
-	b := make([]byte, length)
-	_, err := io.ReadFull(r, b)
-	return b, err
-}
-
 // urgency returns the priority of the request; the workspace's takes precedence over the
 // route's.
 func (j *job) urgency() int {
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -46,6 +46,8 @@
 	held     *heldWriter
 	arrived  time.Time
 	deadline time.Time
+	// unread is the request until its body is read.
+	unread *http.Request
 
 	request   request.Request
 	route     document.Route
--- a/internal/serve/caller/refusal.go
+++ b/internal/serve/caller/refusal.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/node/inbound"
 )
 
 // reject ends a request for which no server is tried.
@@ -25,6 +26,9 @@
 	}
 	h := j.writer.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if j.unread != nil {
+		inbound.RefuseBody(j.writer, j.unread)
+	}
 	if j.Isolated() || j.Closing() {
 		// The caller's next connection leads to an entry that can serve it.
 		h.Set("Connection", "close")
--- a/internal/site/host/host.go
+++ b/internal/site/host/host.go
@@ -1,6 +1,10 @@
 package host
 
-import "time"
+import (
+	"time"
+
+	"hornbeamwood/internal/node/inbound"
+)
 
 // Host holds a process's settings about its VM and its site. All of them may change while the process runs.
 type Host struct {
@@ -26,6 +30,8 @@
 	DataFolder string
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// Clients bounds what clients may make the process hold, where it differs from the defaults for the VM.
+	Clients inbound.Bounds
 	// Descriptors is how many file descriptors the process may have open, zero for no limit.
 	Descriptors int
 	// Bounds are the time bounds and retry limits of the site.
