A planned stop of an entry refuses bodies that don't arrive

A caller that had stopped in its body when the entry was told to stop got no response: the entry waited for the rest until its grace time had passed, and was then ended with the connection. Clients could so hold a planned stop for its whole time.

Once the entry refuses new work, a body that is being read is refused with 503 and a Retry-After. The request has not run. TestStopBesideStoppedBodies got no response before, and gets 503 now.

--- a/internal/process/siteentry/entry.go
+++ b/internal/process/siteentry/entry.go
@@ -418,6 +418,10 @@
 			p.callers.CloseIdle()
 			idleClosed = true
 		}
+		if p.refusing(0) {
+			// The rest of a body that comes this late is of no use.
+			p.callers.InterruptBodies()
+		}
 		if p.refusing(0) && p.running.Load() == 0 && p.tunnels.Served() == 0 {
 			return
 		}
