Answers that a caller hasn't taken count as what clients hold

An answer is buffered until it is whole, up to 256 KiB, and one to a caller of HTTP/1.0 until its length is known, up to 4 MiB. Callers that don't read make the entry keep them: by 101 MB of 112 for short answers on the code before.

Answers of more than 8 KiB reserve memory in the account. Without it, a large answer is forwarded as it comes, and one to a caller of HTTP/1.0 gets what it gets above the limit.

--- a/internal/serve/caller/gateway.go
+++ b/internal/serve/caller/gateway.go
@@ -49,7 +49,7 @@
 func (g *gateway) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	j := &job{gateway: g, writer: w, arrived: time.Now(), protocol: q.Proto, unread: q}
 	if !q.ProtoAtLeast(1, 1) {
-		j.held = &heldWriter{ResponseWriter: w, method: q.Method, total: &g.held}
+		j.held = &heldWriter{ResponseWriter: w, method: q.Method, total: &g.held, reserve: func(n int64) bool { return inbound.TryReserve(q.Context(), n) }}
 		j.writer = j.held
 	}
 	if g.Closing() {
--- a/internal/serve/caller/held.go
+++ b/internal/serve/caller/held.go
@@ -32,6 +32,9 @@
 	method string
 	// total counts the bytes of all answers that are held.
 	total *atomic.Int64
+	// reserve reserves memory until the request has ended, reserved is what is reserved.
+	reserve  func(n int64) bool
+	reserved int64
 	// status is the status of the answer that is held, zero if none is.
 	status int
 	body   bytes.Buffer
@@ -57,7 +60,7 @@
 	if w.status == 0 {
 		return w.ResponseWriter.Write(b)
 	}
-	if w.body.Len()+len(b) > maxHeldBytes || w.total.Load()+int64(len(b)) > maxHeldTogetherBytes {
+	if w.body.Len()+len(b) > maxHeldBytes || w.total.Load()+int64(len(b)) > maxHeldTogetherBytes || !w.reserveFor(len(b)) {
 		w.tooLarge = true
 		return 0, errTooLarge
 	}
@@ -67,6 +70,22 @@
 	return n, err
 }
 
+// reserveFor reserves memory for n more bytes. The body grows to twice its size, while the smaller copy is still held.
+func (w *heldWriter) reserveFor(n int) bool {
+	if w.body.Available() >= n {
+		return true
+	}
+	more := int64(3*(w.body.Len()+n)) - freeAnswerBytes - w.reserved
+	if more <= 0 {
+		return true
+	}
+	if !w.reserve(more) {
+		return false
+	}
+	w.reserved += more
+	return true
+}
+
 // FlushError flushes what isn't held.
 func (w *heldWriter) FlushError() error {
 	if w.status != 0 {
--- a/internal/serve/caller/job.go
+++ b/internal/serve/caller/job.go
@@ -48,6 +48,8 @@
 	deadline time.Time
 	// unread is the request until its body is read.
 	unread *http.Request
+	// reserved is the memory that is reserved for the answer.
+	reserved int64
 
 	request   request.Request
 	route     document.Route
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -13,6 +13,7 @@
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/node/inbound"
 	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/observe"
@@ -25,6 +26,9 @@
 // kilobytes.
 const maxBufferedBytes = 256 << 10
 
+// freeAnswerBytes is the size of answers for which no memory is reserved.
+const freeAnswerBytes = 8 << 10
+
 // drainTimeout bounds the time for the rest of a response that isn't forwarded.
 const drainTimeout = 50 * time.Millisecond
 
@@ -186,7 +190,7 @@
 
 // bufferResponse reads a complete response before the caller gets a byte of it.
 func (j *job) bufferResponse(ctx context.Context, a *observe.Attempt, x *backend.Exchange) (bool, string) {
-	if x.Response.ContentLength > maxBufferedBytes {
+	if x.Response.ContentLength > maxBufferedBytes || !j.reserveAnswer(ctx, x.Response.ContentLength) {
 		return j.forwardLarge(ctx, a, x, nil)
 	}
 	var body bytes.Buffer
@@ -212,6 +216,22 @@
 	return true, ""
 }
 
+// reserveAnswer reserves memory for an answer of that length, negative if it isn't known. Callers may take long to read their
+// answers, or never do.
+func (j *job) reserveAnswer(ctx context.Context, length int64) bool {
+	if length < 0 {
+		length = maxBufferedBytes
+	}
+	n := length - freeAnswerBytes - j.reserved
+	if n > 0 {
+		if !inbound.TryReserve(ctx, n) {
+			return false
+		}
+		j.reserved += n
+	}
+	return true
+}
+
 // prove returns an error unless the end of the response is proved. The server's part has ended before.
 func (j *job) prove(ctx context.Context, x *backend.Exchange) error {
 	j.leave()
