Clients of a control replica of a site are bounded together

A replica ended for its memory, or could open no files, because of clients at the address of operators and servers or at that of metrics: bodies of operators are up to 5 MiB each, heads up to 1 MiB, and connections had no bound.

The replica serves both addresses with the bounds of the entry: one account, a quarter of the memory, and 0.6 of the descriptors that files don't need. Bodies have 30 s. A body without memory is refused with 503.

--- a/internal/process/sitecontrol/serve_test.go
+++ b/internal/process/sitecontrol/serve_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"hornbeamwood/internal/node/inbound"
 )
 
 // Guards against an operator's or server's call that a stopping replica has read and cuts without an answer.
@@ -20,11 +22,13 @@
 	p := &process{}
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	if err := p.listen(ctx, address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		stop()
 		time.Sleep(answerTimeout / 3)
 		_, _ = io.WriteString(w, "answered")
-	})); err != nil {
+	})
+	s := inbound.New(inbound.Config{Handler: h, Account: inbound.NewAccount(inbound.AccountConfig{}), Limits: clientLimits(inbound.Bounds{}.WithDefaults())})
+	if err := p.listen(ctx, address, inbound.Bounds{}, s); err != nil {
 		t.Fatal(err)
 	}
 	r, err := http.Get("http://" + address + "/")
