A document is sent chunk by chunk

160 clients that ask for a document of 2 MB and don't read it took a replica to 285 MB of 150: each had a whole copy of its own (TestControlUnreadDocuments).

The text of one chunk at a time is inflated and written.

--- a/internal/site/chunk/join.go
+++ b/internal/site/chunk/join.go
@@ -9,22 +9,41 @@
 
 // Join returns the text of the chunks, or an error if the content of one doesn't match its digest.
 func Join(all []Chunk) ([]byte, error) {
+	size, err := Size(all)
+	if err != nil {
+		return nil, err
+	}
+	text := bytes.NewBuffer(make([]byte, 0, size))
+	if err := Write(text, all); err != nil {
+		return nil, err
+	}
+	return text.Bytes(), nil
+}
+
+// Size returns the size of the text of the chunks in bytes, or an error if a chunk declares one that it can't have.
+func Size(all []Chunk) (int, error) {
 	size := 0
 	for _, c := range all {
 		if c.Size < 0 || c.Size > maxBytes {
-			return nil, fmt.Errorf("chunk: chunk %s has a declared size of %d bytes, %d at most are allowed", c.Digest, c.Size, maxBytes)
+			return 0, fmt.Errorf("chunk: chunk %s has a declared size of %d bytes, %d at most are allowed", c.Digest, c.Size, maxBytes)
 		}
 		size += c.Size
 	}
-	text := make([]byte, 0, size)
+	return size, nil
+}
+
+// Write writes the text of the chunks, one chunk at a time, until the content of one doesn't match its digest.
+func Write(w io.Writer, all []Chunk) error {
 	for _, c := range all {
 		section, err := c.inflate()
 		if err != nil {
-			return nil, err
+			return err
+		}
+		if _, err := w.Write(section); err != nil {
+			return fmt.Errorf("chunk: %w", err)
 		}
-		text = append(text, section...)
 	}
-	return text, nil
+	return nil
 }
 
 func (c Chunk) inflate() ([]byte, error) {
--- a/internal/site/section/active_document.go
+++ b/internal/site/section/active_document.go
@@ -1,6 +1,8 @@
 package section
 
 import (
+	"io"
+
 	"hornbeamwood/internal/base/codec"
 	"hornbeamwood/internal/site/chunk"
 	"hornbeamwood/internal/site/document"
@@ -38,9 +40,14 @@
 	return active, nil
 }
 
-// Source returns the document as the operator sent it.
-func (a ActiveDocument) Source() ([]byte, error) {
-	return chunk.Join(a.source)
+// SourceSize returns the size of the document as the operator sent it, in bytes.
+func (a ActiveDocument) SourceSize() (int, error) {
+	return chunk.Size(a.source)
+}
+
+// WriteSource writes the document as the operator sent it. It holds a small part of it at a time.
+func (a ActiveDocument) WriteSource(w io.Writer) error {
+	return chunk.Write(w, a.source)
 }
 
 // Chunk returns a chunk of the document or of its source by its digest.
--- a/internal/site/section/section_test.go
+++ b/internal/site/section/section_test.go
@@ -1,6 +1,7 @@
 package section
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -132,11 +133,14 @@
 func source(t *testing.T, s Section) string {
 	t.Helper()
 	active, _ := s.Active()
-	b, err := active.Source()
-	if err != nil {
+	var b bytes.Buffer
+	if err := active.WriteSource(&b); err != nil {
 		t.Fatal(err)
 	}
-	return string(b)
+	if n, err := active.SourceSize(); err != nil || n != b.Len() {
+		t.Errorf("the size is %d, %v; it has %d bytes", n, err, b.Len())
+	}
+	return b.String()
 }
 
 func apply(t *testing.T, s Section, c Command) Result {
