Clients of the own interface are bounded together

Callers with a key, operators and backend servers that stop in their bodies, and anybody at a replica's metrics, took processes of the own interface to 531 to 987 MB of 256 or 1,614 to 4,968 descriptors of 1,000. Bodies were bounded one by one, and heads and connections not at all.

The processes serve with internal/node/inbound. The bounds are settings of the node file under [clients], checked with the other settings.

--- a/internal/entry/backend/answer.go
+++ b/internal/entry/backend/answer.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/node/inbound"
 )
 
 // Problem is the body of an error response.
@@ -48,12 +49,18 @@
 }
 
 // refuseBody answers 413 for a body above the size limit, whatever its Content-Length says,
+// 408 and 503 for one that doesn't arrive in time or for which there is no memory,
 // and 400 for a body that can't be read.
 func (h *handler) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.Is(err, inbound.ErrTooLarge):
 		h.refuse(w, r, http.StatusRequestEntityTooLarge, "too-large", err.Error())
-		return
+	case errors.Is(err, inbound.ErrTimeout):
+		h.refuse(w, r, http.StatusRequestTimeout, "body-timeout", err.Error())
+	case errors.Is(err, inbound.ErrNoMemory), errors.Is(err, inbound.ErrInterrupted):
+		w.Header().Set("Retry-After", "1")
+		h.refuse(w, r, http.StatusServiceUnavailable, "no-memory", err.Error())
+	default:
+		h.refuse(w, r, http.StatusBadRequest, "bad-body", err.Error())
 	}
-	h.refuse(w, r, http.StatusBadRequest, "bad-body", err.Error())
 }
--- a/internal/entry/backend/decode.go
+++ b/internal/entry/backend/decode.go
@@ -7,11 +7,14 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
+
+	"hornbeamwood/internal/node/inbound"
 )
 
 // decodeBody decodes the body of a request.
 func decodeBody[T any](w http.ResponseWriter, r *http.Request, limit int64) (T, error) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	b, err := inbound.ReadBody(w, r, limit, time.Time{})
 	if err != nil {
 		var zero T
 		return zero, fmt.Errorf("the body can't be read: %w", err)
--- a/internal/entry/caller/config.go
+++ b/internal/entry/caller/config.go
@@ -3,16 +3,16 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"net/http"
 	"time"
 
 	"github.com/apex/log"
+
+	"hornbeamwood/internal/node/inbound"
 )
 
 const (
 	defaultMaxBody = 4 << 20
 	maxAnswer      = 16 << 20
-	maxHeaderBytes = 64 << 10
 	maxKeyBytes    = 512
 	idBytes        = 12
 )
@@ -27,8 +27,8 @@
 	Services Services
 	// Tokenizer tokenizes prompts; default NewByteTokenizer.
 	Tokenizer Tokenizer
-	// BodyTimeout bounds the time to read a body; default 30 s.
-	BodyTimeout time.Duration
+	// Bounds bound what callers may send and how long they may take; their defaults if zero.
+	Bounds inbound.Bounds
 	// HeaderTimeout bounds the time to read headers; default 10 s.
 	HeaderTimeout time.Duration
 	// WriteTimeout bounds the time that a caller takes to accept one event or answer; default 2 min.
@@ -45,9 +45,7 @@
 	if c.Tokenizer == nil {
 		c.Tokenizer = NewByteTokenizer()
 	}
-	if c.BodyTimeout <= 0 {
-		c.BodyTimeout = 30 * time.Second
-	}
+	c.Bounds = c.Bounds.WithDefaults()
 	if c.HeaderTimeout <= 0 {
 		c.HeaderTimeout = 10 * time.Second
 	}
@@ -69,13 +67,8 @@
 	return hex.EncodeToString(b[:])
 }
 
-// Server returns an HTTP server for h that limits the size and time of headers, so that slow callers can't hold connections.
-func (c Config) Server(h http.Handler) *http.Server {
+// Limits returns the limits of the heads and connections of h's listener, so that slow callers can't hold connections.
+func (c Config) Limits() inbound.Limits {
 	c = c.withDefaults()
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: c.HeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		IdleTimeout:       2 * time.Minute,
-	}
+	return inbound.Limits{HeaderBytes: c.Bounds.HeaderBytes, HeaderTimeout: c.HeaderTimeout, IdleTimeout: c.Bounds.IdleTimeout}
 }
--- a/internal/entry/caller/error_body.go
+++ b/internal/entry/caller/error_body.go
@@ -78,6 +78,12 @@
 		"this entry is stopping; another one serves").WithRetryAfter(time.Second)
 }
 
+// noMemory is the refusal of a request for whose body no memory is free.
+func noMemory(cause error) verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no-memory",
+		"this entry has no memory for the body now").WithRetryAfter(time.Second).WithCause(cause)
+}
+
 func unauthorized() verdict.Error {
 	return verdict.New(verdict.NotRun, http.StatusUnauthorized, "invalid-key", "the key in Authorization is missing or not valid")
 }
--- a/internal/entry/caller/exchange.go
+++ b/internal/entry/caller/exchange.go
@@ -4,9 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -14,6 +12,7 @@
 
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/node/inbound"
 	"hornbeamwood/internal/settings/rules"
 )
 
@@ -25,6 +24,8 @@
 	id        string
 	snapshot  *rules.Snapshot
 	workspace rules.Workspace
+	// bodyRead is set once the body is read, or can't be.
+	bodyRead bool
 }
 
 type exchangeKey struct{}
@@ -93,25 +94,19 @@
 
 // body reads the whole body, of at most limit bytes.
 func (x *exchange) body(limit int64) ([]byte, error) {
-	if x.request.ContentLength > limit {
-		return nil, tooLarge(limit)
-	}
-	control := http.NewResponseController(x.writer)
-	// Without a deadline, callers that send single bytes from time to time
-	// could occupy all memory of this VM with their bodies.
-	_ = control.SetReadDeadline(time.Now().Add(x.handler.BodyTimeout))
-	b, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
-	if err == nil {
+	b, err := inbound.ReadBody(x.writer, x.request, limit, time.Now().Add(x.handler.Bounds.BodyTimeout))
+	x.bodyRead = true
+	switch {
+	case err == nil:
 		return b, nil
-	}
-	var over *http.MaxBytesError
-	if errors.As(err, &over) {
+	case errors.Is(err, inbound.ErrTooLarge):
 		return nil, tooLarge(limit)
-	}
-	x.writer.Header().Set("Connection", "close")
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	case errors.Is(err, inbound.ErrTimeout):
 		return nil, verdict.New(verdict.NotRun, http.StatusRequestTimeout, "body-timeout", "the body did not arrive in time").WithCause(err)
+	case errors.Is(err, inbound.ErrNoMemory):
+		return nil, x.earlyRefusal(noMemory(err))
+	case errors.Is(err, inbound.ErrInterrupted):
+		return nil, x.earlyRefusal(stopping())
 	}
 	return nil, verdict.New(verdict.NotRun, http.StatusBadRequest, "body-incomplete", "the body did not arrive whole").WithCause(err)
 }
@@ -119,6 +114,9 @@
 // refuse answers with an error.
 func (x *exchange) refuse(err error) {
 	e := asError(err)
+	if !x.bodyRead {
+		inbound.RefuseBody(x.writer, x.request)
+	}
 	h := x.writer.Header()
 	h.Set(verdict.Header, e.Verdict.String())
 	if e.RetryAfter > 0 {
--- a/internal/entry/caller/fixture_test.go
+++ b/internal/entry/caller/fixture_test.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"hornbeamwood/internal/entry/service"
+	"hornbeamwood/internal/node/inbound"
 	"hornbeamwood/internal/settings/rules"
 )
 
@@ -140,7 +140,7 @@
 	completer *fakeCompleter
 	services  *fakeServices
 	handler   Handler
-	server    *httptest.Server
+	server    struct{ URL string }
 }
 
 func newFixture(t testing.TB, c Config) *fixture {
@@ -151,10 +151,14 @@
 	}
 	c.Snapshots, c.Completer, c.Services = f.snapshots, f.completer, f.services
 	f.handler = New(c)
-	f.server = httptest.NewUnstartedServer(f.handler)
-	f.server.Config = c.Server(f.handler)
-	f.server.Start()
-	t.Cleanup(f.server.Close)
+	s := inbound.New(inbound.Config{Handler: f.handler, Account: inbound.NewAccount(inbound.AccountConfig{}), Limits: c.Limits})
+	l, err := inbound.Listen(t.Context(), "127.0.0.1:0", c.Bounds.WithDefaults().ReceiveBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.server.URL = "http://" + l.Addr().String()
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
 	return f
 }
 
@@ -190,7 +194,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	response, err := f.server.Client().Do(r)
+	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/caller/isolation_test.go
+++ b/internal/entry/caller/isolation_test.go
@@ -115,7 +115,7 @@
 	h := New(Config{Snapshots: &fixedSnapshots{snapshot: snapshot}, Completer: completer, Services: calls, Logger: logger})
 	server := httptest.NewServer(h)
 	defer server.Close()
-	f := &fixture{server: server}
+	f := &fixture{server: struct{ URL string }{server.URL}}
 	for range 12 {
 		me, other := one, two
 		if r.IntN(2) == 0 {
--- a/internal/entry/caller/slow_test.go
+++ b/internal/entry/caller/slow_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/node/inbound"
 )
 
 func dial(t *testing.T, f *fixture) net.Conn {
@@ -30,7 +31,7 @@
 // BodyTimeout; otherwise a few thousand such callers could occupy an entry's
 // memory and connections.
 func TestSlowBodyIsRefused(t *testing.T) {
-	f := newFixture(t, Config{BodyTimeout: 50 * time.Millisecond})
+	f := newFixture(t, Config{Bounds: inbound.Bounds{BodyTimeout: 50 * time.Millisecond}})
 	c := dial(t, f)
 	fmt.Fprint(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-1\r\nContent-Length: 100\r\n\r\n{\"model\"")
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
--- a/internal/entry/operator/body.go
+++ b/internal/entry/operator/body.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"mime"
 	"net/http"
+	"time"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/node/inbound"
 	"hornbeamwood/internal/settings/tomlfile"
 	"hornbeamwood/internal/settings/tree"
 )
@@ -32,9 +33,9 @@
 	if err != nil || (media != mediaJSON && media != mediaTOML) {
 		return tree.Subtree{}, verdict.New(verdict.NotRun, http.StatusUnsupportedMediaType, "media-type", "settings are sent as %s or %s", mediaTOML, mediaJSON)
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBody))
+	b, err := inbound.ReadBody(w, r, h.MaxBody, time.Time{})
 	if err != nil {
-		return tree.Subtree{}, bodyError(err)
+		return tree.Subtree{}, h.bodyError(err)
 	}
 	var s tree.Subtree
 	if media == mediaTOML {
@@ -48,10 +49,14 @@
 	return s, nil
 }
 
-func bodyError(err error) error {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body-too-large", "a body has %d bytes at most", large.Limit)
+func (h *handler) bodyError(err error) error {
+	switch {
+	case errors.Is(err, inbound.ErrTooLarge):
+		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body-too-large", "a body has %d bytes at most", h.MaxBody)
+	case errors.Is(err, inbound.ErrTimeout):
+		return verdict.New(verdict.NotRun, http.StatusRequestTimeout, "body-timeout", "the body did not arrive in time").WithCause(err)
+	case errors.Is(err, inbound.ErrNoMemory), errors.Is(err, inbound.ErrInterrupted):
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no-memory", "this entry has no memory for the body now").WithRetryAfter(retryDelay).WithCause(err)
 	}
 	return verdict.New(verdict.NotRun, http.StatusBadRequest, "body-cut", "the body did not arrive whole").WithCause(err)
 }
--- a/internal/process/control/control.go
+++ b/internal/process/control/control.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -18,6 +16,7 @@
 	"hornbeamwood/internal/control/reaper"
 	"hornbeamwood/internal/control/replica"
 	"hornbeamwood/internal/control/state"
+	"hornbeamwood/internal/node/inbound"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/process/keyring"
@@ -26,11 +25,8 @@
 	"hornbeamwood/internal/settings/node"
 )
 
-const (
-	headerTimeout = 5 * time.Second
-	// stopTimeout bounds the transfer of leadership; a stop without a quorum must end too.
-	stopTimeout = 10 * time.Second
-)
+// stopTimeout bounds the transfer of leadership; a stop without a quorum must end too.
+const stopTimeout = 10 * time.Second
 
 // Config is what a control process needs.
 type Config struct {
@@ -195,12 +191,15 @@
 	if !address.IsValid() {
 		return nil
 	}
-	l, err := net.Listen("tcp", address.String())
+	bounds := p.config.File.Clients.Bounds()
+	l, err := inbound.Listen(ctx, address.String(), bounds.ReceiveBytes)
 	if err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
-	h := platform.New(platform.Config{Ready: p.ready, Metrics: p.metrics})
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	s := inbound.NewPlatformServer(inbound.Config{
+		Name: "metrics", Handler: platform.New(platform.Config{Ready: p.ready, Metrics: p.metrics}), Metrics: p.metrics, Logger: p.config.Logger,
+		Account: inbound.NewAccount(inbound.AccountConfig{Bounds: bounds, Metrics: p.metrics, Logger: p.config.Logger}),
+	})
 	p.loops.Go(func() { _ = s.Serve(l) })
 	p.loops.Go(func() {
 		<-ctx.Done()
--- a/internal/process/entry/build.go
+++ b/internal/process/entry/build.go
@@ -26,6 +26,7 @@
 	"hornbeamwood/internal/fleet/membership"
 	"hornbeamwood/internal/fleet/orders"
 	fleetquic "hornbeamwood/internal/fleet/quic"
+	"hornbeamwood/internal/node/inbound"
 	"hornbeamwood/internal/policy/admission"
 	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/policy/outage"
@@ -74,6 +75,7 @@
 		Snapshots: x.settings,
 		Completer: x.router,
 		Services:  calls{client: x.services, retries: retries, settings: x.settings, region: p.config.File.Region},
+		Bounds:    p.config.File.Clients.Bounds(),
 		Logger:    logger,
 	})
 	return x, nil
@@ -193,7 +195,7 @@
 }
 
 // newServer returns the HTTP server for callers, operators and backend servers.
-func (p *process) newServer() *http.Server {
+func (p *process) newServer() inbound.Server {
 	mux := http.NewServeMux()
 	mux.Handle("/", p.components.caller)
 	o := operator.New(operator.Config{
@@ -220,8 +222,11 @@
 		mux.Handle("/fleet/", b)
 	}
 	platform.New(platform.Config{Ready: p.ready, Metrics: p.metrics}).Register(mux)
-	s := caller.Config{}.Server(mux)
-	return s
+	bounds := p.config.File.Clients.Bounds()
+	return inbound.New(inbound.Config{
+		Name: "http", Handler: mux, Connections: bounds.Connections, Limits: caller.Config{Bounds: bounds}.Limits, Metrics: p.metrics, Logger: p.config.Logger,
+		Account: inbound.NewAccount(inbound.AccountConfig{Bounds: bounds, Metrics: p.metrics, Logger: p.config.Logger}),
+	})
 }
 
 // actions returns the operator actions other than those on the settings.
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/node/inbound"
 	"hornbeamwood/internal/node/keys"
 	"hornbeamwood/internal/node/rpc"
 	"hornbeamwood/internal/process/keyring"
@@ -55,7 +55,7 @@
 	ring        keys.Ring
 	node        rpc.Node
 	components  components
-	server      *http.Server
+	server      inbound.Server
 	listener    net.Listener
 	metrics     *metrics.Set
 	stopping    atomic.Bool
@@ -82,7 +82,7 @@
 	if p.node, err = rpc.New(rpc.Config{Listen: c.File.Listen.QUIC.String(), Ring: p.ring, Logger: c.Logger}); err != nil {
 		return nil, err
 	}
-	if p.listener, err = net.Listen("tcp", c.File.Listen.HTTP.String()); err != nil {
+	if p.listener, err = inbound.Listen(context.Background(), c.File.Listen.HTTP.String(), c.File.Clients.Bounds().ReceiveBytes); err != nil {
 		return nil, errors.Join(fmt.Errorf("entry: %w", err), p.node.Close())
 	}
 	if p.components, err = p.build(); err != nil {
--- a/internal/settings/node/check.go
+++ b/internal/settings/node/check.go
@@ -25,6 +25,7 @@
 	}
 	c.identity(f)
 	c.listen(f)
+	c.clients(f.Clients)
 	c.peers("control", f.Control)
 	c.peers("entries", f.Entries)
 	c.checkSelf(f)
@@ -82,6 +83,21 @@
 	}
 }
 
+// clients rejects bounds that are out of range.
+func (c *checker) clients(l Clients) {
+	key := ""
+	err := l.bounds().Check(func(field string) string {
+		key = "clients." + field
+		if field == "memory" {
+			key = "clients.memory-mb"
+		}
+		return key
+	})
+	if err != nil {
+		c.add(key, "is out of range")
+	}
+}
+
 // peers rejects processes with the same name or address: one could answer for the
 // other, and the vote of a replica could count twice.
 func (c *checker) peers(key string, peers []Peer) {
--- a/internal/settings/node/file.go
+++ b/internal/settings/node/file.go
@@ -26,6 +26,8 @@
 	BootstrapOperatorKeyDigest digest.Digest `toml:"bootstrap-operator-key-digest"`
 	// Listen contains the process's own addresses.
 	Listen Listen `toml:"listen"`
+	// Clients bounds what the process's clients may make it hold.
+	Clients Clients `toml:"clients"`
 	// Keys contains the paths of the files for mutual TLS.
 	Keys Keys `toml:"keys"`
 	// Control lists the replicas of the control log, including this process if it is one.
--- a/internal/settings/node/file_test.go
+++ b/internal/settings/node/file_test.go
@@ -69,6 +69,10 @@
 		"own name as control": {`"control-2"`, `"entry-1"`, `n.toml:21: control[1].name: "entry-1" is the name of this node`},
 		"short digest":        {"a25b\"", "\"", "n.toml:5: bootstrap-operator-key-digest: "},
 		"no TOML":             {"[listen]", "[listen", "n.toml:7:"},
+		"negative memory":     {"[keys]", "[clients]\nmemory-mb = -1\n[keys]", "clients.memory-mb: is out of range"},
+		"negative time":       {"[keys]", "[clients]\nstall-time = \"-1s\"\n[keys]", "clients.stall-time: is out of range"},
+		"no time":             {"[keys]", "[clients]\nbody-timeout = \"soon\"\n[keys]", "clients.body-timeout: "},
+		"no connections":      {"[keys]", "[clients]\nconnections = -5\n[keys]", "clients.connections: is out of range"},
 		"missing key file":    {"authority = \"ca.pem\"\n", "", "n.toml:11: keys.authority: is required"},
 	} {
 		text := strings.Replace(validFile, c.old, c.new, 1)
--- a/internal/standin/process/file.go
+++ b/internal/standin/process/file.go
@@ -4,9 +4,10 @@
 	"bytes"
 	"fmt"
 	"os"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"hornbeamwood/internal/settings/tomlfile"
 )
 
 // Kind is the kind of a stand-in.
@@ -36,7 +37,7 @@
 	// AnnounceKey is the bearer key of backend servers.
 	AnnounceKey string `toml:"announce-key"`
 	// StartDelay delays the first announcement.
-	StartDelay Duration `toml:"start-delay"`
+	StartDelay tomlfile.Duration `toml:"start-delay"`
 
 	// Backoff makes the server refuse work at times and request a backoff.
 	Backoff BackoffFile `toml:"backoff"`
@@ -52,34 +53,34 @@
 
 // BackoffFile is the backoff table of a File: a backoff of Time at the end of each Interval.
 type BackoffFile struct {
-	Interval Duration `toml:"interval"`
-	Time     Duration `toml:"time"`
+	Interval tomlfile.Duration `toml:"interval"`
+	Time     tomlfile.Duration `toml:"time"`
 }
 
 // EngineFile is the engine table of a File. Rates are in tokens a second, sizes in pieces and bytes.
 type EngineFile struct {
-	Models        []string `toml:"models"`
-	WeightVersion string   `toml:"weight-version"`
-	Role          string   `toml:"role"`
-	PrefillRate   float64  `toml:"prefill-rate"`
-	DecodeRate    float64  `toml:"decode-rate"`
-	MaxRunning    int      `toml:"max-running"`
-	CachePieces   int      `toml:"cache-pieces"`
-	PieceBytes    int      `toml:"piece-bytes"`
-	ChecksFencing bool     `toml:"checks-fencing"`
-	WeightStore   string   `toml:"weight-store"`
-	ReportLag     Duration `toml:"report-lag"`
-	EventLag      Duration `toml:"event-lag"`
-	EventLoss     float64  `toml:"event-loss"`
-	Seed          uint64   `toml:"seed"`
-	Crashes       bool     `toml:"crashes"`
+	Models        []string          `toml:"models"`
+	WeightVersion string            `toml:"weight-version"`
+	Role          string            `toml:"role"`
+	PrefillRate   float64           `toml:"prefill-rate"`
+	DecodeRate    float64           `toml:"decode-rate"`
+	MaxRunning    int               `toml:"max-running"`
+	CachePieces   int               `toml:"cache-pieces"`
+	PieceBytes    int               `toml:"piece-bytes"`
+	ChecksFencing bool              `toml:"checks-fencing"`
+	WeightStore   string            `toml:"weight-store"`
+	ReportLag     tomlfile.Duration `toml:"report-lag"`
+	EventLag      tomlfile.Duration `toml:"event-lag"`
+	EventLoss     float64           `toml:"event-loss"`
+	Seed          uint64            `toml:"seed"`
+	Crashes       bool              `toml:"crashes"`
 }
 
 // ServiceFile is the service table of a File.
 type ServiceFile struct {
-	Names   []string `toml:"names"`
-	Delay   Duration `toml:"delay"`
-	Crashes bool     `toml:"crashes"`
+	Names   []string          `toml:"names"`
+	Delay   tomlfile.Duration `toml:"delay"`
+	Crashes bool              `toml:"crashes"`
 }
 
 // StoreFile is the store table of a File.
@@ -91,19 +92,9 @@
 
 // WeightsFile is the weights table of a File.
 type WeightsFile struct {
-	LoadTime       Duration       `toml:"load-time"`
-	FullSpeedLoads int            `toml:"full-speed-loads"`
-	Versions       map[string]int `toml:"versions"`
-}
-
-// Duration is a time.Duration that is written as "250ms" in TOML.
-type Duration time.Duration
-
-// UnmarshalText parses a duration such as "250ms".
-func (d *Duration) UnmarshalText(b []byte) error {
-	v, err := time.ParseDuration(string(b))
-	*d = Duration(v)
-	return err
+	LoadTime       tomlfile.Duration `toml:"load-time"`
+	FullSpeedLoads int               `toml:"full-speed-loads"`
+	Versions       map[string]int    `toml:"versions"`
 }
 
 // Load reads the File at path; unknown keys are errors.
