A prompt reserves what is made of it

Whole prompts of 4 MiB took the own interface to 618 MB of 256: the prompt, its tokens and the engine's request are made of one body (TestOwnLargePrompts).

Three times the body is reserved once it is read; a prompt that can never fit gets 413.

--- a/internal/entry/caller/completions.go
+++ b/internal/entry/caller/completions.go
@@ -11,6 +11,9 @@
 	"hornbeamwood/internal/settings/rules"
 )
 
+// promptFactor is what is made of a body, in multiples of its size: the prompt, its tokens and the engine's request.
+const promptFactor = 3
+
 // completions returns the function that serves completions of the given protocol.
 func (h *handler) completions(p protocol) func(*exchange) {
 	return func(x *exchange) {
@@ -26,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if err := x.reserve(promptFactor * int64(len(b))); err != nil {
+		return err
+	}
 	body, err := parseCompletion(p, b)
 	if err != nil {
 		return err
--- a/internal/entry/caller/exchange.go
+++ b/internal/entry/caller/exchange.go
@@ -111,6 +111,21 @@
 	return nil, verdict.New(verdict.NotRun, http.StatusBadRequest, "body-incomplete", "the body did not arrive whole").WithCause(err)
 }
 
+// reserve reserves memory for what is made of a body. Short ones are part of what a connection takes.
+func (x *exchange) reserve(n int64) error {
+	if n <= promptFactor*inbound.FreeBodyBytes {
+		return nil
+	}
+	err := inbound.Reserve(x.request.Context(), n)
+	if errors.Is(err, inbound.ErrTooLarge) {
+		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large for the memory of this entry").WithCause(err)
+	}
+	if err != nil {
+		return x.earlyRefusal(noMemory(err))
+	}
+	return nil
+}
+
 // refuse answers with an error.
 func (x *exchange) refuse(err error) {
 	e := asError(err)
