Large answers of the own interface count until their callers have taken them

An answer of a service has up to 16 MiB, and is kept while its caller doesn't read. It can't be refused any more, since its call has run, so it is charged: clients that make no progress are ended for it.

--- a/internal/entry/caller/exchange.go
+++ b/internal/entry/caller/exchange.go
@@ -126,6 +126,13 @@
 	return nil
 }
 
+// charge counts an answer until its caller has taken it.
+func (x *exchange) charge(n int) {
+	if n > inbound.FreeBodyBytes {
+		inbound.Charge(x.request.Context(), int64(n))
+	}
+}
+
 // refuse answers with an error.
 func (x *exchange) refuse(err error) {
 	e := asError(err)
@@ -168,6 +175,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(b)))
 	x.extendWrite()
+	x.charge(len(b))
 	x.writer.WriteHeader(status)
 	_, _ = x.writer.Write(b)
 }
--- a/internal/entry/caller/services.go
+++ b/internal/entry/caller/services.go
@@ -32,6 +32,7 @@
 		header.Set("Hornbeamwood-Repeated", "true")
 	}
 	x.extendWrite()
+	x.charge(len(answer.Body))
 	x.writer.WriteHeader(answer.Status)
 	if x.request.Method != http.MethodHead {
 		_, _ = x.writer.Write(answer.Body)
