A planned stop of an entry of the own interface refuses bodies that don't arrive

Beside callers that stop in their bodies an entry of the own interface didn't end when it was told to: it waited for their requests (TestOwnStopBesideStoppedBodies).

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -124,6 +124,7 @@
 func (p *process) drain(ctx context.Context) error {
 	p.stopping.Store(true)
 	time.Sleep(drainNoticeTime)
+	p.server.InterruptBodies()
 	err := p.components.caller.Drain(ctx)
 	err = errors.Join(err, p.components.services.Drain(ctx))
 	p.awaitTunnels(ctx)
