Clients that connect again and again don't keep others out of a full listener

A full listener closed connections for new ones only after half a second without progress, so 64 of them let in 128 a second, and thousands came. Bodies at the addresses for health checks and metrics were left to the HTTP server, which waits a second for them.

Where nothing has been without progress for that long, the oldest connection without a whole head, or after a refusal, makes room. A client that sends its request at once is served then. The addresses for health checks and metrics refuse bodies before their handlers run.

TestUnservedConnectionsMakeRoom fails without the change.

--- a/internal/node/inbound/body.go
+++ b/internal/node/inbound/body.go
@@ -47,7 +47,7 @@
 		return
 	}
 	if c := connOf(q.Context()); c != nil {
-		c.setBodyHandled()
+		c.setBodyRefused()
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
 	if q.ContentLength > keptBodyBytes {
--- a/internal/node/inbound/conn.go
+++ b/internal/node/inbound/conn.go
@@ -18,6 +18,8 @@
 	phaseBody
 	// phaseServing connections have a request whose response isn't complete.
 	phaseServing
+	// phaseRefused connections have a response to a request whose head or body isn't read whole.
+	phaseRefused
 )
 
 const (
@@ -42,6 +44,9 @@
 	phase phase
 	// since is when the phase began, unless the connection is served.
 	since time.Time
+	// acceptedAt is when the connection was accepted. asked is set once the head of its first request has been read.
+	acceptedAt time.Time
+	asked      bool
 	// progressAt is when progressBytes had been moved last, moved what was moved since.
 	progressAt time.Time
 	moved      int
@@ -53,9 +58,10 @@
 	// interrupted is why no more of the body is read.
 	interrupted error
 	// bodyDeadline is when the body that is being read must have arrived. bodyHandled is set once the handler has read or
-	// refused the body.
+	// refused the body, bodyRefused once it has refused it.
 	bodyDeadline time.Time
 	bodyHandled  bool
+	bodyRefused  bool
 	// head is the head that is being read.
 	head head
 }
@@ -76,7 +82,7 @@
 func (c *conn) setServing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.bodyHandled = phaseServing, false
+	c.phase, c.asked, c.bodyHandled, c.bodyRefused = phaseServing, true, false, false
 }
 
 // Read implements net.Conn.
@@ -121,7 +127,7 @@
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	written := 0
-	defer c.setWriting(time.Time{})
+	defer c.endWriting()
 	for {
 		c.setWriting(time.Now())
 		n, err := c.Conn.Write(b[written:min(len(b), written+pieceBytes)])
@@ -138,8 +144,19 @@
 	c.writingSince = t
 }
 
-// CloseWrite closes the connection for writing, so that a client reads an answer before the connection is closed.
+func (c *conn) endWriting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = time.Time{}
+	if c.bodyRefused && c.phase == phaseServing {
+		c.enter(phaseRefused)
+	}
+}
+
+// CloseWrite closes the connection for writing, so that a client reads an answer before the connection is closed. The HTTP
+// server sleeps then, which no close of the connection ends.
 func (c *conn) CloseWrite() error {
+	c.endRefused()
 	if x, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return x.CloseWrite()
 	}
@@ -156,6 +173,20 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+func (c *conn) setHeadRefused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.enter(phaseRefused)
+}
+
+func (c *conn) endRefused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseRefused {
+		c.phase = phaseServing
+	}
+}
+
 func (c *conn) setWaiting(waiting bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -185,10 +216,10 @@
 	return c.bodyHandled
 }
 
-func (c *conn) setBodyHandled() {
+func (c *conn) setBodyRefused() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bodyHandled = true
+	c.bodyHandled, c.bodyRefused = true, true
 }
 
 // stalled returns for how long the client has made no progress, zero unless the process waits for it during a request.
@@ -265,6 +296,20 @@
 	return c.since, c.phase == phaseIdle && !c.closed
 }
 
+// unservedSince returns since when the connection is open without a request, or with one that was refused. It returns false if it
+// has or had a request that is served, or a head for which memory is reserved.
+func (c *conn) unservedSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed:
+		return time.Time{}, false
+	case c.phase == phaseRefused:
+		return c.since, true
+	}
+	return c.acceptedAt, !c.asked && c.head.reserved == 0
+}
+
 func (c *conn) closeIdle() {
 	c.closeAfter(phaseIdle, time.Now())
 }
--- a/internal/node/inbound/conns.go
+++ b/internal/node/inbound/conns.go
@@ -93,6 +93,25 @@
 	return true
 }
 
+// closeUnserved closes the connection that has been without a request, or with a body that was refused, for the longest time.
+func (s *conns) closeUnserved(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *conn
+	since := now
+	for c := range s.all {
+		if at, ok := c.unservedSince(); ok && at.Before(since) {
+			oldest, since = c, at
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.close()
+	delete(s.all, oldest)
+	return true
+}
+
 // expire closes the connections that have been idle, have been sending a head, or have taken nothing of an answer for
 // longer than the limits allow, and interrupts bodies whose deadlines have passed. It calls ended for each during a request.
 //
--- a/internal/node/inbound/conns_test.go
+++ b/internal/node/inbound/conns_test.go
@@ -67,6 +67,52 @@
 	return &testConn{conn: c, peer: peer}
 }
 
+// Guards against clients that connect again and again and leave no place to one that sends its request at once: they send
+// none, stop in its head, or stay after a refusal. A request that is served keeps its place.
+func TestUnservedConnectionsMakeRoom(t *testing.T) {
+	for name, x := range map[string]struct {
+		prepare func(s *server, c *testConn)
+		reason  string
+	}{
+		"silent":  {func(*server, *testConn) {}, ""},
+		"partial": {func(_ *server, c *testConn) { c.receive(t, "G") }, ""},
+		"body refused": {func(s *server, c *testConn) {
+			c.receive(t, "G")
+			s.stateChanged(c.conn, http.StateActive)
+			c.conn.setBodyRefused()
+			go func() { _, _ = c.peer.Read(make([]byte, 1)) }()
+			if _, err := c.conn.Write([]byte("H")); err != nil {
+				t.Fatal(err)
+			}
+		}, ""},
+		"head refused": {func(_ *server, c *testConn) {
+			c.receive(t, "G")
+			c.conn.setHeadRefused()
+		}, ""},
+		"served": {func(s *server, c *testConn) {
+			c.receive(t, "G")
+			s.stateChanged(c.conn, http.StateActive)
+		}, TooManyConnections},
+	} {
+		s := newTestServer(t)
+		s.config.Connections = 1
+		c := openConn(t, s)
+		x.prepare(s, c)
+		if reason := s.refuses(time.Now()); reason != x.reason {
+			t.Errorf("%s: a new connection is refused for %q, want %q", name, reason, x.reason)
+		}
+	}
+}
+
+// receive passes a text to the connection and reads it there.
+func (c *testConn) receive(t *testing.T, text string) {
+	t.Helper()
+	go func() { _, _ = c.peer.Write([]byte(text)) }()
+	if n, err := c.conn.Read(make([]byte, len(text))); n != len(text) || err != nil {
+		t.Fatal(n, err)
+	}
+}
+
 // An operator sets an idle timeout of a minute. An entry that closes idle connections sooner, by a limit of its
 // own, does so while callers that rely on the setting send their next requests. One that never closes them runs
 // out of file descriptors, as it does with callers that stop in the middle of the headers.
--- a/internal/node/inbound/head.go
+++ b/internal/node/inbound/head.go
@@ -52,6 +52,7 @@
 	deadline := time.Now().Add(lingerTime)
 	_ = c.Conn.SetDeadline(deadline)
 	if _, err := c.Conn.Write([]byte(headTooLarge)); err == nil && c.CloseWrite() == nil {
+		c.setHeadRefused()
 		// A connection that is closed with unread bytes is reset, and its client may lose the answer.
 		discard(c.Conn, deadline)
 	}
--- a/internal/node/inbound/listener.go
+++ b/internal/node/inbound/listener.go
@@ -37,7 +37,7 @@
 			l.server.countRefused(reason)
 			continue
 		}
-		c := &conn{Conn: n, server: l.server}
+		c := &conn{Conn: n, server: l.server, acceptedAt: time.Now()}
 		c.enter(phaseIdle)
 		l.server.conns.add(c)
 		l.server.account.add(c)
@@ -46,7 +46,8 @@
 }
 
 // refuses returns why a new connection isn't accepted, empty if it is. When all connections are in use, the one that has been
-// idle longest is closed for it, then the one whose client has made no progress for longest.
+// idle longest is closed for it, then the one whose client has made no progress for longest, then the oldest one without a
+// request. So clients that connect again and again can't keep out one that sends its request at once.
 func (s *server) refuses(now time.Time) string {
 	if s.config.Refuses != nil {
 		if reason := s.config.Refuses(); reason != "" {
@@ -56,7 +57,7 @@
 	if s.config.Connections == 0 || s.conns.count() < s.config.Connections || s.conns.closeOldest(now) {
 		return ""
 	}
-	if s.conns.closeStalled(now, s.account.bounds().StallTime) {
+	if s.conns.closeStalled(now, s.account.bounds().StallTime) || s.conns.closeUnserved(now) {
 		s.account.ended(endedForConnections)
 		return ""
 	}
--- a/internal/node/inbound/server.go
+++ b/internal/node/inbound/server.go
@@ -97,13 +97,21 @@
 	return s
 }
 
-// NewPlatformServer returns a Server for health checks and metrics, whose bounds are those of the account.
+// NewPlatformServer returns a Server for health checks and metrics, whose bounds are those of the account. It refuses bodies.
 func NewPlatformServer(c Config) Server {
 	b := c.Account.bounds()
 	c.Connections, c.Limits, c.CheckInterval = b.PlatformConnections, b.PlatformLimits, SlowCheckInterval
+	c.Handler, c.ReadsBodies = withoutBody(c.Handler), true
 	return New(c)
 }
 
+func withoutBody(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		RefuseBody(w, q)
+		h.ServeHTTP(w, q)
+	})
+}
+
 type connKey struct{}
 
 // connOf returns the connection of a request, nil if another server serves it.
