Clients don't wait for memory behind more than all clients may hold

TestCallersEveryWayAgain failed once, beside compilers: no ordinary request was answered within 30 s while 260 clients sent bodies and heads in every way, closed and came again. The log shows 9,000 to 12,000 connections a second refused for too-many-connections, and bodies that got 503 only after 5 s: bodies that wait for memory hold their connections, and those that wait count as no stall. That this alone made the failing run fail isn't shown.

A reservation that would wait behind as many bytes as all clients may hold is refused at once. The first that waits isn't, however large.

--- a/internal/node/inbound/account.go
+++ b/internal/node/inbound/account.go
@@ -115,6 +115,11 @@
 		a.mu.Unlock()
 		return nil
 	}
+	if a.queueIsFull(n) {
+		a.endings.count(endedForMemory, a.reserved)
+		a.mu.Unlock()
+		return ErrNoMemory
+	}
 	w := &waiter{conn: c, bytes: n, done: make(chan error, 1)}
 	a.queue = append(a.queue, w)
 	c.setWaiting(true)
@@ -123,6 +128,15 @@
 	return a.await(w, until)
 }
 
+// queueIsFull returns whether the reservations that wait would have as many bytes as all clients may hold. Whoever waits behind
+// them waits long, and holds a connection meanwhile.
+func (a *account) queueIsFull(n int64) bool {
+	for _, w := range a.queue {
+		n += w.bytes
+	}
+	return len(a.queue) > 0 && n > a.config.Bounds.Bytes
+}
+
 // await returns once the reservation is granted or refused, or its time is over.
 func (a *account) await(w *waiter, until time.Time) error {
 	end := time.NewTimer(time.Until(until))
--- a/internal/node/inbound/account_test.go
+++ b/internal/node/inbound/account_test.go
@@ -125,6 +125,32 @@
 	}
 }
 
+// Guards against clients that hold connections while they wait behind more than all clients may hold.
+func TestLongQueueRefusesAtOnce(t *testing.T) {
+	s := newTestServer(t)
+	holder, first, second := openConn(t, s).conn, openConn(t, s).conn, openConn(t, s).conn
+	until := time.Now().Add(time.Minute)
+	if err := s.account.reserve(holder, testBytes, until); err != nil {
+		t.Fatal(err)
+	}
+	granted := make(chan error, 1)
+	go func() { granted <- s.account.reserve(first, testBytes, until) }()
+	eventually(t, "the first one waits", func() bool { return s.account.(*account).waiting() == 1 })
+	if err := s.account.reserve(second, 1, until); !errors.Is(err, ErrNoMemory) {
+		t.Errorf("the second one: %v", err)
+	}
+	s.account.releaseAll(holder)
+	if err := <-granted; err != nil {
+		t.Errorf("the first one: %v", err)
+	}
+}
+
+func (a *account) waiting() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.queue)
+}
+
 // Guards against answers that nobody reads, which the process can't refuse any more: they count, and clients that take
 // nothing of theirs are evicted.
 func TestUnreadAnswersAreEvicted(t *testing.T) {
