Tests of the quarantine's guard refresh its view alone

Cause: the guards of these tests also polled by themselves, once when they started. In the product the poll then commits them itself, or at its next interval.

Change: newGuard ends the poll before the test begins; only the test's calls refresh, as its comment says. What is checked stays as it was.

--- a/internal/entry/quarantine/guard_test.go
+++ b/internal/entry/quarantine/guard_test.go
@@ -44,13 +44,18 @@
 	return l.section.Query(body)
 }
 
-// newGuards returns n guards that refresh their view only when a test calls refresh.
-func newGuards(t *testing.T, l *sectionLog, n int) []*guard {
+// newGuard returns a guard that refreshes its view only when a test calls refresh: its own poll has ended.
+func newGuard(l Log) *guard {
+	g := New(Config{Log: l, Interval: time.Hour}).(*guard)
+	g.Close()
+	return g
+}
+
+// newGuards returns n guards of the same log.
+func newGuards(l Log, n int) []*guard {
 	var all []*guard
 	for range n {
-		g := New(Config{Log: l, Interval: time.Hour}).(*guard)
-		t.Cleanup(g.Close)
-		all = append(all, g)
+		all = append(all, newGuard(l))
 	}
 	return all
 }
@@ -76,7 +81,7 @@
 // immediately with a Retry-After. Other prompts of the same workspace are served.
 func TestCulpritSentThroughEveryEntryCostsTwoServers(t *testing.T) {
 	log := newSectionLog()
-	all := newGuards(t, log, 6)
+	all := newGuards(log, 6)
 	culprit := completion.FingerprintOf("w", "m", []byte("crash"))
 	all[0].RecordOwner(culprit, "w", "m")
 	lost := 0
@@ -109,7 +114,7 @@
 // A suspect runs at most once at a time in the whole fleet, its server receives no
 // other work from this entry meanwhile, and a run without a loss clears it.
 func TestSuspectRunsAlone(t *testing.T) {
-	all := newGuards(t, newSectionLog(), 2)
+	all := newGuards(newSectionLog(), 2)
 	f := completion.FingerprintOf("w", "m", []byte("x"))
 	if err := runRequest(all[0], f, "a", true); err != nil {
 		t.Fatal(err)
@@ -139,7 +144,7 @@
 // Guards against a request that is cleared, and may crash further servers, because a server rejected it or couldn't be
 // reached.
 func TestSuspectThatDidNotRunStaysASuspect(t *testing.T) {
-	all := newGuards(t, newSectionLog(), 2)
+	all := newGuards(newSectionLog(), 2)
 	f := completion.FingerprintOf("w", "m", []byte("x"))
 	if err := runRequest(all[0], f, "a", true); err != nil {
 		t.Fatal(err)
@@ -162,7 +167,7 @@
 // Guards against the quarantine of an innocent request because, after one server was lost under it and a culprit, two
 // entries try both again at one server.
 func TestSuspectsOfTwoEntriesDoNotShareAServer(t *testing.T) {
-	all := newGuards(t, newSectionLog(), 2)
+	all := newGuards(newSectionLog(), 2)
 	now := time.Unix(1_800_000_000, 0)
 	culprit, innocent := completion.FingerprintOf("w", "m", []byte("crash")), completion.FingerprintOf("v", "m", []byte("good"))
 	for i, f := range []completion.Fingerprint{culprit, innocent} {
@@ -197,7 +202,7 @@
 // Guards against the quarantine of a call that many callers send because several servers were lost together, and
 // against a call that crashes servers one after the other through several entries.
 func TestCallsThatRanTogetherCountOnce(t *testing.T) {
-	all := newGuards(t, newSectionLog(), 2)
+	all := newGuards(newSectionLog(), 2)
 	began := time.Unix(1_800_000_000, 0)
 	popular := suspicion.FingerprintOf("w", "status GET /", nil)
 	first, second := all[0].Calls(), all[1].Calls()
@@ -229,7 +234,7 @@
 // An operator lists the quarantined requests of a workspace and clears one.
 func TestOperatorListsAndClears(t *testing.T) {
 	log := newSectionLog()
-	g := newGuards(t, log, 1)[0]
+	g := newGuards(log, 1)[0]
 	f := completion.FingerprintOf("w", "m", []byte("x"))
 	g.RecordOwner(f, "w", "m")
 	for _, s := range []string{"a", "b"} {
--- a/internal/entry/quarantine/unreported_test.go
+++ b/internal/entry/quarantine/unreported_test.go
@@ -28,8 +28,7 @@
 // losses that the record never learns of because their first report failed.
 func TestFailedReportsCountAndAreRepeated(t *testing.T) {
 	l := &mutedLog{sectionLog: newSectionLog(), down: true}
-	g := New(Config{Log: l, Interval: time.Hour}).(*guard)
-	t.Cleanup(g.Close)
+	g := newGuard(l)
 	start := time.Now().Add(-time.Minute)
 	bad, sound := suspicion.FingerprintOfPart([]byte("bad")), suspicion.FingerprintOfPart([]byte("sound"))
 	prompt := func(n int, p suspicion.Fingerprint) suspicion.Attributes {
@@ -54,8 +53,7 @@
 	}
 	l.down = false
 	g.refresh(t.Context())
-	other := New(Config{Log: l, Interval: time.Hour}).(*guard)
-	t.Cleanup(other.Close)
+	other := newGuard(l)
 	other.refresh(t.Context())
 	if other.Check(time.Now().Add(time.Minute), "w", prompt(10, bad)) == nil {
 		t.Error("another entry allows the piece after the control log is back")
