An edit of many short keys is checked in seconds instead of hours

What callers saw: an operator's edit in TOML with hundreds of thousands of keys kept a core of an entry busy for hours; one with 29,000 workspaces (3.5 MB, inside the limits) wasn't answered within 30 s.

Cause: the line of each key was counted from the start of the text, each unknown key of a text was compared with all known ones and kept, and a table with a long name was put before each of its keys. The TOML library searches a key among all keys of its table, which takes seconds from some 30,000 keys on.

--- a/internal/settings/tomlfile/nearest.go
+++ b/internal/settings/tomlfile/nearest.go
@@ -4,6 +4,10 @@
 func Nearest(name string, known []string) (string, bool) {
 	best, least := "", len(name)/2+2
 	for _, k := range known {
+		// The distance is at least the difference of the lengths, and a long name would take long.
+		if len(name)-len(k) >= least {
+			continue
+		}
 		if d := distance(name, k); d < least {
 			best, least = k, d
 		}
--- a/internal/settings/tomlfile/tomlfile_test.go
+++ b/internal/settings/tomlfile/tomlfile_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -23,6 +25,52 @@
 	}
 }
 
+// Guards against lines that are counted from the start of the text for each key, and against many short keys in a table with
+// a long name: the first takes hours here, the second hundreds of gigabytes.
+func TestLinesOfManyKeys(t *testing.T) {
+	const size = 4 << 20
+	for _, table := range []string{"t", strings.Repeat("n", size/2)} {
+		var text strings.Builder
+		fmt.Fprintf(&text, "[%s]\n", table)
+		keys := 0
+		for ; text.Len() < size; keys++ {
+			fmt.Fprintf(&text, "%x=1\n", keys)
+		}
+		l := LinesOf([]byte(text.String()))
+		if got := l.Of(table); got != 1 {
+			t.Errorf("the table is on line %d", got)
+		}
+		if got := l.Of(fmt.Sprintf("t.%x", keys-1)); table == "t" && got != keys+1 {
+			t.Errorf("the last of %d keys is on line %d", keys, got)
+		}
+		size := 0
+		for key := range l {
+			size += len(key)
+		}
+		if size > maxLinesFactor*text.Len() {
+			t.Errorf("keys of %d bytes for a text of %d", size, text.Len())
+		}
+	}
+}
+
+// Guards against a table with so many keys that its decoding takes minutes.
+func TestTablesHaveABoundedNumberOfKeys(t *testing.T) {
+	for _, key := range []string{"%x=1\n", "[%x]\n", "[[%x]]\n", "%x.b=1\n", "a.%x=1\n", "[a.b]\n[a.b.%x]\n", "a = {%x=1}\n", "a=[{b.%x=1}]\n"} {
+		var text strings.Builder
+		for i := range MaxChildren {
+			fmt.Fprintf(&text, key, i)
+		}
+		if err := CheckChildren("f", []byte(text.String())); err != nil {
+			t.Errorf("%s: %v", key, err)
+		}
+		fmt.Fprintf(&text, key, MaxChildren)
+		var p Problems
+		if !errors.As(CheckChildren("f", []byte(text.String())), &p) {
+			t.Errorf("%s: one key too many is allowed", key)
+		}
+	}
+}
+
 type sample struct {
 	Name  string `toml:"name"`
 	Inner []struct {
--- a/internal/settings/tree/parse.go
+++ b/internal/settings/tree/parse.go
@@ -65,6 +65,9 @@
 
 // ParseTOML parses a TOML text as branch p and its descendants. An error is of type tomlfile.Problems.
 func ParseTOML(p Path, file string, data []byte) (Subtree, error) {
+	if err := tomlfile.CheckChildren(file, data); err != nil {
+		return Subtree{}, err
+	}
 	var d map[string]any
 	if err := toml.Unmarshal(data, &d); err != nil {
 		return Subtree{}, tomlProblems(file, err)
@@ -110,6 +113,9 @@
 	return r.result()
 }
 
+// maxProblems is how many problems of a text are looked for.
+const maxProblems = 1024
+
 // reader converts the nested form of a text to branches.
 type reader struct {
 	file     string
@@ -138,6 +144,11 @@
 	})
 }
 
+// isFull returns whether there are so many problems that the rest of the text isn't read.
+func (r *reader) isFull() bool {
+	return len(r.problems) >= maxProblems
+}
+
 // branch reads the table d, whose dotted key is prefix, as branch p.
 func (r *reader) branch(p Path, prefix string, d map[string]any) {
 	b := Branch{Path: p}
@@ -146,6 +157,9 @@
 	r.subtree.Branches = append(r.subtree.Branches, b)
 	k := p.Kind()
 	for _, key := range slices.Sorted(maps.Keys(d)) {
+		if r.isFull() {
+			break
+		}
 		dotted := joinKey(prefix, key)
 		if _, ok := collections[k][key]; ok {
 			r.table(p, key, dotted, d[key])
@@ -170,6 +184,9 @@
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(d)) {
+		if r.isFull() {
+			return
+		}
 		if err := checkName(name); err != nil {
 			r.add(joinKey(dotted, name), p, table, err.Error())
 			continue
