An edit of the tree reserves what it takes once it is decoded

What callers saw: 80 whole edits of up to 4 MiB with values of two bytes took an entry of the own interface to 2,701 MB of 256 (TestOwnLargeEdits on, in calm of other crowds, beside a play; 2,235 and 3,705 MB with 40). Their operators have keys; the edits weren't valid.

Cause: only the text was reserved. A value of two bytes takes a hundred times its size once it is decoded.

One that can never fit gets 413, others wait.

--- a/deploy/clients/own_test.go
+++ b/deploy/clients/own_test.go
@@ -78,17 +78,8 @@
 
 func (d *deployment) applyTree() {
 	d.t.Helper()
-	tree := fmt.Sprintf("[fleet]\nannounce-key-digests = [%q]\n[operators.o]\nkey-digests = [%q]\n[models.m]\nweight-version = \"v1\"\n[services.desk]\n[workspaces.w]\nregion = \"r\"\nkey-digests = [%q]\n[workspaces.w.models.m]\n[workspaces.w.services.desk]\n",
-		digest.Of(announceKey), digest.Of(operatorKey), digest.Of(callerKey))
 	eventually(d.t, "the tree is accepted", func() bool {
-		q, err := http.NewRequest(http.MethodPut, "http://"+d.http+"/settings/?wait=in-force", strings.NewReader(tree))
-		if err != nil {
-			d.t.Fatal(err)
-		}
-		for name, value := range map[string]string{"Authorization": "Bearer " + operatorKey, "Content-Type": "application/toml", "If-Match": `"0"`, "Idempotency-Key": "first"} {
-			q.Header.Set(name, value)
-		}
-		r, err := operatorClient.Do(q)
+		r, err := d.put(0, baseTree())
 		if err != nil {
 			return false
 		}
@@ -101,6 +92,26 @@
 	})
 }
 
+// put sends a tree that replaces the one of a revision.
+func (d *deployment) put(revision int, tree string) (*http.Response, error) {
+	q, err := http.NewRequest(http.MethodPut, "http://"+d.http+"/settings/?wait=in-force", strings.NewReader(tree))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	for name, value := range map[string]string{
+		"Authorization": "Bearer " + operatorKey, "Content-Type": "application/toml",
+		"If-Match": fmt.Sprintf("%q", fmt.Sprint(revision)), "Idempotency-Key": fmt.Sprint("edit-", revision),
+	} {
+		q.Header.Set(name, value)
+	}
+	return operatorClient.Do(q)
+}
+
+func baseTree() string {
+	return fmt.Sprintf("[fleet]\nannounce-key-digests = [%q]\n[operators.o]\nkey-digests = [%q]\n[models.m]\nweight-version = \"v1\"\n[services.desk]\n[workspaces.w]\nregion = \"r\"\nkey-digests = [%q]\n[workspaces.w.models.m]\n[workspaces.w.services.desk]\n",
+		digest.Of(announceKey), digest.Of(operatorKey), digest.Of(callerKey))
+}
+
 var operatorClient = &http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (d *deployment) ordinary() request {
--- a/deploy/clients/whole_test.go
+++ b/deploy/clients/whole_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"hornbeamwood/internal/settings/digest"
 )
 
 // whole sends a whole body again and again on a connection, which the server may close.
@@ -26,6 +28,58 @@
 	d.endure(crowd{address: d.http, members: bodyCrowd, send: ownPrompt.whole(prompt)})
 }
 
+// Guards against an entry that ends because of what it makes of many large edits at once, none of which is valid.
+func TestOwnLargeEdits(t *testing.T) {
+	d := startDeployment(t)
+	inJSON := target{"PUT", "/settings/", strings.Replace(ownOperator.headers, "toml", "json", 1)}
+	var ways []func(int) member
+	for _, size := range []int{ownMaxBody, ownMaxBody / 16} {
+		ways = append(ways,
+			ownOperator.whole("a=["+tinyEntries("{},", size)+"{}]"), inJSON.whole(`{"a":[`+tinyEntries("{},", size)+"{}]}"),
+			ownOperator.whole(tinyFields("%x=1\n", size)), inJSON.whole("{"+tinyFields(`"%x":1,`, size)+`"x":1}`),
+		)
+	}
+	d.endure(crowd{address: d.http, members: bodyCrowd, send: mixed(ways...)})
+}
+
+// Guards against limits that refuse a single large edit.
+func TestOwnLargeEditInsideTheLimits(t *testing.T) {
+	d := startDeployment(t)
+	var workspaces strings.Builder
+	for i := range largeTreeWorkspaces {
+		fmt.Fprintf(&workspaces, "[workspaces.w%d]\nregion = \"r\"\nkey-digests = [%q]\n", i, digest.Of(fmt.Sprint(i)))
+	}
+	r, err := d.put(1, baseTree()+workspaces.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(r.Body)
+		t.Errorf("answered %d %s", r.StatusCode, b)
+	}
+	d.entry.check(t, ownBounds)
+	d.control.check(t, ownBounds)
+	d.ordinary().requireAnswer(t, "after the edit")
+}
+
+// largeTreeWorkspaces make a tree of about 1.8 MB.
+const largeTreeWorkspaces = 15000
+
+// tinyEntries returns entries of a list, a little less than size.
+func tinyEntries(entry string, size int) string {
+	return strings.Repeat(entry, (size-1<<10)/len(entry))
+}
+
+// tinyFields returns fields with different names, a little less than size.
+func tinyFields(format string, size int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < size-1<<10; i++ {
+		fmt.Fprintf(&b, format, i)
+	}
+	return b.String()
+}
+
 // Guards against a control replica that ends because of what it makes of many large documents at once, valid or not.
 func TestControlLargeDocuments(t *testing.T) {
 	s := startSite(t)
--- a/internal/entry/operator/body.go
+++ b/internal/entry/operator/body.go
@@ -37,6 +37,9 @@
 	if err != nil {
 		return tree.Subtree{}, h.bodyError(err)
 	}
+	if err := inbound.ReserveDecoded(r.Context(), b); err != nil {
+		return tree.Subtree{}, h.decodedError(err)
+	}
 	var s tree.Subtree
 	if media == mediaTOML {
 		s, err = tree.ParseTOML(p, "", b)
@@ -49,6 +52,14 @@
 	return s, nil
 }
 
+// decodedError returns the error response for a body that can't be decoded in the memory of this entry.
+func (h *handler) decodedError(err error) error {
+	if errors.Is(err, inbound.ErrTooLarge) {
+		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body-too-large", "the body has too many values for the memory of this entry").WithCause(err)
+	}
+	return h.bodyError(err)
+}
+
 func (h *handler) bodyError(err error) error {
 	switch {
 	case errors.Is(err, inbound.ErrTooLarge):
