--- a/deploy/clients/whole_test.go
+++ b/deploy/clients/whole_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"hornbeamwood/internal/cache/events"
+	"hornbeamwood/internal/entry/backend"
 	"hornbeamwood/internal/settings/digest"
 )
 
@@ -66,6 +68,15 @@
 // largeTreeWorkspaces make a tree of about 1.8 MB.
 const largeTreeWorkspaces = 15000
 
+// Guards against an entry that ends because of what it makes of many large reports of servers at once, none of which is valid.
+func TestOwnLargeReports(t *testing.T) {
+	d := startDeployment(t)
+	d.endure(crowd{address: d.http, members: bodyCrowd, send: mixed(
+		ownEvents.whole(`{"events":[`+tinyEntries("{},", events.MaxBody)+"{}]}"), ownEvents.whole("{"+tinyFields(`"%x":1,`, events.MaxBody)+`"x":1}`),
+		ownEvents.whole("["+tinyEntries("[],", events.MaxBody)+"[]]"), ownAnnouncer.whole("{"+tinyFields(`"%x":1,`, backend.MaxAnnouncement)+`"x":1}`),
+	)})
+}
+
 // tinyEntries returns entries of a list, a little less than size.
 func tinyEntries(entry string, size int) string {
 	return strings.Repeat(entry, (size-1<<10)/len(entry))
--- a/internal/entry/backend/decode.go
+++ b/internal/entry/backend/decode.go
@@ -13,11 +13,13 @@
 )
 
 // decodeBody decodes the body of a request.
-func decodeBody[T any](w http.ResponseWriter, r *http.Request, limit int64) (T, error) {
+func decodeBody[T any](w http.ResponseWriter, r *http.Request, limit int64) (v T, err error) {
 	b, err := inbound.ReadBody(w, r, limit, time.Time{})
 	if err != nil {
-		var zero T
-		return zero, fmt.Errorf("the body can't be read: %w", err)
+		return v, fmt.Errorf("the body can't be read: %w", err)
+	}
+	if err := inbound.ReserveDecoded(r.Context(), b); err != nil {
+		return v, fmt.Errorf("the body can't be decoded: %w", err)
 	}
 	return Decode[T](b)
 }
