A prompt of tiny values takes no more than its text

Cause: lists were decoded to one slice for each element, 40 bytes and more for an element of two; what a prompt reserves goes by the size of its text.

Change: lists are walked without being decoded, as messages were before.

--- a/deploy/clients/whole_test.go
+++ b/deploy/clients/whole_test.go
@@ -30,6 +30,16 @@
 	d.endure(crowd{address: d.http, members: bodyCrowd, send: ownPrompt.whole(prompt)})
 }
 
+// Guards against an entry that ends because of what it makes of many large prompts of tiny values at once, valid or not.
+func TestOwnPromptsOfTinyValues(t *testing.T) {
+	d := startDeployment(t)
+	chat := target{"POST", "/v1/chat/completions", ownPrompt.headers}
+	d.endure(crowd{address: d.http, members: bodyCrowd, send: mixed(
+		ownPrompt.whole(`{"model":"m","prompt":[`+tinyEntries("1,", ownMaxBody)+"1]}"), ownPrompt.whole("{"+tinyFields(`"%x":1,`, ownMaxBody)+`"model":"m","prompt":"p"}`),
+		chat.whole(`{"model":"m","messages":[`+tinyEntries("{},", ownMaxBody)+"{}]}"), chat.whole(`{"model":"m","messages":[{"content":[`+tinyEntries("{},", ownMaxBody)+"{}]}]}"),
+	)})
+}
+
 // Guards against an entry that ends because of what it makes of many large edits at once, none of which is valid.
 func TestOwnLargeEdits(t *testing.T) {
 	d := startDeployment(t)
--- a/internal/entry/caller/prompt.go
+++ b/internal/entry/caller/prompt.go
@@ -80,21 +80,16 @@
 		b.Write(text)
 		return nil
 	}
-	var parts []json.RawMessage
-	if json.Unmarshal(raw, &parts) != nil {
+	err := jsonscan.Elements(raw, func(p []byte) error { return appendPart(b, p) })
+	if errors.Is(err, jsonscan.ErrSyntax) {
 		return errContent
 	}
-	for _, p := range parts {
-		if err := appendPart(b, p); err != nil {
-			return err
-		}
-	}
-	return nil
+	return err
 }
 
 // appendPart appends the text of a part, or the whole part if it isn't text:
 // prompts that differ only in an image must not be equal.
-func appendPart(b *bytes.Buffer, raw json.RawMessage) error {
+func appendPart(b *bytes.Buffer, raw []byte) error {
 	var p part
 	if json.Unmarshal(raw, &p) != nil {
 		return errContent
@@ -111,11 +106,16 @@
 	if text, err := jsonscan.Text(raw); err == nil {
 		return text, nil
 	}
-	var list []json.RawMessage
-	if json.Unmarshal(raw, &list) != nil || len(list) == 0 {
+	elements := 0
+	err := jsonscan.Elements(raw, func([]byte) error {
+		elements++
+		return nil
+	})
+	if err != nil || elements == 0 {
 		return nil, errPrompt
 	}
 	var b bytes.Buffer
+	b.Grow(len(raw))
 	if err := json.Compact(&b, raw); err != nil {
 		return nil, errPrompt
 	}
