Parts of a prompt count as what clients hold

Cause: a part takes up to 112 bytes beside its text, some 450 KB for such a head, and was held without being counted, also after a refusal for as long as a body that stops kept the connection.

Change: parts beyond 64 count 128 bytes each until their request ends; a request for which there is no memory gets 503 with Retry-After 1 s. Refused requests give up their parts.

--- a/deploy/clients/callers_test.go
+++ b/deploy/clients/callers_test.go
@@ -83,6 +83,15 @@
 	s.endure(crowd{address: s.callers, members: headCrowd, send: caller.tinyFields(maxHeader - 1<<10)})
 }
 
+// Guards against heads inside the limit that name many parts of a prompt, each of which takes a multiple of its size.
+func TestHeadsOfManyParts(t *testing.T) {
+	s := startSite(t)
+	for _, prefix := range []string{"a:1,", "\x80:1,"} {
+		parts := caller.with("/a/x", caller.headers+"Model: m\r\nToken-Counts: 1,1\r\nPrompt-Prefix: "+strings.Repeat(prefix, (maxHeader-1<<10)/len(prefix))+"b:1\r\n")
+		s.endure(crowd{address: s.callers, members: connectionCrowd, again: true, send: mixed(parts.announced("1.1", "", 10, 7), parts.whole(""))})
+	}
+}
+
 // Guards against a process that ends because of heads, request lines and empty lines without end.
 func TestHeadsWithoutEnd(t *testing.T) {
 	s := startSite(t)
--- a/internal/serve/caller/gateway.go
+++ b/internal/serve/caller/gateway.go
@@ -27,6 +27,13 @@
 // evicted by then.
 const retryMemory = time.Second
 
+const (
+	// partBytes is what a part of a prompt takes until its request ends, and freeParts is how many are part of what a connection
+	// takes by itself.
+	partBytes = 128
+	freeParts = 64
+)
+
 // isolated is the reason of a refusal while the entry reaches no server.
 const isolated = "isolated"
 
@@ -109,6 +116,9 @@
 	if j.Isolated() && !j.Trial() {
 		return j.reject(http.StatusServiceUnavailable, isolated, retrySoon)
 	}
+	if p := r.Prompt; p != nil && len(p.Parts) > freeParts && !inbound.TryReserve(q.Context(), partBytes*int64(len(p.Parts)-freeParts)) {
+		return j.reject(http.StatusServiceUnavailable, "no-memory", retryMemory)
+	}
 	j.service, _ = table.Service(route.ServiceAt(randomFraction()))
 	timeout := defaultCallerTimeout
 	if r.CallerTimeout > 0 {
--- a/internal/serve/caller/refusal.go
+++ b/internal/serve/caller/refusal.go
@@ -12,6 +12,8 @@
 
 // reject ends a request for which no server is tried.
 func (j *job) reject(status int, reason string, retryAfter time.Duration) bool {
+	// The connection may stay open for the rest of an unread body.
+	j.request.Prompt = nil
 	j.refuse(status, reason, retryAfter)
 	return false
 }
