--- a/deploy/clients/whole_test.go
+++ b/deploy/clients/whole_test.go
@@ -75,8 +75,8 @@
 	d.ordinary().requireAnswer(t, "after the edit")
 }
 
-// largeTreeWorkspaces make a tree of about 1.8 MB.
-const largeTreeWorkspaces = 15000
+// largeTreeWorkspaces make a tree of about 3.5 MB.
+const largeTreeWorkspaces = 29000
 
 // Guards against an entry that ends because of what it makes of many large reports of servers at once, none of which is valid.
 func TestOwnLargeReports(t *testing.T) {
