--- a/review/standin-2/lateend.go
+++ b/review/standin-2/lateend.go
@@ -21,39 +21,15 @@
 
 // lateEnd checks that no answer passes for whole whose server crashed before its end, if the end of the channel arrives late.
 func lateEnd(p *place, trouble bool) (int, error) {
-	if err := p.start(3, 2); err != nil {
-		return 0, err
-	}
-	var servers []*plain
+	servers, err := p.startPlain(2, true)
 	defer func() {
 		for _, s := range servers {
 			s.crash()
 		}
 	}()
-	for i := range plainServers {
-		s, err := newPlain(p, fmt.Sprint("i-desk-", i), fmt.Sprint(p.network, 100+i))
-		if err != nil {
-			return 0, err
-		}
-		servers = append(servers, s)
-	}
-	config := map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "stamp", "host": "h.example", "path_prefix": "/stamp/", "kind": "non_idempotent", "timeout_ms": 12000, "target_latency_ms": 4000, "priority": 1,
-			"service": "desk", "max_attempts": 1, "public": false, "sticky": false, "resumable": false,
-		}},
-		"services": []any{map[string]any{"name": "desk", "health_check": "/health", "max_connections": 300, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "t1", "api_keys": []string{"k1"}, "priority": 1}},
-	}
-	if err := p.putConfig(config); err != nil {
-		return 0, err
-	}
-	if err := p.awaitReady(); err != nil {
+	if err != nil {
 		return 0, err
 	}
-	time.Sleep(4 * time.Second)
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	broken, whole := 0, 0
@@ -101,6 +77,38 @@
 	return broken, nil
 }
 
+// startPlain starts the system and plain servers, each behind a link or not, of which the entries have learned then.
+func (p *place) startPlain(entries int, linked bool) (servers []*plain, err error) {
+	if err := p.start(3, entries); err != nil {
+		return nil, err
+	}
+	for i := range plainServers {
+		s, err := newPlain(p, fmt.Sprint("i-desk-", i), fmt.Sprint(p.network, 100+i), linked)
+		if err != nil {
+			return servers, err
+		}
+		servers = append(servers, s)
+	}
+	config := map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "stamp", "host": "h.example", "path_prefix": "/stamp/", "kind": "non_idempotent", "timeout_ms": 12000, "target_latency_ms": 4000, "priority": 1,
+			"service": "desk", "max_attempts": 1, "public": false, "sticky": false, "resumable": false,
+		}},
+		"services": []any{map[string]any{"name": "desk", "health_check": "/health", "max_connections": 300, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "t1", "api_keys": []string{"k1"}, "priority": 1}},
+	}
+	if err := p.putConfig(config); err != nil {
+		return servers, err
+	}
+	if err := p.awaitReady(); err != nil {
+		return servers, err
+	}
+	time.Sleep(4 * time.Second)
+	return servers, nil
+}
+
 // stamp sends a request that may run once and returns its answer.
 func (p *place) stamp(entry int, attempt string) (int, string, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 14*time.Second)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,8 +22,9 @@
 
 // cases are the scripts by name. Each returns how often the rule was broken.
 var cases = map[string]func(p *place, trouble bool) (int, error){
-	"regained": regained,
-	"late-end": lateEnd,
+	"regained":     regained,
+	"late-end":     lateEnd,
+	"frozen-entry": frozenEntry,
 }
 
 func main() {
--- a/review/standin-2/plain.go
+++ b/review/standin-2/plain.go
@@ -69,18 +69,24 @@
 	}
 }
 
-// plain is a plain server, a process behind a link, that announces itself.
+// plain is a plain server, a process that announces itself. It may be behind a link.
 type plain struct {
-	place       *place
-	id, ip      string
+	place  *place
+	id, ip string
+	// address is where the process listens.
+	address     string
 	link        *link
 	mu          sync.Mutex
 	command     *exec.Cmd
 	stopBeating chan struct{}
 }
 
-func newPlain(p *place, id, ip string) (*plain, error) {
-	s := &plain{place: p, id: id, ip: ip, link: newLink(ip+":8100", ip+":8200")}
+func newPlain(p *place, id, ip string, linked bool) (*plain, error) {
+	s := &plain{place: p, id: id, ip: ip, address: ip + ":8100"}
+	if linked {
+		s.address = ip + ":8200"
+		s.link = newLink(ip+":8100", s.address)
+	}
 	return s, s.boot()
 }
 
@@ -90,14 +96,14 @@
 	if err != nil {
 		return err
 	}
-	c := exec.Command(self, "plain-server", s.ip+":8200", s.id)
+	c := exec.Command(self, "plain-server", s.address, s.id)
 	c.Stderr = os.Stderr
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return err
 	}
 	up := await(3*time.Second, func() bool {
-		x, err := net.Dial("tcp", s.ip+":8200")
+		x, err := net.Dial("tcp", s.address)
 		if err == nil {
 			x.Close()
 		}
@@ -106,7 +112,7 @@
 	if !up {
 		return fmt.Errorf("%w: a server didn't start", errNotRun)
 	}
-	if !s.link.listens() {
+	if s.link != nil && !s.link.listens() {
 		if err := s.link.open(); err != nil {
 			return err
 		}
@@ -121,7 +127,9 @@
 // announce announces the server until it crashes. The announcements in a cut are lost.
 func (s *plain) announce(born int64, stop chan struct{}) {
 	for n := 1; ; n++ {
-		s.link.pass()
+		if s.link != nil {
+			s.link.pass()
+		}
 		s.place.beat(s.id, map[string]any{
 			"service": "desk", "address": s.ip + ":8100", "zone": zones[0], "version": "v1", "slots": 40, "state": "ready", "cold_remaining_ms": 0, "sequence": n, "born": born,
 		})
@@ -141,7 +149,9 @@
 		return
 	}
 	close(s.stopBeating)
-	s.link.refuse()
+	if s.link != nil {
+		s.link.refuse()
+	}
 	_ = s.command.Process.Kill()
 	_ = s.command.Wait()
 	s.command = nil
