--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,6 +25,7 @@
 	"regained":     regained,
 	"late-end":     lateEnd,
 	"frozen-entry": frozenEntry,
+	"relayed":      relayed,
 }
 
 func main() {
--- a/review/standin-2/regained.go
+++ b/review/standin-2/regained.go
@@ -45,16 +45,17 @@
 	placed map[string]string
 }
 
-func newKVSite(p *place) (*kvSite, error) {
+func newKVSite(p *place, entries, room int) (*kvSite, error) {
 	s := &kvSite{place: p, fetches: map[string]int{}, placed: map[string]string{}}
 	for i, list := range []time.Duration{quickList, slowList} {
 		x, err := newStore(p, fmt.Sprint("store-", i), fmt.Sprint(p.network, 150+i), zones[1], list)
 		if err != nil {
 			return nil, err
 		}
+		x.room = room
 		s.stores[i] = x
 	}
-	if err := p.start(3, 2); err != nil {
+	if err := p.start(3, entries); err != nil {
 		return nil, err
 	}
 	for range enginesStarted {
@@ -95,7 +96,7 @@
 	}}
 	for _, x := range s.stores {
 		services = append(services, map[string]any{
-			"name": x.name, "kv_store_addr": x.address, "zone": x.zone, "kv_capacity_tokens": storeTokens, "link_mbps": 79000.0, "max_concurrent": 12, "managed": true, "first_ms": 6.0,
+			"name": x.name, "kv_store_addr": x.address, "zone": x.zone, "kv_capacity_tokens": x.room, "link_mbps": 79000.0, "max_concurrent": 12, "managed": true, "first_ms": 6.0,
 		})
 	}
 	return map[string]any{
@@ -221,7 +222,7 @@
 // regained checks that no request takes memory from a store that isn't whole there, when the lease for orders returns to a
 // control replica that had it before.
 func regained(p *place, trouble bool) (int, error) {
-	s, err := newKVSite(p)
+	s, err := newKVSite(p, 2, storeTokens)
 	if err != nil {
 		return 0, err
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -25,28 +25,33 @@
 	tokens int
 	whole  bool
 	broken bool
+	// since is when it became whole.
+	since time.Time
 }
 
 // store is a stand-in of a store with `managed`.
 type store struct {
-	place         *place
-	name, zone    string
-	address       string
-	listTime      time.Duration
-	server        *http.Server
-	mu            sync.Mutex
-	epoch         int64
-	up            bool
-	parts         map[part]*kept
-	events        feed
-	linkFree      time.Time
-	begun, broken int
+	place      *place
+	name, zone string
+	address    string
+	listTime   time.Duration
+	server     *http.Server
+	mu         sync.Mutex
+	epoch      int64
+	up         bool
+	parts      map[part]*kept
+	events     feed
+	linkFree   time.Time
+	// room is how many tokens it holds, slow how many times as long transfers take.
+	room, slow int
+	// listedAt is when it last answered a list.
+	listedAt time.Time
 	// listing, if not nil, is closed when the next list has been answered.
 	listing chan struct{}
 }
 
 func newStore(p *place, name, ip, zone string, listTime time.Duration) (*store, error) {
-	s := &store{place: p, name: name, zone: zone, address: ip + ":8746", listTime: listTime, events: newFeed()}
+	s := &store{place: p, name: name, zone: zone, address: ip + ":8746", listTime: listTime, events: newFeed(), room: storeTokens, slow: 1}
 	return s, s.boot()
 }
 
@@ -65,7 +70,7 @@
 	m.HandleFunc("GET "+names["list"], s.serveList)
 	m.HandleFunc("POST "+names["free"], s.serveFree)
 	m.HandleFunc("GET "+names["report"], func(w http.ResponseWriter, _ *http.Request) {
-		s.reply(w, map[string]any{"kv_used": 0, "kv_total": storeTokens})
+		s.reply(w, map[string]any{"kv_used": 0, "kv_total": s.room})
 	})
 	s.server = &http.Server{Handler: m}
 	go func() { _ = s.server.Serve(l) }()
@@ -111,6 +116,7 @@
 	s.reply(w, map[string]any{"next": next, "held": held, "partial": partial})
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.listedAt = time.Now()
 	if s.listing != nil {
 		close(s.listing)
 		s.listing = nil
@@ -161,6 +167,7 @@
 		}
 	}
 	s.mu.Unlock()
+	s.place.note("%s is told to free %v; out of date: %t", s.name, order.Parts, stale)
 	if stale {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -183,7 +190,7 @@
 	if zone != s.zone {
 		takes *= 2
 	}
-	s.linkFree = start.Add(firstTime + takes)
+	s.linkFree = start.Add(firstTime + takes*time.Duration(s.slow))
 	return s.linkFree, true
 }
 
@@ -195,7 +202,7 @@
 	for _, k := range s.parts {
 		used += k.tokens
 	}
-	if !s.up || s.parts[p] != nil || used > storeTokens {
+	if !s.up || s.parts[p] != nil || used > s.room {
 		s.mu.Unlock()
 		return
 	}
@@ -206,7 +213,6 @@
 	}
 	k, epoch := &kept{tokens: tokens}, s.epoch
 	s.parts[p] = k
-	s.begun++
 	s.mu.Unlock()
 	select {
 	case <-time.After(time.Until(ends)):
@@ -219,10 +225,9 @@
 	}
 	if time.Now().Before(ends) {
 		k.broken = true
-		s.broken++
 		return
 	}
-	k.whole = true
+	k.whole, k.since = true, time.Now()
 	s.events.add("+", p, tokens)
 }
 
@@ -244,17 +249,20 @@
 		time.Sleep(time.Millisecond)
 		return missed
 	}
+	begins := s.linkFree
 	ends, ok := s.transfer(k.tokens, zone)
 	s.mu.Unlock()
 	if !ok || ends.After(until) {
 		return given
 	}
 	// What counts is the state when the transfer begins: a write that is queued before it has ended then.
-	takes := time.Duration(float64(k.tokens*tokenBytes) / storeLink * float64(time.Second))
-	time.Sleep(time.Until(ends) - takes)
+	time.Sleep(time.Until(begins))
 	s.mu.Lock()
-	whole := k.whole
+	here, whole := s.parts[p] == k, k.whole
 	s.mu.Unlock()
+	if !here {
+		return missed
+	}
 	time.Sleep(time.Until(ends))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -267,6 +275,13 @@
 	return taken
 }
 
+// setSlow sets how many times as long transfers take.
+func (s *store) setSlow(x int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = x
+}
+
 // held returns how many parts are whole, and how many writes broke off.
 func (s *store) held() (whole, broken int) {
 	s.mu.Lock()
@@ -281,3 +296,22 @@
 	}
 	return whole, broken
 }
+
+// wholeSince returns since when the store has the whole part, and whether it has.
+func (s *store) wholeSince(id string) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p, k := range s.parts {
+		if p.id == id && k.whole {
+			return k.since, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// lastListed returns when the store last answered a list.
+func (s *store) lastListed() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listedAt
+}
