Stores: rows name the lease under which they hold

Cause: a row on stores was known by its replica and its value. A replica that lost the lease for orders and got it again seemed to have listed all stores already, by the rows of its first lease, which entries had kept. Until it had listed the stores again, entries fetched by a list from before another holder's time, and before a restart of the store.

Parts, lists and states of stores and busy engines now name the fencing number of their lease; an entry keeps a state for each lease. The state of a store names the start that was listed, and is compared with what every replica sees. A row of an earlier lease replaces none of a later one in a replica's table. A holder whose lease lapsed lists anew and frees nothing until entries have left the old list. attempt-routed has stores-fencing, which tells whose list an entry goes by.

The rows have new topic numbers: in a rolling upgrade, processes of two releases ignore each other's rows on stores, and parts are prefilled.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -75,6 +75,7 @@
 	quarantine     quarantine.Section
 	quarantineRows quarantineRows
 	table          rowtable.Table
+	leaseRows      leaseRows
 	follower       watch.Follower
 	servers        *announcements
 	admission      admission.Reconciler
--- a/internal/process/sitecontrol/followed_store.go
+++ b/internal/process/sitecontrol/followed_store.go
@@ -13,6 +13,8 @@
 
 // followedStore is a store whose inventory this replica follows.
 type followedStore struct {
+	// fencing is the fencing number of the lease under which the store is followed.
+	fencing   uint64
 	mu        sync.Mutex
 	inventory *stores.StoreInventory
 	// clock is this store's clock. The clocks of other stores may differ from it.
@@ -21,10 +23,11 @@
 	// freeing is set while an order to free parts is on its way.
 	freeing atomic.Bool
 	// listedAt is when the store was last listed as a whole. reported is set once its
-	// availability was shown, and up is what was shown last. Only the
+	// state was shown, and state is what was shown last. Only the
 	// goroutine of watch uses these fields.
-	listedAt     time.Time
-	reported, up bool
+	listedAt time.Time
+	reported bool
+	state    topic.StoreState
 	// listRevision is the table's revision of the last row of a list.
 	listRevision uint64
 	// unfollowed is set if the store is no longer followed.
@@ -57,7 +60,7 @@
 			s.Tokens = append(s.Tokens, uint32(tokens))
 		}
 	}
-	x.listRevision = max(x.listRevision, sf.put(topic.StoreSummaries, s.Address+"/"+key, s))
+	x.listRevision = max(x.listRevision, putLeased(sf.process, x.fencing, topic.StoreSummaries, s.Address+"/"+key, s))
 }
 
 // bySize splits the parts into those of at least longPartTokens and the others.
@@ -79,7 +82,7 @@
 	defer x.mu.Unlock()
 	for _, p := range parts {
 		tokens, ok := x.inventory.Fetchable(p)
-		if n := sf.showPart(x, p.AtStore(x.inventory.Address).Key(), tokens, ok); !ok {
+		if n := sf.showPart(x, p.AtStore(x.inventory.Address).Key(), tokens); !ok {
 			revision = max(revision, n)
 		}
 	}
@@ -88,23 +91,18 @@
 
 // showPart sets the row of one part and returns its revision.
 //
-// A row with the same value as under an earlier lease keeps its revision, and a list
-// with a later revision takes precedence over it. Entries would go on fetching a part
+// A row with the same value as before a list keeps its revision, and the list with its
+// later revision takes precedence over it. Entries would go on fetching a part
 // that is about to be freed. Such a row is therefore changed and changed back, which
 // gives it a new revision.
-func (sf *storeFollower) showPart(x *followedStore, key string, tokens int, whole bool) uint64 {
-	put := func(whole bool, tokens int) uint64 {
-		if whole {
-			return sf.put(topic.Parts, key, tokens)
-		}
-		return sf.table.Put(topic.Parts, key, nil)
-	}
-	n := put(whole, tokens)
+func (sf *storeFollower) showPart(x *followedStore, key string, tokens int) uint64 {
+	put := func(tokens int) uint64 { return putLeased(sf.process, x.fencing, topic.Parts, key, tokens) }
+	n := put(tokens)
 	if n >= x.listRevision {
 		return n
 	}
-	put(!whole, 0)
-	return put(whole, tokens)
+	put(tokens + 1)
+	return put(tokens)
 }
 
 // unfollow stops following the store.
@@ -115,6 +113,13 @@
 	x.unfollowed = true
 }
 
+// epoch returns the store's epoch in which it was last listed.
+func (x *followedStore) epoch() int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.inventory.Epoch()
+}
+
 // isUnfollowed returns whether the store is no longer followed.
 func (x *followedStore) isUnfollowed() bool {
 	x.mu.Lock()
--- a/internal/process/sitecontrol/lease.go
+++ b/internal/process/sitecontrol/lease.go
@@ -114,13 +114,14 @@
 	}
 }
 
-// mayShow returns whether rows of stores may be shown: the lease is held, and no order of the earlier holder can be
-// carried out any more. A part that is shown may be fetched, and must not be freed by an order that arrives late.
-func (h *leaseHolder) mayShow() bool {
+// showable returns the fencing number, and whether rows of stores may be shown: the lease is held, and no order of the
+// earlier holder can be carried out any more. A part that is shown may be fetched, and must not be freed by an order that
+// arrives late.
+func (h *leaseHolder) showable() (uint64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := boottime.Now()
-	return h.fencing != 0 && now < h.until && now >= h.showFrom
+	return h.fencing, h.fencing != 0 && now < h.until && now >= h.showFrom
 }
 
 // fencingNumber returns the fencing number until the lease ends, also before the first order may be given, and then zero.
@@ -322,8 +323,10 @@
 		return
 	}
 	if h.fencing != 0 && r.Fencing == h.fencing+1 && h.refusedFencing < h.fencing {
-		// The lease expired, as with a slow disk, and no other replica has held it since.
+		// The lease expired, as with a slow disk, and no other replica has held it since. Entries may use the rows of
+		// the expired one until those of this one are complete.
 		h.fencing = r.Fencing
+		h.grantedAt = boottime.Now()
 		h.logChange("granted again", h.fencing)
 	}
 	if r.Fencing != h.fencing {
--- a/internal/process/sitecontrol/store_follower.go
+++ b/internal/process/sitecontrol/store_follower.go
@@ -93,24 +93,25 @@
 	sf.mu.Lock()
 	defer sf.mu.Unlock()
 	sf.followEpochs(ctx, all, wanted)
-	if !sf.leaseHolder.mayShow() {
+	fencing, ok := sf.leaseHolder.showable()
+	if !ok {
 		wanted = nil
 	}
+	for a, x := range sf.followed {
+		if _, ok := wanted[a]; !ok || x.fencing != fencing {
+			x.unfollow()
+			delete(sf.followed, a)
+		}
+	}
 	for a, s := range wanted {
 		if _, ok := sf.followed[a]; ok {
 			continue
 		}
 		following, cancel := context.WithCancel(ctx)
-		x := &followedStore{inventory: stores.NewStoreInventory(a, s.CapacityTokens), clock: stores.NewClock(), cancel: cancel}
+		x := &followedStore{fencing: fencing, inventory: stores.NewStoreInventory(a, s.CapacityTokens), clock: stores.NewClock(), cancel: cancel}
 		sf.followed[a] = x
 		all.Go(func() { sf.watch(following, x) })
 	}
-	for a, x := range sf.followed {
-		if _, ok := wanted[a]; !ok {
-			x.unfollow()
-			delete(sf.followed, a)
-		}
-	}
 }
 
 // watch polls one store until ctx ends.
@@ -120,7 +121,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		sf.showStoreUp(x, sf.usable(x, err))
+		sf.showStoreState(x, sf.usable(x, err))
 		if err != nil {
 			wait.For(ctx, storeRetryPause)
 		}
@@ -135,18 +136,21 @@
 	return err
 }
 
-// showStoreUp shows whether the store is usable when that has changed or was never shown.
+// showStoreState shows whether the store is used when that has changed or was never shown.
 //
 // Entries use a new lease holder's rows only once there is one for every store. A store
 // that is down when the lease changes hands therefore needs a row too.
-func (sf *storeFollower) showStoreUp(x *followedStore, err error) {
-	up := err == nil
-	if x.reported && x.up == up {
+func (sf *storeFollower) showStoreState(x *followedStore, err error) {
+	state := topic.StoreState{}
+	if err == nil {
+		state = topic.StoreState{Usable: true, Epoch: x.epoch()}
+	}
+	if x.reported && x.state == state {
 		return
 	}
-	x.reported, x.up = true, up
-	sf.put(topic.StoresUp, x.inventory.Address, up)
-	f := log.Fields{"store": x.inventory.Address, "up": up}
+	x.reported, x.state = true, state
+	putLeased(sf.process, x.fencing, topic.StoreStates, x.inventory.Address, state)
+	f := log.Fields{"store": x.inventory.Address, "up": state.Usable, "epoch": state.Epoch, "fencing": x.fencing}
 	if err != nil {
 		f["error"] = err.Error()
 	}
@@ -169,7 +173,7 @@
 	sf.starts.record(x.inventory.Address, f.Epoch, time.Now())
 	if err := sf.usable(x, nil); err != nil {
 		// Entries must learn that the store isn't used before they learn that it is empty.
-		sf.showStoreUp(x, err)
+		sf.showStoreState(x, err)
 	}
 	x.mu.Lock()
 	changed, list := x.inventory.ApplyFeed(f, time.Now())
--- a/internal/process/sitecontrol/store_follower_test.go
+++ b/internal/process/sitecontrol/store_follower_test.go
@@ -92,7 +92,7 @@
 		rows int
 	}{{errors.New("no answer"), 1}, {errors.New("no answer"), 0}, {nil, 1}, {nil, 0}, {errors.New("no answer"), 1}} {
 		_, before := table.Since(0)
-		sf.showStoreUp(x, step.err)
+		sf.showStoreState(x, step.err)
 		if rows, _ := table.Since(before); len(rows) != step.rows {
 			t.Errorf("shown %+v after %v", rows, step.err)
 		}
@@ -125,25 +125,25 @@
 	poll := func() []rowtable.Row {
 		_, before := table.Since(0)
 		err := sf.poll(t.Context(), x)
-		sf.showStoreUp(x, sf.usable(x, err))
+		sf.showStoreState(x, sf.usable(x, err))
 		rows, _ := table.Since(before)
 		return rows
 	}
 	poll()
-	if !x.up {
+	if !x.state.Usable {
 		t.Fatal("a store that has not restarted isn't used")
 	}
 	f.epoch, f.held = 2, nil
 	rows := poll()
-	if x.up {
+	if x.state.Usable {
 		t.Error("a store that has restarted is used at once")
 	}
-	if len(rows) < 2 || rows[0].Topic != topic.StoresUp {
+	if len(rows) < 2 || rows[0].Topic != topic.StoreStates {
 		t.Errorf("shown %+v; the row that the store isn't used must come first", rows)
 	}
 	sf.starts.seen["1:1"] = storeStart{epoch: 2, since: time.Now().Add(-restartDelay)}
 	poll()
-	if !x.up {
+	if !x.state.Usable {
 		t.Error("the store isn't used again")
 	}
 }
@@ -200,10 +200,11 @@
 		rows, next := table.Since(at)
 		at = next
 		for _, r := range rows {
-			s, err := codec.Unmarshal[topic.StoreSummary](r.Value)
+			leased, err := codec.Unmarshal[topic.Leased[topic.StoreSummary]](r.Value)
 			if err != nil {
 				t.Fatal(err)
 			}
+			s := leased.Value
 			if len(r.Value) > maxRowBytes {
 				t.Errorf("row %s has %d bytes", r.Key, len(r.Value))
 			}
--- a/internal/process/sitecontrol/store_orders_test.go
+++ b/internal/process/sitecontrol/store_orders_test.go
@@ -224,12 +224,12 @@
 	if second.fencingNumber() == 0 {
 		t.Fatal("the lease has ended by the log's clock, but isn't granted")
 	}
-	if second.mayShow() {
+	if _, ok := second.showable(); ok {
 		t.Error("parts are shown that the earlier holder may free")
 	}
 	second.earlierSeenAt -= leaseDuration
 	second.showFrom -= leaseDuration
-	if !second.mayShow() {
+	if _, ok := second.showable(); !ok {
 		t.Errorf("nothing is shown %s after the last renewal by the earlier holder", leaseDuration)
 	}
 }
--- a/internal/process/sitecontrol/weights_site.go
+++ b/internal/process/sitecontrol/weights_site.go
@@ -61,11 +61,9 @@
 
 // SetBusy implements weights.Site.
 func (w weightsSite) SetBusy(server string, busy bool) {
-	if !busy {
-		w.table.Put(topic.Busy, server, nil)
-		return
+	if fencing := w.leaseHolder.fencingNumber(); fencing != 0 {
+		putLeased(w.process, fencing, topic.Busy, server, busy)
 	}
-	w.put(topic.Busy, server, true)
 }
 
 // ReportLoaded implements weights.Site.
--- a/internal/process/siteentry/hints.go
+++ b/internal/process/siteentry/hints.go
@@ -166,9 +166,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var candidates []candidateRelay
+	holder := s.holder()
 	for a, state := range s.directStates {
 		if now.Sub(state.lastAnswer) < relayTimeout {
-			candidates = append(candidates, candidateRelay{address: a, sameZone: state.zone == zone, holder: state == s.holder()})
+			candidates = append(candidates, candidateRelay{address: a, sameZone: state.zone == zone, holder: state.reports(holder)})
 		}
 	}
 	return pickRelay(candidates, many, watcher)
--- a/internal/process/siteentry/holder_state.go
+++ b/internal/process/siteentry/holder_state.go
@@ -33,30 +33,20 @@
 	maxLongPartFillShare = 0.4
 )
 
-// holderState is the state of stores and orders as one replica reports it. It is used while the replica holds
-// the lease for orders.
+// holderState is the state of stores and orders as a replica reports it under one lease for orders.
 type holderState struct {
-	epoch       uint64
+	// fencing is the fencing number of the lease, lastContact when the replica last answered as its holder.
 	fencing     uint64
 	lastContact time.Time
 	// parts maps part and store to the size in tokens, usedTokens each store to the sum of these.
 	parts       map[uint64]map[uint32]int
 	usedTokens  map[uint32]int
-	storesUp    map[string]bool
+	stores      map[string]topic.StoreState
 	busyServers map[string]bool
-	// storeEpochs is the incarnation of each store as the replica sees it, lastAnswer when the replica last
-	// answered at all.
-	storeEpochs map[string]int64
-	lastAnswer  time.Time
-	// zone is the replica's availability zone.
-	zone string
-	// position is how far the relay's mirror of the replica's rows has been received, if the state comes from a
-	// relay.
-	position watch.Position
 }
 
-func newHolderState(epoch uint64) *holderState {
-	return &holderState{epoch: epoch, parts: map[uint64]map[uint32]int{}, usedTokens: map[uint32]int{}, storesUp: map[string]bool{}, busyServers: map[string]bool{}, storeEpochs: map[string]int64{}}
+func newHolderState(fencing uint64) *holderState {
+	return &holderState{fencing: fencing, parts: map[uint64]map[uint32]int{}, usedTokens: map[uint32]int{}, stores: map[string]topic.StoreState{}, busyServers: map[string]bool{}}
 }
 
 // observeReplica records an answer of a replica and its claim to the lease.
@@ -65,20 +55,20 @@
 	defer s.mu.Unlock()
 	state, ok := s.directStates[address]
 	if !ok || state.epoch != a.Epoch {
-		state = newHolderState(a.Epoch)
+		state = newReplicaState(a.Epoch)
 		s.directStates[address] = state
 	}
 	state.lastAnswer, state.zone = time.Now(), a.Zone
-	if a.Fencing != 0 {
-		state.recordContact(a.Fencing, state.lastAnswer, a.More)
-	}
+	state.recordContact(a.Fencing, state.lastAnswer, a.More)
 }
 
 // recordContact records an answer of the replica while it holds the lease, as of that time. An answer in several
 // pieces refreshes the state only with the last of them, since a later piece may report that a store is down.
-func (h *holderState) recordContact(fencing uint64, at time.Time, more bool) {
-	h.fencing = fencing
-	if !more {
+func (r *replicaState) recordContact(fencing uint64, at time.Time, more bool) {
+	if fencing == 0 {
+		return
+	}
+	if h := r.lease(fencing); h != nil && !more {
 		h.lastContact = at
 	}
 }
@@ -92,9 +82,9 @@
 	for address, at := range s.caughtUp {
 		s.caughtUp[address] = at.Add(-suspended)
 	}
-	for _, states := range []map[string]*holderState{s.directStates, s.mirroredStates} {
+	for _, states := range []map[string]*replicaState{s.directStates, s.mirroredStates} {
 		for _, state := range states {
-			state.lastContact, state.lastAnswer = state.lastContact.Add(-suspended), state.lastAnswer.Add(-suspended)
+			state.age(suspended)
 		}
 	}
 }
@@ -116,12 +106,12 @@
 	if h := s.latestHolder(func(h *holderState) bool { return h.complete(t) }); h != nil {
 		return h
 	}
-	return s.latestHolder(func(h *holderState) bool { return len(h.storesUp) > 0 })
+	return s.latestHolder(func(h *holderState) bool { return len(h.stores) > 0 })
 }
 
-// holderStates returns the states of lease holders: as mirrored by the relay while relayed is set, otherwise as
+// holderStates returns the states of replicas: as mirrored by the relay while relayed is set, otherwise as
 // received directly. The caller holds the lock.
-func (s *site) holderStates() map[string]*holderState {
+func (s *site) holderStates() map[string]*replicaState {
 	if s.relayed {
 		return s.mirroredStates
 	}
@@ -132,12 +122,11 @@
 // condition.
 func (s *site) latestHolder(condition func(*holderState) bool) *holderState {
 	var found *holderState
-	for _, state := range s.holderStates() {
-		if state.fencing == 0 || time.Since(state.lastContact) >= stores.StaleAfter || !condition(state) {
-			continue
-		}
-		if found == nil || state.fencing > found.fencing {
-			found = state
+	for _, replica := range s.holderStates() {
+		for _, state := range replica.leases {
+			if time.Since(state.lastContact) < stores.StaleAfter && condition(state) && (found == nil || state.fencing > found.fencing) {
+				found = state
+			}
 		}
 	}
 	return found
@@ -153,33 +142,13 @@
 	return state.apply(r)
 }
 
-// apply applies a row on stores and orders.
-func (h *holderState) apply(r rowtable.Row) error {
-	switch r.Topic {
-	case topic.Parts:
-		return h.applyPart(r)
-	case topic.StoreSummaries:
-		return decodeRow(r, h.applyStoreSummary)
-	case topic.StoreEpochs:
-		return decodeRow(r, func(epoch int64) { h.storeEpochs[r.Key] = epoch })
-	case topic.StoresUp:
-		return decodeRow(r, func(up bool) { h.storesUp[r.Key] = up })
-	}
-	if len(r.Value) == 0 {
-		delete(h.busyServers, r.Key)
-		return nil
-	}
-	h.busyServers[r.Key] = true
-	return nil
-}
-
 // complete reports whether the replica has reported every store. It lists one after the other.
 func (h *holderState) complete(t document.Table) bool {
 	if t == nil {
 		return false
 	}
 	for _, x := range t.Document().Stores {
-		if _, ok := h.storesUp[x.Address]; !ok {
+		if _, ok := h.stores[x.Address]; !ok {
 			return false
 		}
 	}
@@ -220,40 +189,39 @@
 	}
 	var all []choose.Copy
 	for _, x := range t.Document().Stores {
-		if size, ok := held[stores.ShortAddress(x.Address)]; ok && size >= tokens && h.storesUp[x.Address] && s.sameIncarnation(h, x.Address) {
+		if size, ok := held[stores.ShortAddress(x.Address)]; ok && size >= tokens && h.stores[x.Address].Usable && s.sameIncarnation(h, x.Address) {
 			all = append(all, storeCopy(x, tokenBytes(t.Document())))
 		}
 	}
 	return all
 }
 
-// StoreStateAge implements caller.Site.
-func (s *site) StoreStateAge() time.Duration {
+// StoreState implements caller.Site.
+func (s *site) StoreState() (time.Duration, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.storeState()
 	if h == nil {
-		return -1
+		return 0, 0
 	}
-	return time.Since(h.lastContact)
+	return time.Since(h.lastContact), h.fencing
 }
 
-// sameIncarnation reports whether the store is still the incarnation that the replica reported: at once while
-// that replica answers, later only if another replica confirms it.
+// sameIncarnation reports whether the store is still the incarnation that was listed under the lease: while the
+// holder answers, unless a replica has seen another one, and later only if another replica confirms it.
 func (s *site) sameIncarnation(h *holderState, store string) bool {
-	if time.Since(h.lastContact) < storeEpochTTL {
-		return true
-	}
-	confirmed := false
-	for _, o := range s.directStates {
-		epoch, ok := o.storeEpochs[store]
-		if o == h || !ok || time.Since(o.lastAnswer) > storeEpochTTL {
+	listed, answers := h.stores[store].Epoch, time.Since(h.lastContact) < storeEpochTTL
+	confirmed := answers
+	for _, r := range s.directStates {
+		epoch, ok := r.storeEpochs[store]
+		if !ok || time.Since(r.lastAnswer) > storeEpochTTL {
 			continue
 		}
-		if epoch != h.storeEpochs[store] {
+		// A replica that doesn't reach the store may be cut off itself, which matters once the holder is silent.
+		if epoch != listed && (epoch != 0 || !answers) {
 			return false
 		}
-		confirmed = true
+		confirmed = confirmed || !r.reports(h)
 	}
 	return confirmed
 }
@@ -297,7 +265,7 @@
 		if tokens >= smallPartTokens && x.Latency <= fastStoreLatency {
 			share = maxLongPartFillShare
 		}
-		if h.storesUp[x.Address] && float64(h.usedTokens[stores.ShortAddress(x.Address)]+tokens) <= share*float64(x.CapacityTokens) {
+		if h.stores[x.Address].Usable && float64(h.usedTokens[stores.ShortAddress(x.Address)]+tokens) <= share*float64(x.CapacityTokens) {
 			s.recordSave(p, now)
 			return x.Address
 		}
--- a/internal/process/siteentry/holder_state_test.go
+++ b/internal/process/siteentry/holder_state_test.go
@@ -26,13 +26,30 @@
 	return rowtable.Row{Topic: top, Key: key, Value: b}
 }
 
+// leased returns the row of a value that holds under the lease with the fencing number.
+func leased[T any](t *testing.T, fencing uint64, top rowtable.Topic, key string, value T) rowtable.Row {
+	t.Helper()
+	return row(t, top, key, topic.Leased[T]{Fencing: fencing, Value: value})
+}
+
+// storeUp returns the row of a store that is used in that epoch.
+func storeUp(t *testing.T, fencing uint64, store string, epoch int64) rowtable.Row {
+	t.Helper()
+	return leased(t, fencing, topic.StoreStates, store, topic.StoreState{Usable: true, Epoch: epoch})
+}
+
+// partKey returns the key of a part of the model in a store.
+func partKey(id, store string) string {
+	return stores.Part{Salt: "m/1", ID: id}.AtStore(store).Key()
+}
+
 func newSiteWithStore(t *testing.T) *site {
 	s := newSite(nil, parts.NewResidency(), share.NewPeerLoads("e"), func() {})
 	s.follow = func() {}
 	s.applyDocument(document.Document{Revision: 1, Stores: []document.Store{{Address: "1:1", CapacityTokens: 1000}}}, "", nil)
 	s.apply("old", watch.Answer{Epoch: 1, Fencing: 4, CaughtUp: true, Rows: []rowtable.Row{
-		row(t, topic.Parts, stores.Part{Salt: "m/1", ID: "p"}.AtStore("1:1").Key(), 300),
-		row(t, topic.StoresUp, "1:1", true),
+		leased(t, 4, topic.Parts, partKey("p", "1:1"), 300),
+		storeUp(t, 4, "1:1", 7),
 		row(t, topic.StoreEpochs, "1:1", int64(7)),
 	}})
 	return s
@@ -48,7 +65,7 @@
 		t.Fatal("the part isn't known")
 	}
 	s.mu.Lock()
-	s.directStates["old"].lastContact = time.Now().Add(-storeEpochTTL - time.Second)
+	s.directStates["old"].lease(4).lastContact = time.Now().Add(-storeEpochTTL - time.Second)
 	s.mu.Unlock()
 	if fetchable() {
 		t.Error("the part is used though no replica confirms that the store still runs")
@@ -66,7 +83,7 @@
 // Two replicas claim the lease; one of them has been superseded and doesn't know.
 func TestHigherFencingNumberCounts(t *testing.T) {
 	s := newSiteWithStore(t)
-	s.apply("new", watch.Answer{Epoch: 1, Fencing: 5, Rows: []rowtable.Row{row(t, topic.StoresUp, "1:1", true), row(t, topic.StoreEpochs, "1:1", int64(7))}})
+	s.apply("new", watch.Answer{Epoch: 1, Fencing: 5, Rows: []rowtable.Row{storeUp(t, 5, "1:1", 7), row(t, topic.StoreEpochs, "1:1", int64(7))}})
 	s.apply("old", watch.Answer{Epoch: 1, Fencing: 4})
 	if len(s.Copies("m/1", "p", 300)) != 0 {
 		t.Error("the superseded holder's state is used")
@@ -113,9 +130,9 @@
 	s.applyDocument(document.Document{Revision: 2, Stores: tieredStores()}, "", nil)
 	var rows []rowtable.Row
 	for _, x := range tieredStores() {
-		rows = append(rows, row(t, topic.StoresUp, x.Address, true))
+		rows = append(rows, storeUp(t, 4, x.Address, 7))
 		if x.Latency <= fastStoreLatency {
-			rows = append(rows, row(t, topic.Parts, stores.Part{Salt: "m/1", ID: "old"}.AtStore(x.Address).Key(), int(maxLongPartFillShare*float64(x.CapacityTokens))))
+			rows = append(rows, leased(t, 4, topic.Parts, partKey("old", x.Address), int(maxLongPartFillShare*float64(x.CapacityTokens))))
 		}
 	}
 	s.apply("old", watch.Answer{Epoch: 1, Fencing: 4, Rows: rows})
@@ -137,23 +154,23 @@
 	s := newSiteWithStore(t)
 	s.applyDocument(document.Document{Revision: 2, Stores: []document.Store{{Address: "1:1", CapacityTokens: 1000}, {Address: "2:2", CapacityTokens: 1000}}}, "", nil)
 	s.apply("old", watch.Answer{Epoch: 1, Fencing: 4, Rows: []rowtable.Row{
-		row(t, topic.StoresUp, "2:2", true),
+		storeUp(t, 4, "2:2", 7),
 	}})
 	fetchable := func() bool { return len(s.Copies("m/1", "p", 300)) == 1 }
 	if !fetchable() {
 		t.Fatal("the part isn't known")
 	}
-	s.apply("new", watch.Answer{Epoch: 1, Fencing: 5, Rows: []rowtable.Row{row(t, topic.StoresUp, "2:2", true)}})
+	s.apply("new", watch.Answer{Epoch: 1, Fencing: 5, Rows: []rowtable.Row{storeUp(t, 5, "2:2", 7)}})
 	if !fetchable() {
 		t.Error("the part is dropped before the new holder has listed its store")
 	}
-	if state := s.holder(); state != s.directStates["new"] {
+	if state := s.holder(); state != s.directStates["new"].lease(5) {
 		t.Error("used parts are still reported to the earlier holder")
 	}
 	if relay := s.chooseRelay("z", "e", time.Now()); relay != "new" {
 		t.Error("loads and prefills are still reported to the earlier holder")
 	}
-	s.apply("new", watch.Answer{Epoch: 1, Fencing: 5, Rows: []rowtable.Row{row(t, topic.StoresUp, "1:1", true)}})
+	s.apply("new", watch.Answer{Epoch: 1, Fencing: 5, Rows: []rowtable.Row{storeUp(t, 5, "1:1", 7)}})
 	if fetchable() {
 		t.Error("the part is used though the new holder has listed the store without it")
 	}
@@ -165,7 +182,7 @@
 	s := newSiteWithStore(t)
 	fetchable := func() bool { return len(s.Copies("m/1", "p", 300)) == 1 }
 	s.mu.Lock()
-	s.directStates["old"].lastContact = time.Now().Add(-storeEpochTTL - time.Second)
+	s.directStates["old"].lease(4).lastContact = time.Now().Add(-storeEpochTTL - time.Second)
 	s.mu.Unlock()
 	s.apply("old", watch.Answer{Epoch: 1, Fencing: 4, More: true})
 	if fetchable() {
@@ -201,7 +218,7 @@
 	aggregator.Add(share.Report{Entry: "o", Sequence: 1, Loads: share.Loads{"i-1": {InFlight: 3}}}, time.Now())
 	s.applyDocument(document.Document{Revision: 1}, "", nil)
 	s.apply("a", watch.Answer{Epoch: 1, Fencing: 4, Rows: []rowtable.Row{
-		row(t, topic.Busy, "i-2", true),
+		leased(t, 4, topic.Busy, "i-2", true),
 	}})
 	if err := s.applyHint(row(t, topic.Loads, "", aggregator.Sum(time.Now()))); err != nil {
 		t.Fatal(err)
--- a/internal/process/siteentry/mirrored_state.go
+++ b/internal/process/siteentry/mirrored_state.go
@@ -66,10 +66,8 @@
 	}
 	s.relayed = relayed
 	clear(s.mirroredStates)
-	for address, state := range s.directStates {
-		reset := newHolderState(state.epoch)
-		reset.lastAnswer, reset.zone, reset.storeEpochs = state.lastAnswer, state.zone, state.storeEpochs
-		s.directStates[address] = reset
+	for _, state := range s.directStates {
+		state.leases = nil
 	}
 }
 
@@ -92,18 +90,18 @@
 	if !s.relayed {
 		return
 	}
-	h, ok := s.mirroredStates[state.Address]
-	if !ok || h.position.Epoch != state.Position.Epoch {
+	r, ok := s.mirroredStates[state.Address]
+	if !ok || r.position.Epoch != state.Position.Epoch {
 		// The relay sends all rows of a new mirror.
-		h = newHolderState(state.Epoch)
-		s.mirroredStates[state.Address] = h
+		r = newReplicaState(state.Epoch)
+		s.mirroredStates[state.Address] = r
 	}
-	h.position = state.Position
+	r.position = state.Position
 	// The mirror is no fresher than the relay's own poll, and the relay may have held its answer.
-	h.recordContact(state.Fencing, sent.Add(-state.Age), state.More)
-	for _, r := range state.Rows {
-		if err := h.apply(r); err != nil {
-			event.NoticeRefused.Write(logger, log.Fields{"peer": state.Address, "notice": "relayed row", "topic": r.Topic, "key": r.Key, "error": err.Error()})
+	r.recordContact(state.Fencing, sent.Add(-state.Age), state.More)
+	for _, x := range state.Rows {
+		if err := r.apply(x); err != nil {
+			event.NoticeRefused.Write(logger, log.Fields{"peer": state.Address, "notice": "relayed row", "topic": x.Topic, "key": x.Key, "error": err.Error()})
 		}
 	}
 	s.signalStoresKnown()
--- a/internal/process/siteentry/mirrored_state_test.go
+++ b/internal/process/siteentry/mirrored_state_test.go
@@ -13,9 +13,9 @@
 // relayedState returns a relay's mirror of a lease holder that reports one complete part.
 func relayedState(t *testing.T, position watch.Position, age time.Duration) watch.HolderState {
 	return watch.HolderState{Address: "holder", Epoch: 1, Fencing: 4, Age: age, Position: position, Rows: []rowtable.Row{
-		row(t, topic.StoresUp, "1:1", true),
-		row(t, topic.StoreSummaries, "1:1/long", storeSummary(true, map[string]int{"q": 400})),
-		row(t, topic.Busy, "engine", true),
+		storeUp(t, 4, "1:1", 7),
+		leased(t, 4, topic.StoreSummaries, "1:1/long", storeSummary(true, map[string]int{"q": 400})),
+		leased(t, 4, topic.Busy, "engine", true),
 	}}
 }
 
@@ -75,8 +75,8 @@
 func TestDirectAndRelayedStatesAreExclusive(t *testing.T) {
 	s := newRelayedSite(t)
 	direct := watch.Answer{Epoch: 1, Fencing: 5, Rows: []rowtable.Row{
-		row(t, topic.StoresUp, "1:1", true),
-		row(t, topic.StoreSummaries, "1:1/long", storeSummary(true, map[string]int{"r": 400})),
+		storeUp(t, 5, "1:1", 7),
+		leased(t, 5, topic.StoreSummaries, "1:1/long", storeSummary(true, map[string]int{"r": 400})),
 	}}
 	s.apply("holder", direct)
 	if holdsPart(s, "r") || !holdsPart(s, "q") {
--- a/internal/process/siteentry/relay_test.go
+++ b/internal/process/siteentry/relay_test.go
@@ -65,7 +65,7 @@
 	if first != "a" {
 		t.Fatalf("relay %q", first)
 	}
-	s.directStates["b"] = newHolderState(1)
+	s.directStates["b"] = newReplicaState(1)
 	s.directStates["b"].lastAnswer = now.Add(relayTimeout)
 	if r := s.chooseRelay("z", "e", now.Add(relayTimeout)); r != "b" {
 		t.Errorf("relay %q after the first was lost", r)
--- a/internal/process/siteentry/reports.go
+++ b/internal/process/siteentry/reports.go
@@ -71,7 +71,7 @@
 func (s *site) holderAddress() string {
 	h := s.holder()
 	for a, x := range s.holderStates() {
-		if x == h {
+		if x.reports(h) {
 			return a
 		}
 	}
--- a/internal/process/siteentry/site.go
+++ b/internal/process/siteentry/site.go
@@ -67,7 +67,7 @@
 	answeredAt, resumedAt time.Time
 	follow                func()
 	// directStates holds the state of stores and orders that each replica reports.
-	directStates map[string]*holderState
+	directStates map[string]*replicaState
 	clock        *stores.Clock
 	recentSaves  map[stores.Part]time.Time
 	// residency estimates what engines have cached. prefills are those that wait to be reported to the other
@@ -76,7 +76,7 @@
 	prefills  []watch.Prefill
 	// mirroredStates holds the relay's mirrors of lease holders' states. They replace directStates while relayed
 	// is set.
-	mirroredStates map[string]*holderState
+	mirroredStates map[string]*replicaState
 	relayed        bool
 	// relay is the replica that this entry exchanges hints with, empty for none.
 	relay string
@@ -114,12 +114,12 @@
 		observedVersions: map[string]int64{},
 		reportedEntries:  map[string]int{},
 		caughtUp:         map[string]time.Time{},
-		directStates:     map[string]*holderState{},
+		directStates:     map[string]*replicaState{},
 		clock:            stores.NewClock(),
 		recentSaves:      map[stores.Part]time.Time{},
 
 		engineCaches:   map[string]topic.EngineCache{},
-		mirroredStates: map[string]*holderState{},
+		mirroredStates: map[string]*replicaState{},
 		usedParts:      map[uint64]struct{}{},
 		evacuations:    newEvacuations(),
 		software:       newSoftwareChanges(),
@@ -178,7 +178,7 @@
 		return decodeRow(r, func(m []string) { s.applyMembers(address, m) })
 	case topic.Weights:
 		return decodeRow(r, func(l topic.LoadedWeights) { s.applyLoadedWeights(r.Key, l) })
-	case topic.Parts, topic.StoreSummaries, topic.StoresUp, topic.Busy, topic.StoreEpochs:
+	case topic.Parts, topic.StoreSummaries, topic.StoreStates, topic.Busy, topic.StoreEpochs:
 		return s.applyHolderRow(address, r)
 	case topic.TargetVersions:
 		return decodeRow(r, func(v int64) { s.applyTargetVersion(r.Key, v) })
--- a/internal/process/siteentry/store_parts.go
+++ b/internal/process/siteentry/store_parts.go
@@ -1,25 +1,25 @@
 package siteentry
 
 import (
-	"hornbeamwood/internal/site/rowtable"
 	"hornbeamwood/internal/site/stores"
 	"hornbeamwood/internal/site/topic"
 )
 
-func (h *holderState) applyPart(r rowtable.Row) error {
-	p, err := stores.ParsePartLocation(r.Key)
+// applyPart applies the size of the part whose location has that key, zero for one that may not be fetched any more.
+func (h *holderState) applyPart(key string, tokens int) error {
+	p, err := stores.ParsePartLocation(key)
 	if err != nil {
 		return err
 	}
-	if len(r.Value) == 0 {
-		h.remove(p)
-		return nil
+	h.remove(p)
+	if tokens > 0 {
+		h.add(p, tokens)
 	}
-	return decodeRow(r, func(tokens int) { h.add(p, tokens) })
+	return nil
 }
 
 // applyStoreSummary applies a summary of a store's listing.
-func (h *holderState) applyStoreSummary(s topic.StoreSummary) {
+func (h *holderState) applyStoreSummary(s topic.StoreSummary) error {
 	store := stores.ShortAddress(s.Address)
 	if s.ReplacesEarlier && h.usedTokens[store] > 0 {
 		for part, held := range h.parts {
@@ -31,6 +31,7 @@
 	for i := range min(len(s.Parts), len(s.Tokens)) {
 		h.add(stores.PartLocation{Store: store, Part: s.Parts[i]}, int(s.Tokens[i]))
 	}
+	return nil
 }
 
 func (h *holderState) add(p stores.PartLocation, tokens int) {
--- a/internal/process/siteentry/store_summary_test.go
+++ b/internal/process/siteentry/store_summary_test.go
@@ -30,20 +30,20 @@
 	apply := func(rows ...rowtable.Row) {
 		s.apply("old", watch.Answer{Epoch: 1, Fencing: 4, CaughtUp: true, Rows: rows})
 	}
-	apply(row(t, topic.StoreSummaries, "1:1/long", storeSummary(true, map[string]int{"q": 400, "r": 300})))
+	apply(leased(t, 4, topic.StoreSummaries, "1:1/long", storeSummary(true, map[string]int{"q": 400, "r": 300})))
 	if held("p") || !held("q") || !held("r") {
 		t.Errorf("p %v, q %v, r %v", held("p"), held("q"), held("r"))
 	}
-	apply(row(t, topic.StoreSummaries, "1:1/short", storeSummary(false, map[string]int{"s": 300})))
+	apply(leased(t, 4, topic.StoreSummaries, "1:1/short", storeSummary(false, map[string]int{"s": 300})))
 	if !held("q") || !held("s") {
 		t.Error("the short parts have replaced the long ones")
 	}
-	apply(row(t, topic.Parts, stores.Part{Salt: "m/1", ID: "p"}.AtStore("1:1").Key(), 300),
-		rowtable.Row{Topic: topic.Parts, Key: stores.Part{Salt: "m/1", ID: "q"}.AtStore("1:1").Key()})
+	apply(leased(t, 4, topic.Parts, partKey("p", "1:1"), 300),
+		leased(t, 4, topic.Parts, partKey("q", "1:1"), 0))
 	if !held("p") || held("q") {
 		t.Error("rows after the listing aren't applied")
 	}
-	if used := s.directStates["old"].usedTokens[stores.ShortAddress("1:1")]; used != 900 {
+	if used := s.directStates["old"].lease(4).usedTokens[stores.ShortAddress("1:1")]; used != 900 {
 		t.Errorf("counted %d tokens, want 900", used)
 	}
 }
--- a/internal/serve/caller/choose.go
+++ b/internal/serve/caller/choose.go
@@ -270,8 +270,8 @@
 	f["part"] = strconv.FormatUint(stores.Part{Salt: salt, ID: p.ID}.Hash(), 16)
 	f["part-place"], f["part-tokens"], f["places"] = at, p.Tokens, len(j.copies(salt, p, e, now))
 	f["stores-age-ms"] = -1
-	if age := j.Site.StoreStateAge(); age >= 0 {
-		f["stores-age-ms"] = age.Milliseconds()
+	if age, fencing := j.Site.StoreState(); fencing != 0 {
+		f["stores-age-ms"], f["stores-fencing"] = age.Milliseconds(), fencing
 	}
 }
 
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -97,9 +97,9 @@
 	Copies(salt, part string, tokens int) []choose.Copy
 	// SaveTarget returns the store that should save the part, empty for none.
 	SaveTarget(salt, part string, tokens int) string
-	// StoreStateAge returns the age of the store inventories that Copies uses, negative if there
-	// are none.
-	StoreStateAge() time.Duration
+	// StoreState returns the age of the store inventories that Copies uses and the fencing number of the lease under
+	// which they were listed, zero if there are none.
+	StoreState() (age time.Duration, fencing uint64)
 	// FetchDeadline returns the deadline, on the servers' clock, of a fetch that starts now, zero if
 	// it cannot be determined.
 	FetchDeadline() int64
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -145,7 +145,7 @@
 func (s *fakeSite) AwaitDocument(context.Context)             {}
 func (s *fakeSite) AwaitFreshState(context.Context)           {}
 func (s *fakeSite) AwaitStores(context.Context)               {}
-func (s *fakeSite) StoreStateAge() time.Duration              { return 0 }
+func (s *fakeSite) StoreState() (time.Duration, uint64)       { return 0, 1 }
 func (s *fakeSite) AwaitServers(context.Context, func() bool) {}
 func (s *fakeSite) SoftwareRecorded(v directory.Server) bool {
 	s.mu.Lock()
--- a/internal/site/topic/topic.go
+++ b/internal/site/topic/topic.go
@@ -7,7 +7,7 @@
 
 // Topics of rows. The numbers are sent between processes and are never reused. A process
 // of another release ignores a number that it doesn't know, but would misread a row
-// whose key or value has changed under a known number. Numbers 1, 2 and 5 are retired.
+// whose key or value has changed under a known number. Numbers 1, 2, 5, 6, 8, 14 and 16 are retired.
 const (
 	// DocumentChunks holds the digests of the chunks of the operator's document as a Document in one row.
 	DocumentChunks rowtable.Topic = 17
@@ -17,14 +17,14 @@
 	Members rowtable.Topic = 3
 	// TargetVersions holds the target version of each model's weights as an int64.
 	TargetVersions rowtable.Topic = 4
-	// Parts holds the size of each part that may be fetched from a store, as an int under the key of its stores.PartLocation; only the rows of the lease holder are used.
-	Parts rowtable.Topic = 16
-	// StoresUp holds true for the address of each store that answers; only the rows of the lease holder are used.
-	StoresUp rowtable.Topic = 6
+	// Parts holds the size of each part in a store as a Leased[int] under the key of its stores.PartLocation, zero for one that may not be fetched any more.
+	Parts rowtable.Topic = 21
+	// StoreStates holds whether each store is used, as a Leased[StoreState] under its address.
+	StoreStates rowtable.Topic = 22
 	// Weights holds the weights that an engine has loaded by an order, as LoadedWeights under the engine's ID.
 	Weights rowtable.Topic = 7
-	// Busy holds true for the ID of each engine that takes no requests because of an order.
-	Busy rowtable.Topic = 8
+	// Busy holds whether an engine takes no requests because of an order, as a Leased[bool] under the engine's ID.
+	Busy rowtable.Topic = 23
 	// Prefills holds the engine that last started to prefill a part, as a watch.Prefill under the part's salt and ID.
 	Prefills rowtable.Topic = 9
 	// Loads holds the load of all entries at each engine as a share.Sum in one row; only that of the lease holder is used.
@@ -35,8 +35,8 @@
 	EngineCaches rowtable.Topic = 12
 	// TargetVersionTimes holds when each model's target version was set, by the servers' clock in Unix milliseconds as an int64, if that is known.
 	TargetVersionTimes rowtable.Topic = 13
-	// StoreSummaries holds the parts of a store when it was listed, as a StoreSummary under the store's address and the size class of the parts; only the rows of the lease holder are used, and later rows of Parts take precedence.
-	StoreSummaries rowtable.Topic = 14
+	// StoreSummaries holds the parts of a store when it was listed, as a Leased[StoreSummary] under the store's address and the size class of the parts; later rows of Parts take precedence.
+	StoreSummaries rowtable.Topic = 24
 	// Evacuations holds the state of each availability zone as a section.Evacuation under its name.
 	Evacuations rowtable.Topic = 18
 	// Quarantine holds the quarantine of an attribute of requests as a suspicion.Period under its fingerprint.
@@ -55,6 +55,25 @@
 	SharedSalt string `cbor:"shared-salt,omitempty"`
 }
 
+// Leased is the value of a row that holds under one lease for orders only. A replica that gets the lease again still has rows
+// of its earlier lease, and what they say may have changed under another holder since.
+type Leased[T any] struct {
+	// Values are encoded without field names: a large site has thousands.
+	_ struct{} `cbor:",toarray"`
+	// Fencing is the fencing number of the lease.
+	Fencing uint64
+	// Value is what holds under it.
+	Value T
+}
+
+// StoreState is whether a store is used.
+type StoreState struct {
+	// Usable is set if parts may be fetched from the store and saved to it.
+	Usable bool `cbor:"usable"`
+	// Epoch is the store's epoch in which its parts were listed, zero while it isn't used.
+	Epoch int64 `cbor:"epoch"`
+}
+
 // StoreSummary holds the long or the short parts of a store when it was listed.
 //
 // A replica that has just acquired the lease must send each entry the parts of all
@@ -97,7 +116,7 @@
 // their relays: all rows of the lease holder about stores and orders.
 func Relayed(t rowtable.Topic) bool {
 	switch t {
-	case Parts, StoreSummaries, StoresUp, Busy, StoreEpochs:
+	case Parts, StoreSummaries, StoreStates, Busy, StoreEpochs:
 		return true
 	}
 	return false
