Relays: a row that was sent has changed, whatever its value

Cause: a relay told by the value of a row whether it is new. The withdrawal of a part under a later lease had the value that the relay kept from the first one, so that it stayed before the list that shows the part again, and entries never got it. The relay acknowledged the replica's revision all the same, and the holder freed the part. The replica changes such a row and changes it back, which a relay that gets only the last value can't see.

A relay now gives each received row a new revision in its mirror; the replica sends only rows that have changed. The replica gives the row a new revision itself instead of changing it twice.

--- a/internal/process/sitecontrol/control.go
+++ b/internal/process/sitecontrol/control.go
@@ -246,15 +246,24 @@
 
 // put sets a row and returns the table's revision of its last change, zero when the value can't be encoded.
 func (p *process) put(t rowtable.Topic, key string, value any) uint64 {
+	b, ok := p.encode(t, key, value)
+	if !ok {
+		return 0
+	}
+	return p.table.Put(t, key, b)
+}
+
+// encode encodes the value of a row, and returns false if it can't be encoded.
+func (p *process) encode(t rowtable.Topic, key string, value any) ([]byte, bool) {
 	b, err := codec.Marshal(value)
 	if err != nil {
 		event.AnnouncementNotAcknowledged.Write(p.config.Logger, log.Fields{"topic": t, "key": key, "error": err.Error()})
-		return 0
+		return nil, false
 	}
 	if len(b) > rowtable.MaxAnswerBytes {
 		event.RowTooLarge.Write(p.config.Logger, log.Fields{"topic": t, "key": key, "bytes": len(b), "most": rowtable.MaxAnswerBytes})
 	}
-	return p.table.Put(t, key, b)
+	return b, true
 }
 
 // applyRows applies the rows of another replica: its servers, and what the relay passes
--- a/internal/process/sitecontrol/followed_store.go
+++ b/internal/process/sitecontrol/followed_store.go
@@ -93,16 +93,13 @@
 //
 // A row with the same value as before a list keeps its revision, and the list with its
 // later revision takes precedence over it. Entries would go on fetching a part
-// that is about to be freed. Such a row is therefore changed and changed back, which
-// gives it a new revision.
+// that is about to be freed. Such a row gets a new revision.
 func (sf *storeFollower) showPart(x *followedStore, key string, tokens int) uint64 {
-	put := func(tokens int) uint64 { return putLeased(sf.process, x.fencing, topic.Parts, key, tokens) }
-	n := put(tokens)
-	if n >= x.listRevision {
-		return n
+	n := putLeased(sf.process, x.fencing, topic.Parts, key, tokens)
+	if n < x.listRevision {
+		n = renewLeased(sf.process, x.fencing, topic.Parts, key, tokens)
 	}
-	put(tokens + 1)
-	return put(tokens)
+	return n
 }
 
 // unfollow stops following the store.
--- a/internal/process/sitecontrol/lease_rows_test.go
+++ b/internal/process/sitecontrol/lease_rows_test.go
@@ -53,3 +53,19 @@
 		t.Error("parts may be freed at once")
 	}
 }
+
+// Guards against a fetch of a withdrawn part whose row has kept its revision from before a list that shows the part.
+func TestWithdrawalIsShownAfterTheList(t *testing.T) {
+	table := rowtable.New(1)
+	sf := &storeFollower{process: &process{table: table}}
+	part := stores.Part{Salt: "m/1", ID: "p"}
+	x := &followedStore{fencing: 4, inventory: stores.NewStoreInventory("1:1", 1000), cancel: func() {}}
+	sf.showParts(x, []stores.Part{part})
+	x.inventory.ApplyListing(stores.Listing{Epoch: 1, Held: map[stores.Part]int{part: 300}}, time.Now())
+	sf.showStoreParts(x, "short", false, []stores.Part{part})
+	_, listed := table.Since(0)
+	x.inventory.Withdraw(func(stores.Part) bool { return true }, 1, time.Now())
+	if revision := sf.showParts(x, []stores.Part{part}); revision <= listed {
+		t.Errorf("the withdrawal has revision %d, the list %d", revision, listed)
+	}
+}
--- a/internal/site/rowtable/table.go
+++ b/internal/site/rowtable/table.go
@@ -23,6 +23,8 @@
 	Epoch() uint64
 	// Put sets a row and returns the revision of its last change; an equal value changes nothing.
 	Put(topic Topic, key string, value []byte) uint64
+	// Renew sets a row and returns its new revision, which it gets for an equal value as well.
+	Renew(topic Topic, key string, value []byte) uint64
 	// Remove forgets a row. Watchers that have it keep it and aren't told.
 	Remove(topic Topic, key string)
 	// Since returns the rows that changed after the given revision, the oldest change first, and the revision up to which they go.
@@ -75,11 +77,23 @@
 func (t *table) Put(topic Topic, key string, value []byte) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	id := rowID{topic, key}
-	e, ok := t.rows[id]
-	if ok && bytes.Equal(e.row.Value, value) {
+	if e, ok := t.rows[rowID{topic, key}]; ok && bytes.Equal(e.row.Value, value) {
 		return e.revision
 	}
+	return t.set(topic, key, value)
+}
+
+// Renew implements Table.
+func (t *table) Renew(topic Topic, key string, value []byte) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.set(topic, key, value)
+}
+
+// set sets a row and returns its new revision. The caller holds the lock.
+func (t *table) set(topic Topic, key string, value []byte) uint64 {
+	id := rowID{topic, key}
+	e, ok := t.rows[id]
 	if !ok {
 		e = &revisedRow{}
 		t.rows[id] = e
--- a/internal/site/watch/mirrors.go
+++ b/internal/site/watch/mirrors.go
@@ -96,7 +96,8 @@
 	changed := false
 	for _, r := range a.Rows {
 		if x.Relayed(r.Topic) {
-			m.last = max(m.last, m.table.Put(r.Topic, r.Key, r.Value))
+			// A row that was sent has changed since the last answer, even if it has an earlier value again.
+			m.last = m.table.Renew(r.Topic, r.Key, r.Value)
 			changed = true
 		}
 	}
--- a/internal/site/watch/mirrors_test.go
+++ b/internal/site/watch/mirrors_test.go
@@ -44,7 +44,7 @@
 }
 
 // Guards against a part being freed while an entry may still have it fetched, because its relay
-// acknowledged a revision that the entry doesn't have.
+// acknowledged a revision that the entry doesn't have, also of a row whose value is that of an earlier change again.
 func TestRelayAcknowledgesOnlyWhatItsEntriesHave(t *testing.T) {
 	p := gopter.NewProperties(nil)
 	p.Property("the acknowledged revision is one that all entries have", prop.ForAll(func(seed uint64) bool {
@@ -58,6 +58,8 @@
 	x, now := testMirrors()
 	holder, applied := rowtable.New(1), uint64(0)
 	entries := make([]modelEntry, 1+r.IntN(5))
+	// With few values, rows often change and change back between two polls.
+	values := []int{2, 256}[r.IntN(2)]
 	for i := range entries {
 		entries[i].positions = map[string]Position{}
 	}
@@ -69,7 +71,7 @@
 			if r.IntN(3) == 0 {
 				topic = directTopic
 			}
-			holder.Put(topic, fmt.Sprint(r.IntN(8)), []byte{byte(step)})
+			holder.Put(topic, fmt.Sprint(r.IntN(8)), []byte{byte(r.IntN(values))})
 		case 1:
 			x.BeginPoll("holder")
 			rows, revision := holder.Since(applied)
@@ -197,3 +199,27 @@
 		t.Errorf("revision %d is acknowledged for the entries behind the relay", positions)
 	}
 }
+
+// Guards against a fetch of a withdrawn part by an entry behind a relay: the part's row has the value that it had before a
+// list, and the relay, which missed what it had in between, must pass it on after that list.
+func TestRowThatChangedBackIsRelayedAfterTheList(t *testing.T) {
+	x, _ := testMirrors()
+	holder, applied := rowtable.New(1), uint64(0)
+	relay := func() {
+		rows, revision := holder.Since(applied)
+		x.Apply("holder", Answer{Epoch: 1, Fencing: 1, Revision: revision, Rows: rows})
+		applied = revision
+	}
+	holder.Put(relayedTopic, "part", []byte{0})
+	holder.Put(relayedTopic, "list", []byte{1})
+	relay()
+	positions := map[string]Position{"holder": x.poll("e", nil)[0].Position}
+	holder.Renew(relayedTopic, "part", []byte{0})
+	relay()
+	if acknowledged := x.AcknowledgedRevision("holder", counted); acknowledged >= applied {
+		t.Errorf("revision %d is acknowledged though the entry lacks the row", acknowledged)
+	}
+	if all := x.poll("e", positions); len(all) != 1 || len(all[0].Rows) != 1 || all[0].Rows[0].Key != "part" {
+		t.Errorf("the entry gets %+v, want the row of the part", all)
+	}
+}
