Relays: nothing is acknowledged right after a start

A part could be freed while an engine fetches it, if the relay of an entry was restarted and the entry didn't reach it any more.

Cause: a relay acknowledges to the lease holder what the entries have that poll it. One that has just started knows none, and acknowledged all that it had itself, while entries of its earlier process use the rows that they got from that for StaleAfter.

It acknowledges nothing for that time now. The holder then waits until the rows have become stale, as for an entry that is cut off.

Failed before: TestRelayThatHasJustStartedAcknowledgesNothing ("revision 9 is acknowledged at once"). What callers saw of it was not shown.

--- a/internal/site/watch/mirrors.go
+++ b/internal/site/watch/mirrors.go
@@ -53,6 +53,8 @@
 	MirrorsConfig
 	// now reads the boot clock.
 	now func() time.Duration
+	// startedAt is when this process started, by now.
+	startedAt time.Duration
 
 	mu       sync.Mutex
 	replicas map[string]*replicaMirror
@@ -72,7 +74,7 @@
 
 func newMirrors(c MirrorsConfig, now func() time.Duration) *mirrors {
 	return &mirrors{
-		MirrorsConfig: c, now: now, replicas: map[string]*replicaMirror{},
+		MirrorsConfig: c, now: now, startedAt: now(), replicas: map[string]*replicaMirror{},
 		polledAt: map[string]time.Duration{}, entries: map[string]time.Duration{}, signal: make(chan struct{}),
 	}
 }
@@ -116,11 +118,13 @@
 }
 
 // AcknowledgedRevision implements Mirrors.
+//
+// Entries of this relay's earlier process that haven't polled yet aren't known, and may use what they got from it.
 func (x *mirrors) AcknowledgedRevision(address string, within time.Duration) uint64 {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	m, ok := x.replicas[address]
-	if !ok {
+	if !ok || x.now()-x.startedAt < within {
 		return 0
 	}
 	least := m.last
--- a/internal/site/watch/mirrors_test.go
+++ b/internal/site/watch/mirrors_test.go
@@ -23,12 +23,19 @@
 
 func relayed(t rowtable.Topic) bool { return t == relayedTopic }
 
-// testMirrors returns mirrors whose clock the test advances.
-func testMirrors() (*mirrors, *time.Duration) {
+// newTestMirrors returns the mirrors of a relay that has just started, and their clock, which the test advances.
+func newTestMirrors() (*mirrors, *time.Duration) {
 	now := time.Hour
 	return newMirrors(MirrorsConfig{Relayed: relayed, RoundInterval: func(int) time.Duration { return 0 }}, func() time.Duration { return now }), &now
 }
 
+// testMirrors is newTestMirrors of a relay that has run for long enough to acknowledge revisions.
+func testMirrors() (*mirrors, *time.Duration) {
+	x, now := newTestMirrors()
+	*now += counted
+	return x, now
+}
+
 // poll returns the answer to an entry's poll.
 func (x *mirrors) poll(watcher string, positions map[string]Position) []HolderState {
 	x.recordPoll(HolderStatesPoll{Watcher: watcher, Positions: positions})
@@ -223,3 +230,17 @@
 		t.Errorf("the entry gets %+v, want the row of the part", all)
 	}
 }
+
+// Guards against a part being freed while an entry may still have it fetched: its relay was restarted, and the entry, which
+// can't reach it, goes on with what it got before.
+func TestRelayThatHasJustStartedAcknowledgesNothing(t *testing.T) {
+	x, now := newTestMirrors()
+	x.Apply("holder", Answer{Epoch: 1, Fencing: 1, Revision: 9, Rows: []rowtable.Row{{Topic: relayedTopic, Key: "part", Value: []byte{0}}}})
+	if acknowledged := x.AcknowledgedRevision("holder", counted); acknowledged != 0 {
+		t.Errorf("revision %d is acknowledged at once", acknowledged)
+	}
+	*now += counted
+	if acknowledged := x.AcknowledgedRevision("holder", counted); acknowledged != 9 {
+		t.Errorf("revision %d is acknowledged once no entry uses what it got before, want 9", acknowledged)
+	}
+}
