Connections: a reset during an upload is no end

Callers got part of an answer as whole, with a Content-Length that fits it, if a server answered a long upload at once with a 200 that has no length, sent part of the body and reset the connection while the upload was still being written. Its server lives on, which proves the end.

Cause: the kernel reports the error of a socket once. The write that was under way took it, and the read after it saw a plain end.

The connections that we dial keep the error of a write and report it to the read that sees an end. An end that came in order before the reset stays one: the write's error is another one then.

TestEndBeforeAResetIsAnEnd guards the other side. Through another entry it wasn't seen: the test of it passed before too.

--- a/internal/node/tcp/socket.go
+++ b/internal/node/tcp/socket.go
@@ -80,7 +80,7 @@
 // Dial connects to an address of the form IP:port. ctx bounds the time to connect.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Control: control, KeepAliveConfig: keepAlive()}
-	return d.DialContext(ctx, "tcp4", address)
+	return withResets(d.DialContext(ctx, "tcp4", address))
 }
 
 // DialFrom returns a function that connects like Dial, from the IP of a local address of the form IP:port.
@@ -91,7 +91,7 @@
 	}
 	d := net.Dialer{Control: controlSource, KeepAliveConfig: keepAlive(), LocalAddr: &net.TCPAddr{IP: source.IP}}
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		return d.DialContext(ctx, "tcp4", address)
+		return withResets(d.DialContext(ctx, "tcp4", address))
 	}, nil
 }
 
