Heads: a status that HTTP doesn't have is no answer

If a server answered with status 000, callers got 502 that bears the server's Response-Stamp and length (a failure with a stamp and another status than that server gave, MIXED), or a connection that is closed for other numbers below 100.

Cause: http.ReadResponse accepts any three digits. The headers of the response were copied for the caller before WriteHeader panicked. The own interface skipped such a head as an informational one, without a bound.

Heads of servers are read in one place now, which refuses such a status, a switch of protocols that nobody asked for, and more than eight informational heads, before anybody acts on them. The attempt counts as malformed.

TestStatusThatIsNoneIsNotForwarded failed before for 000, 099 and 101 ("got {status:502 header:map[A-Id:[r1] A-Stamp:[x] Content-Length:[2]", "got {status:0", and 200 after a 101).

--- a/internal/entry/service/send_once.go
+++ b/internal/entry/service/send_once.go
@@ -11,6 +11,7 @@
 
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/control/ledger"
+	"hornbeamwood/internal/node/httphead"
 )
 
 // sendOnce sends a non-idempotent call on a connection of its own.
@@ -50,7 +51,7 @@
 		written <- err
 	}()
 	limit := int64(maxHeaderBytes + 4*ledger.MaxBody)
-	response, err := readResponse(bufio.NewReader(io.LimitReader(conn, limit)), request)
+	response, err := httphead.Read(bufio.NewReader(io.LimitReader(conn, limit)), request)
 	if err != nil {
 		conn.Close()
 		return Answer{}, connectionLost(errors.Join(err, <-written))
@@ -58,16 +59,3 @@
 	defer response.Body.Close()
 	return readAnswer(response, ledger.MaxBody+1)
 }
-
-// readResponse returns the first final response and skips informational ones.
-func readResponse(b *bufio.Reader, request *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(b, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
--- a/internal/entry/service/wire.go
+++ b/internal/entry/service/wire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hornbeamwood/internal/base/verdict"
+	"hornbeamwood/internal/node/httphead"
 )
 
 // Headers that docs/interfaces/service.md specifies, and a bound on Retry-After.
@@ -47,6 +48,9 @@
 
 // readAnswer returns the answer with at most limit bytes of its body, or the service's refusal with the verdict not-run.
 func readAnswer(response *http.Response, limit int64) (Answer, error) {
+	if err := httphead.Check(response.StatusCode); err != nil {
+		return Answer{}, connectionLost(err)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
 	if response.Header.Get(verdict.Header) == verdict.NotRun.String() {
 		return Answer{}, refused(response)
--- /dev/null
+++ b/internal/node/httphead/doc.go
@@ -0,0 +1,2 @@
+// Package httphead reads the heads of HTTP responses that servers send.
+package httphead
--- a/internal/serve/backend/conn.go
+++ b/internal/serve/backend/conn.go
@@ -14,6 +14,7 @@
 
 	"hornbeamwood/internal/node/boottime"
 	"hornbeamwood/internal/node/dial"
+	"hornbeamwood/internal/node/httphead"
 	"hornbeamwood/internal/node/rpc"
 )
 
@@ -91,12 +92,12 @@
 	}
 }
 
-// readHead reads the head of a response.
+// readHead reads the head of a final response.
 func (c *conn) readHead(q *http.Request) (*http.Response, error) {
 	left := maxHeadBytes
 	c.headLeft = &left
 	defer func() { c.headLeft = nil }()
-	return http.ReadResponse(c.reader, q)
+	return httphead.Read(c.reader, q)
 }
 
 // recordReceived records that bytes have come.
--- a/internal/serve/backend/exchange.go
+++ b/internal/serve/backend/exchange.go
@@ -93,9 +93,6 @@
 		if err != nil {
 			return readError(err)
 		}
-		if r.StatusCode >= 100 && r.StatusCode < 200 {
-			continue
-		}
 		if x.client.config.Belongs(x.attempt, r.Header) {
 			x.Response, x.readAt = r, time.Now()
 			x.client.recordResponse(x.target, x.conn, x.sentAt)
