Stores: the longest fetch counts from the acknowledgement

A part could be freed while an engine fetches it: the time of the longest fetch counted from the withdrawal, although an entry may learn of it later and start a fetch just before.

It counts from when all entries were seen to have acknowledged the withdrawal. Entries that don't acknowledge are waited for as before.

Failed before: TestLongestFetchCountsFromTheAcknowledgement ("after 6s, revision 7 acknowledged: freeable").

--- a/internal/site/stores/store_inventory.go
+++ b/internal/site/stores/store_inventory.go
@@ -35,6 +35,8 @@
 	withdrawnAt time.Time
 	// revision is the revision of the row table that announces the withdrawal.
 	revision uint64
+	// acknowledgedAt is when all entries were first seen to have the withdrawal, zero before.
+	acknowledgedAt time.Time
 }
 
 // StoreInventory records which parts are in one store.
@@ -214,7 +216,7 @@
 // revision of the row table up to which all entries that made contact within StaleAfter have the rows.
 //
 // If a part were freed while an engine still fetches it, the content of that engine's
-// memory would be undefined. An entry that has received the withdrawal starts
+// memory would be undefined. An entry that has acknowledged the withdrawal starts
 // no more fetches. One that hasn't, because it is cut off, stops after StaleAfter. The
 // last fetch that either has started ends within FetchWindow.
 func (s *StoreInventory) Freeable(acknowledged uint64, now time.Time) []Part {
@@ -223,11 +225,11 @@
 		if x.withdrawnAt.IsZero() {
 			continue
 		}
-		wait := StaleAfter + FetchWindow + freeMargin
-		if x.revision != 0 && acknowledged >= x.revision {
-			wait = FetchWindow + freeMargin
+		if x.acknowledgedAt.IsZero() && x.revision != 0 && acknowledged >= x.revision {
+			x.acknowledgedAt = now
 		}
-		if now.Sub(x.withdrawnAt) >= wait {
+		const wait = FetchWindow + freeMargin
+		if !x.acknowledgedAt.IsZero() && now.Sub(x.acknowledgedAt) >= wait || now.Sub(x.withdrawnAt) >= StaleAfter+wait {
 			freeable = append(freeable, p)
 		}
 	}
--- a/internal/site/stores/store_inventory_test.go
+++ b/internal/site/stores/store_inventory_test.go
@@ -35,6 +35,29 @@
 	}
 }
 
+// Guards against freeing a part under a fetch that an entry has started just before it learned of the withdrawal, which may be
+// some time after it.
+func TestLongestFetchCountsFromTheAcknowledgement(t *testing.T) {
+	s := inventoryWith("a", "b")
+	s.MarkAnnounced(s.Withdraw(func(p Part) bool { return p == part("a") }, 1, start), 7)
+	acknowledged := start.Add(2 * time.Second)
+	for _, x := range []struct {
+		revision uint64
+		after    time.Time
+		freeable int
+	}{
+		{6, start, 0},
+		{7, acknowledged, 0},
+		{7, start.Add(FetchWindow + freeMargin), 0},
+		{7, acknowledged.Add(FetchWindow), 0},
+		{7, acknowledged.Add(FetchWindow + freeMargin), 1},
+	} {
+		if freeable := s.Freeable(x.revision, x.after); len(freeable) != x.freeable {
+			t.Errorf("after %v, revision %d acknowledged: freeable %v", x.after.Sub(start), x.revision, freeable)
+		}
+	}
+}
+
 // Guards against freeing a part while an engine fetches it: the engine would continue with
 // memory of another prompt. Entries are notified first, and the part stays
 // until the last fetch that they may have started has ended.
@@ -48,12 +71,6 @@
 		t.Error("a withdrawn part is fetchable")
 	}
 	s.MarkAnnounced(withdrawn, 7)
-	if freeable := s.Freeable(7, start.Add(FetchWindow)); len(freeable) != 0 {
-		t.Error("the part is freed while a fetch may be running")
-	}
-	if freeable := s.Freeable(7, start.Add(FetchWindow+freeMargin)); len(freeable) != 1 {
-		t.Errorf("freeable %v though every entry has the withdrawal", freeable)
-	}
 	if freeable := s.Freeable(6, start.Add(StaleAfter+FetchWindow)); len(freeable) != 0 {
 		t.Error("the part is freed though an entry may still start a fetch of it")
 	}
