Relays: an acknowledgement of an earlier table counts for nothing

After the restart of a replica, the first poll of each relay acknowledged a revision of the table before. Revisions begin anew, so it counted as if all entries had every row. A part could be freed under a fetch; the wait of a new lease holder makes that unlikely.

The revision that a relay acknowledges is dropped with the other one if the epoch differs.

Failed before: TestAcknowledgementOfAnEarlierTableCountsForNothing ("revision 5000 of an earlier table counts"). What callers saw of it was not shown.

--- a/internal/site/watch/server.go
+++ b/internal/site/watch/server.go
@@ -98,7 +98,7 @@
 
 func (s *server) watch(ctx context.Context, _ rpc.Peer, p Poll) (Answer, error) {
 	if p.Epoch != s.Table.Epoch() {
-		p.Revision = 0
+		p.Revision, p.Acknowledged = 0, 0
 	}
 	s.recordPoll(p)
 	ctx, cancel := context.WithTimeout(ctx, min(max(p.Wait, 0), maxWait))
--- a/internal/site/watch/watch_test.go
+++ b/internal/site/watch/watch_test.go
@@ -218,3 +218,24 @@
 		}
 	}
 }
+
+// Guards against a part being freed while an entry may have it fetched: the first poll of a relay after the replica's restart
+// acknowledges a revision of the table before.
+func TestAcknowledgementOfAnEarlierTableCountsForNothing(t *testing.T) {
+	s := &server{
+		watchers: map[string]watcher{}, advanced: make(chan struct{}),
+		Config: Config{Table: rowtable.New(2), RoundInterval: defaultRoundInterval, CaughtUp: func() bool { return true }, Holder: func() (uint64, int64) { return 1, 0 }},
+	}
+	poll := func(epoch uint64) uint64 {
+		if _, err := s.watch(t.Context(), rpc.Peer{}, Poll{Watcher: "relay", Relay: true, Epoch: epoch, Revision: 5000, Acknowledged: 5000}); err != nil {
+			t.Fatal(err)
+		}
+		return s.AcknowledgedRevision(time.Minute)
+	}
+	if acknowledged := poll(1); acknowledged != 0 {
+		t.Errorf("revision %d of an earlier table counts", acknowledged)
+	}
+	if acknowledged := poll(2); acknowledged != 5000 {
+		t.Errorf("got revision %d, want 5000", acknowledged)
+	}
+}
