--- a/internal/serve/backend/proof.go
+++ b/internal/serve/backend/proof.go
@@ -187,9 +187,7 @@
 	defer cancel()
 	for connected := false; ; {
 		p := l.ask(t, e)
-		switch {
-		case p != nil && !p.slow():
-		case !connected:
+		if !connected && (p == nil || p.slow()) {
 			connected = true
 			if r, ok := l.reconnect(t, readAt); ok {
 				p = r
