Ends of answers: servers without a health check are asked for options

A sound answer without a length was refused as unproved (502) if its service names no health check in the document and nobody else asked its server: there was no request that could prove the end.

Such a server gets OPTIONS *, which asks about the server itself and can be taken for no caller's request.

--- a/internal/serve/backend/target.go
+++ b/internal/serve/backend/target.go
@@ -11,7 +11,8 @@
 	// MaxConnections is the maximum number of connections of this process to it; zero for no
 	// limit.
 	MaxConnections int
-	// ProbePath is the path of a GET request that the server answers without work for a caller, empty for none.
+	// ProbePath is the path of a GET request that the server answers without work for a caller. If it is empty, the server is
+	// asked for its options.
 	ProbePath string
 }
 
--- a/internal/serve/caller/config.go
+++ b/internal/serve/caller/config.go
@@ -33,7 +33,8 @@
 	Encode(h http.Header, d request.Dispatch)
 	// Answer parses a server's response headers.
 	Answer(h http.Header) request.Answer
-	// ProbePath returns the path of a GET request that each server of the service answers without work for a caller.
+	// ProbePath returns the path of a GET request that each server of the service answers without work for a caller, empty if
+	// there is none.
 	ProbePath(s document.Service) string
 }
 
