Soak: name the entry whose request reached an evacuated zone

The violation now names the entry that took the request, the time since its last signal, and the address that sent it. What is checked, and its bound, are unchanged.

--- a/deploy/soak/evacuations.go
+++ b/deploy/soak/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -26,13 +27,14 @@
 // evacuations holds when the evacuation of each zone was acknowledged.
 type evacuations struct {
 	record *record
+	limits *limits
 
 	mu           sync.Mutex
 	acknowledged map[string]time.Time
 }
 
-func newEvacuations(r *record) *evacuations {
-	return &evacuations{record: r, acknowledged: map[string]time.Time{}}
+func newEvacuations(r *record, l *limits) *evacuations {
+	return &evacuations{record: r, limits: l, acknowledged: map[string]time.Time{}}
 }
 
 // recordRequest checks that the zone of a server that gets a request from the address is not evacuated. A request that
@@ -40,9 +42,24 @@
 func (e *evacuations) recordRequest(attempt string, s *server, source string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if at, ok := e.acknowledged[s.zone]; ok && time.Since(at) > evacuationBound && !s.proxy.releasedSince(source, time.Now().Add(-releaseTime)) {
-		e.record.reportViolation("%s reached %s in %s, %s after the acknowledgment of its evacuation", attempt, s.id, s.zone, time.Since(at))
+	at, ok := e.acknowledged[s.zone]
+	if !ok || time.Since(at) <= evacuationBound {
+		return
+	}
+	sender, releasedAt := s.proxy.sender(source)
+	if time.Since(releasedAt) <= releaseTime {
+		return
+	}
+	e.record.reportViolation("%s reached %s in %s, %s after the acknowledgment of its evacuation, %s", attempt, s.id, s.zone, time.Since(at), e.describe(attempt, sender))
+}
+
+// describe returns which entry took the attempt, how long ago that entry was last disturbed, and the address that it was sent from.
+func (e *evacuations) describe(attempt, sender string) string {
+	taker := e.limits.entry(attempt)
+	if taker == nil {
+		return "sent from " + sender
 	}
+	return fmt.Sprintf("taken by %s (last signal %s ago), sent from %s", taker.name, time.Since(taker.lastChange()), sender)
 }
 
 func (e *evacuations) set(zone string, active bool) {
--- a/deploy/soak/proxy.go
+++ b/deploy/soak/proxy.go
@@ -282,17 +282,17 @@
 	return err == nil
 }
 
-// releasedSince returns whether the connection that arrives from the address has been cut off since the given time. What
-// was sent before may arrive now.
-func (p *proxy) releasedSince(source string, at time.Time) bool {
+// sender returns the IP address of the process whose connection arrives from the source, and when that connection was
+// last released from a cut. What was sent before may arrive now.
+func (p *proxy) sender(from string) (ip string, releasedAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for l := range p.links {
-		if l.target.LocalAddr().String() == source {
-			return !l.releasedAt.Before(at)
+		if l.target.LocalAddr().String() == from {
+			return source(l.caller), l.releasedAt
 		}
 	}
-	return false
+	return "", time.Time{}
 }
 
 func (p *proxy) isCutOff(l *link) bool {
--- a/deploy/soak/site.go
+++ b/deploy/soak/site.go
@@ -74,7 +74,8 @@
 		controls = append(controls, fmt.Sprint(s.network, 10+i))
 	}
 	s.seeds = controls[:min(len(controls), seedReplicas)]
-	s.orders, s.limits, s.evacuations, s.crashing = newOrders(r), newLimits(r), newEvacuations(r), newCrashing(r)
+	s.orders, s.limits, s.crashing = newOrders(r), newLimits(r), newCrashing(r)
+	s.evacuations = newEvacuations(r, s.limits)
 	s.backoffs, s.leaving = newBackoffs(r, s.limits), newLeaving(r, s.limits)
 	s.operator = &operator{controls: controls, record: r, orders: s.orders, growth: rand.New(rand.NewPCG(c.seed, 13))}
 	s.cuts, s.brittle, s.versions = newCuts(), newBrittle(r, s.limits), &versions{record: r}
