A refused connection counts for restarts, whoever made it

Cause: a stream avoids a server that refused a connection until it announces itself again. Only refusals that ended an attempt as 'refused' counted. In the trace, the connection that was to prove the end of the first part was refused, and the next attempt was refused without another entry to ask (no-path); the third one reached the successor, 0.5 s later.

Change: reach.Paths keeps when a connection to an address was last refused, unless a tunnel then reached the server, and the check for restarts uses it. An end whose proof was refused is recorded as a refusal, so that other entries learn of it.

TestRefusalsAreKept states what is kept.

--- a/internal/policy/reach/paths.go
+++ b/internal/policy/reach/paths.go
@@ -48,8 +48,10 @@
 	cutSince time.Time
 	// refused is set if the latest failed direct attempt was refused, so that older connections may live on.
 	refused bool
-	probeAt time.Time
-	usedAt  time.Time
+	// refusedAt is when a connection was last refused, unless the refusal was found to be that of the direct path only.
+	refusedAt time.Time
+	probeAt   time.Time
+	usedAt    time.Time
 }
 
 type paths struct {
@@ -163,6 +165,9 @@
 }
 
 func (p *paths) recordDirect(s *server, a Attempt) Change {
+	if a.Outcome == Refused && !s.cut {
+		s.refusedAt = latest(s.refusedAt, a.Ended)
+	}
 	if a.Outcome != Connected {
 		if s.connectedAt.After(a.Began) {
 			return Unchanged
@@ -184,6 +189,8 @@
 	switch a.Outcome {
 	case Connected:
 		s.tunnelAt = latest(s.tunnelAt, a.Ended)
+	case Refused:
+		s.refusedAt = latest(s.refusedAt, a.Ended)
 	case NoPeer:
 		s.noPeerAt = latest(s.noPeerAt, a.Ended)
 		if p.noPeerSince.IsZero() {
@@ -199,6 +206,7 @@
 		return Unchanged
 	}
 	s.cut, s.cutSince, s.probeAt = true, s.failedAt, now.Add(probeInterval)
+	s.refusedAt = time.Time{}
 	p.cut++
 	p.suspectSince = latest(p.suspectSince, s.cutSince)
 	return CutOff
@@ -260,6 +268,16 @@
 	return ok && s.cut
 }
 
+// RefusedAt implements Paths.
+func (p *paths) RefusedAt(address string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.servers[address]; ok {
+		return s.refusedAt
+	}
+	return time.Time{}
+}
+
 // OnlyOne implements Paths.
 func (p *paths) OnlyOne(address string, now time.Time) bool {
 	p.mu.Lock()
--- a/internal/policy/reach/paths_test.go
+++ b/internal/policy/reach/paths_test.go
@@ -329,3 +329,33 @@
 		t.Errorf("%d servers are kept, %d cut off", n, p.Len())
 	}
 }
+
+// Guards against a server that refused a connection and counts as one that has run all the time.
+func TestRefusalsAreKept(t *testing.T) {
+	const rtt = 2 * time.Millisecond
+	for _, x := range []struct {
+		name           string
+		direct, tunnel Outcome
+		refused        bool
+	}{
+		{"connects", Connected, NoPeer, false},
+		{"times out", Failed, NoPeer, false},
+		{"refused, no peer", Refused, NoPeer, true},
+		{"refused on both", Refused, Refused, true},
+		{"refused in a tunnel", Failed, Refused, true},
+		{"refused, a tunnel connects", Refused, Connected, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			p := newTestPaths()
+			p.attempt("s", Direct, x.direct, rtt)
+			p.attempt("s", Tunnel, x.tunnel, rtt)
+			if at := p.RefusedAt("s"); at.IsZero() == x.refused {
+				t.Errorf("refused at %v", at)
+			}
+			p.after(time.Second).attempt("s", Direct, Connected, rtt)
+			if at := p.RefusedAt("s"); at.IsZero() == x.refused {
+				t.Errorf("refused at %v once a connection was established", at)
+			}
+		})
+	}
+}
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -92,6 +92,9 @@
 	Hangs(address string, since time.Time) bool
 	// CutOff returns whether the server can be reached in a tunnel only.
 	CutOff(address string) bool
+	// RefusedAt returns when a connection to the server was last refused on any path, zero if that never happened or
+	// the server was reached in a tunnel instead.
+	RefusedAt(address string) time.Time
 	// OnlyOne returns whether the failure of a direct connection to the server is the only one, so that it says
 	// more about the server than about this entry.
 	OnlyOne(address string, now time.Time) bool
--- a/internal/serve/backend/client.go
+++ b/internal/serve/backend/client.go
@@ -43,6 +43,9 @@
 	Silent(address string, since time.Time)
 	// Hangs returns whether a direct connection on which nothing came since then hangs.
 	Hangs(address string, since time.Time) bool
+	// RefusedAt returns when a connection to the server was last refused, zero if that never happened or the server was
+	// reached in a tunnel instead.
+	RefusedAt(address string) time.Time
 	// Trusted returns whether a request may be sent on an idle direct connection on which bytes
 	// last came at receivedAt.
 	Trusted(address string, receivedAt time.Time) bool
@@ -72,6 +75,9 @@
 	// Hangs returns whether a direct connection to the server, on which nothing came since then, hangs
 	// because this process is cut off.
 	Hangs(t Target, since time.Time) bool
+	// RefusedAt returns when a connection to the server was last refused, also one that was to prove an end or to check
+	// a path; zero if that never happened or only the direct path was refused.
+	RefusedAt(t Target) time.Time
 	// Close closes the idle connections.
 	Close()
 }
@@ -280,6 +286,11 @@
 	return l.config.Paths.Hangs(t.Address, since)
 }
 
+// RefusedAt implements Client.
+func (l *client) RefusedAt(t Target) time.Time {
+	return l.config.Paths.RefusedAt(t.Address)
+}
+
 // CutOff implements Client.
 func (l *client) CutOff(t Target, lostAt time.Time) bool {
 	time.Sleep(time.Until(lostAt.Add(checkDelay)))
--- a/internal/serve/caller/cut_off_test.go
+++ b/internal/serve/caller/cut_off_test.go
@@ -149,6 +149,7 @@
 func (noPaths) ReceivedSince(string, time.Time) bool { return true }
 func (noPaths) Silent(string, time.Time)             {}
 func (noPaths) Hangs(string, time.Time) bool         { return false }
+func (noPaths) RefusedAt(string) time.Time           { return time.Time{} }
 func (noPaths) Trusted(string, time.Time) bool       { return true }
 
 // hangingPaths are paths on which each direct connection hangs.
--- a/internal/serve/caller/fake_test.go
+++ b/internal/serve/caller/fake_test.go
@@ -90,6 +90,8 @@
 	// uncertain is set if no origin's software is certain, restartExpected returns whether a server's is not.
 	uncertain       bool
 	restartExpected func(s directory.Server) bool
+	// restartsAfterRefusal is set if servers that have refused a connection may have restarted.
+	restartsAfterRefusal bool
 	// onlySoftware is what the entry takes for the only version, confirmedSoftware what the replicas do, and
 	// unrecorded a version that isn't recorded.
 	onlySoftware, confirmedSoftware, unrecorded string
@@ -160,8 +162,8 @@
 
 func (s *fakeSite) OnlySoftware(string) (string, bool)            { return s.onlySoftware, s.onlySoftware != "" }
 func (s *fakeSite) SoftwareCertain(origin.Origin, time.Time) bool { return !s.uncertain }
-func (s *fakeSite) RestartExpected(v directory.Server, _ time.Time) bool {
-	return s.restartExpected != nil && s.restartExpected(v)
+func (s *fakeSite) RestartExpected(v directory.Server, refusedAt time.Time) bool {
+	return s.restartExpected != nil && s.restartExpected(v) || s.restartsAfterRefusal && !refusedAt.IsZero()
 }
 func (s *fakeSite) Withdrawn(string) bool { return s.withdrawn }
 func (s *fakeSite) Cold(directory.Server, time.Duration, time.Time) bool {
@@ -218,6 +220,26 @@
 	stopped chan struct{}
 }
 
+func newScriptedServer(t *testing.T, l net.Listener, x script) *scriptedServer {
+	t.Helper()
+	s := &scriptedServer{script: x, listener: l, stopped: make(chan struct{})}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		defer close(s.stopped)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
 // die ends the server as the kernel does for a killed process: each socket is closed in order, the listener first.
 func (s *scriptedServer) die() {
 	s.dead.Store(true)
@@ -284,22 +306,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		x := &scriptedServer{script: s, listener: l, stopped: make(chan struct{})}
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			defer close(x.stopped)
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				x.mu.Lock()
-				x.conns = append(x.conns, c)
-				x.mu.Unlock()
-				go x.serve(c)
-			}
-		}()
-		f.servers = append(f.servers, x)
+		f.servers = append(f.servers, newScriptedServer(t, l, s))
 		// The first server is the nearest, so that it is tried first.
 		zone := "z" + strconv.Itoa(i)
 		f.site.servers = append(f.site.servers, directory.Server{ID: fmt.Sprint("s", i), StartedAt: 1, Service: "s", Software: "v1", Address: l.Addr().String(), Zone: zone, Slots: 100 / (i + 1)})
--- a/internal/serve/caller/origin.go
+++ b/internal/serve/caller/origin.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"hornbeamwood/internal/base/event"
+	"hornbeamwood/internal/serve/backend"
 	"hornbeamwood/internal/serve/observe"
 	"hornbeamwood/internal/site/directory"
 	"hornbeamwood/internal/site/document"
@@ -74,6 +75,9 @@
 	now := time.Now()
 	c := j.candidate(s, now)
 	refusedAt := c.Stats.RefusedAt
+	if at := j.Client.RefusedAt(backend.Target{ID: s.ID, StartedAt: s.StartedAt, Address: s.Address}); at.After(refusedAt) {
+		refusedAt = at
+	}
 	if others := now.Add(-observe.RefusalWindow); c.Stats.RefusedBy > 0 && others.After(refusedAt) {
 		refusedAt = others
 	}
--- a/internal/serve/caller/response.go
+++ b/internal/serve/caller/response.go
@@ -175,9 +175,13 @@
 func (j *job) recordBroken(a *observe.Attempt, x *backend.Exchange, reason string, err error) string {
 	x.Abort()
 	o := observe.Lost
+	gone := errors.Is(err, backend.ErrGone)
 	// It isn't known whether the server lives.
-	unknown := errors.Is(err, backend.ErrUnproved) && !errors.Is(err, backend.ErrGone)
-	if unknown || backend.PathLost(err) || j.hangs(a, time.Now().Add(-x.Silence())) {
+	unknown := errors.Is(err, backend.ErrUnproved) && !gone
+	switch {
+	case gone:
+		o = observe.Refused
+	case unknown || backend.PathLost(err) || j.hangs(a, time.Now().Add(-x.Silence())):
 		o = observe.NoPath
 	}
 	j.endAttempt(a, o)
