--- a/internal/control/replica/slow_sync_test.go
+++ b/internal/control/replica/slow_sync_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -44,3 +45,31 @@
 	})
 	return f
 }
+
+const (
+	// slowSyncs is the mean duration of a sync on a disk that many processes share.
+	slowSyncs = 600 * time.Millisecond
+	// recoveryTime is how long after its start a group must serve.
+	recoveryTime = 15 * time.Second
+)
+
+// Guards against a group that finds no leader while its syncs take as long as its elections.
+func TestSlowSyncsAllowElections(t *testing.T) {
+	began := time.Now()
+	c := newCluster(t, 3, func(g *Config) {
+		g.Tick = defaultTick
+		f := faultfile.New()
+		f.SetFault(func(o faultfile.Operation, _ string) error {
+			if o == faultfile.Sync {
+				time.Sleep(slowSyncs/2 + rand.N(slowSyncs))
+			}
+			return nil
+		})
+		g.Files, g.Folder = f, ""
+	})
+	c.waitForLeader()
+	c.commit("one")
+	if took := time.Since(began); took > recoveryTime {
+		t.Errorf("the first commit took %v, %v allowed", took, recoveryTime)
+	}
+}
