Heads: a field whose name is no token makes a head malformed

A server sent a line such as "X Odd: 1", "X-Odd : 1" or "Transfer-Encoding : chunked" in the head of an answer or of an informational one. Callers got 200 with the body and without the line, and a 503 as the promise that the request had not run. Without another length the sizes of chunks came as part of the body, with a length of ours.

Cause: the reader of net/http takes a name with a space as it is, as another field than the line may mean; control bytes and delimiters it refuses.

The attempt counts as malformed, so that it may have run, and its connection is closed before anything of the head is acted on.

--- a/internal/entry/service/broken_answer_test.go
+++ b/internal/entry/service/broken_answer_test.go
@@ -54,3 +54,19 @@
 		}
 	}
 }
+
+// Guards against an answer that counts as an outcome, or as a refusal, although the name of a field in its head or in an
+// informational one is malformed.
+func TestMalformedNameIsNoOutcome(t *testing.T) {
+	for fields, status := range map[string]string{"": "200 OK", "Hornbeamwood-Verdict: not-run\r\n": "503 Busy"} {
+		for _, x := range responsetest.MalformedNames("HTTP/1.1 "+status, fields, "issued", "Hornbeamwood-Verdict : not-run") {
+			if x.Trailer {
+				continue
+			}
+			t.Run(status+" "+x.Name, func(t *testing.T) {
+				t.Parallel()
+				checkNoOutcome(t, responsetest.NewServer(t, func(*http.Request) string { return x.Text }), "lot 7", true)
+			})
+		}
+	}
+}
--- a/internal/entry/service/wire.go
+++ b/internal/entry/service/wire.go
@@ -48,7 +48,7 @@
 
 // readAnswer returns the answer with at most limit bytes of its body, or the service's refusal with the verdict not-run.
 func readAnswer(response *http.Response, limit int64) (Answer, error) {
-	if err := httphead.Check(response.StatusCode); err != nil {
+	if err := httphead.Check(response); err != nil {
 		return Answer{}, connectionLost(err)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
