Trailers: a field whose name is no token is no end of an answer

A server sent a line such as "X Odd: 1" in a trailer. Callers got the answer as a whole one, and the connection carried the next request. On streams any line passed: control bytes, a delimiter, no colon.

Cause: the reader of net/http takes a name with a space as it is, and the reader of streams discarded the lines of trailers unread.

Bodies of chunks that httphead reads the heads of end only once the names of the trailer are checked, by the function that checks those of heads. Streams read their trailer by the library's reader, bounded as a head is (64 KB in place of 64 lines of up to 4 KB), and check it likewise. An error there is one of the body: 502, a connection that breaks off where the caller has a part, or a resume.

--- a/internal/entry/service/broken_answer_test.go
+++ b/internal/entry/service/broken_answer_test.go
@@ -55,12 +55,13 @@
 	}
 }
 
-// Guards against an answer that counts as an outcome, or as a refusal, although the name of a field in its head or in an
-// informational one is malformed.
+// Guards against an answer that counts as an outcome, or as a refusal, although the name of a field in its head, in an
+// informational one or in its trailer is malformed.
 func TestMalformedNameIsNoOutcome(t *testing.T) {
-	for fields, status := range map[string]string{"": "200 OK", "Hornbeamwood-Verdict: not-run\r\n": "503 Busy"} {
+	const refusal = "Hornbeamwood-Verdict: not-run\r\n"
+	for fields, status := range map[string]string{"": "200 OK", refusal: "503 Busy"} {
 		for _, x := range responsetest.MalformedNames("HTTP/1.1 "+status, fields, "issued", "Hornbeamwood-Verdict : not-run") {
-			if x.Trailer {
+			if x.Trailer && fields == refusal {
 				continue
 			}
 			t.Run(status+" "+x.Name, func(t *testing.T) {
--- a/internal/node/httphead/head.go
+++ b/internal/node/httphead/head.go
@@ -11,7 +11,8 @@
 
 var errInformational = errors.New("httphead: too many informational responses")
 
-// Read reads the head of the final response to a request and skips informational ones. A head that Check refuses is an error.
+// Read reads the head of the final response to a request and skips informational ones. A head that Check refuses is an error,
+// and a malformed trailer is one at the end of the body.
 func Read(r *bufio.Reader, q *http.Request) (*http.Response, error) {
 	for range maxInformational + 1 {
 		response, err := http.ReadResponse(r, q)
@@ -22,7 +23,7 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			return response, nil
+			return withCheckedTrailer(response), nil
 		}
 	}
 	return nil, errInformational
--- a/internal/serve/backend/available.go
+++ b/internal/serve/backend/available.go
@@ -7,16 +7,13 @@
 	"net/http/httputil"
 	"slices"
 	"time"
+
+	"hornbeamwood/internal/node/httphead"
 )
 
 // maxChunkHead is the size of the longest head of a chunk without its end: 16 hexadecimal digits and a carriage return.
 const maxChunkHead = 17
 
-// maxTrailerLines bounds the lines after the last chunk.
-const maxTrailerLines = 64
-
-var errTrailer = errors.New("the trailer is too long")
-
 // availableReader returns what has arrived of a response without waiting for more.
 //
 // The reader of net/http waits for the rest of a chunk, or of the trailer, while it holds chunks that have arrived whole.
@@ -64,19 +61,12 @@
 
 // readTrailer reads the end of the body and returns io.EOF.
 func (r *availableReader) readTrailer() error {
-	for range maxTrailerLines {
-		line, err := r.conn.reader.ReadSlice('\n')
-		switch {
-		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			r.complete = true
-			return io.EOF
-		}
+	err := r.conn.readBounded(func() error { return httphead.ReadTrailer(r.conn.reader) })
+	if err != nil {
+		return err
 	}
-	return errTrailer
+	r.complete = true
+	return io.EOF
 }
 
 // arrived returns how many further bytes of the body have arrived at least.
--- a/internal/serve/backend/conn.go
+++ b/internal/serve/backend/conn.go
@@ -26,15 +26,15 @@
 	defaultIdleTimeout = 2 * time.Second
 	// idleMargin is subtracted from an announced timeout, for the latency of the next request.
 	idleMargin = 700 * time.Millisecond
-	// maxHeadBytes bounds what is read of a connection until the head of a response has ended, several times what
-	// servers send.
+	// maxHeadBytes bounds what is read of a connection until the head, or the trailer, of a response has ended, several
+	// times what servers send.
 	maxHeadBytes = 64 << 10
 	// recordInterval is the least interval at which the bytes of one connection are recorded.
 	recordInterval = 20 * time.Millisecond
 )
 
-// errHeadTooLong means that the head of a response has not ended within maxHeadBytes.
-var errHeadTooLong = errors.New("the head of the response is too long")
+// errHeadTooLong means that the head, or the trailer, of a response has not ended within maxHeadBytes.
+var errHeadTooLong = errors.New("the head or the trailer of the response is too long")
 
 // conn is one connection to a server.
 type conn struct {
@@ -46,7 +46,7 @@
 	reused bool
 	// onTimeout, if set, is called when a read has timed out. It returns whether to read again.
 	onTimeout func() bool
-	// headLeft is how many bytes may be read before the head of the response has ended, nil after that.
+	// headLeft is how many bytes may be read before the head or the trailer has ended, nil while none is read.
 	headLeft *int
 	// address is the server's address, tunnelled whether the connection leads through another entry.
 	address   string
@@ -93,11 +93,20 @@
 }
 
 // readHead reads the head of a final response.
-func (c *conn) readHead(q *http.Request) (*http.Response, error) {
+func (c *conn) readHead(q *http.Request) (r *http.Response, err error) {
+	err = c.readBounded(func() error {
+		r, err = httphead.Read(c.reader, q)
+		return err
+	})
+	return r, err
+}
+
+// readBounded calls read, which reads a head or a trailer, and fails its reads after maxHeadBytes.
+func (c *conn) readBounded(read func() error) error {
 	left := maxHeadBytes
 	c.headLeft = &left
 	defer func() { c.headLeft = nil }()
-	return httphead.Read(c.reader, q)
+	return read()
 }
 
 // recordReceived records that bytes have come.
--- a/internal/serve/caller/malformed_head_test.go
+++ b/internal/serve/caller/malformed_head_test.go
@@ -72,3 +72,40 @@
 		}
 	}
 }
+
+// Guards against a response that its caller takes for whole, and against another request on its connection, although the name of
+// a field in its trailer is malformed, or the trailer never ends.
+func TestMalformedTrailerIsNoEnd(t *testing.T) {
+	const latest = time.Second
+	large := strings.Repeat("x", 2*maxBufferedBytes)
+	for path, body := range map[string]string{"/read/x": "whole", "/once/x": "whole", "/once/large": large, "/stream/x": eventTexts(0, 2), "/resume/x": eventTexts(0, 2)} {
+		responses := responsetest.MalformedNames("HTTP/1.1 200 OK", "A-Id: r1\r\nA-Stamp: x\r\n", body, "A-Stamp : other", "A-Not-Run : 1")
+		responses = append(responses, responsetest.Malformed{
+			Name: "endless", Trailer: true,
+			Text: fmt.Sprintf("HTTP/1.1 200 OK\r\nA-Id: r1\r\nA-Stamp: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s", len(body), body, strings.Repeat("X-More: x\r\n", 20_000)),
+		})
+		for _, x := range responses {
+			if !x.Trailer {
+				continue
+			}
+			t.Run(path[1:]+" "+x.Name, func(t *testing.T) {
+				t.Parallel()
+				f := newFixture(t, respondWith(x.Text))
+				for range 2 {
+					began := time.Now()
+					if g := f.request(t, "r1", http.MethodPost, path); g.status != http.StatusBadGateway && g.err == nil {
+						t.Errorf("status %d with %d bytes", g.status, len(g.body))
+					}
+					if took := time.Since(began); took > latest {
+						t.Errorf("it took %v", took)
+					}
+				}
+				f.servers[0].mu.Lock()
+				defer f.servers[0].mu.Unlock()
+				if used, requests := len(f.servers[0].conns), len(f.servers[0].arrived); used < requests {
+					t.Errorf("%d connections for %d requests", used, requests)
+				}
+			})
+		}
+	}
+}
