Transports: responses that net/http reads are checked as well

Requests that may be sent again and prompts of the own interface, its calls to stores and engines, and the adapter's client took answers whose heads or trailers had a field name with a space, among them refusals with the word that nothing had run and requests for a backoff. Engines' refusals with status 000 counted as such promises too.

Cause: these clients use the transport of net/http, which checks neither; only the status of services was looked at, afterwards.

httphead.NewTransport checks final and informational heads by the functions that the other readers use, at most eight of the latter, and trailers at the end of the body. An attempt fails as one whose connection was lost, which may have run. The transport of net/http offers the connection of a response without a body to the next request before the head can be checked, and may have read what follows the head. So a request waits for the check of the last response on its connection, and for the end of the connection if that was malformed; it is then sent on another one, as nothing of it was written.

--- a/internal/entry/engine/client.go
+++ b/internal/entry/engine/client.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"hornbeamwood/internal/node/httphead"
 )
 
 // Client runs attempts at engines.
@@ -27,13 +29,13 @@
 	c = c.withDefaults()
 	t := c.Transport
 	if t == nil {
-		t = &http.Transport{
+		t = httphead.NewTransport(&http.Transport{
 			DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return c.Dial(ctx, address) },
 			MaxIdleConnsPerHost:    maxIdleConns,
 			IdleConnTimeout:        idleConnTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DisableCompression:     true,
-		}
+		})
 	}
 	return &client{Config: c, transport: t}
 }
--- a/internal/entry/service/broken_answer_test.go
+++ b/internal/entry/service/broken_answer_test.go
@@ -64,10 +64,12 @@
 			if x.Trailer && fields == refusal {
 				continue
 			}
-			t.Run(status+" "+x.Name, func(t *testing.T) {
-				t.Parallel()
-				checkNoOutcome(t, responsetest.NewServer(t, func(*http.Request) string { return x.Text }), "lot 7", true)
-			})
+			for _, once := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s %s, once %t", status, x.Name, once), func(t *testing.T) {
+					t.Parallel()
+					checkNoOutcome(t, responsetest.NewServer(t, func(*http.Request) string { return x.Text }), "lot 7", once)
+				})
+			}
 		}
 	}
 }
--- a/internal/entry/service/client.go
+++ b/internal/entry/service/client.go
@@ -13,6 +13,7 @@
 	"hornbeamwood/internal/base/event"
 	"hornbeamwood/internal/base/verdict"
 	"hornbeamwood/internal/control/ledger"
+	"hornbeamwood/internal/node/httphead"
 )
 
 // Client calls plain services.
@@ -43,13 +44,13 @@
 	c = c.withDefaults()
 	k := &client{
 		Config: c,
-		transport: &http.Transport{
+		transport: httphead.NewTransport(&http.Transport{
 			DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return c.Dial(ctx, address) },
 			MaxIdleConnsPerHost:    maxIdleConns,
 			IdleConnTimeout:        idleTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DisableCompression:     true,
-		},
+		}),
 	}
 	k.incarnation.Store(c.Incarnation)
 	return k
--- a/internal/process/entry/components.go
+++ b/internal/process/entry/components.go
@@ -22,6 +22,7 @@
 	"hornbeamwood/internal/fleet/membership"
 	fleetquic "hornbeamwood/internal/fleet/quic"
 	"hornbeamwood/internal/node/dial"
+	"hornbeamwood/internal/node/httphead"
 	"hornbeamwood/internal/node/tunnel"
 	"hornbeamwood/internal/policy/backoff"
 	"hornbeamwood/internal/policy/reach"
@@ -77,7 +78,7 @@
 // newHTTPClient returns a client for backend servers that follows no redirects.
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes},
+		Transport: httphead.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
