--- a/internal/node/httphead/exchange.go
+++ b/internal/node/httphead/exchange.go
@@ -13,7 +13,7 @@
 type exchange struct {
 	// conn is nil while the exchange holds no connection.
 	conn          atomic.Pointer[transportConn]
-	informational int
+	informational atomic.Int32
 }
 
 // begin waits until the last response on the connection has been checked.
@@ -35,8 +35,7 @@
 
 // checkInformational checks the head of an informational response.
 func (x *exchange) checkInformational(_ int, fields textproto.MIMEHeader) error {
-	x.informational++
-	if x.informational > maxInformational {
+	if x.informational.Add(1) > maxInformational {
 		return errInformational
 	}
 	return checkNames(http.Header(fields))
--- a/internal/node/httphead/transport_conn.go
+++ b/internal/node/httphead/transport_conn.go
@@ -8,10 +8,10 @@
 // transportConn is a connection of a transport.
 type transportConn struct {
 	net.Conn
-	// exchange is held from when a request gets the connection until its response has been checked. The http.Transport
-	// offers the connection to the next request before that.
-	exchange sync.Mutex
-	// refused is set once a response was malformed. It is guarded by exchange.
+	// inUse is held from when a request gets the connection until its response has been checked. The http.Transport offers
+	// the connection to the next request before that.
+	inUse sync.Mutex
+	// refused is set once a response was malformed or hasn't been read whole. It is guarded by inUse.
 	refused bool
 	closing sync.Once
 	// closed is closed once the http.Transport has closed the connection.
@@ -30,10 +30,10 @@
 
 // acquire waits until the last response has been checked.
 //
-// If that was malformed, the http.Transport may have read more than it, which would be the response to a request that it
-// takes before it notices the end of the connection.
+// After a malformed one it waits until the http.Transport has noticed the end of the connection as well. Otherwise bytes that
+// it has read already would be taken for the next response.
 func (c *transportConn) acquire() {
-	c.exchange.Lock()
+	c.inUse.Lock()
 	if c.refused {
 		<-c.closed
 	}
@@ -45,5 +45,5 @@
 		c.refused = true
 		_ = c.Conn.Close()
 	}
-	c.exchange.Unlock()
+	c.inUse.Unlock()
 }
